build: makefile, formatter, linter, purity check, typed messages

Cause: the parts of the system are to be written side by side, so they need one build, one verdict and one set of message types before anything else. Ruled out: generated protobuf structures as the types of the pure library; they carry heap pointers in every field, and the codec would then be part of every decision. wire.c will convert instead. Conclusion: the parts can start.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,147 @@
+# pimentoshelf: a plain makefile. "make" builds, "make check" is the whole
+# verdict (formatter, linter, purity, tests), "make demo" runs the main job.
+#
+# Adding a file needs no change here: src/ is the pure library (no I/O, no
+# clock, no threads), io/ the library around it that does I/O, daemon/ holds
+# pimentod and pimentoctl, standin/ and bench/ one program per file named in
+# their lists below, test/test_*.c one check program each.
+
+CC ?= gcc
+CXX ?= g++
+B ?= build
+SAN ?=
+CCACHE ?= $(shell command -v ccache 2>/dev/null)
+
+PKGS = libulfius jansson libprotobuf-c libxxhash libsodium libcurl
+OPT ?= -O2
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wformat=2 -Werror
+SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
+DEFS = -D_GNU_SOURCE -I. -Isrc -Iio
+CFLAGS_ALL = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS) $(DEFS) -pthread \
+	$(shell pkg-config --cflags $(PKGS) check)
+CXXFLAGS_ALL = -std=c++17 -g $(OPT) -Wall -Wextra -Werror $(SANFLAGS) $(DEFS)
+LDLIBS_ALL = $(SANFLAGS) -pthread $(shell pkg-config --libs $(PKGS)) \
+	-lstdc++ -lm
+
+SRC_C = $(wildcard src/*.c)
+SRC_CC = $(wildcard src/*.cc)
+IO_C = $(wildcard io/*.c)
+CTL_C = $(wildcard daemon/ctl_*.c) daemon/pimentoctl.c
+STANDINS = $(patsubst standin/%.c,$(B)/%,$(wildcard standin/platform.c \
+	standin/engine.c standin/service.c))
+STANDIN_SHARED = $(filter-out standin/platform.c standin/engine.c \
+	standin/service.c,$(wildcard standin/*.c))
+BENCHES = $(patsubst bench/%.c,$(B)/%,$(wildcard bench/bench.c bench/slopes.c \
+	bench/load.c))
+BENCH_SHARED = $(filter-out bench/bench.c bench/slopes.c bench/load.c,\
+	$(wildcard bench/*.c))
+TESTS = $(patsubst test/%.c,$(B)/test/%,$(wildcard test/test_*.c))
+TEST_SHARED = $(filter-out $(wildcard test/test_*.c test/fuzz_*.c),\
+	$(wildcard test/*.c))
+
+obj = $(patsubst %,$(B)/%.o,$(1))
+
+PURE = $(B)/libpimentoshelf.a
+IOLIB = $(B)/libpimentoio.a
+PROGRAMS = $(B)/pimentod $(B)/pimentoctl $(STANDINS) $(BENCHES)
+
+all: $(PROGRAMS)
+
+$(PURE): $(call obj,$(SRC_C) $(SRC_CC))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(IOLIB): $(call obj,$(IO_C))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(B)/pimentod: $(call obj,daemon/pimentod.c) $(IOLIB) $(PURE)
+	$(CC) -o $@ $^ $(LDLIBS_ALL)
+
+$(B)/pimentoctl: $(call obj,$(CTL_C)) $(IOLIB) $(PURE)
+	$(CC) -o $@ $^ $(LDLIBS_ALL)
+
+$(STANDINS): $(B)/%: $(B)/standin/%.c.o $(call obj,$(STANDIN_SHARED)) $(IOLIB) $(PURE)
+	$(CC) -o $@ $^ $(LDLIBS_ALL)
+
+$(BENCHES): $(B)/%: $(B)/bench/%.c.o $(call obj,$(BENCH_SHARED)) $(IOLIB) $(PURE)
+	$(CC) -o $@ $^ $(LDLIBS_ALL)
+
+$(TESTS): $(B)/test/%: $(B)/test/%.c.o $(call obj,$(TEST_SHARED)) $(IOLIB) $(PURE)
+	$(CC) -o $@ $^ $(LDLIBS_ALL) $(shell pkg-config --libs check)
+
+$(B)/%.c.o: %.c
+	@mkdir -p $(@D)
+	$(CCACHE) $(CC) $(CFLAGS_ALL) -MMD -c -o $@ $<
+
+# The generated codec is committed; its warnings are not ours.
+$(B)/src/wire.pb-c.c.o: src/wire.pb-c.c
+	@mkdir -p $(@D)
+	$(CCACHE) $(CC) $(CFLAGS_ALL) -Wno-error -MMD -c -o $@ $<
+
+$(B)/%.cc.o: %.cc
+	@mkdir -p $(@D)
+	$(CCACHE) $(CXX) $(CXXFLAGS_ALL) -MMD -c -o $@ $<
+
+.SECONDARY:
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
+
+# Regenerates the committed codec; the build itself needs no generator.
+proto:
+	cd src && protoc-c --c_out=. wire.proto
+
+OWN = $(filter-out src/wire.pb-c.%,$(wildcard pimentoshelf.h src/*.[ch] \
+	io/*.[ch] daemon/*.[ch] standin/*.[ch] bench/*.[ch] test/*.[ch]))
+LINT = $(filter %.c,$(filter-out test/%,$(OWN)))
+
+deps:
+	.ci/deps
+
+format:
+	clang-format -i $(OWN)
+
+format-check:
+	@clang-format --dry-run -Werror $(OWN) && echo "format: clean"
+
+lint: $(LINT:%=$(B)/lint/%.ok)
+	@echo "lint: clean"
+
+$(B)/lint/%.ok: % .clang-tidy $(wildcard pimentoshelf.h src/*.h io/*.h)
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- -std=gnu11 $(DEFS) \
+		$(shell pkg-config --cflags $(PKGS)) 2>$@.err \
+		|| { cat $@.err; exit 1; }
+	@touch $@
+
+purity: $(PURE)
+	@.ci/purity $(PURE)
+
+tests: all $(TESTS)
+	@B=$(B) .ci/tests $(TESTS)
+
+check: format-check lint purity tests
+
+asan:
+	$(MAKE) B=build/asan SAN=address,undefined OPT=-O1 tests
+
+tsan:
+	$(MAKE) B=build/tsan SAN=thread OPT=-O1 tests
+
+model:
+	model/check
+
+demo: deps all
+	@B=$(B) examples/demo
+
+bench: all
+	$(B)/bench
+
+slopes: all
+	$(B)/slopes
+
+clean:
+	rm -rf build
+
+.PHONY: all proto deps format format-check lint purity tests check asan tsan \
+	model demo bench slopes clean
