headers: the parts' interfaces

Cause: owner, route, claim, membership, spread and settings are written side by side; without agreed contracts each would guess the others'. Ruled out: one large header; a part's contract is read with its part. Change: private headers with each function's contract in prose, no code yet. Conclusion: interfaces may still move where the code or a model says so.

--- /dev/null
+++ b/src/owner.h
@@ -0,0 +1,90 @@
+#ifndef OWNER_H
+#define OWNER_H
+
+/*
+ * The owner's side of endpoints: for each endpoint that this host owns, the
+ * waiting line, the slots in flight and the learnt limit. Takes reservations
+ * of entries (this host's own entry among them, by the same messages) and
+ * answers grant, wait or refuse through the outbox. Never dispatches anything,
+ * so its death cannot leave a request in doubt.
+ */
+
+#include "config.h"
+#include "message.h"
+
+/* An endpoint's own load report, late by age. */
+typedef struct load_report {
+	pimento_usec_t age;
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t tokens_left; /* tokens to be made for what runs */
+	bool leaving;
+} load_report_t;
+
+typedef struct owner_options {
+	pimento_id_t self;
+	uint64_t seed;
+	uint32_t waiting_max; /* reservations held over all endpoints */
+} owner_options_t;
+
+typedef struct owner_endpoint owner_endpoint_t;
+
+typedef struct owner {
+	owner_options_t options;
+	outbox_t *out;
+	pimento_random_t random;
+	owner_endpoint_t **endpoints;
+	uint32_t count;
+	uint32_t capacity;
+	uint32_t waiting; /* reservations held */
+} owner_t;
+
+/* out is borrowed and must outlive the owner. Returns 0 or PIMENTO_ENOMEM. */
+int owner_init(owner_t *owner, const owner_options_t *options, outbox_t *out);
+void owner_finish(owner_t *owner);
+
+/*
+ * Starts to own an endpoint, or takes over a changed description of it. epoch
+ * is greater than that of every earlier ownership known here. weight in
+ * (0, 1] is the share of the endpoint this owner may use: less than one where
+ * it can reach only a part of the published hosts. Returns 0, PIMENTO_ENOMEM.
+ */
+int owner_take(owner_t *owner, pimento_usec_t now,
+	       const config_endpoint_t *endpoint, uint64_t epoch,
+	       double weight);
+
+/*
+ * Stops owning: every waiting reservation is refused with PIMENTO_ESTALE at
+ * once, so that its entry reserves at the new owner; nothing of it has run.
+ */
+void owner_drop(owner_t *owner, pimento_usec_t now, pimento_id_t endpoint);
+
+/* The endpoint is leaving: refuse what waits, grant nothing more. */
+void owner_leaving(owner_t *owner, pimento_usec_t now, pimento_id_t endpoint);
+
+/* An entry host is dead: what it had waiting is dropped. */
+void owner_forget(owner_t *owner, pimento_usec_t now, pimento_id_t entry);
+
+/*
+ * Takes MESSAGE_RESERVE, _RELEASE, _PROGRESS. Repeated and reordered ones are
+ * harmless. Returns 0, or PIMENTO_EINVAL for another kind.
+ */
+int owner_receive(owner_t *owner, pimento_usec_t now, pimento_id_t from,
+		  const message_t *message);
+
+void owner_report(owner_t *owner, pimento_usec_t now, pimento_id_t endpoint,
+		  const load_report_t *report);
+
+/*
+ * Called when owner_deadline() is due, or whenever else: refuses what can no
+ * longer finish in time, takes back grants and slots whose lifetime is over,
+ * grants what the limit now allows.
+ */
+void owner_tick(owner_t *owner, pimento_usec_t now);
+pimento_usec_t owner_deadline(const owner_t *owner);
+
+/* Fills a summary; PIMENTO_ENOTFOUND if the endpoint is not owned here. */
+int owner_summary(const owner_t *owner, pimento_usec_t now,
+		  pimento_id_t endpoint, message_summary_t *summary);
+
+#endif
--- /dev/null
+++ b/src/spread.h
@@ -0,0 +1,72 @@
+#ifndef SPREAD_H
+#define SPREAD_H
+
+/*
+ * Spreads the two published texts (configuration and host list) among the
+ * hosts. A few hosts, by hash, watch the platform; the rest learn of a new
+ * revision from probes, pull it from whoever has it, and read the platform
+ * themselves only as a slow backstop. Revisions only move up. Only what
+ * changed travels.
+ */
+
+#include "message.h"
+
+typedef struct spread_options {
+	pimento_id_t self;
+	uint64_t seed;
+	uint32_t readers; /* hosts that watch the platform, default 2 */
+} spread_options_t;
+
+typedef struct spread_text spread_text_t;
+
+typedef struct spread {
+	spread_options_t options;
+	outbox_t *out;
+	pimento_random_t random;
+	spread_text_t *texts; /* one per spread_subject_t */
+} spread_t;
+
+int spread_init(spread_t *spread, const spread_options_t *options,
+		outbox_t *out);
+void spread_finish(spread_t *spread);
+
+/*
+ * A text read from the platform. One that is older than what is held, or that
+ * was rejected at this revision, is ignored (PIMENTO_ESTALE).
+ */
+int spread_read(spread_t *spread, pimento_usec_t now, spread_subject_t subject,
+		uint64_t revision, const char *text, size_t length);
+
+/* Takes MESSAGE_OFFER, _PULL, _PART. Malformed ones return PIMENTO_EINVAL. */
+int spread_receive(spread_t *spread, pimento_usec_t now, pimento_id_t from,
+		   const message_t *message);
+
+/* A probe told that a peer holds this revision: pulls if it is newer. */
+void spread_heard(spread_t *spread, pimento_usec_t now, pimento_id_t from,
+		  spread_subject_t subject, uint64_t revision);
+
+/*
+ * Returns a whole new text that awaits judgement, or NULL. The caller checks
+ * it and says spread_judge(); the text stays valid until then.
+ */
+const char *spread_pending(spread_t *spread, spread_subject_t subject,
+			   uint64_t *revision, size_t *length);
+
+/* accepted: in force from now. Else it stays refused at this revision. */
+void spread_judge(spread_t *spread, pimento_usec_t now,
+		  spread_subject_t subject, bool accepted);
+
+/* Revision in force, 0 none. */
+uint64_t spread_revision(const spread_t *spread, spread_subject_t subject);
+
+/*
+ * How this host should read the platform now: true to watch (blocking read),
+ * false to read once each *interval.
+ */
+bool spread_reader(const spread_t *spread, const pimento_id_t *live,
+		   uint32_t count, pimento_usec_t *interval);
+
+void spread_tick(spread_t *spread, pimento_usec_t now);
+pimento_usec_t spread_deadline(const spread_t *spread);
+
+#endif
