claim: entry, witness and keyring of the claim protocol

Ruled out: an error number from a take that lost. A take that cannot win any more turns into a seal by itself, since two entries that each hold one of three witnesses would otherwise block the key for all. Deciding a query on the first claim seen: what a dead entry left at one witness would block a key whose attempt a quorum has sealed.

--- a/src/claim.h
+++ b/src/claim.h
@@ -11,7 +11,24 @@
 #include "config.h"
 #include "message.h"
 
-/* Who the witnesses of a key are, and how many must agree. */
+/*
+ * A step's replies count only until its deadline, and a step lasts no longer
+ * than this. Witnesses may therefore take the age that a question states as
+ * at most this much out of date, however long the network held it back: the
+ * reply to an older one is ignored.
+ */
+#define CLAIM_STEP_MAX (10 * PIMENTO_SEC)
+
+/* Questions of one claim use up to this many numbers from its first. */
+#define CLAIM_SEQUENCES 256
+
+#define CLAIM_AGE_UNKNOWN ((pimento_usec_t)-1)
+
+/*
+ * Who the witnesses of a key are, and how many must agree. Any two quorums of
+ * one set share a witness; those of two sets do so while quorum + quorum is
+ * more than the hosts of both sets together.
+ */
 typedef struct witness_set {
 	uint32_t count;
 	uint32_t quorum;
@@ -27,14 +44,23 @@
 	CLAIM_TAKING,
 	CLAIM_TAKEN, /* won: the one dispatch is ours */
 	CLAIM_SEALING,
+	CLAIM_TELLING, /* the outcome, to the witnesses */
 	CLAIM_ENDED
 } claim_state_t;
 
-/* What the entry learns from a step. */
+/*
+ * What the entry learns from a step. Only CLAIM_GIVEN_UP allows "not run"; it
+ * is said of claim->attempt and of those before it. All others that end
+ * without a dispatch of ours are "may have run".
+ */
 typedef enum claim_event {
 	CLAIM_NOTHING = 0,
 	CLAIM_FREE, /* nothing claimed: go on to reserve, then claim_take() */
-	CLAIM_HELD, /* another dispatch holds it: resume at held place */
+	/*
+	 * Another dispatch holds it: resume at claim->held. It may have been
+	 * withdrawn since; an entry that cannot resume says claim_seal().
+	 */
+	CLAIM_HELD,
 	CLAIM_WON, /* dispatch now */
 	CLAIM_GIVEN_UP, /* this attempt is sealed: "not run" is true */
 	CLAIM_DOUBT, /* "may have run" */
@@ -46,42 +72,62 @@
 typedef struct claim_options {
 	pimento_key_t key;
 	witness_set_t witnesses;
-	pimento_usec_t age; /* of the key, -1 unknown */
+	pimento_usec_t age; /* at claim_start(), or CLAIM_AGE_UNKNOWN */
 	uint32_t attempt; /* the caller's, 0: learn the next one */
 	uint64_t digest; /* of the body */
-	uint64_t sequence; /* unique start value for questions */
-	pimento_usec_t timeout; /* of one step */
+	uint64_t sequence; /* first of CLAIM_SEQUENCES, unique in the host */
+	pimento_usec_t timeout; /* of one step, up to CLAIM_STEP_MAX */
 } claim_options_t;
 
+/* What one witness last said of the key. */
+typedef struct claim_report {
+	uint32_t sealed;
+	uint32_t attempt; /* of the claim held there, 0 none */
+	bool done;
+	pimento_reqid_t request;
+} claim_report_t;
+
 typedef struct claim {
 	claim_options_t options;
 	claim_state_t state;
 	uint32_t attempt;
 	uint64_t sequence;
-	uint32_t answered; /* bit per witness */
-	uint32_t agreed; /* bit per witness */
+	uint32_t answered; /* bit per witness: spoke for the key */
+	uint32_t agreed; /* bit per witness: said yes to this step */
+	uint32_t refused; /* bit per witness: abstains or is full */
+	bool expired; /* one refused because of the key's age */
 	uint32_t sealed; /* highest seen */
+	claim_report_t reports[PIMENTO_WITNESSES_MAX];
 	bool held_seen;
-	bool taken_sent; /* a CLAIM_TAKE of ours may be on its way */
+	bool told_held; /* CLAIM_HELD was said of told */
+	pimento_reqid_t told;
 	message_place_t held; /* where the claimed request runs */
+	message_place_t place; /* ours */
+	pimento_usec_t born; /* of the key, by the entry's clock */
 	pimento_usec_t resend;
 	pimento_usec_t deadline;
-	message_place_t place; /* ours */
 } claim_t;
 
+/* Returns PIMENTO_EINVAL for options out of range, or 0. */
 int claim_init(claim_t *claim, const claim_options_t *options);
 
 /* Sends the queries. The event comes with a later step. */
 void claim_start(claim_t *claim, pimento_usec_t now, outbox_t *out);
 
-/* Asks for the one dispatch; only in CLAIM_KNOWN. */
+/*
+ * Asks for the one dispatch; in CLAIM_KNOWN. Also in CLAIM_TAKEN, by an entry
+ * that has not dispatched, to name another endpoint: the dispatch's id must be
+ * the same. Ends in CLAIM_WON or as claim_seal() does, which it turns into
+ * when the dispatch can no longer be won.
+ */
 void claim_take(claim_t *claim, pimento_usec_t now,
 		const message_place_t *place, outbox_t *out);
 
 /*
- * Gives the attempt up: ends in CLAIM_GIVEN_UP or CLAIM_DOUBT. In any state
- * before the dispatch; after CLAIM_WON only if the entry never dispatched and
- * never will.
+ * Gives the attempt up: ends in CLAIM_GIVEN_UP, CLAIM_HELD, CLAIM_MISMATCH or
+ * CLAIM_DOUBT. In any state before the dispatch; after CLAIM_WON only if the
+ * entry never dispatched and never will. After CLAIM_HELD it is the way to
+ * learn that the holder never won.
  */
 void claim_seal(claim_t *claim, pimento_usec_t now, outbox_t *out);
 
@@ -96,7 +142,7 @@
 pimento_usec_t claim_deadline(const claim_t *claim);
 
 typedef struct witness_options {
-	uint64_t incarnation;
+	uint64_t incarnation; /* not 0 */
 	uint32_t capacity; /* keys remembered; a hard cap */
 	pimento_usec_t retention;
 	pimento_usec_t started;
@@ -105,12 +151,26 @@
 
 typedef struct witness_record witness_record_t;
 
+/* A host list that was in force here, for callers' own keys. */
+typedef struct witness_view {
+	pimento_usec_t adopted;
+	uint32_t count;
+	pimento_id_t *hosts; /* sorted */
+} witness_view_t;
+
+#define WITNESS_VIEWS 8
+
 typedef struct witness {
 	witness_options_t options;
-	uint64_t view_now; /* unused for issued keys */
-	witness_record_t *records;
+	pimento_id_t self;
+	uint32_t view_count;
+	witness_view_t views[WITNESS_VIEWS]; /* the newest is the last */
+	witness_record_t **buckets;
+	uint32_t bucket_count; /* a power of two */
 	uint32_t count;
-	uint32_t size;
+	size_t answer_bytes; /* kept in records */
+	witness_record_t *oldest; /* by last change */
+	witness_record_t *newest;
 } witness_t;
 
 int witness_init(witness_t *witness, const witness_options_t *options);
@@ -118,9 +178,13 @@
 /* Answers one question; always fills reply. */
 void witness_receive(witness_t *witness, pimento_usec_t now,
 		     const message_claim_t *question, message_witness_t *reply);
-/* The host list in force changed: witness sets of callers' own keys with it. */
-void witness_view(witness_t *witness, pimento_usec_t now,
-		  const hostlist_t *list, pimento_id_t self);
+/*
+ * The host list in force changed: witness sets of callers' own keys with it.
+ * Returns PIMENTO_ENOMEM, and then answers for no such key; or 0.
+ */
+int witness_view(witness_t *witness, pimento_usec_t now, const hostlist_t *list,
+		 pimento_id_t self);
+/* Forgets what is past the retention; also done by each question. */
 void witness_tick(witness_t *witness, pimento_usec_t now);
 
 #define KEYRING_SECRET 32
@@ -153,6 +217,17 @@
 int keyring_own(const char *text, pimento_key_t key, const hostlist_t *list,
 		witness_set_t *witnesses, int64_t *birth);
 
+/*
+ * The entry hosts of a list that can be witnesses, sorted: those not leaving.
+ * Returns their number, at most max.
+ */
+uint32_t keyring_hosts(const hostlist_t *list, pimento_id_t *hosts,
+		       uint32_t max);
+
+/* keyring_own() for a sorted list of hosts, without the birth. */
+int keyring_rendezvous(const pimento_id_t *hosts, uint32_t count,
+		       pimento_key_t key, witness_set_t *witnesses);
+
 /* The key as the protocol carries it; the account keeps callers apart. */
 pimento_key_t keyring_hash(pimento_id_t account, const char *text);
 
