--- a/src/claim.c
+++ b/src/claim.c
@@ -51,6 +51,7 @@
 	case CLAIM_QUERYING:
 	case CLAIM_TAKING:
 	case CLAIM_SEALING:
+	case CLAIM_WITHDRAWING:
 	case CLAIM_TELLING:
 		return true;
 	default:
@@ -64,6 +65,7 @@
 	case CLAIM_TAKING:
 		return CLAIM_TAKE;
 	case CLAIM_SEALING:
+	case CLAIM_WITHDRAWING:
 		return CLAIM_SEAL;
 	case CLAIM_TELLING:
 		return CLAIM_DONE;
@@ -149,6 +151,7 @@
 	if (claim->state != CLAIM_KNOWN && claim->state != CLAIM_TAKEN)
 		return;
 	claim->place = *place;
+	claim->take_sent = true;
 	begin(claim, now, CLAIM_TAKING, out);
 }
 
@@ -310,13 +313,12 @@
 	return set->count - bits(mask) < set->quorum;
 }
 
-static claim_event_t end_held(claim_t *claim)
+static claim_event_t held_event(claim_t *claim)
 {
 	claim->told_held = true;
 	claim->told = claim->held.request;
-	if (claim->held.digest != claim->options.digest)
-		return end(claim, CLAIM_ENDED, CLAIM_MISMATCH);
-	return end(claim, CLAIM_ENDED, CLAIM_HELD);
+	return claim->held.digest == claim->options.digest ? CLAIM_HELD
+							   : CLAIM_MISMATCH;
 }
 
 /*
@@ -338,7 +340,7 @@
 {
 	if (!claim->attempt)
 		claim->attempt = rival(claim)->attempt;
-	return end_held(claim);
+	return end(claim, CLAIM_ENDED, held_event(claim));
 }
 
 /*
@@ -385,26 +387,46 @@
  * until the deadline. One that was reported before and could not be resumed is
  * not reported again.
  */
-static claim_event_t decide_seal(claim_t *claim, bool over)
+static claim_event_t judge_seal(claim_t *claim, bool over)
 {
 	bool news;
 
 	if (agreed(claim))
-		return end(claim, CLAIM_ENDED, CLAIM_GIVEN_UP);
+		return CLAIM_GIVEN_UP;
 	if (!over && !rival_won(claim) && !lost(claim, claim->refused))
 		return CLAIM_NOTHING;
 	news = claim->held_seen &&
 	       (!claim->told_held || claim->held.done ||
 		!pimento_reqid_equal(claim->told, claim->held.request));
-	if (news)
-		return end_held(claim);
-	return end(claim, CLAIM_ENDED, CLAIM_DOUBT);
+	return news ? held_event(claim) : CLAIM_DOUBT;
 }
 
-static claim_event_t decide_tell(claim_t *claim, bool over)
+static bool all_settled(const claim_t *claim)
 {
-	if (over || bits(claim->agreed | claim->refused) ==
-			    claim->options.witnesses.count)
+	return bits(claim->agreed | claim->refused) ==
+	       claim->options.witnesses.count;
+}
+
+/*
+ * The verdict is out as soon as it is certain, but what a take left at the
+ * other witnesses is still to be withdrawn.
+ */
+static claim_event_t decide_seal(claim_t *claim, pimento_usec_t now, bool over)
+{
+	claim_event_t event = judge_seal(claim, over);
+
+	if (event == CLAIM_NOTHING)
+		return CLAIM_NOTHING;
+	if (!claim->take_sent || all_settled(claim))
+		return end(claim, CLAIM_ENDED, event);
+	claim->state = CLAIM_WITHDRAWING;
+	claim->deadline = now + claim->options.timeout;
+	return event;
+}
+
+static claim_event_t decide_rest(claim_t *claim, bool over)
+{
+	if (over || all_settled(claim))
 		return end(claim, CLAIM_ENDED, CLAIM_NOTHING);
 	return CLAIM_NOTHING;
 }
@@ -418,9 +440,10 @@
 	case CLAIM_TAKING:
 		return decide_take(claim, now, over, out);
 	case CLAIM_SEALING:
-		return decide_seal(claim, over);
+		return decide_seal(claim, now, over);
+	case CLAIM_WITHDRAWING:
 	case CLAIM_TELLING:
-		return decide_tell(claim, over);
+		return decide_rest(claim, over);
 	default:
 		return CLAIM_NOTHING;
 	}
--- a/src/claim.h
+++ b/src/claim.h
@@ -44,6 +44,7 @@
 	CLAIM_TAKING,
 	CLAIM_TAKEN, /* won: the one dispatch is ours */
 	CLAIM_SEALING,
+	CLAIM_WITHDRAWING, /* the event is out; seals go to the last witnesses */
 	CLAIM_TELLING, /* the outcome, to the witnesses */
 	CLAIM_ENDED
 } claim_state_t;
@@ -96,6 +97,7 @@
 	uint32_t agreed; /* bit per witness: said yes to this step */
 	uint32_t refused; /* bit per witness: abstains or is full */
 	bool expired; /* one refused because of the key's age */
+	bool take_sent; /* a witness may hold the claim for us */
 	uint32_t sealed; /* highest seen */
 	claim_report_t reports[PIMENTO_WITNESSES_MAX];
 	bool held_seen;
@@ -128,6 +130,10 @@
  * CLAIM_DOUBT. In any state before the dispatch; after CLAIM_WON only if the
  * entry never dispatched and never will. After CLAIM_HELD it is the way to
  * learn that the holder never won.
+ *
+ * Go on with claim_receive() and claim_tick() until CLAIM_ENDED, also after the
+ * event: a witness that no seal has reached would go on holding the claim, and
+ * with another witness gone the key would stay closed for the retention.
  */
 void claim_seal(claim_t *claim, pimento_usec_t now, outbox_t *out);
 
