--- /dev/null
+++ b/src/endpoint.c
@@ -0,0 +1,207 @@
+/*
+ * Engines know no priorities: what was let in is served in its order and all
+ * together. So whatever urgent requests may need tomorrow has to be kept free
+ * today: less urgent tiers fill only a part of the slots, and their prompts
+ * queue at the engine only up to a short span, since an urgent request's first
+ * token waits for every prompt that was let in before it.
+ */
+
+#include "endpoint.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ROOM_PART 8 /* one slot in so many is kept for more urgent tiers */
+#define PREFILL_SPAN 1.0 /* seconds of prompts that may queue at the engine */
+#define PEAK_SPAN (30 * PIMENTO_SEC)
+#define FOREIGN_SPAN (10 * PIMENTO_SEC)
+
+owner_endpoint_t *endpoint_new(const config_endpoint_t *description,
+			       uint64_t epoch, double weight)
+{
+	owner_endpoint_t *e = calloc(1, sizeof(*e));
+
+	if (!e)
+		return NULL;
+	e->description = *description;
+	e->epoch = epoch;
+	e->weight = weight;
+	e->floor = PIMENTO_TIERS_MAX;
+	queue_init(&e->queue);
+	limit_init(&e->limit, description->target, description->concurrency);
+	return e;
+}
+
+void endpoint_free(owner_endpoint_t *e)
+{
+	queue_finish(&e->queue);
+	free(e);
+}
+
+bool endpoint_alike(const owner_endpoint_t *a, const owner_endpoint_t *b)
+{
+	return a->description.target == b->description.target &&
+	       !strcmp(a->description.target_name, b->description.target_name);
+}
+
+static uint32_t share(const owner_endpoint_t *e)
+{
+	uint32_t all = limit_requests(&e->limit);
+	uint32_t part = (uint32_t)(all * e->weight);
+
+	return part ? part : 1;
+}
+
+static uint32_t foreign(const owner_endpoint_t *e, pimento_usec_t now)
+{
+	return now < e->foreign_until ? e->foreign : 0;
+}
+
+uint32_t endpoint_slots(const owner_endpoint_t *e, pimento_usec_t now,
+			uint8_t tier)
+{
+	uint32_t slots = share(e);
+	uint32_t free_of_others = limit_requests(&e->limit);
+	uint32_t others = foreign(e, now);
+	uint32_t room;
+
+	free_of_others = free_of_others > others ? free_of_others - others : 0;
+	if (slots > free_of_others)
+		slots = free_of_others;
+	if (!slots)
+		slots = 1;
+	if (!tier || slots < 2)
+		return slots;
+	room = slots / ROOM_PART;
+	return slots - (room ? room : 1);
+}
+
+static bool prefill_fits(const owner_endpoint_t *e, const reservation_t *r)
+{
+	double rate = limit_prefill_rate(&e->limit);
+
+	if (!r->item.tier || !e->prefilling || rate <= 0)
+		return true;
+	return e->prefilling + r->asked.prompt_tokens <= rate * PREFILL_SPAN;
+}
+
+bool endpoint_fits(const owner_endpoint_t *e, pimento_usec_t now,
+		   const reservation_t *r)
+{
+	if (e->leaving)
+		return false;
+	if (e->running >= endpoint_slots(e, now, r->item.tier))
+		return false;
+	return prefill_fits(e, r);
+}
+
+pimento_usec_t endpoint_service(const owner_endpoint_t *e,
+				const message_reserve_t *asked)
+{
+	return limit_service(&e->limit, e->prefilling, asked->prompt_tokens,
+			     asked->answer_tokens);
+}
+
+pimento_usec_t endpoint_wait(const owner_endpoint_t *e, pimento_usec_t now,
+			     uint8_t tier)
+{
+	uint32_t slots = endpoint_slots(e, now, tier);
+	pimento_usec_t work = queue_work(&e->queue, tier);
+
+	if (!work && e->running < slots)
+		return 0;
+	/* What is in flight is on average half done. */
+	return (work + e->running_work / 2) / slots;
+}
+
+static void peak_note(owner_endpoint_t *e, pimento_usec_t now)
+{
+	if (now - e->peak_since > PEAK_SPAN) {
+		e->peak_before = e->peak;
+		e->peak = 0;
+		e->peak_since = now;
+	}
+	if (e->running > e->peak)
+		e->peak = e->running;
+}
+
+void endpoint_start(owner_endpoint_t *e, pimento_usec_t now, reservation_t *r)
+{
+	r->ahead = e->prefilling;
+	r->granted = now;
+	r->newer = NULL;
+	r->older = e->flight;
+	if (e->flight)
+		e->flight->newer = r;
+	e->flight = r;
+	e->running++;
+	e->running_work += r->item.work;
+	e->running_tokens += r->asked.answer_tokens;
+	if (!r->first_token)
+		e->prefilling += r->asked.prompt_tokens;
+	peak_note(e, now);
+}
+
+static uint32_t tokens_left(const reservation_t *r)
+{
+	if (r->answered >= r->asked.answer_tokens)
+		return 0;
+	return r->asked.answer_tokens - r->answered;
+}
+
+void endpoint_stop(owner_endpoint_t *e, reservation_t *r)
+{
+	endpoint_read(e, r);
+	if (r->older)
+		r->older->newer = r->newer;
+	if (r->newer)
+		r->newer->older = r->older;
+	else
+		e->flight = r->older;
+	e->running--;
+	e->running_work -= r->item.work;
+	e->running_tokens -= tokens_left(r);
+}
+
+void endpoint_read(owner_endpoint_t *e, reservation_t *r)
+{
+	if (r->first_token)
+		return;
+	r->first_token = true;
+	e->prefilling -= r->asked.prompt_tokens;
+}
+
+void endpoint_made(owner_endpoint_t *e, reservation_t *r, uint32_t answered)
+{
+	e->running_tokens -= tokens_left(r);
+	r->answered = answered;
+	e->running_tokens += tokens_left(r);
+}
+
+void endpoint_report(owner_endpoint_t *e, pimento_usec_t now,
+		     const load_report_t *report)
+{
+	uint32_t known = e->peak > e->peak_before ? e->peak : e->peak_before;
+	uint32_t seen = report->running + report->waiting;
+
+	e->foreign = seen > known ? seen - known : 0;
+	e->foreign_until = now + FOREIGN_SPAN;
+}
+
+void endpoint_summary(const owner_endpoint_t *e, pimento_usec_t now,
+		      message_summary_t *summary)
+{
+	memset(summary, 0, sizeof(*summary));
+	summary->endpoint = e->description.id;
+	summary->epoch = e->epoch;
+	summary->running = e->running;
+	summary->limit = endpoint_slots(e, now, 0);
+	summary->running_tokens = (uint32_t)e->running_tokens;
+	summary->token_limit = e->description.context_tokens;
+	for (int i = 0; i < PIMENTO_TIERS_MAX; i++)
+		summary->waiting[i] = e->queue.tiers[i].count;
+	summary->waiting_tokens = e->prefilling;
+	summary->prefill_rate = (float)limit_prefill_rate(&e->limit);
+	summary->decode_rate = (float)limit_decode_rate(&e->limit);
+	summary->leaving = e->leaving;
+}
--- /dev/null
+++ b/src/endpoint.h
@@ -0,0 +1,75 @@
+#ifndef ENDPOINT_H
+#define ENDPOINT_H
+
+/*
+ * One endpoint as its owner sees it: what waits, what is in flight, what was
+ * learnt, and whether one more request fits.
+ */
+
+#include "limit.h"
+#include "owner.h"
+
+struct owner_endpoint {
+	config_endpoint_t description;
+	uint64_t epoch;
+	double weight; /* share that this owner may use */
+	bool leaving;
+	queue_t queue;
+	limit_t limit;
+	reservation_t *flight; /* newest first */
+	uint32_t running; /* in flight, granted ones included */
+	uint32_t prefilling; /* prompt tokens granted and not yet read */
+	uint64_t running_tokens; /* still to be made, as estimated */
+	pimento_usec_t running_work;
+	uint32_t foreign; /* in flight, but not through this owner */
+	pimento_usec_t foreign_until;
+	uint32_t peak; /* most in flight lately, to judge late reports by */
+	uint32_t peak_before;
+	pimento_usec_t peak_since;
+	uint8_t floor; /* least urgent tier that may wait, until floor_until */
+	pimento_usec_t floor_until;
+};
+
+owner_endpoint_t *endpoint_new(const config_endpoint_t *description,
+			       uint64_t epoch, double weight);
+/* Frees it; nothing may wait or be in flight any more. */
+void endpoint_free(owner_endpoint_t *endpoint);
+
+/* True when both serve the same model or service. */
+bool endpoint_alike(const owner_endpoint_t *a, const owner_endpoint_t *b);
+
+/* Slots that a tier may fill. */
+uint32_t endpoint_slots(const owner_endpoint_t *endpoint, pimento_usec_t now,
+			uint8_t tier);
+
+/* True if this request may be in flight now beside what already is. */
+bool endpoint_fits(const owner_endpoint_t *endpoint, pimento_usec_t now,
+		   const reservation_t *r);
+
+/* Span that the request would take, if granted now. */
+pimento_usec_t endpoint_service(const owner_endpoint_t *endpoint,
+				const message_reserve_t *asked);
+
+/* Span until a request put into the line of this tier now is granted. */
+pimento_usec_t endpoint_wait(const owner_endpoint_t *endpoint,
+			     pimento_usec_t now, uint8_t tier);
+
+/* Counts a reservation in, and out of, what is in flight. */
+void endpoint_start(owner_endpoint_t *endpoint, pimento_usec_t now,
+		    reservation_t *r);
+void endpoint_stop(owner_endpoint_t *endpoint, reservation_t *r);
+
+/* The reservation's first token came: its prompt is read. */
+void endpoint_read(owner_endpoint_t *endpoint, reservation_t *r);
+
+/* More of the answer came. */
+void endpoint_made(owner_endpoint_t *endpoint, reservation_t *r,
+		   uint32_t answered);
+
+void endpoint_report(owner_endpoint_t *endpoint, pimento_usec_t now,
+		     const load_report_t *report);
+
+void endpoint_summary(const owner_endpoint_t *endpoint, pimento_usec_t now,
+		      message_summary_t *summary);
+
+#endif
--- /dev/null
+++ b/src/heap.c
@@ -0,0 +1,127 @@
+/*
+ * A binary heap in an array. Every move of an entry writes the new index into
+ * the item, which is what makes removal from the middle possible.
+ */
+
+#include "heap.h"
+
+#include "../pimentoshelf.h"
+
+#include <stdlib.h>
+
+#define HEAP_FIRST_SIZE 16
+
+static uint32_t *place_of(const heap_t *heap, void *item)
+{
+	return (uint32_t *)(void *)((char *)item + heap->place);
+}
+
+static void set(heap_t *heap, uint32_t i, heap_entry_t entry)
+{
+	heap->entries[i] = entry;
+	*place_of(heap, entry.item) = i;
+}
+
+static void sift_up(heap_t *heap, uint32_t i)
+{
+	heap_entry_t entry = heap->entries[i];
+
+	while (i) {
+		uint32_t parent = (i - 1) / 2;
+
+		if (heap->entries[parent].key <= entry.key)
+			break;
+		set(heap, i, heap->entries[parent]);
+		i = parent;
+	}
+	set(heap, i, entry);
+}
+
+static void sift_down(heap_t *heap, uint32_t i)
+{
+	heap_entry_t entry = heap->entries[i];
+
+	for (;;) {
+		uint32_t child = 2 * i + 1;
+
+		if (child >= heap->count)
+			break;
+		if (child + 1 < heap->count &&
+		    heap->entries[child + 1].key < heap->entries[child].key)
+			child++;
+		if (heap->entries[child].key >= entry.key)
+			break;
+		set(heap, i, heap->entries[child]);
+		i = child;
+	}
+	set(heap, i, entry);
+}
+
+void heap_init(heap_t *heap, size_t place)
+{
+	heap->entries = NULL;
+	heap->count = 0;
+	heap->size = 0;
+	heap->place = place;
+}
+
+void heap_finish(heap_t *heap)
+{
+	free(heap->entries);
+	heap_init(heap, heap->place);
+}
+
+static int grow(heap_t *heap)
+{
+	uint32_t size = heap->size ? heap->size * 2 : HEAP_FIRST_SIZE;
+	heap_entry_t *entries =
+		realloc(heap->entries, size * sizeof(*heap->entries));
+
+	if (!entries)
+		return PIMENTO_ENOMEM;
+	heap->entries = entries;
+	heap->size = size;
+	return 0;
+}
+
+int heap_put(heap_t *heap, void *item, int64_t key)
+{
+	uint32_t i = *place_of(heap, item);
+
+	if (i == HEAP_ABSENT) {
+		if (heap->count == heap->size && grow(heap))
+			return PIMENTO_ENOMEM;
+		i = heap->count++;
+		heap->entries[i].item = item;
+	}
+	heap->entries[i].key = key;
+	sift_up(heap, i);
+	sift_down(heap, *place_of(heap, item));
+	return 0;
+}
+
+void heap_remove(heap_t *heap, void *item)
+{
+	uint32_t i = *place_of(heap, item);
+	heap_entry_t last;
+
+	if (i == HEAP_ABSENT)
+		return;
+	*place_of(heap, item) = HEAP_ABSENT;
+	last = heap->entries[--heap->count];
+	if (i == heap->count)
+		return;
+	set(heap, i, last);
+	sift_up(heap, i);
+	sift_down(heap, *place_of(heap, last.item));
+}
+
+void *heap_top(const heap_t *heap)
+{
+	return heap->count ? heap->entries[0].item : NULL;
+}
+
+int64_t heap_top_key(const heap_t *heap)
+{
+	return heap->count ? heap->entries[0].key : INT64_MAX;
+}
--- /dev/null
+++ b/src/limit.h
@@ -0,0 +1,55 @@
+#ifndef LIMIT_H
+#define LIMIT_H
+
+/*
+ * What is learnt of one endpoint from the answers that it gives: how fast it
+ * reads prompts and makes tokens, and how much may be in flight there at once.
+ */
+
+#include "config.h"
+
+typedef struct limit {
+	config_target_t target;
+	uint32_t requests_max; /* the configuration's cap */
+	double requests; /* learnt, between 1 and requests_max */
+	double prefill_tokens; /* sums that decay, of first-token samples */
+	double prefill_seconds;
+	double gap; /* seconds between tokens, 0 unknown */
+	double gap_best; /* the same with little in flight */
+	double service; /* seconds of a plain service's answer, 0 unknown */
+	pimento_usec_t changed; /* when requests last went down */
+} limit_t;
+
+void limit_init(limit_t *limit, config_target_t target, uint32_t concurrency);
+/* The configuration changed the cap; what was learnt stays. */
+void limit_cap(limit_t *limit, uint32_t concurrency);
+
+/*
+ * A first token came after span; tokens counts the prompt and all prompts that
+ * were ahead of it at the endpoint.
+ */
+void limit_first_token(limit_t *limit, pimento_usec_t now, uint32_t tokens,
+		       pimento_usec_t span);
+
+/* tokens came in span, with running requests in flight. */
+void limit_decoded(limit_t *limit, pimento_usec_t now, uint32_t tokens,
+		   pimento_usec_t span, uint32_t running);
+
+/* A plain service answered after span. */
+void limit_served(limit_t *limit, pimento_usec_t now, pimento_usec_t span);
+
+/* The endpoint failed a request that it had taken. */
+void limit_failed(limit_t *limit, pimento_usec_t now);
+
+/* Prompt tokens a second, and tokens a second of one stream; 0 unknown. */
+double limit_prefill_rate(const limit_t *limit);
+double limit_decode_rate(const limit_t *limit);
+
+/* Requests that may be in flight, at least 1. */
+uint32_t limit_requests(const limit_t *limit);
+
+/* Span from dispatch to whole answer with ahead prompt tokens in front. */
+pimento_usec_t limit_service(const limit_t *limit, uint32_t ahead,
+			     uint32_t prompt, uint32_t answer);
+
+#endif
--- a/src/owner.h
+++ b/src/owner.h
@@ -10,7 +10,35 @@
  */
 
 #include "config.h"
+#include "heap.h"
 #include "message.h"
+#include "reservation.h"
+
+/*
+ * What an entry does, so that no more than this is needed of it:
+ *
+ * - MESSAGE_RESERVE, again each second until something is answered. A request
+ *   has one reservation at a time; another one has a higher round, also at
+ *   another owner, and ends the earlier one here.
+ * - On MESSAGE_GRANT of the round it waits for: dispatches within lifetime and
+ *   sends MESSAGE_PROGRESS at once, at the first token, and then every
+ *   OWNER_PROGRESS. Any other grant it answers with MESSAGE_RELEASE, unused.
+ * - On MESSAGE_REFUSE: asks route_refused() what to do.
+ * - When the dispatch ended, or the caller left: MESSAGE_RELEASE.
+ * - When an endpoint changes its owner: MESSAGE_PROGRESS to the new one for
+ *   each dispatch there, which makes it count the slot.
+ */
+#define OWNER_PROGRESS (1 * PIMENTO_SEC)
+#define OWNER_LEASE (5 * PIMENTO_SEC)
+#define OWNER_LIFETIME (500 * PIMENTO_MSEC)
+
+/*
+ * hops of the last visit before a request is given up: this owner takes it, or
+ * refuses and with it everything less urgent that waits for the same target,
+ * and lets nothing less urgent wait there for OWNER_FLOOR.
+ */
+#define OWNER_HOPS_LAST 255
+#define OWNER_FLOOR (200 * PIMENTO_MSEC)
 
 /* An endpoint's own load report, late by age. */
 typedef struct load_report {
@@ -27,22 +55,36 @@
 	uint32_t waiting_max; /* reservations held over all endpoints */
 } owner_options_t;
 
-typedef struct owner_endpoint owner_endpoint_t;
+/* An account's share within a tier. */
+typedef struct owner_account {
+	pimento_id_t id;
+	uint32_t weight;
+} owner_account_t;
 
 typedef struct owner {
 	owner_options_t options;
 	outbox_t *out;
 	pimento_random_t random;
-	owner_endpoint_t **endpoints;
+	owner_endpoint_t **endpoints; /* in the order they were taken */
 	uint32_t count;
 	uint32_t capacity;
 	uint32_t waiting; /* reservations held */
+	owner_account_t *accounts; /* by id, ascending */
+	uint32_t account_count;
+	reservation_table_t reservations;
+	heap_t due; /* reservations by the time something must happen */
 } owner_t;
 
 /* out is borrowed and must outlive the owner. Returns 0 or PIMENTO_ENOMEM. */
 int owner_init(owner_t *owner, const owner_options_t *options, outbox_t *out);
 void owner_finish(owner_t *owner);
 
+/*
+ * Takes over the accounts' weights; without it, and for accounts it does not
+ * name, every weight is 1. Returns 0 or PIMENTO_ENOMEM.
+ */
+int owner_configure(owner_t *owner, const pimento_config_t *config);
+
 /*
  * Starts to own an endpoint, or takes over a changed description of it. epoch
  * is greater than that of every earlier ownership known here. weight in
--- /dev/null
+++ b/src/reservation.c
@@ -0,0 +1,106 @@
+/*
+ * A chained hash table that doubles when it is full. A request id holds a
+ * random incarnation and a counter, so that mixing its two halves spreads.
+ */
+
+#include "reservation.h"
+
+#include <stdlib.h>
+
+#define TABLE_FIRST 256
+
+int reservation_table_init(reservation_table_t *table)
+{
+	table->count = 0;
+	table->size = TABLE_FIRST;
+	table->chains = calloc(table->size, sizeof(reservation_t *));
+	return table->chains ? 0 : PIMENTO_ENOMEM;
+}
+
+void reservation_table_finish(reservation_table_t *table)
+{
+	for (uint32_t i = 0; i < table->size; i++) {
+		while (table->chains[i]) {
+			reservation_t *r = table->chains[i];
+
+			table->chains[i] = r->next;
+			free(r);
+		}
+	}
+	free(table->chains);
+	table->chains = NULL;
+	table->size = 0;
+	table->count = 0;
+}
+
+static uint32_t chain_of(pimento_reqid_t request, uint32_t size)
+{
+	uint64_t h = (request.hi ^ request.lo) * 0x9e3779b97f4a7c15ULL;
+
+	return (uint32_t)(h >> 32) & (size - 1);
+}
+
+/* Without memory the chains just stay longer. */
+static void grow(reservation_table_t *table)
+{
+	uint32_t size = table->size * 2;
+	reservation_t **chains = calloc(size, sizeof(reservation_t *));
+
+	if (!chains)
+		return;
+	for (uint32_t i = 0; i < table->size; i++) {
+		while (table->chains[i]) {
+			reservation_t *r = table->chains[i];
+			uint32_t to = chain_of(r->asked.request, size);
+
+			table->chains[i] = r->next;
+			r->next = chains[to];
+			chains[to] = r;
+		}
+	}
+	free(table->chains);
+	table->chains = chains;
+	table->size = size;
+}
+
+reservation_t *reservation_add(reservation_table_t *table,
+			       pimento_reqid_t request)
+{
+	reservation_t *r = calloc(1, sizeof(*r));
+	uint32_t i;
+
+	if (!r)
+		return NULL;
+	if (table->count >= table->size)
+		grow(table);
+	queue_item_init(&r->item);
+	r->asked.request = request;
+	r->place_due = HEAP_ABSENT;
+	i = chain_of(request, table->size);
+	r->next = table->chains[i];
+	table->chains[i] = r;
+	table->count++;
+	return r;
+}
+
+reservation_t *reservation_find(const reservation_table_t *table,
+				pimento_reqid_t request)
+{
+	reservation_t *r = table->chains[chain_of(request, table->size)];
+
+	while (r && !pimento_reqid_equal(r->asked.request, request))
+		r = r->next;
+	return r;
+}
+
+void reservation_remove(reservation_table_t *table, reservation_t *r)
+{
+	reservation_t **link =
+		&table->chains[chain_of(r->asked.request, table->size)];
+
+	while (*link != r)
+		link = &(*link)->next;
+	*link = r->next;
+	table->count--;
+	free(r);
+}
--- /dev/null
+++ b/src/route.c
@@ -0,0 +1,451 @@
+/*
+ * The entry picks the endpoint that should finish the request first: the line
+ * in front of it, then reading the prompt less what is probably cached, then
+ * making the answer. Owners put a summary on every answer, so what is known is
+ * fresh where requests go; what this entry sent since is added to it, or all
+ * requests between two summaries would go to the same endpoint.
+ */
+
+#include "route.h"
+
+#include "owner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define KEEP 0.8 /* of the old value in each new sample */
+#define FAILED_SPAN (2 * PIMENTO_SEC)
+#define MEASURED_SPAN (30 * PIMENTO_SEC)
+#define PREFIXES 4096 /* a power of two */
+#define PREFIX_SPAN (300 * PIMENTO_SEC)
+#define PREFIX_PART 0.5 /* of a prompt, taken to be shared */
+#define GUESS_PREFILL 4000.0 /* tokens a second, until anything is known */
+#define GUESS_DECODE 30.0
+#define GUESS_SERVICE 0.05 /* seconds */
+#define MOVED_MAX 4
+#define JITTER 0.05
+
+struct route_endpoint {
+	pimento_id_t id;
+	config_target_t target;
+	char target_name[PIMENTO_NAME_MAX];
+	uint32_t concurrency;
+	uint32_t context_tokens;
+	message_summary_t summary; /* epoch 0: none yet */
+	double prefill; /* measured here, tokens a second, 0 unknown */
+	double decode;
+	double service; /* seconds, plain services */
+	pimento_usec_t measured;
+	uint32_t sent; /* by this entry since the summary */
+	pimento_usec_t failed_until;
+	bool leaving;
+};
+
+struct route_prefix {
+	uint64_t prefix;
+	pimento_id_t endpoint;
+	uint32_t tokens;
+	pimento_usec_t until;
+};
+
+int route_init(route_t *route, uint64_t seed)
+{
+	memset(route, 0, sizeof(*route));
+	pimento_random_init(&route->random, seed);
+	route->prefixes = calloc(PREFIXES, sizeof(*route->prefixes));
+	return route->prefixes ? 0 : PIMENTO_ENOMEM;
+}
+
+void route_finish(route_t *route)
+{
+	free(route->endpoints);
+	free(route->prefixes);
+	memset(route, 0, sizeof(*route));
+}
+
+static route_endpoint_t *find(const route_t *route, pimento_id_t id)
+{
+	uint32_t low = 0;
+	uint32_t high = route->count;
+
+	while (low < high) {
+		uint32_t middle = (low + high) / 2;
+
+		if (route->endpoints[middle].id == id)
+			return &route->endpoints[middle];
+		if (route->endpoints[middle].id < id)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return NULL;
+}
+
+static int endpoint_order(const void *a, const void *b)
+{
+	const route_endpoint_t *left = a;
+	const route_endpoint_t *right = b;
+
+	return (left->id > right->id) - (left->id < right->id);
+}
+
+static void describe(route_endpoint_t *e, const config_endpoint_t *from)
+{
+	e->id = from->id;
+	e->target = from->target;
+	memcpy(e->target_name, from->target_name, sizeof(e->target_name));
+	e->concurrency = from->concurrency ? from->concurrency : 1;
+	e->context_tokens = from->context_tokens;
+}
+
+int route_configure(route_t *route, pimento_usec_t now,
+		    const pimento_config_t *config)
+{
+	uint32_t n = config->endpoint_count;
+	route_endpoint_t *endpoints = calloc(n + 1, sizeof(*endpoints));
+
+	(void)now;
+	if (!endpoints)
+		return PIMENTO_ENOMEM;
+	for (uint32_t i = 0; i < n; i++) {
+		route_endpoint_t *old = find(route, config->endpoints[i].id);
+
+		if (old)
+			endpoints[i] = *old;
+		describe(&endpoints[i], &config->endpoints[i]);
+	}
+	qsort(endpoints, n, sizeof(*endpoints), endpoint_order);
+	free(route->endpoints);
+	route->endpoints = endpoints;
+	route->count = n;
+	route->tier_count = config->tier_count;
+	return 0;
+}
+
+void route_learn(route_t *route, pimento_usec_t now,
+		 const message_summary_t *summary)
+{
+	route_endpoint_t *e = find(route, summary->endpoint);
+
+	(void)now;
+	if (!e || summary->epoch < e->summary.epoch)
+		return;
+	e->summary = *summary;
+	e->sent = 0;
+}
+
+static double blend(double old, double sample)
+{
+	return old > 0 ? old * KEEP + sample * (1 - KEEP) : sample;
+}
+
+void route_observe(route_t *route, pimento_usec_t now, pimento_id_t endpoint,
+		   uint32_t prompt_tokens, uint32_t answer_tokens,
+		   pimento_usec_t first_token, pimento_usec_t decode)
+{
+	route_endpoint_t *e = find(route, endpoint);
+	double first = (double)first_token / PIMENTO_SEC;
+	double rest = (double)decode / PIMENTO_SEC;
+
+	if (!e)
+		return;
+	e->measured = now;
+	if (e->target == CONFIG_TARGET_SERVICE) {
+		e->service = blend(e->service, first + rest);
+		return;
+	}
+	if (first > 0 && prompt_tokens)
+		e->prefill = blend(e->prefill, prompt_tokens / first);
+	if (rest > 0 && answer_tokens > 1)
+		e->decode = blend(e->decode, (answer_tokens - 1) / rest);
+}
+
+static route_prefix_t *prefix_place(const route_t *route, uint64_t prefix,
+				    pimento_id_t endpoint)
+{
+	uint64_t h = (prefix ^ endpoint) * 0x9e3779b97f4a7c15ULL;
+
+	return &route->prefixes[(h >> 32) & (PREFIXES - 1)];
+}
+
+void route_placed(route_t *route, pimento_usec_t now, pimento_id_t endpoint,
+		  uint64_t prefix, uint32_t prompt_tokens)
+{
+	route_prefix_t *p;
+
+	if (!prefix)
+		return;
+	p = prefix_place(route, prefix, endpoint);
+	p->prefix = prefix;
+	p->endpoint = endpoint;
+	p->tokens = prompt_tokens;
+	p->until = now + PREFIX_SPAN;
+}
+
+static double cached_tokens(const route_t *route, pimento_usec_t now,
+			    const route_query_t *query, pimento_id_t endpoint)
+{
+	const route_prefix_t *p;
+	uint32_t tokens;
+
+	if (!query->prefix)
+		return 0;
+	p = prefix_place(route, query->prefix, endpoint);
+	if (p->prefix != query->prefix || p->endpoint != endpoint ||
+	    now > p->until)
+		return 0;
+	tokens = p->tokens;
+	if (tokens > query->prompt_tokens)
+		tokens = query->prompt_tokens;
+	return tokens * PREFIX_PART;
+}
+
+void route_leaving(route_t *route, pimento_id_t endpoint, bool leaving)
+{
+	route_endpoint_t *e = find(route, endpoint);
+
+	if (e)
+		e->leaving = leaving;
+}
+
+void route_failed(route_t *route, pimento_usec_t now, pimento_id_t endpoint)
+{
+	route_endpoint_t *e = find(route, endpoint);
+
+	if (e)
+		e->failed_until = now + FAILED_SPAN;
+}
+
+/* The best rates known of any endpoint: what an unknown one is taken to have,
+ * so that it is tried. */
+typedef struct rates {
+	double prefill;
+	double decode;
+	double service;
+} rates_t;
+
+static double prefill_of(const route_endpoint_t *e)
+{
+	return e->summary.prefill_rate > 0 ? (double)e->summary.prefill_rate
+					   : e->prefill;
+}
+
+static double decode_of(const route_endpoint_t *e)
+{
+	return e->summary.decode_rate > 0 ? (double)e->summary.decode_rate
+					  : e->decode;
+}
+
+static bool serves(const route_endpoint_t *e, const route_query_t *query)
+{
+	return e->target == query->target &&
+	       !strcmp(e->target_name, query->target_name);
+}
+
+static double larger(double a, double b)
+{
+	return a > b ? a : b;
+}
+
+static rates_t best_rates(const route_t *route, const route_query_t *query)
+{
+	rates_t best = { 0, 0, 0 };
+
+	for (uint32_t i = 0; i < route->count; i++) {
+		const route_endpoint_t *e = &route->endpoints[i];
+
+		if (!serves(e, query))
+			continue;
+		best.prefill = larger(best.prefill, prefill_of(e));
+		best.decode = larger(best.decode, decode_of(e));
+		if (e->service > 0 &&
+		    (best.service <= 0 || e->service < best.service))
+			best.service = e->service;
+	}
+	if (best.prefill <= 0)
+		best.prefill = GUESS_PREFILL;
+	if (best.decode <= 0)
+		best.decode = GUESS_DECODE;
+	if (best.service <= 0)
+		best.service = GUESS_SERVICE;
+	return best;
+}
+
+/* Seconds of service without any line. */
+static double service(const route_t *route, pimento_usec_t now,
+		      const route_query_t *query, const route_endpoint_t *e,
+		      const rates_t *best)
+{
+	double prefill = prefill_of(e) > 0 ? prefill_of(e) : best->prefill;
+	double decode = decode_of(e) > 0 ? decode_of(e) : best->decode;
+	double prompt = query->prompt_tokens;
+
+	if (e->target == CONFIG_TARGET_SERVICE)
+		return e->service > 0 ? e->service : best->service;
+	prompt -= cached_tokens(route, now, query, e->id);
+	return prompt / prefill + query->answer_tokens / decode;
+}
+
+/* Seconds in the line: what waits in front, served limit at a time. */
+static double line(const route_query_t *query, const route_endpoint_t *e,
+		   double one)
+{
+	const message_summary_t *s = &e->summary;
+	uint32_t limit = s->epoch && s->limit ? s->limit : e->concurrency;
+	double ahead = s->running + e->sent;
+
+	for (int i = 0; i <= query->tier; i++)
+		ahead += s->waiting[i];
+	if (ahead < limit)
+		return one * 0.5 * ahead / limit;
+	return one * (0.5 + (ahead - limit + 1) / limit);
+}
+
+static bool avoided(const route_query_t *query, pimento_id_t id)
+{
+	for (uint32_t i = 0; i < query->avoid_count; i++)
+		if (query->avoid[i] == id)
+			return true;
+	return false;
+}
+
+static bool usable(const route_endpoint_t *e, pimento_usec_t now,
+		   const route_query_t *query)
+{
+	if (!serves(e, query) || e->leaving || e->summary.leaving)
+		return false;
+	if (now < e->failed_until || avoided(query, e->id))
+		return false;
+	return !e->context_tokens ||
+	       query->prompt_tokens + query->answer_tokens <= e->context_tokens;
+}
+
+int route_pick(route_t *route, pimento_usec_t now, const route_query_t *query,
+	       route_choice_t *choice)
+{
+	rates_t best = best_rates(route, query);
+	route_endpoint_t *found = NULL;
+	double least = 0;
+
+	for (uint32_t i = 0; i < route->count; i++) {
+		route_endpoint_t *e = &route->endpoints[i];
+		double one;
+		double all;
+
+		if (!usable(e, now, query))
+			continue;
+		one = service(route, now, query, e, &best);
+		all = one + line(query, e, one);
+		all *= 1 + JITTER * pimento_random_unit(&route->random);
+		if (!found || all < least) {
+			found = e;
+			least = all;
+		}
+	}
+	if (!found)
+		return PIMENTO_EUNREACHABLE;
+	found->sent++;
+	choice->endpoint = found->id;
+	choice->expected = (pimento_usec_t)(least * PIMENTO_SEC);
+	return 0;
+}
+
+void route_retry_init(route_retry_t *retry)
+{
+	memset(retry, 0, sizeof(*retry));
+}
+
+static bool listed(const pimento_id_t *ids, uint32_t count, pimento_id_t id)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (ids[i] == id)
+			return true;
+	return false;
+}
+
+static void note(route_retry_t *retry, pimento_id_t endpoint,
+		 const message_refuse_t *refuse)
+{
+	if (!retry->reason)
+		retry->reason = refuse->reason;
+	if (!retry->retry_after || refuse->retry_after < retry->retry_after)
+		retry->retry_after = refuse->retry_after;
+	if (refuse->reason == PIMENTO_ESTALE && retry->moved < MOVED_MAX) {
+		retry->moved++;
+		return;
+	}
+	if (retry->count < ROUTE_VISITS_MAX &&
+	    !listed(retry->refused, retry->count, endpoint))
+		retry->refused[retry->count++] = endpoint;
+}
+
+/* An endpoint that should still finish it in time. */
+static bool another(route_t *route, pimento_usec_t now,
+		    const route_retry_t *retry, const route_query_t *query,
+		    route_choice_t *choice)
+{
+	route_query_t q = *query;
+
+	if (retry->count >= ROUTE_VISITS_MAX)
+		return false;
+	q.avoid = retry->refused;
+	q.avoid_count = retry->count;
+	return !route_pick(route, now, &q, choice) &&
+	       choice->expected <= query->patience;
+}
+
+/* True if an idle endpoint could do it within the span it came with. */
+static bool feasible(const route_t *route, pimento_usec_t now,
+		     const route_query_t *query, pimento_usec_t patience)
+{
+	rates_t best = best_rates(route, query);
+	route_query_t q = *query;
+
+	q.avoid_count = 0;
+	for (uint32_t i = 0; i < route->count; i++) {
+		const route_endpoint_t *e = &route->endpoints[i];
+
+		if (usable(e, now, &q) &&
+		    service(route, now, &q, e, &best) * PIMENTO_SEC <=
+			    (double)patience)
+			return true;
+	}
+	return false;
+}
+
+/* An owner that may have less urgent work and had no last visit yet. */
+static bool last_visit(route_t *route, pimento_usec_t now, route_retry_t *retry,
+		       const route_query_t *query, route_choice_t *choice)
+{
+	route_query_t q = *query;
+
+	if (retry->last_count >= ROUTE_VISITS_MAX)
+		return false;
+	q.avoid = retry->last;
+	q.avoid_count = retry->last_count;
+	if (route_pick(route, now, &q, choice))
+		return false;
+	retry->last[retry->last_count++] = choice->endpoint;
+	return true;
+}
+
+int route_refused(route_t *route, pimento_usec_t now, route_retry_t *retry,
+		  const route_query_t *query, pimento_usec_t patience,
+		  pimento_id_t endpoint, const message_refuse_t *refuse,
+		  route_choice_t *choice, uint8_t *hops)
+{
+	if (refuse->summary.endpoint)
+		route_learn(route, now, &refuse->summary);
+	note(retry, endpoint, refuse);
+	if (another(route, now, retry, query, choice)) {
+		*hops = (uint8_t)retry->count;
+		return 0;
+	}
+	if (query->tier + 1U < route->tier_count &&
+	    feasible(route, now, query, patience) &&
+	    last_visit(route, now, retry, query, choice)) {
+		*hops = OWNER_HOPS_LAST;
+		return 0;
+	}
+	return retry->reason;
+}
--- a/src/route.h
+++ b/src/route.h
@@ -12,10 +12,14 @@
 
 typedef struct route_endpoint route_endpoint_t;
 
+typedef struct route_prefix route_prefix_t;
+
 typedef struct route {
 	pimento_random_t random;
-	route_endpoint_t *endpoints;
+	route_endpoint_t *endpoints; /* by id, ascending */
 	uint32_t count;
+	uint32_t tier_count;
+	route_prefix_t *prefixes; /* where prompts were sent before */
 } route_t;
 
 typedef struct route_query {
@@ -66,4 +70,41 @@
 int route_pick(route_t *route, pimento_usec_t now, const route_query_t *query,
 	       route_choice_t *choice);
 
+/*
+ * What an entry keeps of one request's refusals. Cleared memory, or
+ * route_retry_init(), before the first; good for all of the request's life.
+ */
+#define ROUTE_VISITS_MAX 16
+
+typedef struct route_retry {
+	pimento_id_t refused[ROUTE_VISITS_MAX]; /* endpoints that said no */
+	uint32_t count;
+	pimento_id_t last[ROUTE_VISITS_MAX]; /* ... and no for the last time */
+	uint32_t last_count;
+	uint32_t moved; /* refusals because the owner had changed */
+	int reason; /* of the first refusal */
+	pimento_usec_t retry_after; /* the least that was said */
+} route_retry_t;
+
+void route_retry_init(route_retry_t *retry);
+
+/*
+ * An owner refused the reservation at this endpoint. Returns 0 to reserve once
+ * more, as *choice says, with *hops in the reservation; query->patience is the
+ * span left now, and its avoid list is not used. Otherwise the request is given
+ * up: the caller gets its final answer at once, the returned error, "not run"
+ * and retry->retry_after.
+ *
+ * While an endpoint seems able to finish in time it is tried. Then, if the
+ * request is not of the least urgent tier and could finish in time on an idle
+ * endpoint (patience is the span it came with), each owner gets a last visit
+ * (OWNER_HOPS_LAST), at which it takes the request or sheds everything less
+ * urgent with it. So nothing less urgent waits at any owner within reach when
+ * the request is given up.
+ */
+int route_refused(route_t *route, pimento_usec_t now, route_retry_t *retry,
+		  const route_query_t *query, pimento_usec_t patience,
+		  pimento_id_t endpoint, const message_refuse_t *refuse,
+		  route_choice_t *choice, uint8_t *hops);
+
 #endif
--- /dev/null
+++ b/test/test_owner.c
@@ -0,0 +1,397 @@
+/*
+ * The owner's decisions, step by step: each case is a script of messages and
+ * what the owner answers to each.
+ */
+
+#include "owner.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { ENTRY = 100, ACCOUNT_LARGE = 7, ACCOUNT_SMALL = 8 };
+
+static owner_t owner;
+static outbox_t out;
+static config_endpoint_t engine = {
+	.name = "engine-1",
+	.id = 1,
+	.target = CONFIG_TARGET_MODEL,
+	.target_name = "model",
+	.concurrency = 4,
+};
+
+static void setup(void)
+{
+	owner_options_t options = { .self = 1, .seed = 1, .waiting_max = 4 };
+
+	ck_assert_int_eq(outbox_init(&out, 1024), 0);
+	ck_assert_int_eq(owner_init(&owner, &options, &out), 0);
+	ck_assert_int_eq(owner_take(&owner, 0, &engine, 1, 1.0), 0);
+}
+
+static void teardown(void)
+{
+	owner_finish(&owner);
+	outbox_finish(&out);
+}
+
+static void reserve_of(uint64_t n, uint32_t round, uint8_t tier,
+		       pimento_id_t account, pimento_usec_t patience,
+		       uint8_t hops, pimento_usec_t now)
+{
+	message_t m = { .kind = MESSAGE_RESERVE };
+
+	m.u.reserve.request.lo = n;
+	m.u.reserve.round = round;
+	m.u.reserve.endpoint = engine.id;
+	m.u.reserve.account = account;
+	m.u.reserve.tier = tier;
+	m.u.reserve.hops = hops;
+	m.u.reserve.patience = patience;
+	m.u.reserve.prompt_tokens = 100;
+	m.u.reserve.answer_tokens = 30;
+	ck_assert_int_eq(owner_receive(&owner, now, ENTRY, &m), 0);
+}
+
+static void reserve(uint64_t n, uint8_t tier)
+{
+	reserve_of(n, 1, tier, ACCOUNT_LARGE, 60 * PIMENTO_SEC, 0, 0);
+}
+
+static void release(uint64_t n)
+{
+	message_t m = { .kind = MESSAGE_RELEASE };
+
+	m.u.release.request.lo = n;
+	m.u.release.round = 1;
+	m.u.release.outcome = RELEASE_UNUSED;
+	ck_assert_int_eq(owner_receive(&owner, 0, ENTRY, &m), 0);
+}
+
+static void progress(uint64_t n, pimento_usec_t now)
+{
+	message_t m = { .kind = MESSAGE_PROGRESS };
+
+	m.u.progress.request.lo = n;
+	m.u.progress.round = 1;
+	m.u.progress.endpoint = engine.id;
+	ck_assert_int_eq(owner_receive(&owner, now, ENTRY, &m), 0);
+}
+
+/* Takes the next message; the request's number, and the kind in *kind. */
+static uint64_t next(message_kind_t *kind, int *reason)
+{
+	pimento_id_t to;
+	message_t m;
+
+	*kind = MESSAGE_NONE;
+	if (!outbox_take(&out, &to, &m))
+		return 0;
+	ck_assert_uint_eq(to, ENTRY);
+	*kind = m.kind;
+	*reason = m.kind == MESSAGE_REFUSE ? m.u.refuse.reason : 0;
+	if (m.kind == MESSAGE_GRANT)
+		return m.u.grant.request.lo;
+	if (m.kind == MESSAGE_WAIT)
+		return m.u.wait.request.lo;
+	return m.u.refuse.request.lo;
+}
+
+static void expect(message_kind_t kind, uint64_t n, int reason)
+{
+	message_kind_t got;
+	int why = 0;
+	uint64_t number = next(&got, &why);
+
+	ck_assert_str_eq(message_name(got), message_name(kind));
+	ck_assert_uint_eq(number, n);
+	ck_assert_int_eq(why, reason);
+}
+
+/* Fills all slots: three that any tier may use and the urgent one. */
+static void fill(void)
+{
+	for (uint64_t n = 1; n <= 4; n++) {
+		reserve(n, 0);
+		expect(MESSAGE_GRANT, n, 0);
+		progress(n, 0);
+	}
+}
+
+START_TEST(tier_goes_before_arrival)
+{
+	fill();
+	reserve(10, 2);
+	expect(MESSAGE_WAIT, 10, 0);
+	reserve(11, 1);
+	expect(MESSAGE_WAIT, 11, 0);
+	reserve(12, 0);
+	expect(MESSAGE_WAIT, 12, 0);
+	release(1);
+	expect(MESSAGE_GRANT, 12, 0);
+	release(2);
+	release(12);
+	expect(MESSAGE_GRANT, 11, 0);
+	expect(MESSAGE_NONE, 0, 0);
+}
+END_TEST
+
+START_TEST(room_is_kept_for_urgent_requests)
+{
+	for (uint64_t n = 1; n <= 3; n++) {
+		reserve(n, 1);
+		expect(MESSAGE_GRANT, n, 0);
+	}
+	reserve(4, 1);
+	expect(MESSAGE_WAIT, 4, 0);
+	reserve(5, 0);
+	expect(MESSAGE_GRANT, 5, 0);
+}
+END_TEST
+
+/*
+ * One account sends far more than the others. Its requests came first, so in
+ * order of arrival the small account would wait behind all of them.
+ */
+START_TEST(large_account_does_not_starve_small)
+{
+	fill();
+	for (uint64_t n = 10; n <= 12; n++) {
+		reserve(n, 1);
+		expect(MESSAGE_WAIT, n, 0);
+	}
+	reserve_of(13, 1, 1, ACCOUNT_SMALL, 60 * PIMENTO_SEC, 0, 0);
+	expect(MESSAGE_WAIT, 13, 0);
+	release(1);
+	release(2);
+	expect(MESSAGE_GRANT, 10, 0);
+	release(3);
+	expect(MESSAGE_GRANT, 13, 0);
+}
+END_TEST
+
+START_TEST(earliest_deadline_first_within_an_account)
+{
+	fill();
+	reserve_of(10, 1, 0, ACCOUNT_LARGE, 50 * PIMENTO_SEC, 0, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+	reserve_of(11, 1, 0, ACCOUNT_LARGE, 40 * PIMENTO_SEC, 0, 0);
+	expect(MESSAGE_WAIT, 11, 0);
+	release(1);
+	expect(MESSAGE_GRANT, 11, 0);
+}
+END_TEST
+
+/* The owner's table is full. Somebody is told to go; it is the least urgent. */
+START_TEST(full_table_displaces_the_lowest_tier)
+{
+	fill();
+	for (uint64_t n = 10; n <= 13; n++) {
+		reserve(n, n == 12 ? 2 : 1);
+		expect(MESSAGE_WAIT, n, 0);
+	}
+	reserve(14, 0);
+	expect(MESSAGE_REFUSE, 12, PIMENTO_EBUSY);
+	expect(MESSAGE_WAIT, 14, 0);
+	reserve(15, 3);
+	expect(MESSAGE_REFUSE, 15, PIMENTO_EBUSY);
+}
+END_TEST
+
+START_TEST(late_is_refused_at_once)
+{
+	reserve_of(1, 1, 0, ACCOUNT_LARGE, 10 * PIMENTO_MSEC, 0, 0);
+	expect(MESSAGE_REFUSE, 1, PIMENTO_ELATE);
+}
+END_TEST
+
+/*
+ * A request waits so long that it could no longer be answered in time. Its
+ * caller is told then, not when the deadline has passed.
+ */
+START_TEST(waiting_is_refused_when_it_can_no_longer_finish)
+{
+	fill();
+	reserve_of(10, 1, 0, ACCOUNT_LARGE, 4 * PIMENTO_SEC, 0, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+	ck_assert_int_lt(owner_deadline(&owner), 4 * PIMENTO_SEC);
+	owner_tick(&owner, owner_deadline(&owner));
+	expect(MESSAGE_REFUSE, 10, PIMENTO_ELATE);
+}
+END_TEST
+
+/*
+ * An urgent request is given up because nobody can finish it. Were less urgent
+ * work left waiting, it would have been shed after the urgent one.
+ */
+START_TEST(last_visit_sheds_what_is_less_urgent)
+{
+	fill();
+	reserve(10, 2);
+	expect(MESSAGE_WAIT, 10, 0);
+	reserve(11, 1);
+	expect(MESSAGE_WAIT, 11, 0);
+	reserve_of(12, 1, 0, ACCOUNT_LARGE, PIMENTO_MSEC, OWNER_HOPS_LAST, 0);
+	expect(MESSAGE_REFUSE, 10, PIMENTO_EBUSY);
+	expect(MESSAGE_REFUSE, 11, PIMENTO_EBUSY);
+	expect(MESSAGE_REFUSE, 12, PIMENTO_ELATE);
+	reserve(13, 1);
+	expect(MESSAGE_REFUSE, 13, PIMENTO_EBUSY);
+	reserve(14, 0);
+	expect(MESSAGE_WAIT, 14, 0);
+}
+END_TEST
+
+/* An entry died with a grant in its hand; the slot must not be lost. */
+START_TEST(unused_grant_returns_its_slot)
+{
+	fill();
+	release(4);
+	reserve(9, 0);
+	expect(MESSAGE_GRANT, 9, 0);
+	reserve(10, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+	owner_tick(&owner, OWNER_LIFETIME);
+	expect(MESSAGE_GRANT, 10, 0);
+}
+END_TEST
+
+/* An entry died during an answer: nobody says anything of its slot any more. */
+START_TEST(silent_slot_is_freed_after_its_lease)
+{
+	fill();
+	reserve(10, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+	for (uint64_t n = 2; n <= 4; n++)
+		progress(n, OWNER_LEASE / 2);
+	owner_tick(&owner, OWNER_LEASE);
+	expect(MESSAGE_GRANT, 10, 0);
+	expect(MESSAGE_NONE, 0, 0);
+}
+END_TEST
+
+START_TEST(repeats_are_harmless)
+{
+	fill();
+	reserve(10, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+	reserve(10, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+	release(10);
+	release(10);
+	release(1);
+	release(1);
+	reserve(11, 0);
+	expect(MESSAGE_GRANT, 11, 0);
+	reserve(11, 0);
+	expect(MESSAGE_GRANT, 11, 0);
+	reserve_of(11, 2, 0, ACCOUNT_LARGE, 60 * PIMENTO_SEC, 0, 0);
+	expect(MESSAGE_GRANT, 11, 0);
+	reserve(11, 0);
+	expect(MESSAGE_NONE, 0, 0);
+	reserve(12, 0);
+	expect(MESSAGE_WAIT, 12, 0);
+}
+END_TEST
+
+/* The host list changed and another host owns the endpoint from now on. */
+START_TEST(drop_sends_what_waits_elsewhere)
+{
+	fill();
+	reserve(10, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+	owner_drop(&owner, 0, engine.id);
+	expect(MESSAGE_REFUSE, 10, PIMENTO_ESTALE);
+	reserve(11, 0);
+	expect(MESSAGE_REFUSE, 11, PIMENTO_ESTALE);
+}
+END_TEST
+
+START_TEST(new_owner_counts_what_it_hears_of)
+{
+	for (uint64_t n = 1; n <= 4; n++)
+		progress(n, 0);
+	reserve(10, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+}
+END_TEST
+
+START_TEST(leaving_takes_nothing_new)
+{
+	fill();
+	reserve(10, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+	owner_leaving(&owner, 0, engine.id);
+	expect(MESSAGE_REFUSE, 10, PIMENTO_ELEAVING);
+	release(1);
+	reserve(11, 0);
+	expect(MESSAGE_REFUSE, 11, PIMENTO_ELEAVING);
+}
+END_TEST
+
+/* Both sides of a partition own the endpoint; together they must not flood it. */
+START_TEST(share_of_an_endpoint_under_a_partition)
+{
+	ck_assert_int_eq(owner_take(&owner, 0, &engine, 2, 0.5), 0);
+	for (uint64_t n = 1; n <= 3; n++) {
+		reserve(n, 0);
+		expect(n <= 2 ? MESSAGE_GRANT : MESSAGE_WAIT, n, 0);
+	}
+}
+END_TEST
+
+START_TEST(load_of_others_is_left_room_for)
+{
+	load_report_t report = { .running = 3 };
+
+	owner_report(&owner, 0, engine.id, &report);
+	reserve(1, 0);
+	expect(MESSAGE_GRANT, 1, 0);
+	reserve(2, 0);
+	expect(MESSAGE_WAIT, 2, 0);
+}
+END_TEST
+
+START_TEST(dead_entry_is_forgotten)
+{
+	fill();
+	reserve(10, 0);
+	expect(MESSAGE_WAIT, 10, 0);
+	owner_forget(&owner, 0, ENTRY);
+	ck_assert_uint_eq(owner.waiting, 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("owner");
+	TCase *tc = tcase_create("owner");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, tier_goes_before_arrival);
+	tcase_add_test(tc, room_is_kept_for_urgent_requests);
+	tcase_add_test(tc, large_account_does_not_starve_small);
+	tcase_add_test(tc, earliest_deadline_first_within_an_account);
+	tcase_add_test(tc, full_table_displaces_the_lowest_tier);
+	tcase_add_test(tc, late_is_refused_at_once);
+	tcase_add_test(tc, waiting_is_refused_when_it_can_no_longer_finish);
+	tcase_add_test(tc, last_visit_sheds_what_is_less_urgent);
+	tcase_add_test(tc, unused_grant_returns_its_slot);
+	tcase_add_test(tc, silent_slot_is_freed_after_its_lease);
+	tcase_add_test(tc, repeats_are_harmless);
+	tcase_add_test(tc, drop_sends_what_waits_elsewhere);
+	tcase_add_test(tc, new_owner_counts_what_it_hears_of);
+	tcase_add_test(tc, leaving_takes_nothing_new);
+	tcase_add_test(tc, share_of_an_endpoint_under_a_partition);
+	tcase_add_test(tc, load_of_others_is_left_room_for);
+	tcase_add_test(tc, dead_entry_is_forgotten);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_route.c
@@ -0,0 +1,223 @@
+/*
+ * The entry's choice of endpoint, and what it does when owners refuse.
+ */
+
+#include "owner.h"
+#include "route.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { FAST = 1, SLOW = 2, SERVICE = 3 };
+
+static route_t route;
+static config_endpoint_t endpoints[] = {
+	{ .name = "fast",
+	  .id = FAST,
+	  .target = CONFIG_TARGET_MODEL,
+	  .target_name = "model",
+	  .concurrency = 8 },
+	{ .name = "slow",
+	  .id = SLOW,
+	  .target = CONFIG_TARGET_MODEL,
+	  .target_name = "model",
+	  .concurrency = 8,
+	  .context_tokens = 50000 },
+	{ .name = "shop",
+	  .id = SERVICE,
+	  .target = CONFIG_TARGET_SERVICE,
+	  .target_name = "shop",
+	  .concurrency = 2 },
+};
+static pimento_config_t config = {
+	.tier_count = 3,
+	.endpoint_count = 3,
+	.endpoints = endpoints,
+};
+static route_query_t query = {
+	.target = CONFIG_TARGET_MODEL,
+	.target_name = "model",
+	.tier = 1,
+	.patience = 60 * PIMENTO_SEC,
+	.prompt_tokens = 1000,
+	.answer_tokens = 100,
+};
+
+static void say(pimento_id_t endpoint, uint32_t running, uint32_t waiting,
+		float prefill, float decode)
+{
+	message_summary_t s = { .endpoint = endpoint,
+				.epoch = 1,
+				.limit = 8,
+				.running = running,
+				.prefill_rate = prefill,
+				.decode_rate = decode };
+
+	s.waiting[1] = waiting;
+	route_learn(&route, 0, &s);
+}
+
+static void setup(void)
+{
+	ck_assert_int_eq(route_init(&route, 1), 0);
+	ck_assert_int_eq(route_configure(&route, 0, &config), 0);
+	say(FAST, 0, 0, 10000, 50);
+	say(SLOW, 0, 0, 5000, 25);
+}
+
+static void teardown(void)
+{
+	route_finish(&route);
+}
+
+static pimento_id_t pick(const route_query_t *q)
+{
+	route_choice_t choice = { 0 };
+
+	if (route_pick(&route, 0, q, &choice))
+		return 0;
+	return choice.endpoint;
+}
+
+static const struct {
+	const char *name;
+	uint32_t running;
+	uint32_t waiting;
+	bool leaving;
+	bool failed;
+	pimento_id_t avoid;
+	uint32_t prompt;
+	pimento_id_t want;
+} cases[] = {
+	{ "the faster one", 0, 0, false, false, 0, 1000, FAST },
+	{ "a long line", 8, 30, false, false, 0, 1000, SLOW },
+	{ "leaving", 0, 0, true, false, 0, 1000, SLOW },
+	{ "failed", 0, 0, false, true, 0, 1000, SLOW },
+	{ "refused already", 0, 0, false, false, FAST, 1000, SLOW },
+	{ "too long for slow", 8, 30, false, false, 0, 60000, FAST },
+	{ "nothing left", 0, 0, true, false, 0, 60000, 0 },
+};
+
+START_TEST(picks)
+{
+	route_query_t q = query;
+
+	say(FAST, cases[_i].running, cases[_i].waiting, 10000, 50);
+	route_leaving(&route, FAST, cases[_i].leaving);
+	if (cases[_i].failed)
+		route_failed(&route, 0, FAST);
+	q.avoid = &cases[_i].avoid;
+	q.avoid_count = cases[_i].avoid ? 1 : 0;
+	q.prompt_tokens = cases[_i].prompt;
+	ck_assert_msg(pick(&q) == cases[_i].want, "%s", cases[_i].name);
+}
+END_TEST
+
+START_TEST(cached_prefix_draws)
+{
+	route_query_t q = query;
+
+	q.prefix = 99;
+	q.prompt_tokens = 40000;
+	q.answer_tokens = 1;
+	say(FAST, 0, 0, 8000, 25);
+	say(SLOW, 0, 0, 6000, 25);
+	ck_assert_uint_eq(pick(&q), FAST);
+	route_placed(&route, 0, SLOW, 99, 40000);
+	ck_assert_uint_eq(pick(&q), SLOW);
+}
+END_TEST
+
+START_TEST(unknown_endpoint_is_tried)
+{
+	say(FAST, 0, 0, 0, 0);
+	say(FAST, 0, 0, 0, 0);
+	say(SLOW, 4, 0, 5000, 25);
+	ck_assert_uint_eq(pick(&query), FAST);
+}
+END_TEST
+
+START_TEST(older_epoch_is_ignored)
+{
+	message_summary_t s = { .endpoint = FAST, .epoch = 9, .leaving = 1 };
+
+	route_learn(&route, 0, &s);
+	say(FAST, 0, 0, 10000, 50);
+	ck_assert_uint_eq(pick(&query), SLOW);
+}
+END_TEST
+
+static int refused(route_retry_t *retry, const route_query_t *q,
+		   pimento_id_t endpoint, route_choice_t *choice, uint8_t *hops)
+{
+	message_refuse_t refuse = { .reason = PIMENTO_ELATE,
+				    .retry_after = PIMENTO_SEC };
+
+	return route_refused(&route, 0, retry, q, query.patience, endpoint,
+			     &refuse, choice, hops);
+}
+
+/*
+ * Every owner says that it would be too late. Each is visited once more, so
+ * that nothing less urgent is left waiting when the caller gets its refusal.
+ */
+START_TEST(refused_goes_on_then_visits_all_a_last_time)
+{
+	route_retry_t retry;
+	route_choice_t choice;
+	uint8_t hops = 0;
+
+	route_retry_init(&retry);
+	ck_assert_int_eq(refused(&retry, &query, FAST, &choice, &hops), 0);
+	ck_assert_uint_eq(choice.endpoint, SLOW);
+	ck_assert_uint_eq(hops, 1);
+	for (int i = 0; i < 2; i++) {
+		ck_assert_int_eq(refused(&retry, &query, choice.endpoint,
+					 &choice, &hops),
+				 0);
+		ck_assert_uint_eq(hops, OWNER_HOPS_LAST);
+	}
+	ck_assert_int_eq(
+		refused(&retry, &query, choice.endpoint, &choice, &hops),
+		PIMENTO_ELATE);
+	ck_assert_int_eq(retry.retry_after, PIMENTO_SEC);
+}
+END_TEST
+
+START_TEST(least_urgent_is_given_up_without_a_last_visit)
+{
+	route_retry_t retry;
+	route_choice_t choice;
+	route_query_t q = query;
+	uint8_t hops = 0;
+
+	q.tier = 2;
+	route_retry_init(&retry);
+	ck_assert_int_eq(refused(&retry, &q, FAST, &choice, &hops), 0);
+	ck_assert_int_eq(refused(&retry, &q, SLOW, &choice, &hops),
+			 PIMENTO_ELATE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("route");
+	TCase *tc = tcase_create("route");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_loop_test(tc, picks, 0, sizeof(cases) / sizeof(cases[0]));
+	tcase_add_test(tc, cached_prefix_draws);
+	tcase_add_test(tc, unknown_endpoint_is_tried);
+	tcase_add_test(tc, older_epoch_is_ignored);
+	tcase_add_test(tc, refused_goes_on_then_visits_all_a_last_time);
+	tcase_add_test(tc, least_urgent_is_given_up_without_a_last_visit);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
