--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 TEST_SHARED = $(filter-out $(wildcard test/test_*.c test/fuzz_*.c),\
 	$(wildcard test/*.c))
 
-obj = $(patsubst %,$(B)/%.o,$(1))
+# Objects lie apart: bench/ and the program bench would share a path.
+obj = $(patsubst %,$(B)/obj/%.o,$(1))
 
 PURE = $(B)/libpimentoshelf.a
 IOLIB = $(B)/libpimentoio.a
@@ -62,25 +63,26 @@
 $(B)/pimentoctl: $(call obj,$(CTL_C)) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(STANDINS): $(B)/%: $(B)/standin/%.c.o $(call obj,$(STANDIN_SHARED)) $(IOLIB) $(PURE)
+$(STANDINS): $(B)/%: $(B)/obj/standin/%.c.o $(call obj,$(STANDIN_SHARED)) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(BENCHES): $(B)/%: $(B)/bench/%.c.o $(call obj,$(BENCH_SHARED)) $(IOLIB) $(PURE)
+$(BENCHES): $(B)/%: $(B)/obj/bench/%.c.o $(call obj,$(BENCH_SHARED)) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(TESTS): $(B)/test/%: $(B)/test/%.c.o $(call obj,$(TEST_SHARED)) $(IOLIB) $(PURE)
+$(TESTS): $(B)/test/%: $(B)/obj/test/%.c.o $(call obj,$(TEST_SHARED)) $(IOLIB) $(PURE)
+	@mkdir -p $(@D)
 	$(CC) -o $@ $^ $(LDLIBS_ALL) $(shell pkg-config --libs check)
 
-$(B)/%.c.o: %.c
+$(B)/obj/%.c.o: %.c
 	@mkdir -p $(@D)
 	$(CCACHE) $(CC) $(CFLAGS_ALL) -MMD -c -o $@ $<
 
 # The generated codec is committed; its warnings are not ours.
-$(B)/src/wire.pb-c.c.o: src/wire.pb-c.c
+$(B)/obj/src/wire.pb-c.c.o: src/wire.pb-c.c
 	@mkdir -p $(@D)
 	$(CCACHE) $(CC) $(CFLAGS_ALL) -Wno-error -MMD -c -o $@ $<
 
-$(B)/%.cc.o: %.cc
+$(B)/obj/%.cc.o: %.cc
 	@mkdir -p $(@D)
 	$(CCACHE) $(CXX) $(CXXFLAGS_ALL) -MMD -c -o $@ $<
 
