wire: codec between typed messages and protobuf frames

Cause: hosts need one encoding, and nothing of a peer's frame may reach the library unchecked. Ruled out: handing the generated structures on (heap pointers in every field). Conclusion: links can be built on it.

--- /dev/null
+++ b/test/test_wire.c
@@ -0,0 +1,170 @@
+/*
+ * The codec: every kind of message survives the trip, and what a broken or
+ * hostile peer may send is refused.
+ */
+
+#include "wire.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static message_t decoded;
+
+static int trip(const message_t *message)
+{
+	uint8_t frame[WIRE_FRAME_MAX];
+	pimento_id_t from;
+	int length = wire_encode(7, message, frame, sizeof(frame));
+
+	if (length < 0)
+		return length;
+	ck_assert_int_eq(wire_length(frame), length - WIRE_HEAD);
+	memset(&decoded, 0, sizeof(decoded));
+	return wire_decode(frame + WIRE_HEAD, (size_t)length - WIRE_HEAD, &from,
+			   &decoded);
+}
+
+START_TEST(every_kind_survives)
+{
+	message_t m;
+
+	memset(&m, 0, sizeof(m));
+	m.kind = (message_kind_t)_i;
+	switch (m.kind) {
+	case MESSAGE_CLAIM:
+		m.u.claim.op = CLAIM_TAKE;
+		m.u.claim.age = -1;
+		m.u.claim.place.answer_size = MESSAGE_ANSWER_MAX;
+		memset(m.u.claim.place.answer, 'x', MESSAGE_ANSWER_MAX);
+		break;
+	case MESSAGE_WITNESS:
+		m.u.witness.answer = PIMENTO_ECLAIMED;
+		m.u.witness.attempt = 3;
+		m.u.witness.place.done = 1;
+		break;
+	case MESSAGE_PROBE:
+	case MESSAGE_ACK:
+		m.u.probe.count = MESSAGE_FACTS_MAX;
+		m.u.probe.facts[15].state = HOST_LEAVING;
+		break;
+	case MESSAGE_OFFER:
+		m.u.offer.subject = SPREAD_HOSTS;
+		break;
+	case MESSAGE_PULL:
+		m.u.pull.subject = SPREAD_CONFIG;
+		m.u.pull.base = 9;
+		break;
+	case MESSAGE_PART:
+		m.u.part.subject = SPREAD_CONFIG;
+		m.u.part.length = MESSAGE_PART_MAX;
+		memset(m.u.part.bytes, 'y', MESSAGE_PART_MAX);
+		break;
+	case MESSAGE_DIGEST:
+		m.u.digest.count = MESSAGE_SUMMARIES_MAX;
+		m.u.digest.summaries[3].waiting[2] = 5;
+		break;
+	default:
+		m.u.reserve.request.hi = 0x1234;
+		break;
+	}
+	ck_assert_int_eq(trip(&m), 0);
+	ck_assert_mem_eq(&decoded, &m, message_size(m.kind));
+}
+END_TEST
+
+static const struct {
+	const char *name;
+	message_t message;
+	int expected;
+} refused[] = {
+	{ "no kind", { .kind = MESSAGE_NONE }, PIMENTO_EINVAL },
+	{ "beyond the kinds", { .kind = MESSAGE_KINDS }, PIMENTO_EINVAL },
+	{ "too many facts",
+	  { .kind = MESSAGE_PROBE, .u.probe.count = MESSAGE_FACTS_MAX + 1 },
+	  PIMENTO_EINVAL },
+	{ "tier out of range",
+	  { .kind = MESSAGE_RESERVE, .u.reserve.tier = PIMENTO_TIERS_MAX },
+	  PIMENTO_EPARSE },
+	{ "unknown operation",
+	  { .kind = MESSAGE_CLAIM, .u.claim.op = 9 },
+	  PIMENTO_EPARSE },
+	{ "unknown outcome",
+	  { .kind = MESSAGE_RELEASE, .u.release.outcome = 9 },
+	  PIMENTO_EPARSE },
+	{ "unknown subject",
+	  { .kind = MESSAGE_OFFER, .u.offer.subject = 3 },
+	  PIMENTO_EPARSE },
+	{ "unknown state",
+	  { .kind = MESSAGE_ACK,
+	    .u.probe = { .count = 1, .facts[0].state = 77 } },
+	  PIMENTO_EPARSE },
+};
+
+START_TEST(out_of_range_is_refused)
+{
+	ck_assert_msg(trip(&refused[_i].message) == refused[_i].expected, "%s",
+		      refused[_i].name);
+}
+END_TEST
+
+static const struct {
+	uint8_t head[WIRE_HEAD];
+	int expected;
+} heads[] = {
+	{ { 0, 0, 0, 0 }, PIMENTO_EPARSE },
+	{ { 0, 0, 0, 1 }, 1 },
+	{ { 0, 0, 0x80, 0 }, WIRE_PAYLOAD_MAX },
+	{ { 0, 0, 0x80, 1 }, PIMENTO_EPARSE },
+	{ { 0xff, 0xff, 0xff, 0xff }, PIMENTO_EPARSE },
+};
+
+START_TEST(lengths_are_bounded)
+{
+	ck_assert_int_eq(wire_length(heads[_i].head), heads[_i].expected);
+}
+END_TEST
+
+/*
+ * A peer of another version, or a stray client, sends bytes that are no
+ * message. The link must see an error for each and never a crash.
+ */
+START_TEST(rubbish_is_refused)
+{
+	uint8_t bytes[256];
+	pimento_random_t random;
+	pimento_id_t from;
+
+	pimento_random_init(&random, 1);
+	for (int round = 0; round < 20000; round++) {
+		size_t length = pimento_random_below(&random, sizeof(bytes));
+
+		for (size_t i = 0; i < length; i++)
+			bytes[i] = (uint8_t)pimento_random_next(&random);
+		if (!wire_decode(bytes, length, &from, &decoded))
+			ck_assert_uint_lt(decoded.kind, MESSAGE_KINDS);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("wire");
+	TCase *tc = tcase_create("wire");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_loop_test(tc, every_kind_survives, MESSAGE_RESERVE,
+			    MESSAGE_KINDS);
+	tcase_add_loop_test(tc, out_of_range_is_refused, 0,
+			    sizeof(refused) / sizeof(refused[0]));
+	tcase_add_loop_test(tc, lengths_are_bounded, 0,
+			    sizeof(heads) / sizeof(heads[0]));
+	tcase_add_test(tc, rubbish_is_refused);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
