--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SAN ?=
 CCACHE ?= $(shell command -v ccache 2>/dev/null)
 
-PKGS = libulfius jansson libprotobuf-c libxxhash libsodium libcurl
+PKGS = libulfius libmicrohttpd jansson libprotobuf-c libxxhash libsodium libcurl
 OPT ?= -O2
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wformat=2 -Werror
