config: parse configuration, settings and host list, all mistakes at once

Cause: the daemon and the questionnaire need one reader that reports every unknown, missing, wrong and dangling key together and keeps nothing of a text with a mistake. Ruled out: reading key by key in each parser (the checks would stand three times); letting the library's assertions stand (a run with a megabyte of "[" ended the test process at one of them); a bound on nested values alone (dotted keys nest without it). No call may fit two contracts of which only one may be repeated. A digest on the first line is checked.

--- a/src/config.h
+++ b/src/config.h
@@ -10,7 +10,7 @@
 
 #include "../pimentoshelf.h"
 
-#define CONFIG_TEXT_MAX (1024 * 1024)
+#define CONFIG_TEXT_MAX ((size_t)1048576)
 
 /* How urgent requests are; rank 0 is the most urgent. */
 typedef struct config_tier {
@@ -114,6 +114,12 @@
 			 size_t length, const char *file, problems_t *problems);
 void pimento_config_finish(pimento_config_t *config);
 
+/*
+ * Digest of a text. A configuration may carry, on its first line, the digest
+ * of all that follows that line, as 16 hexadecimal digits; it is then checked.
+ */
+uint64_t pimento_config_digest(const char *text, size_t length);
+
 const config_endpoint_t *pimento_config_endpoint(const pimento_config_t *config,
 						 pimento_id_t id);
 const config_account_t *
--- /dev/null
+++ b/src/hostlist.c
@@ -0,0 +1,186 @@
+/*
+ * Parses the platform's host list. Keys that are not known are passed over,
+ * for the list is the platform's and may grow; a host that is understood only
+ * in part discards the whole list, because a list without it would move its
+ * share of the endpoints to others.
+ */
+
+#include "config.h"
+
+#include "fields.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FILE_NAME "hosts"
+
+static void host_problem(problems_t *problems, size_t index, const char *key,
+			 const char *reason)
+{
+	char path[64];
+
+	snprintf(path, sizeof(path), "hosts[%zu].%s", index + 1, key);
+	problems_add(problems, FILE_NAME, 0, path, "%s", reason);
+}
+
+static bool copy_name(const json_t *host, const char *key, char *to)
+{
+	const char *text = json_string_value(json_object_get(host, key));
+
+	if (!text || !fields_is_name(text))
+		return false;
+	snprintf(to, PIMENTO_NAME_MAX, "%s", text);
+	return true;
+}
+
+static bool copy_address(const json_t *host, hostlist_host_t *to)
+{
+	const char *text = json_string_value(json_object_get(host, "address"));
+	unsigned char number[sizeof(struct in6_addr)];
+
+	if (!text || strlen(text) >= sizeof(to->address))
+		return false;
+	if (inet_pton(AF_INET, text, number) != 1 &&
+	    inet_pton(AF_INET6, text, number) != 1)
+		return false;
+	snprintf(to->address, sizeof(to->address), "%s", text);
+	return true;
+}
+
+static bool copy_port(const json_t *host, hostlist_host_t *to)
+{
+	const json_t *port = json_object_get(host, "port");
+	json_int_t value = json_integer_value(port);
+
+	if (!json_is_integer(port) || value < 1 || value > UINT16_MAX)
+		return false;
+	to->port = (uint16_t)value;
+	return true;
+}
+
+/* Stores whether the value is the second word; false if it is neither. */
+static bool copy_choice(const json_t *host, const char *key, const char *no,
+			const char *yes, bool *to)
+{
+	const char *text = json_string_value(json_object_get(host, key));
+
+	if (!text || (strcmp(text, no) != 0 && strcmp(text, yes) != 0))
+		return false;
+	*to = !strcmp(text, yes);
+	return true;
+}
+
+static void read_host(const json_t *host, size_t index, hostlist_host_t *to,
+		      problems_t *problems)
+{
+	if (!copy_name(host, "name", to->name))
+		host_problem(problems, index, "name", "must be a name");
+	if (!copy_name(host, "datacentre", to->datacentre))
+		host_problem(problems, index, "datacentre", "must be a name");
+	if (!copy_address(host, to))
+		host_problem(problems, index, "address",
+			     "must be an IP number");
+	if (!copy_port(host, to))
+		host_problem(problems, index, "port",
+			     "must lie between 1 and 65535");
+	if (!copy_choice(host, "role", "entry", "endpoint", &to->endpoint))
+		host_problem(problems, index, "role",
+			     "must be \"entry\" or \"endpoint\"");
+	if (!copy_choice(host, "state", "live", "leaving", &to->leaving))
+		host_problem(problems, index, "state",
+			     "must be \"live\" or \"leaving\"");
+	to->id = pimento_id(to->name);
+}
+
+static int compare_ids(const void *left, const void *right)
+{
+	pimento_id_t a = *(const pimento_id_t *)left;
+	pimento_id_t b = *(const pimento_id_t *)right;
+
+	return (a > b) - (a < b);
+}
+
+static int check_names(const hostlist_t *list, problems_t *problems)
+{
+	pimento_id_t *ids = calloc((size_t)list->count + 1, sizeof(*ids));
+
+	if (!ids)
+		return PIMENTO_ENOMEM;
+	for (uint32_t i = 0; i < list->count; i++)
+		ids[i] = list->hosts[i].id;
+	qsort(ids, list->count, sizeof(*ids), compare_ids);
+	for (uint32_t i = 1; i < list->count; i++)
+		if (ids[i] == ids[i - 1])
+			problems_add(problems, FILE_NAME, 0, "hosts",
+				     "a name stands twice");
+	free(ids);
+	return PIMENTO_OK;
+}
+
+static int read_hosts(hostlist_t *list, const json_t *hosts,
+		      problems_t *problems)
+{
+	size_t count = json_array_size(hosts);
+
+	list->hosts = calloc(count + 1, sizeof(*list->hosts));
+	if (!list->hosts)
+		return PIMENTO_ENOMEM;
+	list->count = (uint32_t)count;
+	for (size_t i = 0; i < count; i++)
+		read_host(json_array_get(hosts, i), i, &list->hosts[i],
+			  problems);
+	return check_names(list, problems);
+}
+
+static int read_list(hostlist_t *list, const json_t *root, problems_t *problems)
+{
+	const json_t *revision = json_object_get(root, "revision");
+	const json_t *hosts = json_object_get(root, "hosts");
+	uint32_t before = problems->count;
+	int error;
+
+	if (!json_is_integer(revision) || json_integer_value(revision) < 0)
+		problems_add(problems, FILE_NAME, 0, "revision",
+			     "must be a whole number from 0");
+	if (!json_is_array(hosts)) {
+		problems_add(problems, FILE_NAME, 0, "hosts", "must be a list");
+		return PIMENTO_EPARSE;
+	}
+	list->revision = (uint64_t)json_integer_value(revision);
+	error = read_hosts(list, hosts, problems);
+	if (error)
+		return error;
+	return problems->count == before ? PIMENTO_OK : PIMENTO_EPARSE;
+}
+
+int hostlist_parse(hostlist_t *list, const char *text, size_t length,
+		   problems_t *problems)
+{
+	json_error_t where;
+	json_t *root;
+	int error;
+
+	memset(list, 0, sizeof(*list));
+	if (length > CONFIG_TEXT_MAX)
+		return PIMENTO_ETOOBIG;
+	root = json_loadb(text, length, JSON_REJECT_DUPLICATES, &where);
+	if (!root) {
+		problems_add(problems, FILE_NAME, where.line, "syntax", "%s",
+			     where.text);
+		return PIMENTO_EPARSE;
+	}
+	error = read_list(list, root, problems);
+	json_decref(root);
+	if (error)
+		hostlist_finish(list);
+	return error;
+}
+
+void hostlist_finish(hostlist_t *list)
+{
+	free(list->hosts);
+	memset(list, 0, sizeof(*list));
+}
--- /dev/null
+++ b/test/test_config.c
@@ -0,0 +1,343 @@
+/*
+ * The configuration: what is accepted, what is refused and with which words,
+ * hostile texts, and the look-ups.
+ */
+
+#include "config.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+#define HASH_A \
+	"0101010101010101010101010101010101010101010101010101010101010101"
+#define HASH_B \
+	"0202020202020202020202020202020202020202020202020202020202020202"
+
+#define TOP "deployment = \"qurum\"\n"
+#define TIERS                                                       \
+	"[[tier]]\nname = \"low\"\nrank = 1\npatience_ms = 60000\n" \
+	"[[tier]]\nname = \"charge\"\nrank = 0\npatience_ms = 5000\n"
+#define ACCOUNTS                                                             \
+	"[[account]]\nname = \"a\"\nkey_hash = \"" HASH_A "\"\nweight = 4\n" \
+	"[[account]]\nname = \"b\"\nkey_hash = \"" HASH_B "\"\n"
+#define CONTRACTS                                                     \
+	"[[contract]]\nname = \"plan\"\naccount = \"*\"\n"            \
+	"target = \"model:planner\"\ntier = \"low\"\n"                \
+	"[[contract]]\nname = \"charge\"\naccount = \"a\"\n"          \
+	"target = \"service:orders\"\ntier = \"charge\"\n"            \
+	"patience_ms = 4000\nrepeatable = false\nmethod = \"POST\"\n" \
+	"path = \"/charge\"\n"
+#define SERVICES "[[service]]\nname = \"orders\"\nprefix = \"/orders\"\n"
+#define ENDPOINTS                                                             \
+	"[[endpoint]]\nname = \"e1\"\ndatacentre = \"muscat-1\"\n"            \
+	"target = \"model:planner\"\naddress = \"127.0.0.1\"\nport = 7101\n"  \
+	"concurrency = 8\ncontext_tokens = 4096\n"                            \
+	"[[endpoint]]\nname = \"o1\"\ndatacentre = \"muscat-2\"\n"            \
+	"target = \"service:orders\"\naddress = \"127.0.0.1\"\nport = 7201\n" \
+	"concurrency = 16\nfencing = true\n"
+#define WHOLE TOP TIERS ACCOUNTS CONTRACTS SERVICES ENDPOINTS
+
+static problems_t problems;
+static pimento_config_t config;
+
+static int parse_length(const char *text, size_t length)
+{
+	problems_init(&problems);
+	return pimento_config_parse(&config, text, length, "c.toml", &problems);
+}
+
+static int parse(const char *text)
+{
+	return parse_length(text, strlen(text));
+}
+
+static void finish(void)
+{
+	problems_finish(&problems);
+	pimento_config_finish(&config);
+}
+
+START_TEST(whole_is_read)
+{
+	ck_assert_msg(!parse(WHOLE), "%s", problems.text);
+	ck_assert_str_eq(config.deployment, "qurum");
+	ck_assert_uint_eq(config.tier_count, 2);
+	ck_assert_str_eq(config.tiers[0].name, "charge");
+	ck_assert_str_eq(config.tiers[1].name, "low");
+	ck_assert_int_eq(config.tiers[0].patience, 5 * PIMENTO_SEC);
+	ck_assert_uint_eq(config.body_max, 1048576);
+	ck_assert_int_eq(config.retention, 600 * PIMENTO_SEC);
+	ck_assert_uint_eq(config.accounts[0].weight, 4);
+	ck_assert_uint_eq(config.accounts[1].weight, 1);
+	ck_assert_uint_eq(config.contracts[0].tier, 1);
+	ck_assert(config.contracts[0].repeatable);
+	ck_assert_int_eq(config.contracts[0].patience, 60 * PIMENTO_SEC);
+	ck_assert(!config.contracts[1].repeatable);
+	ck_assert_int_eq(config.contracts[1].patience, 4 * PIMENTO_SEC);
+	ck_assert_uint_eq(config.endpoint_count, 2);
+	ck_assert_uint_ne(config.digest, 0);
+	finish();
+}
+END_TEST
+
+#define CONTRACT(extra) \
+	"[[contract]]\nname = \"x\"\naccount = \"*\"\ntier = \"low\"\n" extra
+
+static const struct {
+	const char *text;
+	const char *line; /* one of the lines reported */
+	uint32_t count; /* lines reported in all */
+} refused[] = {
+	{ "", "c.toml: deployment: is missing", 5 },
+	{ "deployment = ", "c.toml:1: syntax: ", 1 },
+	{ WHOLE "colour = 1\n", "c.toml:50: endpoint[2].colour: unknown key",
+	  1 },
+	{ "colour = 1\n" WHOLE, "c.toml:1: colour: unknown key", 1 },
+	{ "tier = 3\n" TOP ACCOUNTS SERVICES ENDPOINTS,
+	  "c.toml:1: tier: must be a list of tables", 2 },
+	{ "body_max = 1\n" WHOLE, "c.toml:1: body_max: must lie between", 1 },
+	{ "retention_s = \"x\"\n" WHOLE,
+	  "c.toml:1: retention_s: must be a whole number", 1 },
+	{ WHOLE CONTRACT("target = \"model:none\"\n"),
+	  "contract[3].target: no endpoint serves \"model:none\"", 1 },
+	{ WHOLE CONTRACT("target = \"service:none\"\n"),
+	  "contract[3].target: no [[service]] is named \"none\"", 2 },
+	{ WHOLE CONTRACT("target = \"planner\"\n"),
+	  "contract[3].target: must be \"model:NAME\"", 1 },
+	{ WHOLE CONTRACT("target = \"model:planner\"\npath = \"/x\"\n"),
+	  "contract[3].path: is for services only", 1 },
+	{ WHOLE CONTRACT("target = \"service:orders\"\nmethod = \"post\"\n"),
+	  "contract[3].method: must be upper case", 1 },
+	{ WHOLE CONTRACT("target = \"service:orders\"\n"),
+	  "contract[3].repeatable: contract \"charge\" fits the same calls",
+	  1 },
+	{ WHOLE "[[contract]]\nname = \"plan\"\naccount = \"*\"\n"
+		"target = \"model:planner\"\ntier = \"mid\"\n",
+	  "contract[3].tier: no tier is named \"mid\"", 2 },
+	{ WHOLE "[[contract]]\nname = \"p\"\naccount = \"c\"\n"
+		"target = \"model:planner\"\ntier = \"low\"\n",
+	  "contract[3].account: no account is named \"c\"", 1 },
+	{ WHOLE "[[tier]]\nname = \"low\"\nrank = 1\npatience_ms = 100\n",
+	  "tier[3].name: \"low\" stands twice", 2 },
+	{ WHOLE "[[tier]]\nname = \"x\"\nrank = 3\npatience_ms = 100\n",
+	  "tier[3].rank: ranks count from 0 without gap", 1 },
+	{ WHOLE "[[account]]\nname = \"c\"\nkey_hash = \"" HASH_A "\"\n",
+	  "account[3].key_hash: account \"a\" has it too", 1 },
+	{ WHOLE "[[account]]\nname = \"C\"\nkey_hash = \"12\"\nweight = 0\n",
+	  "account[3].weight: must lie between 1 and 1000", 3 },
+	{ WHOLE "[[service]]\nname = \"s\"\nprefix = \"/v1/x\"\n",
+	  "service[2].prefix: is taken by \"/v1\"", 1 },
+	{ WHOLE "[[service]]\nname = \"s\"\nprefix = \"/orders\"\n",
+	  "service[2].prefix: \"/orders\" stands twice", 1 },
+	{ WHOLE "[[service]]\nname = \"s\"\nprefix = \"s/\"\n",
+	  "service[2].prefix: must begin with '/'", 1 },
+	{ WHOLE "[[endpoint]]\nname = \"e1\"\ndatacentre = \"m\"\n"
+		"target = \"service:no\"\naddress = \"localhost\"\nport = 0\n"
+		"concurrency = true\n",
+	  "endpoint[3].address: must be an IP number", 5 },
+	{ "digest = \"0123456789abcdef\"\n" WHOLE,
+	  "c.toml:1: digest: does not fit the text", 1 },
+	{ TOP "digest = \"0123456789abcdef\"\n" TIERS ACCOUNTS CONTRACTS
+		  SERVICES ENDPOINTS,
+	  "c.toml:2: digest: must stand on the first line", 1 },
+};
+
+START_TEST(mistakes_are_all_reported)
+{
+	pimento_config_t empty;
+
+	memset(&empty, 0, sizeof(empty));
+	ck_assert_int_eq(parse(refused[_i].text), PIMENTO_EPARSE);
+	ck_assert_msg(strstr(problems.text, refused[_i].line) != NULL,
+		      "wanted %s in:\n%s", refused[_i].line, problems.text);
+	ck_assert_msg(problems.count == refused[_i].count, "%u, not %u:\n%s",
+		      problems.count, refused[_i].count, problems.text);
+	ck_assert_mem_eq(&config, &empty, sizeof(empty));
+	finish();
+}
+END_TEST
+
+START_TEST(digest_is_checked)
+{
+	char text[4096];
+
+	snprintf(
+		text, sizeof(text), "digest = \"%016llx\"\n%s",
+		(unsigned long long)pimento_config_digest(WHOLE, strlen(WHOLE)),
+		WHOLE);
+	ck_assert_msg(!parse(text), "%s", problems.text);
+	finish();
+	text[strlen(text) - 1] = ' ';
+	ck_assert_int_eq(parse(text), PIMENTO_EPARSE);
+	finish();
+}
+END_TEST
+
+static const struct {
+	const char *unit; /* repeated up to a megabyte */
+	int error;
+} hostile[] = {
+	{ "a.", PIMENTO_EPARSE },
+	{ "[", PIMENTO_EPARSE },
+	{ "a=[", PIMENTO_EPARSE },
+	{ "a={", PIMENTO_EPARSE },
+	{ "[[tier]]\n", PIMENTO_EPARSE },
+	{ "[[account]]\n", PIMENTO_EPARSE },
+	{ "\"", PIMENTO_EPARSE },
+	{ "\xff", PIMENTO_EPARSE },
+	{ "[a.b.c]\n", PIMENTO_EPARSE },
+	{ "\n", PIMENTO_EPARSE },
+	{ "[[endpoint]]\nname=\"e\"\n", PIMENTO_EPARSE },
+};
+
+/*
+ * The platform, or whoever answers in its place, sends a megabyte that is no
+ * configuration. A parser without bounds would overflow the stack and the
+ * daemon would be gone; the user would notice that every entry host dies at
+ * the same moment.
+ */
+START_TEST(hostile_text_is_refused)
+{
+	const char *unit = hostile[_i].unit;
+	size_t step = strlen(unit);
+	char *text = malloc(CONFIG_TEXT_MAX + 1);
+
+	for (size_t i = 0; i < CONFIG_TEXT_MAX; i++)
+		text[i] = unit[i % step];
+	ck_assert_int_eq(parse_length(text, CONFIG_TEXT_MAX),
+			 hostile[_i].error);
+	finish();
+	ck_assert_int_eq(parse_length(text, CONFIG_TEXT_MAX + 1),
+			 PIMENTO_ETOOBIG);
+	finish();
+	free(text);
+}
+END_TEST
+
+START_TEST(damaged_text_never_crashes)
+{
+	char text[] = WHOLE;
+	size_t length = strlen(text);
+	pimento_random_t random;
+
+	pimento_random_init(&random, 7);
+	for (int round = 0; round < 3000; round++) {
+		size_t at = pimento_random_below(&random, length);
+		char kept = text[at];
+		size_t cut = pimento_random_below(&random, length);
+
+		text[at] = (char)pimento_random_next(&random);
+		parse_length(text, round % 2 ? length : cut);
+		finish();
+		text[at] = kept;
+	}
+	ck_assert_int_eq(parse_length("a = \"\0\"", 7), PIMENTO_EPARSE);
+	finish();
+}
+END_TEST
+
+START_TEST(accounts_are_found_by_key_hash)
+{
+	uint8_t hash[32];
+
+	ck_assert_int_eq(parse(WHOLE), 0);
+	for (uint8_t first = 0; first < 4; first++) {
+		const config_account_t *found;
+
+		memset(hash, first, sizeof(hash));
+		found = pimento_config_account(&config, hash);
+		if (first == 1 || first == 2)
+			ck_assert_str_eq(found->name, first == 1 ? "a" : "b");
+		else
+			ck_assert_ptr_null(found);
+	}
+	memset(hash, 1, sizeof(hash));
+	hash[31] = 0;
+	ck_assert_ptr_null(pimento_config_account(&config, hash));
+	finish();
+}
+END_TEST
+
+static const struct {
+	uint32_t account;
+	const char *name;
+	config_target_t target;
+	const char *target_name;
+	const char *method;
+	const char *path;
+	const char *found;
+} calls[] = {
+	{ 0, NULL, CONFIG_TARGET_MODEL, "planner", NULL, NULL, "plan" },
+	{ 1, "plan", CONFIG_TARGET_MODEL, "planner", NULL, NULL, "plan" },
+	{ 0, "charge", CONFIG_TARGET_MODEL, "planner", NULL, NULL, NULL },
+	{ 0, NULL, CONFIG_TARGET_MODEL, "other", NULL, NULL, NULL },
+	{ 0, NULL, CONFIG_TARGET_SERVICE, "orders", "POST", "/charge",
+	  "charge" },
+	{ 0, "charge", CONFIG_TARGET_SERVICE, "orders", "POST", "/charge",
+	  "charge" },
+	{ 0, NULL, CONFIG_TARGET_SERVICE, "orders", "GET", "/charge", NULL },
+	{ 0, NULL, CONFIG_TARGET_SERVICE, "orders", "POST", "/charge/", NULL },
+	{ 1, NULL, CONFIG_TARGET_SERVICE, "orders", "POST", "/charge", NULL },
+};
+
+START_TEST(contracts_are_found_by_call)
+{
+	const config_contract_t *found;
+
+	ck_assert_int_eq(parse(WHOLE), 0);
+	found = pimento_config_contract(
+		&config, &config.accounts[calls[_i].account], calls[_i].name,
+		calls[_i].target, calls[_i].target_name, calls[_i].method,
+		calls[_i].path);
+	ck_assert_pstr_eq(found ? found->name : NULL, calls[_i].found);
+	finish();
+}
+END_TEST
+
+START_TEST(services_and_endpoints_are_found)
+{
+	const config_endpoint_t *endpoint;
+
+	ck_assert_int_eq(parse(WHOLE "[[service]]\nname = \"s\"\n"
+				     "prefix = \"/orders/deep\"\n"),
+			 0);
+	ck_assert_ptr_null(pimento_config_service(&config, "/ordersx"));
+	ck_assert_str_eq(pimento_config_service(&config, "/orders/x")->name,
+			 "orders");
+	ck_assert_str_eq(
+		pimento_config_service(&config, "/orders/deep/x")->name, "s");
+	endpoint = pimento_config_endpoint(&config, pimento_id("o1"));
+	ck_assert_uint_eq(endpoint->port, 7201);
+	ck_assert(endpoint->fencing);
+	ck_assert_ptr_null(pimento_config_endpoint(&config, 5));
+	finish();
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("config");
+	TCase *tc = tcase_create("config");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, whole_is_read);
+	tcase_add_loop_test(tc, mistakes_are_all_reported, 0, COUNT(refused));
+	tcase_add_test(tc, digest_is_checked);
+	tcase_add_loop_test(tc, hostile_text_is_refused, 0, COUNT(hostile));
+	tcase_add_test(tc, damaged_text_never_crashes);
+	tcase_add_test(tc, accounts_are_found_by_key_hash);
+	tcase_add_loop_test(tc, contracts_are_found_by_call, 0, COUNT(calls));
+	tcase_add_test(tc, services_and_endpoints_are_found);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_settings.c
@@ -0,0 +1,147 @@
+/*
+ * A daemon's settings and the platform's host list.
+ */
+
+#include "settings.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+#define SECRET                               \
+	"secret = "                          \
+	"\"000102030405060708090a0b0c0d0e0f" \
+	"000102030405060708090a0b0c0d0e0f\"\n"
+#define HOST                                                   \
+	"deployment = \"qurum\"\n[host]\nname = \"h1\"\n"      \
+	"datacentre = \"muscat-1\"\naddress = \"127.0.0.1\"\n" \
+	"http_port = 8080\npeer_port = 9080\n"
+#define PLATFORM "[platform]\naddress = \"127.0.0.1\"\nport = 7000\n"
+#define WHOLE HOST PLATFORM "[keys]\n" SECRET
+
+static problems_t problems;
+static settings_t settings;
+
+static int parse(const char *text)
+{
+	problems_init(&problems);
+	return settings_parse(&settings, text, strlen(text), "s.toml",
+			      &problems);
+}
+
+START_TEST(defaults_and_values)
+{
+	ck_assert_msg(!parse(WHOLE), "%s", problems.text);
+	ck_assert_str_eq(settings.name, "h1");
+	ck_assert_int_eq(settings.log_level, 6);
+	ck_assert_uint_eq(settings.connections, 1024);
+	ck_assert_uint_eq(settings.stop_seconds, 900);
+	ck_assert_uint_eq(settings.secret[15], 15);
+	problems_finish(&problems);
+	ck_assert_int_eq(parse(WHOLE
+			       "[peers]\nseeds = [\"127.0.0.1:9081\", "
+			       "\"[::1]:9082\"]\n[log]\nlevel = \"debug\"\n"
+			       "[limits]\nconnections = 9\nstop_seconds = 8\n"),
+			 0);
+	ck_assert_uint_eq(settings.seed_count, 2);
+	ck_assert_str_eq(settings.seeds[1].address, "::1");
+	ck_assert_uint_eq(settings.seeds[1].port, 9082);
+	ck_assert_int_eq(settings.log_level, 7);
+	ck_assert_uint_eq(settings.connections, 9);
+	ck_assert_uint_eq(settings.stop_seconds, 8);
+	problems_finish(&problems);
+}
+END_TEST
+
+static const struct {
+	const char *text;
+	const char *line;
+	uint32_t count;
+} refused[] = {
+	{ "", "s.toml: deployment: is missing", 4 },
+	{ HOST "[keys]\n", "s.toml:8: keys.secret: is missing", 2 },
+	{ "host = 1\n" PLATFORM "[keys]\n" SECRET,
+	  "s.toml:1: host: must be a table", 2 },
+	{ WHOLE "[log]\nlevel = \"loud\"\n",
+	  "s.toml:14: log.level: must be one of \"error\", \"warning\", "
+	  "\"info\", \"debug\"",
+	  1 },
+	{ WHOLE "[peers]\nseeds = [\"x:1\", \"1.2.3.4:0\", \"1.2.3.4\"]\n",
+	  "s.toml:14: peers.seeds: \"1.2.3.4:0\" is not an address", 3 },
+	{ WHOLE "[limits]\nconnections = 0\nstop = 1\n",
+	  "s.toml:15: limits.stop: unknown key", 2 },
+	{ "[a", "s.toml:1: syntax:", 1 },
+};
+
+START_TEST(mistakes_are_all_reported)
+{
+	ck_assert_int_eq(parse(refused[_i].text), PIMENTO_EPARSE);
+	ck_assert_msg(strstr(problems.text, refused[_i].line) != NULL,
+		      "wanted %s in:\n%s", refused[_i].line, problems.text);
+	ck_assert_msg(problems.count == refused[_i].count, "%u:\n%s",
+		      problems.count, problems.text);
+	problems_finish(&problems);
+}
+END_TEST
+
+#define ENTRY                                                              \
+	"{\"name\":\"h1\",\"datacentre\":\"m\",\"address\":\"127.0.0.1\"," \
+	"\"port\":9080,\"role\":\"entry\",\"state\":\"live\",\"new\":1}"
+
+static const struct {
+	const char *text;
+	int error;
+	uint32_t count; /* hosts, or problems */
+} lists[] = {
+	{ "{\"revision\":7,\"hosts\":[]}", 0, 0 },
+	{ "{\"revision\":7,\"hosts\":[" ENTRY "]}", 0, 1 },
+	{ "{\"revision\":7,\"hosts\":[" ENTRY "," ENTRY "]}", PIMENTO_EPARSE,
+	  1 },
+	{ "{\"revision\":7,\"hosts\":[{}]}", PIMENTO_EPARSE, 6 },
+	{ "{\"revision\":7,\"hosts\":[3]}", PIMENTO_EPARSE, 6 },
+	{ "{\"revision\":-1,\"hosts\":3}", PIMENTO_EPARSE, 2 },
+	{ "{\"revision\":1.5,\"hosts\":[]}", PIMENTO_EPARSE, 1 },
+	{ "[]", PIMENTO_EPARSE, 2 },
+	{ "rubbish", PIMENTO_EPARSE, 1 },
+	{ "", PIMENTO_EPARSE, 1 },
+};
+
+START_TEST(host_lists)
+{
+	hostlist_t list;
+
+	problems_init(&problems);
+	ck_assert_int_eq(hostlist_parse(&list, lists[_i].text,
+					strlen(lists[_i].text), &problems),
+			 lists[_i].error);
+	ck_assert_uint_eq(lists[_i].error ? problems.count : list.count,
+			  lists[_i].count);
+	if (!lists[_i].error) {
+		ck_assert_uint_eq(list.revision, 7);
+		if (list.count)
+			ck_assert_uint_eq(list.hosts[0].id, pimento_id("h1"));
+		hostlist_finish(&list);
+	}
+	problems_finish(&problems);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("settings");
+	TCase *tc = tcase_create("settings");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, defaults_and_values);
+	tcase_add_loop_test(tc, mistakes_are_all_reported, 0, COUNT(refused));
+	tcase_add_loop_test(tc, host_lists, 0, COUNT(lists));
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
