member, spread: who is there, and one configuration for all of them

Cause: hosts must agree on who owns an endpoint and on the configuration in force, also while the platform is down, at a cost that does not grow with the fleet. Ruled out: all-to-all heartbeats (400 hosts would each send 399 a period); ordering incarnations (they are random numbers, and no clock is shared), so versions order what is known of a host, and a restarted host outbids what is told of its former incarnation; pushing whole texts, since the receiver knows best what it holds. Change: member.c probes one peer a period, directly and through three others; subject.c joins facts (version, incarnation, worst state; leaving is a mark on an incarnation) so that order and repeats do not matter; a gap between ticks makes a host stale until peers or the platform confirm what it holds. spread.c offers, pulls and judges texts; delta.c makes the difference between two. Contracts in the headers were refined: member_fresh, member_refreshed and member_endpoint_live are new, hosts that fell off the list stay known while they answer, spread_read can return PIMENTO_EBUSY. A changed line of 2000 travels in less than 100 bytes. Conclusion: right in table tests on one host; a fleet in virtual time with loss, pauses and partitions comes next.

--- /dev/null
+++ b/src/delta.c
@@ -0,0 +1,276 @@
+/*
+ * A difference is a row of steps, each "copy so many bytes from this place of
+ * the base" or "these bytes are new". Both texts are cut into tokens after
+ * each newline or closing brace, which suits TOML and JSON alike; a table of
+ * the base's tokens by hash finds where a token of the new text stood, and the
+ * match is then carried on byte by byte. One pass over each text, so the time
+ * grows with their length and not with its square.
+ *
+ * The result is only ever as good as the guess of where to copy from; that it
+ * is right is checked by who applies it, by the digest of the whole text.
+ */
+
+#include "delta.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define STEP_COPY 1
+#define STEP_NEW 0
+#define COPY_MIN 16 /* a shorter copy step saves nothing */
+#define NUMBER_MAX 10 /* bytes of a number, seven bits each */
+
+typedef struct buffer {
+	char *bytes;
+	size_t length;
+	size_t capacity;
+	bool failed;
+} buffer_t;
+
+typedef struct token_table {
+	uint32_t *places; /* of tokens in the base, plus one; 0 free */
+	uint32_t mask;
+} token_table_t;
+
+static void append(buffer_t *b, const char *bytes, size_t length)
+{
+	size_t capacity = b->capacity ? b->capacity : 256;
+	char *grown;
+
+	while (capacity < b->length + length)
+		capacity *= 2;
+	if (capacity != b->capacity) {
+		grown = realloc(b->bytes, capacity);
+		if (!grown) {
+			b->failed = true;
+			return;
+		}
+		b->bytes = grown;
+		b->capacity = capacity;
+	}
+	memcpy(b->bytes + b->length, bytes, length);
+	b->length += length;
+}
+
+static void append_number(buffer_t *b, uint64_t n)
+{
+	char bytes[NUMBER_MAX];
+	size_t length = 0;
+
+	while (n >= 0x80) {
+		bytes[length++] = (char)(n | 0x80);
+		n >>= 7;
+	}
+	bytes[length++] = (char)n;
+	append(b, bytes, length);
+}
+
+static bool read_number(const char **at, const char *end, uint64_t *n)
+{
+	*n = 0;
+	for (unsigned int shift = 0; *at < end && shift < 63; shift += 7) {
+		uint8_t byte = (uint8_t) * (*at)++;
+
+		*n |= (uint64_t)(byte & 0x7f) << shift;
+		if (!(byte & 0x80))
+			return true;
+	}
+	return false;
+}
+
+static size_t token_length(const char *text, size_t length)
+{
+	size_t n = 0;
+
+	while (n < length && text[n] != '\n' && text[n] != '}')
+		n++;
+	return n < length ? n + 1 : n;
+}
+
+/* The place of an equal token of the base, or the free one where it belongs. */
+static uint32_t *table_slot(const token_table_t *table, const char *base,
+			    size_t base_length, const char *token, size_t n)
+{
+	uint32_t i = (uint32_t)XXH3_64bits(token, n) & table->mask;
+
+	for (; table->places[i]; i = (i + 1) & table->mask) {
+		size_t held = table->places[i] - 1;
+
+		if (base_length - held >= n && !memcmp(base + held, token, n))
+			break;
+	}
+	return &table->places[i];
+}
+
+static int table_init(token_table_t *table, const char *base, size_t length)
+{
+	size_t tokens = 1;
+	uint32_t size = 16;
+
+	for (size_t at = 0; at < length; tokens++)
+		at += token_length(base + at, length - at);
+	while (size < 2 * tokens)
+		size *= 2;
+	table->mask = size - 1;
+	table->places = calloc(size, sizeof(*table->places));
+	if (!table->places)
+		return PIMENTO_ENOMEM;
+	for (size_t at = 0; at < length;) {
+		size_t n = token_length(base + at, length - at);
+		uint32_t *slot = table_slot(table, base, length, base + at, n);
+
+		/* Equal tokens keep their first place only. */
+		if (!*slot)
+			*slot = (uint32_t)at + 1;
+		at += n;
+	}
+	return PIMENTO_OK;
+}
+
+static size_t common(const char *a, size_t a_length, const char *b,
+		     size_t b_length)
+{
+	size_t n = 0;
+
+	while (n < a_length && n < b_length && a[n] == b[n])
+		n++;
+	return n;
+}
+
+static void step_new(buffer_t *b, const char *bytes, size_t length)
+{
+	if (!length)
+		return;
+	append_number(b, (uint64_t)length << 1 | STEP_NEW);
+	append(b, bytes, length);
+}
+
+static void step_copy(buffer_t *b, size_t from, size_t length)
+{
+	append_number(b, (uint64_t)length << 1 | STEP_COPY);
+	append_number(b, from);
+}
+
+/*
+ * Where the last copy ended is tried first: it finds the right one of many
+ * equal tokens where only something in between has changed.
+ */
+static size_t find_copy(const token_table_t *table, const char *base,
+			size_t base_length, const char *text, size_t length,
+			size_t expected, size_t *from)
+{
+	size_t n = token_length(text, length);
+	size_t best =
+		common(base + expected, base_length - expected, text, length);
+	uint32_t place;
+	size_t found;
+
+	*from = expected;
+	if (best >= COPY_MIN)
+		return best;
+	place = *table_slot(table, base, base_length, text, n);
+	if (!place)
+		return best;
+	found = common(base + place - 1, base_length - (place - 1), text,
+		       length);
+	if (found <= best)
+		return best;
+	*from = place - 1;
+	return found;
+}
+
+static void make_steps(buffer_t *out, const token_table_t *table,
+		       const char *base, size_t base_length, const char *text,
+		       size_t length)
+{
+	size_t fresh = 0; /* start of what is not yet written */
+	size_t expected = 0;
+	size_t at = 0;
+
+	while (at < length) {
+		size_t from;
+		size_t n = find_copy(table, base, base_length, text + at,
+				     length - at, expected, &from);
+
+		if (n < COPY_MIN) {
+			n = token_length(text + at, length - at);
+			expected += token_length(base + expected,
+						 base_length - expected);
+			at += n;
+			continue;
+		}
+		step_new(out, text + fresh, at - fresh);
+		step_copy(out, from, n);
+		at += n;
+		fresh = at;
+		expected = from + n;
+	}
+	step_new(out, text + fresh, length - fresh);
+}
+
+int delta_make(const char *base, size_t base_length, const char *text,
+	       size_t length, char **delta, size_t *delta_length)
+{
+	buffer_t out = { 0 };
+	token_table_t table;
+	int error = table_init(&table, base, base_length);
+
+	if (error)
+		return error;
+	append(&out, "", 0);
+	make_steps(&out, &table, base, base_length, text, length);
+	free(table.places);
+	if (out.failed) {
+		free(out.bytes);
+		return PIMENTO_ENOMEM;
+	}
+	*delta = out.bytes;
+	*delta_length = out.length;
+	return PIMENTO_OK;
+}
+
+static int apply_step(buffer_t *out, const char *base, size_t base_length,
+		      const char **at, const char *end, size_t max)
+{
+	uint64_t step;
+	uint64_t from;
+
+	if (!read_number(at, end, &step))
+		return PIMENTO_EPARSE;
+	if (step >> 1 > max - out->length)
+		return PIMENTO_ETOOBIG;
+	if ((step & 1) == STEP_NEW) {
+		if (step >> 1 > (uint64_t)(end - *at))
+			return PIMENTO_EPARSE;
+		append(out, *at, step >> 1);
+		*at += step >> 1;
+		return PIMENTO_OK;
+	}
+	if (!read_number(at, end, &from) || from > base_length ||
+	    step >> 1 > base_length - from)
+		return PIMENTO_EPARSE;
+	append(out, base + from, step >> 1);
+	return PIMENTO_OK;
+}
+
+int delta_apply(const char *base, size_t base_length, const char *delta,
+		size_t delta_length, size_t max, char **text, size_t *length)
+{
+	const char *end = delta + delta_length;
+	buffer_t out = { 0 };
+	int error = PIMENTO_OK;
+
+	append(&out, "", 0);
+	while (!error && delta < end)
+		error = apply_step(&out, base, base_length, &delta, end, max);
+	*length = out.length;
+	append(&out, "", 1);
+	if (!error && out.failed)
+		error = PIMENTO_ENOMEM;
+	if (error)
+		free(out.bytes);
+	else
+		*text = out.bytes;
+	return error;
+}
--- a/src/member.h
+++ b/src/member.h
@@ -6,6 +6,12 @@
  * period one peer is probed, directly and then through others; what is found
  * travels as facts on probes and acks, so the cost per host does not grow with
  * the fleet. Leaving is one-way for an incarnation.
+ *
+ * Facts about one subject are ordered by version, so that any two hosts that
+ * have seen the same facts, in whatever order, hold the same. Only the subject
+ * raises its version: to refute a suspicion, and, after a restart, to outbid
+ * what is still told of its former incarnation. Incarnations are random and
+ * have no order of their own.
  */
 
 #include "config.h"
@@ -18,34 +24,80 @@
 	pimento_usec_t period; /* between probes; 0: the default */
 } member_options_t;
 
+#define MEMBER_PERIOD (250 * PIMENTO_MSEC)
+#define MEMBER_HOSTS_MAX 4096 /* subjects known, hosts and endpoints */
+#define MEMBER_RELAYS 16
+
 typedef struct member_host member_host_t;
 
+/* A probe that this host makes on another's behalf. */
+typedef struct member_relay {
+	uint64_t sequence; /* ours, 0 for a free place */
+	uint64_t origin_sequence;
+	pimento_id_t origin;
+	pimento_id_t target;
+} member_relay_t;
+
 typedef struct member {
 	member_options_t options;
 	outbox_t *out;
 	pimento_random_t random;
-	member_host_t *hosts;
+	member_host_t *hosts; /* sorted by id */
 	uint32_t count;
 	uint32_t capacity;
 	uint64_t changes; /* counts up when ownership may have changed */
 	uint64_t revision; /* configuration in force, told on probes */
 	uint64_t hosts_revision;
+	uint64_t list_revision; /* of the last list taken over, 0 none */
 	pimento_usec_t last_tick;
 	uint32_t pauses; /* gaps found between ticks */
+
+	pimento_id_t *order; /* shuffled round of hosts to probe */
+	uint32_t order_count;
+	uint32_t order_next;
+	uint32_t untold; /* subjects with something left to tell */
+	uint32_t tell_next; /* where the next message goes on telling */
+	uint32_t sweep_next; /* likewise for facts that nobody asked for */
+	pimento_id_t urgent; /* probed next, out of turn; 0 none */
+
+	uint64_t sequence;
+	uint64_t probe_sequence; /* of the probe in progress, 0 none */
+	pimento_id_t probe_target;
+	pimento_usec_t probe_timeout; /* then others are asked */
+	pimento_usec_t next_probe;
+	member_relay_t relays[MEMBER_RELAYS];
+	uint32_t relay_next;
+
+	bool fresh;
+	bool confirmed; /* since the wake; fresh once the revisions follow */
+	pimento_usec_t woken;
+	uint64_t wake_sequence; /* acks below it answer from before the wake */
+	uint32_t fresh_acks;
+	uint32_t stale_acks;
+	uint64_t told_revision; /* newest that peers told since the wake */
+	uint64_t told_hosts_revision;
 } member_t;
 
 int member_init(member_t *member, const member_options_t *options,
 		outbox_t *out);
 void member_finish(member_t *member);
 
-/* Takes over the published list. Hosts no longer listed are forgotten. */
+/*
+ * Takes over the published list; an older one is PIMENTO_ESTALE. A host that
+ * is no longer listed stays known for as long as it answers. One that the list
+ * newly shows as leaving leaves in the incarnation known here, and stays
+ * leaving in it whatever later lists say. Returns 0 or PIMENTO_ENOMEM.
+ */
 int member_publish(member_t *member, pimento_usec_t now,
 		   const hostlist_t *list);
 
-/* A peer that is known only by its settings or by a message. */
+/*
+ * A peer that is known only by its settings or by a message. It is probed, and
+ * counts as live once it was heard. Returns 0, PIMENTO_EFULL, PIMENTO_ENOMEM.
+ */
 int member_meet(member_t *member, pimento_usec_t now, pimento_id_t host);
 
-/* Takes MESSAGE_PROBE and MESSAGE_ACK. */
+/* Takes MESSAGE_PROBE and MESSAGE_ACK; PIMENTO_EINVAL for other kinds. */
 int member_receive(member_t *member, pimento_usec_t now, pimento_id_t from,
 		   const message_t *message);
 
@@ -59,6 +111,26 @@
 void member_endpoint_leaving(member_t *member, pimento_usec_t now,
 			     pimento_id_t endpoint, uint64_t incarnation);
 
+/*
+ * An endpoint reports itself live in an incarnation. Another than the one
+ * that was leaving is a new process, so it takes work again. 0 says nothing.
+ */
+void member_endpoint_live(member_t *member, pimento_usec_t now,
+			  pimento_id_t endpoint, uint64_t incarnation);
+
+/*
+ * False from a gap between ticks (this process stood still) until what is held
+ * was confirmed: two peers, or as many as live, that are themselves fresh
+ * answered a probe sent since, and the revisions that they told are in force
+ * here; or every live peer answered and none is fresh (all stood still); or
+ * the platform was read since (member_refreshed) and no fresh peer answered
+ * for a grace time, or there is none. Until then serve nothing.
+ */
+bool member_fresh(const member_t *member);
+
+/* A read of the platform that was begun after the wake came in. */
+void member_refreshed(member_t *member, pimento_usec_t now);
+
 void member_tick(member_t *member, pimento_usec_t now);
 pimento_usec_t member_deadline(const member_t *member);
 
@@ -70,11 +142,15 @@
 
 /*
  * The owner of an endpoint: by rendezvous hash over the live hosts, 0 if none.
- * epoch, where not NULL, is set to a number that grows with each change seen.
+ * Suspect hosts count as live until they are dead, so that a lost packet does
+ * not move a waiting line.
  */
 pimento_id_t member_owner(const member_t *member, pimento_id_t endpoint);
 
-/* Share of the published entry hosts that this host believes alive, (0, 1]. */
+/*
+ * Share of the published entry hosts that this host believes alive, (0, 1];
+ * 1 where none are published.
+ */
 double member_share(const member_t *member);
 
 #endif
--- a/src/spread.h
+++ b/src/spread.h
@@ -4,26 +4,37 @@
 /*
  * Spreads the two published texts (configuration and host list) among the
  * hosts. A few hosts, by hash, watch the platform; the rest learn of a new
- * revision from probes, pull it from whoever has it, and read the platform
- * themselves only as a slow backstop. Revisions only move up. Only what
- * changed travels.
+ * revision from offers and probes, pull it from whoever has it, and read the
+ * platform themselves only as a slow backstop. Revisions only move up. Only
+ * what changed travels.
+ *
+ * The receiver drives a transfer: it pulls one part, and the next when that
+ * came in. So neither side holds more than one part in flight, a lost message
+ * costs one timeout, and a sender that died is replaced by another holder.
  */
 
 #include "message.h"
 
+#define SPREAD_READERS 2
+#define SPREAD_TEXT_MAX ((size_t)1024 * 1024)
+
 typedef struct spread_options {
 	pimento_id_t self;
 	uint64_t seed;
-	uint32_t readers; /* hosts that watch the platform, default 2 */
+	uint32_t readers; /* hosts that watch the platform; 0: SPREAD_READERS */
 } spread_options_t;
 
 typedef struct spread_text spread_text_t;
 
+#define SPREAD_PEERS 64
+
 typedef struct spread {
 	spread_options_t options;
 	outbox_t *out;
 	pimento_random_t random;
 	spread_text_t *texts; /* one per spread_subject_t */
+	pimento_id_t peers[SPREAD_PEERS]; /* heard lately; get the offers */
+	uint32_t peer_next;
 } spread_t;
 
 int spread_init(spread_t *spread, const spread_options_t *options,
@@ -31,8 +42,10 @@
 void spread_finish(spread_t *spread);
 
 /*
- * A text read from the platform. One that is older than what is held, or that
- * was rejected at this revision, is ignored (PIMENTO_ESTALE).
+ * A text read from the platform. One that is no newer than what is held, or
+ * that was rejected at this revision, is ignored (PIMENTO_ESTALE). Returns
+ * PIMENTO_ETOOBIG over SPREAD_TEXT_MAX, PIMENTO_EBUSY while another text
+ * awaits judgement, PIMENTO_ENOMEM.
  */
 int spread_read(spread_t *spread, pimento_usec_t now, spread_subject_t subject,
 		uint64_t revision, const char *text, size_t length);
@@ -61,7 +74,9 @@
 
 /*
  * How this host should read the platform now: true to watch (blocking read),
- * false to read once each *interval.
+ * false to read once each *interval. The interval is spread over the hosts by
+ * hash and grows with the fleet, so that the backstop of all hosts together
+ * never reads more often than twice a second for each text.
  */
 bool spread_reader(const spread_t *spread, const pimento_id_t *live,
 		   uint32_t count, pimento_usec_t *interval);
--- /dev/null
+++ b/test/test_spread.c
@@ -0,0 +1,309 @@
+/*
+ * Differences between texts, and the spread of the two published texts.
+ */
+
+#include "delta.h"
+#include "spread.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HOSTS 3
+
+static spread_t hosts[HOSTS];
+static outbox_t outs[HOSTS];
+
+static void setup(void)
+{
+	for (uint32_t i = 0; i < HOSTS; i++) {
+		spread_options_t options = { .self = i + 1, .seed = 7 };
+
+		ck_assert_int_eq(outbox_init(&outs[i], 64), 0);
+		ck_assert_int_eq(spread_init(&hosts[i], &options, &outs[i]), 0);
+	}
+}
+
+static void teardown(void)
+{
+	for (uint32_t i = 0; i < HOSTS; i++) {
+		spread_finish(&hosts[i]);
+		outbox_finish(&outs[i]);
+	}
+}
+
+/* Delivers everything until it is quiet; returns messages and their bytes. */
+static uint32_t deliver(pimento_usec_t now, size_t *bytes)
+{
+	uint32_t messages = 0;
+	bool quiet;
+
+	do {
+		quiet = true;
+		for (uint32_t i = 0; i < HOSTS; i++) {
+			message_t m;
+			pimento_id_t to;
+
+			while (outbox_take(&outs[i], &to, &m)) {
+				quiet = false;
+				messages++;
+				if (m.kind == MESSAGE_PART && bytes)
+					*bytes += m.u.part.length;
+				spread_receive(&hosts[to - 1], now, i + 1, &m);
+			}
+		}
+	} while (!quiet);
+	return messages;
+}
+
+static char *lines(uint32_t count, uint32_t changed, size_t *length)
+{
+	char *text = malloc((size_t)count * 40 + 1);
+
+	*length = 0;
+	for (uint32_t i = 0; i < count; i++)
+		*length += (size_t)sprintf(text + *length,
+					   "contract%u = \"%s%u\"\n", i,
+					   i == changed ? "new" : "old", i * 7);
+	return text;
+}
+
+static const struct {
+	const char *base;
+	const char *text;
+} delta_cases[] = {
+	{ "", "" },
+	{ "", "a\nb\n" },
+	{ "a\nb\n", "" },
+	{ "a\nb\nc\n", "a\nx\nc\n" },
+	{ "same line here\nsame line here\nend", "same line here\nend" },
+	{ "[{\"name\":\"host-a\",\"state\":\"live\"},"
+	  "{\"name\":\"host-b\",\"state\":\"live\"}]",
+	  "[{\"name\":\"host-b\",\"state\":\"leaving\"},"
+	  "{\"name\":\"host-a\",\"state\":\"live\"}]" },
+};
+
+START_TEST(delta_round_trip)
+{
+	const char *base = delta_cases[_i].base;
+	const char *text = delta_cases[_i].text;
+	char *delta;
+	char *made;
+	size_t length;
+
+	ck_assert_int_eq(delta_make(base, strlen(base), text, strlen(text),
+				    &delta, &length),
+			 0);
+	ck_assert_int_eq(delta_apply(base, strlen(base), delta, length, 1000,
+				     &made, &length),
+			 0);
+	ck_assert_uint_eq(length, strlen(text));
+	ck_assert_str_eq(made, text);
+	free(delta);
+	free(made);
+}
+END_TEST
+
+static const struct {
+	const char *delta;
+	size_t length;
+	int error;
+} bad_deltas[] = {
+	{ "\x80", 1, PIMENTO_EPARSE }, /* number cut off */
+	{ "\x09"
+	  "\x00",
+	  2, PIMENTO_EPARSE }, /* copies 4 bytes of a base of 3 */
+	{ "\x03"
+	  "\x04",
+	  2, PIMENTO_EPARSE }, /* from beyond the base */
+	{ "\x06"
+	  "a",
+	  2, PIMENTO_EPARSE }, /* fewer new bytes than said */
+	{ "\x7e", 1, PIMENTO_ETOOBIG },
+};
+
+START_TEST(delta_refuses_malformed)
+{
+	char *made;
+	size_t length;
+
+	ck_assert_int_eq(delta_apply("abc", 3, bad_deltas[_i].delta,
+				     bad_deltas[_i].length, 32, &made, &length),
+			 bad_deltas[_i].error);
+}
+END_TEST
+
+START_TEST(only_the_difference_travels)
+{
+	size_t bytes = 0;
+	size_t length;
+	uint64_t revision;
+	char *text = lines(2000, 9999, &length);
+
+	ck_assert_int_eq(
+		spread_read(&hosts[0], 0, SPREAD_CONFIG, 4, text, length), 0);
+	ck_assert_uint_eq(spread_revision(&hosts[0], SPREAD_CONFIG), 0);
+	spread_judge(&hosts[0], 0, SPREAD_CONFIG, true);
+	spread_heard(&hosts[1], 0, 1, SPREAD_CONFIG, 4);
+	deliver(0, &bytes);
+	ck_assert_uint_eq(bytes, length);
+	ck_assert_str_eq(
+		spread_pending(&hosts[1], SPREAD_CONFIG, &revision, &length),
+		text);
+	ck_assert_uint_eq(revision, 4);
+	spread_judge(&hosts[1], 0, SPREAD_CONFIG, true);
+	free(text);
+
+	text = lines(2000, 1000, &length);
+	bytes = 0;
+	spread_read(&hosts[0], 0, SPREAD_CONFIG, 5, text, length);
+	spread_judge(&hosts[0], 0, SPREAD_CONFIG, true);
+	spread_heard(&hosts[1], 0, 1, SPREAD_CONFIG, 5);
+	deliver(0, &bytes);
+	ck_assert_uint_lt(bytes, 100);
+	ck_assert_str_eq(
+		spread_pending(&hosts[1], SPREAD_CONFIG, &revision, &length),
+		text);
+	spread_judge(&hosts[1], 0, SPREAD_CONFIG, true);
+	ck_assert_int_eq(
+		spread_read(&hosts[1], 0, SPREAD_CONFIG, 4, text, length),
+		PIMENTO_ESTALE);
+	ck_assert_uint_eq(spread_revision(&hosts[1], SPREAD_CONFIG), 5);
+	free(text);
+}
+END_TEST
+
+/*
+ * Somebody publishes a configuration that fails its checks, and peers go on
+ * telling of it. If the refusing host fetched it again each time, operators
+ * would see steady traffic and a log full of the same mistakes.
+ */
+START_TEST(refused_text_is_not_fetched_again)
+{
+	size_t length;
+	uint64_t revision;
+
+	spread_read(&hosts[0], 0, SPREAD_CONFIG, 3, "bad", 3);
+	spread_judge(&hosts[0], 0, SPREAD_CONFIG, true);
+	spread_heard(&hosts[1], 0, 1, SPREAD_CONFIG, 3);
+	deliver(0, NULL);
+	ck_assert_ptr_nonnull(
+		spread_pending(&hosts[1], SPREAD_CONFIG, &revision, &length));
+	spread_judge(&hosts[1], 0, SPREAD_CONFIG, false);
+	ck_assert_uint_eq(spread_revision(&hosts[1], SPREAD_CONFIG), 0);
+	spread_heard(&hosts[1], 0, 1, SPREAD_CONFIG, 3);
+	ck_assert_uint_eq(deliver(0, NULL), 0);
+	ck_assert_int_eq(spread_read(&hosts[1], 0, SPREAD_CONFIG, 3, "bad", 3),
+			 PIMENTO_ESTALE);
+	ck_assert_int_eq(spread_read(&hosts[1], 0, SPREAD_CONFIG, 2, "good", 4),
+			 0);
+}
+END_TEST
+
+/*
+ * The peer that a text is being pulled from dies half way. The host must go on
+ * with another peer that has it, or it would stay on the old configuration
+ * until that one comes back.
+ */
+START_TEST(transfer_goes_on_from_another_peer)
+{
+	message_t m;
+	pimento_id_t to;
+	size_t length;
+	uint64_t revision;
+	char *text = lines(2000, 9999, &length);
+
+	for (uint32_t i = 0; i < 2; i++) {
+		spread_read(&hosts[i], 0, SPREAD_CONFIG, 4, text, length);
+		spread_judge(&hosts[i], 0, SPREAD_CONFIG, true);
+		spread_heard(&hosts[2], 0, i + 1, SPREAD_CONFIG, 4);
+	}
+	ck_assert(outbox_take(&outs[2], &to, &m));
+	ck_assert_uint_eq(to, 1);
+	spread_receive(&hosts[0], 0, 3, &m);
+	outbox_take(&outs[0], &to, &m);
+	spread_receive(&hosts[2], 0, 1, &m);
+	outbox_take(&outs[2], &to, &m); /* lost: host 1 is dead */
+	spread_tick(&hosts[2], spread_deadline(&hosts[2]));
+	deliver(0, NULL);
+	ck_assert_str_eq(
+		spread_pending(&hosts[2], SPREAD_CONFIG, &revision, &length),
+		text);
+	free(text);
+}
+END_TEST
+
+static const struct {
+	message_part_t part;
+} bad_parts[] = {
+	{ { .subject = 9, .revision = 1 } },
+	{ { .subject = 1, .revision = 1, .length = MESSAGE_PART_MAX + 1 } },
+	{ { .subject = 1, .revision = 1, .size = 10, .offset = 11 } },
+	{ { .subject = 1,
+	    .revision = 1,
+	    .size = 10,
+	    .offset = 8,
+	    .length = 3 } },
+	{ { .subject = 1, .revision = 1, .size = SPREAD_TEXT_MAX + 1 } },
+};
+
+START_TEST(malformed_parts_are_refused)
+{
+	message_t m = { .kind = MESSAGE_PART };
+
+	m.u.part = bad_parts[_i].part;
+	ck_assert_int_eq(spread_receive(&hosts[0], 0, 2, &m), PIMENTO_EINVAL);
+}
+END_TEST
+
+START_TEST(few_readers_whatever_the_size)
+{
+	static const uint32_t sizes[] = { 1, 8, 50, 400 };
+	uint32_t n = sizes[_i];
+	pimento_id_t live[400];
+	uint32_t readers = 0;
+	double reads = 0;
+
+	for (uint32_t i = 0; i < n; i++)
+		live[i] = (i + 1) * 0x9e3779b97f4a7c15ULL;
+	for (uint32_t i = 0; i < n; i++) {
+		spread_t s = { .options = { .self = live[i],
+					    .readers = SPREAD_READERS } };
+		pimento_usec_t interval;
+
+		if (spread_reader(&s, live, n, &interval))
+			readers++;
+		else
+			reads += (double)PIMENTO_SEC / (double)interval;
+	}
+	ck_assert_uint_eq(readers, n < 2 ? n : 2);
+	ck_assert_double_le(reads, 2.5);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("spread");
+	TCase *tc = tcase_create("spread");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_loop_test(tc, delta_round_trip, 0,
+			    sizeof(delta_cases) / sizeof(delta_cases[0]));
+	tcase_add_loop_test(tc, delta_refuses_malformed, 0,
+			    sizeof(bad_deltas) / sizeof(bad_deltas[0]));
+	tcase_add_test(tc, only_the_difference_travels);
+	tcase_add_test(tc, refused_text_is_not_fetched_again);
+	tcase_add_test(tc, transfer_goes_on_from_another_peer);
+	tcase_add_loop_test(tc, malformed_parts_are_refused, 0,
+			    sizeof(bad_parts) / sizeof(bad_parts[0]));
+	tcase_add_loop_test(tc, few_readers_whatever_the_size, 0, 4);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
