limit: learn services by a mean, engines by first tokens; slack in time

Cause: the limit of plain services fell to 1 and stayed there. The smoothed span of an answer began with one drawn sample and was compared with the least single sample ever seen, so it looked three times too slow for ever. On engines the gap between tokens, meant as the sign of too much in flight, grows tenfold whenever a long prompt is read, which says nothing of the number in flight.

Left: theses are refused as late while tagging waits, and counter questions are too slow behind a thesis's prompt.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -8,6 +8,7 @@
  *	bench --only WORD	rows whose workload, scenario, load or policy
  *				is WORD; may be given several times
  *	bench --seeds N		runs per row, summed
+ *	bench --classes		each row by class of request as well
  *	bench --threads N
  */
 
@@ -33,6 +34,7 @@
 
 typedef struct options {
 	bool brief;
+	bool classes;
 	const char *only[ONLY_MAX];
 	int only_count;
 	uint64_t seeds;
@@ -185,8 +187,18 @@
 		report_add(&plan->runs[i].row->stats, &plan->runs[i].stats);
 }
 
+static const workload_t *workload_of(const report_row_t *row)
+{
+	int i = 0;
+
+	while (strcmp(workloads[i].name, row->workload))
+		i++;
+	return &workloads[i];
+}
+
 /* Inversions of the library's policy; the baselines have no tiers to heed. */
-static uint32_t print_all(const plan_t *plan, const char *name)
+static uint32_t print_all(const plan_t *plan, const options_t *o,
+			  const char *name)
 {
 	FILE *tsv;
 	uint32_t inversions = 0;
@@ -200,6 +212,9 @@
 	report_head(stdout, tsv);
 	for (uint32_t i = 0; i < plan->row_count; i++) {
 		report_line(stdout, tsv, &plan->rows[i]);
+		if (o->classes)
+			report_classes(stdout, &plan->rows[i],
+				       workload_of(&plan->rows[i]));
 		if (!strcmp(plan->rows[i].policy, "ours"))
 			inversions += plan->rows[i].stats.inversions;
 	}
@@ -212,6 +227,7 @@
 	static const struct option known[] = {
 		{ "short", no_argument, NULL, 's' },
 		{ "only", required_argument, NULL, 'o' },
+		{ "classes", no_argument, NULL, 'c' },
 		{ "seeds", required_argument, NULL, 'n' },
 		{ "threads", required_argument, NULL, 't' },
 		{ NULL, 0, NULL, 0 },
@@ -223,6 +239,9 @@
 		case 's':
 			o->brief = true;
 			break;
+		case 'c':
+			o->classes = true;
+			break;
 		case 'o':
 			if (o->only_count < ONLY_MAX)
 				o->only[o->only_count++] = optarg;
@@ -254,8 +273,8 @@
 	pthread_mutex_init(&plan.lock, NULL);
 	plan_all(&plan, &o);
 	run_all(&plan, o.threads);
-	inversions =
-		print_all(&plan, o.brief ? OUT "/short.tsv" : OUT "/bench.tsv");
+	inversions = print_all(&plan, &o,
+			       o.brief ? OUT "/short.tsv" : OUT "/bench.tsv");
 	printf("shedding inversions (ours): %u\n", inversions);
 	free(plan.rows);
 	free(plan.runs);
--- a/bench/report.c
+++ b/bench/report.c
@@ -6,15 +6,21 @@
 
 #define TIERS_SHOWN 4
 
+static void add_count(tier_count_t *sum, const tier_count_t *one)
+{
+	sum->offered += one->offered;
+	sum->good += one->good;
+	sum->refused += one->refused;
+	sum->gone += one->gone;
+	sum->lost += one->lost;
+}
+
 void report_add(world_stats_t *sum, const world_stats_t *one)
 {
-	for (int i = 0; i < PIMENTO_TIERS_MAX; i++) {
-		sum->tiers[i].offered += one->tiers[i].offered;
-		sum->tiers[i].good += one->tiers[i].good;
-		sum->tiers[i].refused += one->tiers[i].refused;
-		sum->tiers[i].gone += one->tiers[i].gone;
-		sum->tiers[i].lost += one->tiers[i].lost;
-	}
+	for (int i = 0; i < PIMENTO_TIERS_MAX; i++)
+		add_count(&sum->tiers[i], &one->tiers[i]);
+	for (int i = 0; i < WORKLOAD_CLASSES; i++)
+		add_count(&sum->classes[i], &one->classes[i]);
 	sum->refused_late += one->refused_late;
 	sum->refused_busy += one->refused_busy;
 	sum->refused_other += one->refused_other;
@@ -93,3 +99,18 @@
 		(unsigned long long)s->messages,
 		(unsigned long long)s->message_bytes);
 }
+
+void report_classes(FILE *table, const report_row_t *row,
+		    const workload_t *workload)
+{
+	for (uint32_t i = 0; i < workload->class_count; i++) {
+		const tier_count_t *c = &row->stats.classes[i];
+
+		fprintf(table,
+			"  %-20s tier %u offered %6u good %6.2f%% refused %6u "
+			"gone %6u lost %4u\n",
+			workload->classes[i].name, workload->classes[i].tier,
+			c->offered, report_goodput(c), c->refused, c->gone,
+			c->lost);
+	}
+}
--- a/bench/report.h
+++ b/bench/report.h
@@ -24,6 +24,10 @@
 void report_head(FILE *table, FILE *tsv);
 void report_line(FILE *table, FILE *tsv, const report_row_t *row);
 
+/* The same row by class of request. */
+void report_classes(FILE *table, const report_row_t *row,
+		    const workload_t *workload);
+
 /* Requests answered in time of all that came, in percent; 100 for none. */
 double report_goodput(const tier_count_t *count);
 
--- a/bench/world.c
+++ b/bench/world.c
@@ -40,10 +40,13 @@
 	return w->descriptions[endpoint].target == r->class->target;
 }
 
-static tier_count_t *tier_of(world_t *w, const request_t *r)
-{
-	return &w->stats.tiers[r->class->tier];
-}
+/* Counts one more for the request's tier and class. */
+#define COUNT(w, r, what)                                               \
+	do {                                                            \
+		(w)->stats.tiers[(r)->class->tier].what++;              \
+		(w)->stats.classes[(r)->class - (w)->workload->classes] \
+			.what++;                                        \
+	} while (0)
 
 /* The dispatch is over without a good answer. */
 static void stop_dispatch(world_t *w, request_t *r)
@@ -80,9 +83,9 @@
 	if (r->state != REQUEST_AWAY)
 		w->policy->left(w->policy, r);
 	if (r->state == REQUEST_AWAY)
-		tier_of(w, r)->refused++;
+		COUNT(w, r, refused);
 	else
-		tier_of(w, r)->gone++;
+		COUNT(w, r, gone);
 	r->state = REQUEST_DONE;
 }
 
@@ -116,7 +119,7 @@
 	request_t *r = item;
 
 	(void)argument;
-	tier_of(w, r)->offered++;
+	COUNT(w, r, offered);
 	sim_at(&w->sim, r->deadline, caller_leaves, w, r, 0);
 	submit(w, r, 0);
 	if (w->next_arrival < w->request_count) {
@@ -153,7 +156,7 @@
 		return;
 	}
 	r->state = REQUEST_DONE;
-	tier_of(w, r)->refused++;
+	COUNT(w, r, refused);
 }
 
 static void at_endpoint(void *context, void *item, uint64_t epoch)
@@ -201,7 +204,7 @@
 	if (r->epoch != epoch || r->state != REQUEST_DISPATCHED)
 		return;
 	r->state = REQUEST_DONE;
-	tier_of(w, r)->good++;
+	COUNT(w, r, good);
 	w->policy->done(w->policy, r);
 }
 
@@ -332,7 +335,7 @@
 		return;
 	}
 	r->state = REQUEST_DONE;
-	tier_of(w, r)->lost++;
+	COUNT(w, r, lost);
 }
 
 static void kill_host(world_t *w, uint32_t host)
--- a/bench/world.h
+++ b/bench/world.h
@@ -55,6 +55,7 @@
 
 typedef struct world_stats {
 	tier_count_t tiers[PIMENTO_TIERS_MAX];
+	tier_count_t classes[WORKLOAD_CLASSES];
 	uint32_t refused_late;
 	uint32_t refused_busy;
 	uint32_t refused_other;
--- a/src/limit.c
+++ b/src/limit.c
@@ -2,8 +2,11 @@
  * Rates are ratios of sums that decay with each sample, so that a long answer
  * counts for more than a short one and an engine which slowed down shows after
  * a few answers. The limit of requests follows additive increase and
- * multiplicative decrease: up while tokens come as fast as with little in
- * flight, down when the gap between them grows beyond a factor.
+ * multiplicative decrease. What shows that too much is in flight is a line
+ * inside the endpoint: first tokens come far later than the prompts in front
+ * explain, or a plain service's answers take far longer than they did. The gap
+ * between tokens is no such sign, for it grows with every prompt that the
+ * engine reads meanwhile.
  */
 
 #include "limit.h"
@@ -12,10 +15,13 @@
 
 #define DECAY 0.9
 #define GAP_KEEP 0.8 /* of the old value in each new sample */
-#define GAP_WORSE 4.0 /* times the best gap that is still accepted */
-#define GAP_FORGET 1.001 /* the best gap grows by this, to be learnt anew */
+#define FIRST_WORSE 3.0 /* times the expected span that is still accepted */
+#define FIRST_SLACK 0.5 /* seconds: a step that reads a full chunk, twice */
+#define BEST_FORGET 0.999 /* the best decays by this, to be learnt anew */
 #define DECREASE 0.8
 #define DECREASE_PAUSE (1 * PIMENTO_SEC)
+#define SERVICE_NEW 0.05 /* of each new sample: single spans scatter widely */
+#define SERVICE_ENOUGH 40 /* samples before the mean is worth comparing */
 #define SERVICE_WORSE 3.0
 #define GUESS_PREFILL 4000.0 /* tokens a second, until learnt */
 #define GUESS_DECODE 30.0
@@ -53,52 +59,62 @@
 		limit->requests = limit->requests_max;
 }
 
+static void adapt(limit_t *limit, pimento_usec_t now, bool worse,
+		  uint32_t running)
+{
+	if (worse)
+		decrease(limit, now);
+	else if (running + 1 >= limit_requests(limit))
+		increase(limit);
+}
+
 void limit_first_token(limit_t *limit, pimento_usec_t now, uint32_t tokens,
-		       pimento_usec_t span)
+		       pimento_usec_t span, uint32_t running)
 {
-	(void)now;
+	double seconds = (double)span / PIMENTO_SEC;
+	double expected;
+
 	if (!tokens || span <= 0)
 		return;
 	limit->prefill_tokens = limit->prefill_tokens * DECAY + tokens;
-	limit->prefill_seconds =
-		limit->prefill_seconds * DECAY + (double)span / PIMENTO_SEC;
-}
-
-static double blend(double old, double sample)
-{
-	return old > 0 ? old * GAP_KEEP + sample * (1 - GAP_KEEP) : sample;
+	limit->prefill_seconds = limit->prefill_seconds * DECAY + seconds;
+	limit->prefill_best *= BEST_FORGET;
+	if (limit->prefill_best < limit_prefill_rate(limit))
+		limit->prefill_best = limit_prefill_rate(limit);
+	expected = tokens / limit->prefill_best;
+	adapt(limit, now, seconds > FIRST_SLACK + expected * FIRST_WORSE,
+	      running);
 }
 
-void limit_decoded(limit_t *limit, pimento_usec_t now, uint32_t tokens,
-		   pimento_usec_t span, uint32_t running)
+void limit_decoded(limit_t *limit, uint32_t tokens, pimento_usec_t span)
 {
 	double gap;
 
 	if (!tokens || span <= 0)
 		return;
 	gap = (double)span / PIMENTO_SEC / tokens;
-	limit->gap = blend(limit->gap, gap);
-	limit->gap_best *= GAP_FORGET;
-	if (limit->gap_best <= 0 || gap < limit->gap_best)
-		limit->gap_best = gap;
-	if (limit->gap > GAP_WORSE * limit->gap_best)
-		decrease(limit, now);
-	else if (running >= (uint32_t)limit->requests)
-		increase(limit);
+	if (limit->gap > 0)
+		gap = limit->gap * GAP_KEEP + gap * (1 - GAP_KEEP);
+	limit->gap = gap;
 }
 
-void limit_served(limit_t *limit, pimento_usec_t now, pimento_usec_t span)
+void limit_served(limit_t *limit, pimento_usec_t now, pimento_usec_t span,
+		  uint32_t running)
 {
 	double seconds = (double)span / PIMENTO_SEC;
+	double part = limit->served < SERVICE_ENOUGH / 2
+			      ? 1.0 / (limit->served + 1)
+			      : SERVICE_NEW;
 
-	limit->service = blend(limit->service, seconds);
-	limit->gap_best *= GAP_FORGET;
-	if (limit->gap_best <= 0 || seconds < limit->gap_best)
-		limit->gap_best = seconds;
-	if (limit->service > SERVICE_WORSE * limit->gap_best)
-		decrease(limit, now);
-	else
-		increase(limit);
+	limit->served++;
+	limit->service += (seconds - limit->service) * part;
+	if (limit->served < SERVICE_ENOUGH)
+		return;
+	limit->service_best /= BEST_FORGET;
+	if (limit->service_best <= 0 || limit->service < limit->service_best)
+		limit->service_best = limit->service;
+	adapt(limit, now, limit->service > SERVICE_WORSE * limit->service_best,
+	      running);
 }
 
 void limit_failed(limit_t *limit, pimento_usec_t now)
--- a/src/limit.h
+++ b/src/limit.h
@@ -15,8 +15,10 @@
 	double prefill_tokens; /* sums that decay, of first-token samples */
 	double prefill_seconds;
 	double gap; /* seconds between tokens, 0 unknown */
-	double gap_best; /* the same with little in flight */
+	double prefill_best; /* most that the prefill rate has been lately */
 	double service; /* seconds of a plain service's answer, 0 unknown */
+	double service_best; /* least that it has been lately */
+	uint32_t served; /* samples of it */
 	pimento_usec_t changed; /* when requests last went down */
 } limit_t;
 
@@ -26,17 +28,17 @@
 
 /*
  * A first token came after span; tokens counts the prompt and all prompts that
- * were ahead of it at the endpoint.
+ * were ahead of it at the endpoint, running the requests in flight.
  */
 void limit_first_token(limit_t *limit, pimento_usec_t now, uint32_t tokens,
-		       pimento_usec_t span);
+		       pimento_usec_t span, uint32_t running);
 
-/* tokens came in span, with running requests in flight. */
-void limit_decoded(limit_t *limit, pimento_usec_t now, uint32_t tokens,
-		   pimento_usec_t span, uint32_t running);
+/* tokens came in span. */
+void limit_decoded(limit_t *limit, uint32_t tokens, pimento_usec_t span);
 
-/* A plain service answered after span. */
-void limit_served(limit_t *limit, pimento_usec_t now, pimento_usec_t span);
+/* A plain service answered after span, with running requests in flight. */
+void limit_served(limit_t *limit, pimento_usec_t now, pimento_usec_t span,
+		  uint32_t running);
 
 /* The endpoint failed a request that it had taken. */
 void limit_failed(limit_t *limit, pimento_usec_t now);
--- a/src/owner.c
+++ b/src/owner.c
@@ -17,6 +17,13 @@
 #define RETRY_MOST (60 * PIMENTO_SEC)
 #define ENDPOINTS_FIRST 8
 
+/*
+ * Answers take as long as they take, so half of them take longer than expected.
+ * Without slack a line in front of a busy endpoint grows until each request is
+ * granted at the last moment, and many are then cut off half made.
+ */
+#define MARGIN 1.25
+
 int owner_init(owner_t *owner, const owner_options_t *options, outbox_t *out)
 {
 	memset(owner, 0, sizeof(*owner));
@@ -282,6 +289,14 @@
 	return now >= e->floor_until || tier <= e->floor;
 }
 
+/* From when on it can no longer finish in time. */
+static pimento_usec_t latest_start(const reservation_t *r)
+{
+	pimento_usec_t service = endpoint_service(r->endpoint, &r->asked);
+
+	return r->item.deadline - (pimento_usec_t)((double)service * MARGIN);
+}
+
 static reservation_t *enter(owner_t *owner, pimento_usec_t now,
 			    pimento_id_t from, owner_endpoint_t *e,
 			    const message_reserve_t *asked)
@@ -299,7 +314,7 @@
 	r->item.account = asked->account;
 	r->item.deadline = now + asked->patience;
 	r->item.work = endpoint_service(e, asked);
-	r->due = r->item.deadline - r->item.work;
+	r->due = latest_start(r);
 	if (heap_put(&owner->due, r, r->due) ||
 	    queue_put(&e->queue, &r->item, weight_of(owner, asked->account))) {
 		heap_remove(&owner->due, r);
@@ -322,7 +337,7 @@
 		return PIMENTO_ELEAVING;
 	wait = endpoint_wait(e, now, asked->tier);
 	service = endpoint_service(e, asked);
-	if (wait + service > asked->patience)
+	if ((double)(wait + service) * MARGIN > (double)asked->patience)
 		return PIMENTO_ELATE;
 	if (wait && !above_floor(e, now, asked->tier))
 		return PIMENTO_EBUSY;
@@ -399,10 +414,9 @@
 		return;
 	if (first_token > 0 && !r->first_token)
 		limit_first_token(limit, now, r->ahead + r->asked.prompt_tokens,
-				  first_token);
+				  first_token, r->endpoint->running);
 	if (answer_tokens > r->answered + 1 && decode > 0)
-		limit_decoded(limit, now, answer_tokens, decode,
-			      r->endpoint->running);
+		limit_decoded(limit, answer_tokens, decode);
 }
 
 static void release(owner_t *owner, pimento_usec_t now,
@@ -419,9 +433,11 @@
 	    said->outcome != RELEASE_UNUSED) {
 		learn(r, now, said->answer_tokens, said->first_token,
 		      said->decode);
-		if (e->description.target == CONFIG_TARGET_SERVICE)
+		if (e->description.target == CONFIG_TARGET_SERVICE &&
+		    said->first_token > 0)
 			limit_served(&e->limit, now,
-				     said->first_token + said->decode);
+				     said->first_token + said->decode,
+				     e->running);
 	}
 	if (said->outcome == RELEASE_FAILED)
 		limit_failed(&e->limit, now);
@@ -613,15 +629,13 @@
 static void fall_due(owner_t *owner, pimento_usec_t now, reservation_t *r)
 {
 	owner_endpoint_t *e = r->endpoint;
-	pimento_usec_t service;
 
 	if (r->state != RESERVATION_WAITING) {
 		discard(owner, r);
 		grant_what_fits(owner, now, e);
 		return;
 	}
-	service = endpoint_service(e, &r->asked);
-	r->due = r->item.deadline - service;
+	r->due = latest_start(r);
 	if (r->due <= now)
 		refuse(owner, now, r, PIMENTO_ELATE);
 	else
