owner: let in no prompt that answers in progress cannot bear

Cause: while an engine reads a long prompt it makes a token only every step of a full chunk, a tenth of its pace. With one prompt after another let in, answers in progress never ended in time. Samples of the gap were averages over the whole answer, repeated with each word on it, so they told little of now.

Change: a less urgent prompt is granted only if every answer in progress still ends by its deadline after it; the gap is learnt from what came between two words on a stream, and its least value, with no prompt being read, apart.

Theses are still judged late far too often: the estimate of their time uses the gap that other prompts cause.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -191,7 +191,7 @@
 {
 	int i = 0;
 
-	while (strcmp(workloads[i].name, row->workload))
+	while (strcmp(workloads[i].name, row->workload) != 0)
 		i++;
 	return &workloads[i];
 }
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -12,7 +12,8 @@
 #include <string.h>
 
 #define ROOM_PART 8 /* one slot in so many is kept for more urgent tiers */
-#define PREFILL_SPAN 1.0 /* seconds of prompts that may queue at the engine */
+#define PREFILL_SPAN (1 * PIMENTO_SEC) /* prompts that may queue there */
+#define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
 #define PEAK_SPAN (30 * PIMENTO_SEC)
 #define FOREIGN_SPAN (10 * PIMENTO_SEC)
 
@@ -76,13 +77,46 @@
 	return slots - (room ? room : 1);
 }
 
-static bool prefill_fits(const owner_endpoint_t *e, const reservation_t *r)
+static uint32_t tokens_left(const reservation_t *r)
+{
+	uint32_t least = r->asked.answer_tokens / ESTIMATE_PART;
+
+	if (r->answered + least >= r->asked.answer_tokens)
+		return least;
+	return r->asked.answer_tokens - r->answered;
+}
+
+/*
+ * While an engine reads a long prompt it hardly makes tokens, so each prompt
+ * let in puts off all answers in progress. One prompt after another would keep
+ * them from ever being done in time; an answer's slack says how much it bears.
+ */
+static bool slack_suffices(const owner_endpoint_t *e, pimento_usec_t now,
+			   pimento_usec_t reading)
+{
+	for (const reservation_t *r = e->flight; r; r = r->older) {
+		pimento_usec_t left = r->item.deadline - now;
+
+		if (!r->item.deadline)
+			continue;
+		left -= limit_making(&e->limit, tokens_left(r));
+		if (left > 0 && left < reading)
+			return false;
+	}
+	return true;
+}
+
+static bool prefill_fits(const owner_endpoint_t *e, pimento_usec_t now,
+			 const reservation_t *r)
 {
-	double rate = limit_prefill_rate(&e->limit);
+	pimento_usec_t reading =
+		limit_reading(&e->limit, e->prefilling, r->asked.prompt_tokens);
 
-	if (!r->item.tier || !e->prefilling || rate <= 0)
+	if (!r->item.tier || !r->asked.prompt_tokens)
 		return true;
-	return e->prefilling + r->asked.prompt_tokens <= rate * PREFILL_SPAN;
+	if (e->prefilling && reading > PREFILL_SPAN)
+		return false;
+	return slack_suffices(e, now, reading);
 }
 
 bool endpoint_fits(const owner_endpoint_t *e, pimento_usec_t now,
@@ -92,7 +126,7 @@
 		return false;
 	if (e->running >= endpoint_slots(e, now, r->item.tier))
 		return false;
-	return prefill_fits(e, r);
+	return prefill_fits(e, now, r);
 }
 
 pimento_usec_t endpoint_service(const owner_endpoint_t *e,
@@ -142,13 +176,6 @@
 	peak_note(e, now);
 }
 
-static uint32_t tokens_left(const reservation_t *r)
-{
-	if (r->answered >= r->asked.answer_tokens)
-		return 0;
-	return r->asked.answer_tokens - r->answered;
-}
-
 void endpoint_stop(owner_endpoint_t *e, reservation_t *r)
 {
 	endpoint_read(e, r);
--- a/src/limit.c
+++ b/src/limit.c
@@ -14,7 +14,8 @@
 #include <string.h>
 
 #define DECAY 0.9
-#define GAP_KEEP 0.8 /* of the old value in each new sample */
+#define GAP_KEEP 0.9 /* of the old value in each new sample */
+#define GAP_ENOUGH 8 /* tokens that make a sample */
 #define FIRST_WORSE 3.0 /* times the expected span that is still accepted */
 #define FIRST_SLACK 0.5 /* seconds: a step that reads a full chunk, twice */
 #define BEST_FORGET 0.999 /* the best decays by this, to be learnt anew */
@@ -93,6 +94,10 @@
 	if (!tokens || span <= 0)
 		return;
 	gap = (double)span / PIMENTO_SEC / tokens;
+	limit->gap_best /= BEST_FORGET;
+	if (tokens >= GAP_ENOUGH &&
+	    (limit->gap_best <= 0 || gap < limit->gap_best))
+		limit->gap_best = gap;
 	if (limit->gap > 0)
 		gap = limit->gap * GAP_KEEP + gap * (1 - GAP_KEEP);
 	limit->gap = gap;
@@ -139,18 +144,36 @@
 	return limit->requests < 1 ? 1 : (uint32_t)limit->requests;
 }
 
+static double reading(const limit_t *limit, uint32_t ahead, uint32_t prompt)
+{
+	double rate = limit_prefill_rate(limit);
+
+	return ((double)ahead + prompt) / (rate > 0 ? rate : GUESS_PREFILL);
+}
+
+pimento_usec_t limit_reading(const limit_t *limit, uint32_t ahead,
+			     uint32_t prompt)
+{
+	return (pimento_usec_t)(reading(limit, ahead, prompt) * PIMENTO_SEC);
+}
+
+pimento_usec_t limit_making(const limit_t *limit, uint32_t answer)
+{
+	double gap = limit->gap_best > 0 ? limit->gap_best : 1 / GUESS_DECODE;
+
+	return (pimento_usec_t)(answer * gap * PIMENTO_SEC);
+}
+
 pimento_usec_t limit_service(const limit_t *limit, uint32_t ahead,
 			     uint32_t prompt, uint32_t answer)
 {
-	double prefill = limit_prefill_rate(limit);
 	double decode = limit_decode_rate(limit);
 	double seconds;
 
 	if (limit->target == CONFIG_TARGET_SERVICE)
 		seconds = limit->service > 0 ? limit->service : GUESS_SERVICE;
 	else
-		seconds = ((double)ahead + prompt) /
-				  (prefill > 0 ? prefill : GUESS_PREFILL) +
+		seconds = reading(limit, ahead, prompt) +
 			  answer / (decode > 0 ? decode : GUESS_DECODE);
 	return (pimento_usec_t)(seconds * PIMENTO_SEC);
 }
--- a/src/limit.h
+++ b/src/limit.h
@@ -15,6 +15,7 @@
 	double prefill_tokens; /* sums that decay, of first-token samples */
 	double prefill_seconds;
 	double gap; /* seconds between tokens, 0 unknown */
+	double gap_best; /* least that it has been lately: no prompt is read */
 	double prefill_best; /* most that the prefill rate has been lately */
 	double service; /* seconds of a plain service's answer, 0 unknown */
 	double service_best; /* least that it has been lately */
@@ -33,7 +34,7 @@
 void limit_first_token(limit_t *limit, pimento_usec_t now, uint32_t tokens,
 		       pimento_usec_t span, uint32_t running);
 
-/* tokens came in span. */
+/* tokens more came in span, of one stream. */
 void limit_decoded(limit_t *limit, uint32_t tokens, pimento_usec_t span);
 
 /* A plain service answered after span, with running requests in flight. */
@@ -50,6 +51,14 @@
 /* Requests that may be in flight, at least 1. */
 uint32_t limit_requests(const limit_t *limit);
 
+/*
+ * Span that a prompt takes to be read with ahead tokens in front, and that the
+ * rest of an answer takes if no prompt is read meanwhile.
+ */
+pimento_usec_t limit_reading(const limit_t *limit, uint32_t ahead,
+			     uint32_t prompt);
+pimento_usec_t limit_making(const limit_t *limit, uint32_t answer);
+
 /* Span from dispatch to whole answer with ahead prompt tokens in front. */
 pimento_usec_t limit_service(const limit_t *limit, uint32_t ahead,
 			     uint32_t prompt, uint32_t answer);
--- a/src/owner.c
+++ b/src/owner.c
@@ -404,9 +404,9 @@
 	reserve_new(owner, now, from, asked);
 }
 
-static void learn(const reservation_t *r, pimento_usec_t now,
-		  uint32_t answer_tokens, pimento_usec_t first_token,
-		  pimento_usec_t decode)
+/* What came since the last word on this dispatch. */
+static void learn(reservation_t *r, pimento_usec_t now, uint32_t answer_tokens,
+		  pimento_usec_t first_token, pimento_usec_t decode)
 {
 	limit_t *limit = &r->endpoint->limit;
 
@@ -415,8 +415,11 @@
 	if (first_token > 0 && !r->first_token)
 		limit_first_token(limit, now, r->ahead + r->asked.prompt_tokens,
 				  first_token, r->endpoint->running);
-	if (answer_tokens > r->answered + 1 && decode > 0)
-		limit_decoded(limit, answer_tokens, decode);
+	if (answer_tokens > r->answered && decode > r->decode && r->answered)
+		limit_decoded(limit, answer_tokens - r->answered,
+			      decode - r->decode);
+	if (decode > r->decode)
+		r->decode = decode;
 }
 
 static void release(owner_t *owner, pimento_usec_t now,
@@ -468,6 +471,7 @@
 	r->state = RESERVATION_RUNNING;
 	r->first_token = said->first_token > 0;
 	r->answered = said->answer_tokens;
+	r->decode = said->decode;
 	r->due = now + OWNER_LEASE;
 	if (heap_put(&owner->due, r, r->due)) {
 		reservation_remove(&owner->reservations, r);
--- a/src/reservation.h
+++ b/src/reservation.h
@@ -26,6 +26,7 @@
 	pimento_usec_t due; /* latest start, end of lifetime or of lease */
 	uint32_t ahead; /* prompt tokens in front when granted */
 	uint32_t answered; /* tokens of the answer so far */
+	pimento_usec_t decode; /* span of its making, as last said */
 	bool first_token; /* the prompt is read */
 	uint32_t place_due; /* in the owner's heap of times */
 	struct reservation *next; /* in the table's chain */
