owner: expected wait in time of the endpoint, not of slots

Cause: the line in front was counted as spans of answers over slots. Prompts are read one after another whatever the slots, and the gap that was used held the delay by other prompts, so theses were judged late on arrival.

Change: each reservation counts the endpoint's time that it uses up, its reading and its part of the making; the span of service uses the least gap, since what is let in later is held back for it.

--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -136,16 +136,31 @@
 			     asked->answer_tokens);
 }
 
+pimento_usec_t endpoint_work(const owner_endpoint_t *e,
+			     const message_reserve_t *asked)
+{
+	return limit_work(&e->limit, asked->prompt_tokens,
+			  asked->answer_tokens);
+}
+
+/* Until the first of the slots in use is free again. */
+static pimento_usec_t next_slot(const owner_endpoint_t *e)
+{
+	uint32_t mean = (uint32_t)(e->running_tokens / e->running);
+
+	return limit_service(&e->limit, 0, 0, mean) / e->running;
+}
+
 pimento_usec_t endpoint_wait(const owner_endpoint_t *e, pimento_usec_t now,
 			     uint8_t tier)
 {
-	uint32_t slots = endpoint_slots(e, now, tier);
-	pimento_usec_t work = queue_work(&e->queue, tier);
+	pimento_usec_t wait = queue_work(&e->queue, tier);
 
-	if (!work && e->running < slots)
-		return 0;
-	/* What is in flight is on average half done. */
-	return (work + e->running_work / 2) / slots;
+	if (tier)
+		wait += limit_reading(&e->limit, e->prefilling, 0);
+	if (e->running && e->running >= endpoint_slots(e, now, tier))
+		wait += next_slot(e);
+	return wait;
 }
 
 static void peak_note(owner_endpoint_t *e, pimento_usec_t now)
@@ -169,7 +184,6 @@
 		e->flight->newer = r;
 	e->flight = r;
 	e->running++;
-	e->running_work += r->item.work;
 	e->running_tokens += r->asked.answer_tokens;
 	if (!r->first_token)
 		e->prefilling += r->asked.prompt_tokens;
@@ -186,7 +200,6 @@
 	else
 		e->flight = r->older;
 	e->running--;
-	e->running_work -= r->item.work;
 	e->running_tokens -= tokens_left(r);
 }
 
--- a/src/endpoint.h
+++ b/src/endpoint.h
@@ -20,7 +20,6 @@
 	uint32_t running; /* in flight, granted ones included */
 	uint32_t prefilling; /* prompt tokens granted and not yet read */
 	uint64_t running_tokens; /* still to be made, as estimated */
-	pimento_usec_t running_work;
 	uint32_t foreign; /* in flight, but not through this owner */
 	pimento_usec_t foreign_until;
 	uint32_t peak; /* most in flight lately, to judge late reports by */
@@ -50,6 +49,10 @@
 pimento_usec_t endpoint_service(const owner_endpoint_t *endpoint,
 				const message_reserve_t *asked);
 
+/* Part of the endpoint's time that the request uses up. */
+pimento_usec_t endpoint_work(const owner_endpoint_t *endpoint,
+			     const message_reserve_t *asked);
+
 /* Span until a request put into the line of this tier now is granted. */
 pimento_usec_t endpoint_wait(const owner_endpoint_t *endpoint,
 			     pimento_usec_t now, uint8_t tier);
--- a/src/limit.c
+++ b/src/limit.c
@@ -164,16 +164,29 @@
 	return (pimento_usec_t)(answer * gap * PIMENTO_SEC);
 }
 
+static pimento_usec_t served_span(const limit_t *limit)
+{
+	double seconds = limit->service > 0 ? limit->service : GUESS_SERVICE;
+
+	return (pimento_usec_t)(seconds * PIMENTO_SEC);
+}
+
 pimento_usec_t limit_service(const limit_t *limit, uint32_t ahead,
 			     uint32_t prompt, uint32_t answer)
 {
-	double decode = limit_decode_rate(limit);
-	double seconds;
+	if (limit->target == CONFIG_TARGET_SERVICE)
+		return served_span(limit);
+	return limit_reading(limit, ahead, prompt) +
+	       limit_making(limit, answer);
+}
+
+pimento_usec_t limit_work(const limit_t *limit, uint32_t prompt,
+			  uint32_t answer)
+{
+	uint32_t slots = limit_requests(limit);
 
 	if (limit->target == CONFIG_TARGET_SERVICE)
-		seconds = limit->service > 0 ? limit->service : GUESS_SERVICE;
-	else
-		seconds = reading(limit, ahead, prompt) +
-			  answer / (decode > 0 ? decode : GUESS_DECODE);
-	return (pimento_usec_t)(seconds * PIMENTO_SEC);
+		return served_span(limit) / slots;
+	return limit_reading(limit, 0, prompt) +
+	       limit_making(limit, answer) / slots;
 }
--- a/src/limit.h
+++ b/src/limit.h
@@ -63,4 +63,11 @@
 pimento_usec_t limit_service(const limit_t *limit, uint32_t ahead,
 			     uint32_t prompt, uint32_t answer);
 
+/*
+ * Part of the endpoint's time that a request uses up: prompts are read one
+ * after another, but answers are made side by side in slots.
+ */
+pimento_usec_t limit_work(const limit_t *limit, uint32_t prompt,
+			  uint32_t answer);
+
 #endif
--- a/src/owner.c
+++ b/src/owner.c
@@ -199,7 +199,6 @@
 	queue_grant(&r->endpoint->queue, &r->item);
 	owner->waiting--;
 	r->state = RESERVATION_GRANTED;
-	r->item.work = endpoint_service(r->endpoint, &r->asked);
 	r->due = now + OWNER_LIFETIME;
 	heap_put(&owner->due, r, r->due);
 	endpoint_start(r->endpoint, now, r);
@@ -313,7 +312,7 @@
 	r->item.tier = asked->tier;
 	r->item.account = asked->account;
 	r->item.deadline = now + asked->patience;
-	r->item.work = endpoint_service(e, asked);
+	r->item.work = endpoint_work(e, asked);
 	r->due = latest_start(r);
 	if (heap_put(&owner->due, r, r->due) ||
 	    queue_put(&e->queue, &r->item, weight_of(owner, asked->account))) {
