owner: short prompts pass a long one that waits for its turn to be read

Cause: tagging waited behind a thesis that had to wait until answers in progress could bear its prompt, although slots were free.

Change: only a lack of slots holds up the rest of the line; the span of prompts that may queue at an engine is counted without the prompt itself, so that passing prompts do not put a long one off for ever; the span is 0.3 s.

Counter questions are still too slow behind theses at any load: long prompts need endpoints of their own.

--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -12,7 +12,7 @@
 #include <string.h>
 
 #define ROOM_PART 8 /* one slot in so many is kept for more urgent tiers */
-#define PREFILL_SPAN (1 * PIMENTO_SEC) /* prompts that may queue there */
+#define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
 #define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
 #define PEAK_SPAN (30 * PIMENTO_SEC)
 #define FOREIGN_SPAN (10 * PIMENTO_SEC)
@@ -109,14 +109,14 @@
 static bool prefill_fits(const owner_endpoint_t *e, pimento_usec_t now,
 			 const reservation_t *r)
 {
-	pimento_usec_t reading =
-		limit_reading(&e->limit, e->prefilling, r->asked.prompt_tokens);
+	uint32_t prompt = r->asked.prompt_tokens;
 
-	if (!r->item.tier || !r->asked.prompt_tokens)
+	if (!r->item.tier || !prompt)
 		return true;
-	if (e->prefilling && reading > PREFILL_SPAN)
+	if (limit_reading(&e->limit, e->prefilling, 0) > PREFILL_SPAN)
 		return false;
-	return slack_suffices(e, now, reading);
+	return slack_suffices(e, now,
+			      limit_reading(&e->limit, e->prefilling, prompt));
 }
 
 bool endpoint_fits(const owner_endpoint_t *e, pimento_usec_t now,
--- a/src/owner.c
+++ b/src/owner.c
@@ -206,8 +206,10 @@
 }
 
 /*
- * Grants in the order of the line. What does not fit holds up all behind it,
- * or small work would pass a long request for ever.
+ * Grants in the order of the line. A request that finds no slot holds up all
+ * behind it; one that only has to wait until prompts are read lets shorter
+ * prompts pass, which does not put it off: they never fill the span that has
+ * to be free for it.
  */
 static void grant_what_fits(owner_t *owner, pimento_usec_t now,
 			    owner_endpoint_t *e)
@@ -215,11 +217,11 @@
 	for (uint8_t tier = 0; tier < PIMENTO_TIERS_MAX; tier++) {
 		reservation_t *r;
 
-		while ((r = (reservation_t *)queue_first(&e->queue, tier))) {
-			if (!endpoint_fits(e, now, r))
-				return;
+		while ((r = (reservation_t *)queue_first(&e->queue, tier)) &&
+		       endpoint_fits(e, now, r))
 			grant(owner, now, r);
-		}
+		if (r && e->running >= endpoint_slots(e, now, tier))
+			return;
 	}
 }
 
