route: long prompts have endpoints of their own (assignment by size)

Cause: even at 0.5 of capacity 5 % of counter questions ended too late, though slots were free: most engines were reading a thesis when they came.

Ruled out: owners deciding it alone (each owns one or two endpoints and cannot know whether others are free of long prompts).

Change: src/mix.c measures the work of long and of short prompts; each entry keeps the fastest endpoints that make up the short ones' part free of long ones. OWNER_HOPS_SHED is a last visit to a kept endpoint.

--- a/src/owner.c
+++ b/src/owner.c
@@ -336,6 +336,8 @@
 	(void)owner;
 	if (e->leaving)
 		return PIMENTO_ELEAVING;
+	if (asked->hops == OWNER_HOPS_SHED)
+		return PIMENTO_EBUSY;
 	wait = endpoint_wait(e, now, asked->tier);
 	service = endpoint_service(e, asked);
 	if ((double)(wait + service) * MARGIN > (double)asked->patience)
@@ -359,7 +361,7 @@
 	}
 	reason = judge(owner, now, e, asked);
 	if (reason) {
-		if (asked->hops == OWNER_HOPS_LAST)
+		if (asked->hops >= OWNER_HOPS_SHED)
 			shed_below(owner, now, e, asked->tier);
 		send_refuse(owner, now, from, asked, e, reason);
 		return;
--- a/src/owner.h
+++ b/src/owner.h
@@ -38,6 +38,8 @@
  * and lets nothing less urgent wait there for OWNER_FLOOR.
  */
 #define OWNER_HOPS_LAST 255
+/* The same, but the owner refuses in any case: the endpoint is kept for others. */
+#define OWNER_HOPS_SHED 254
 #define OWNER_FLOOR (200 * PIMENTO_MSEC)
 
 /* An endpoint's own load report, late by age. */
--- a/src/route.c
+++ b/src/route.c
@@ -24,11 +24,15 @@
 #define GUESS_SERVICE 0.05 /* seconds */
 #define MOVED_MAX 4
 #define JITTER 0.05
+#define LENGTHY 1.0 /* seconds of reading that make a prompt a long one */
+#define DIVIDE_SPAN (500 * PIMENTO_MSEC)
+#define SIDE_BY_SIDE 16 /* answers made at once, roughly */
 
 struct route_endpoint {
 	pimento_id_t id;
 	config_target_t target;
 	char target_name[PIMENTO_NAME_MAX];
+	pimento_id_t target_id;
 	uint32_t concurrency;
 	uint32_t context_tokens;
 	message_summary_t summary; /* epoch 0: none yet */
@@ -39,6 +43,7 @@
 	uint32_t sent; /* by this entry since the summary */
 	pimento_usec_t failed_until;
 	bool leaving;
+	bool kept; /* free of long prompts */
 };
 
 struct route_prefix {
@@ -52,6 +57,7 @@
 {
 	memset(route, 0, sizeof(*route));
 	pimento_random_init(&route->random, seed);
+	mix_init(&route->mix);
 	route->prefixes = calloc(PREFIXES, sizeof(*route->prefixes));
 	return route->prefixes ? 0 : PIMENTO_ENOMEM;
 }
@@ -94,6 +100,7 @@
 	e->id = from->id;
 	e->target = from->target;
 	memcpy(e->target_name, from->target_name, sizeof(e->target_name));
+	e->target_id = pimento_id(from->target_name);
 	e->concurrency = from->concurrency ? from->concurrency : 1;
 	e->context_tokens = from->context_tokens;
 }
@@ -119,6 +126,7 @@
 	route->endpoints = endpoints;
 	route->count = n;
 	route->tier_count = config->tier_count;
+	route->divided = 0;
 	return 0;
 }
 
@@ -283,6 +291,7 @@
 	if (e->target == CONFIG_TARGET_SERVICE)
 		return e->service > 0 ? e->service : best->service;
 	prompt -= cached_tokens(route, now, query, e->id);
+	prompt += e->summary.waiting_tokens;
 	return prompt / prefill + query->answer_tokens / decode;
 }
 
@@ -320,28 +329,122 @@
 	       query->prompt_tokens + query->answer_tokens <= e->context_tokens;
 }
 
-int route_pick(route_t *route, pimento_usec_t now, const route_query_t *query,
-	       route_choice_t *choice)
+/* Seconds that an ordinary endpoint reads this prompt. */
+static double reading(const route_query_t *query, const rates_t *best)
+{
+	return query->prompt_tokens / best->prefill;
+}
+
+static bool lengthy(const route_query_t *query, const rates_t *best)
+{
+	return query->target == CONFIG_TARGET_MODEL && query->tier &&
+	       reading(query, best) > LENGTHY;
+}
+
+static int faster(const void *a, const void *b)
+{
+	const route_endpoint_t *left = *(const route_endpoint_t *const *)a;
+	const route_endpoint_t *right = *(const route_endpoint_t *const *)b;
+	double difference = prefill_of(right) - prefill_of(left);
+
+	if (difference > 0 || difference < 0)
+		return difference > 0 ? 1 : -1;
+	return (left->id > right->id) - (left->id < right->id);
+}
+
+/* Keeps the fastest endpoints of a target that make up its part. */
+static void divide_target(route_endpoint_t **list, uint32_t count, double part)
+{
+	double all = 0;
+	double sum = 0;
+
+	qsort(list, count, sizeof(route_endpoint_t *), faster);
+	for (uint32_t i = 0; i < count; i++)
+		all += larger(prefill_of(list[i]), 1);
+	for (uint32_t i = 0; i < count; i++) {
+		double one = larger(prefill_of(list[i]), 1) / all;
+
+		list[i]->kept = part > 0 && i + 1 < count &&
+				(!i || sum + one / 2 <= part);
+		sum += one;
+	}
+}
+
+/* Divides the endpoints of every target anew, now and then. */
+static void divide(route_t *route, pimento_usec_t now)
+{
+	route_endpoint_t **list;
+
+	if (route->divided && now - route->divided < DIVIDE_SPAN)
+		return;
+	route->divided = now;
+	list = malloc((route->count + 1) * sizeof(route_endpoint_t *));
+	for (int t = 0; list && t < MIX_TARGETS_MAX; t++) {
+		const mix_target_t *target = &route->mix.targets[t];
+		uint32_t n = 0;
+
+		if (!target->name)
+			break;
+		for (uint32_t i = 0; i < route->count; i++) {
+			route_endpoint_t *e = &route->endpoints[i];
+
+			if (e->target_id == target->name && !e->leaving &&
+			    !e->summary.leaving && now >= e->failed_until)
+				list[n++] = e;
+		}
+		divide_target(list, n, mix_kept(target));
+	}
+	free(list);
+}
+
+static route_endpoint_t *pick(route_t *route, pimento_usec_t now,
+			      const route_query_t *query, const rates_t *best,
+			      bool kept_too, double *least)
 {
-	rates_t best = best_rates(route, query);
 	route_endpoint_t *found = NULL;
-	double least = 0;
 
 	for (uint32_t i = 0; i < route->count; i++) {
 		route_endpoint_t *e = &route->endpoints[i];
 		double one;
 		double all;
 
-		if (!usable(e, now, query))
+		if (!usable(e, now, query) || (e->kept && !kept_too))
 			continue;
-		one = service(route, now, query, e, &best);
+		one = service(route, now, query, e, best);
 		all = one + line(query, e, one);
 		all *= 1 + JITTER * pimento_random_unit(&route->random);
-		if (!found || all < least) {
+		if (!found || all < *least) {
 			found = e;
-			least = all;
+			*least = all;
 		}
 	}
+	return found;
+}
+
+static void note_work(route_t *route, pimento_usec_t now,
+		      const route_query_t *query, const rates_t *best)
+{
+	mix_target_t *target;
+	double making = query->answer_tokens / best->decode / SIDE_BY_SIDE;
+
+	if (query->target != CONFIG_TARGET_MODEL)
+		return;
+	target = mix_target(&route->mix, pimento_id(query->target_name));
+	if (target)
+		mix_note(target, now, query->tier,
+			 reading(query, best) + making, lengthy(query, best));
+}
+
+static int choose(route_t *route, pimento_usec_t now,
+		  const route_query_t *query, bool kept_too,
+		  route_choice_t *choice)
+{
+	rates_t best = best_rates(route, query);
+	double least = 0;
+	route_endpoint_t *found;
+
+	kept_too = kept_too || !lengthy(query, &best);
+	found = pick(route, now, query, &best, kept_too, &least);
 	if (!found)
 		return PIMENTO_EUNREACHABLE;
 	found->sent++;
@@ -350,6 +453,18 @@
 	return 0;
 }
 
+int route_pick(route_t *route, pimento_usec_t now, const route_query_t *query,
+	       route_choice_t *choice)
+{
+	rates_t best = best_rates(route, query);
+
+	note_work(route, now, query, &best);
+	divide(route, now);
+	if (!choose(route, now, query, false, choice))
+		return 0;
+	return choose(route, now, query, true, choice);
+}
+
 void route_retry_init(route_retry_t *retry)
 {
 	memset(retry, 0, sizeof(*retry));
@@ -390,7 +505,7 @@
 		return false;
 	q.avoid = retry->refused;
 	q.avoid_count = retry->count;
-	return !route_pick(route, now, &q, choice) &&
+	return !choose(route, now, &q, false, choice) &&
 	       choice->expected <= query->patience;
 }
 
@@ -413,9 +528,13 @@
 	return false;
 }
 
-/* An owner that may have less urgent work and had no last visit yet. */
+/*
+ * An owner that may have less urgent work and had no last visit yet. One of an
+ * endpoint that is kept free of such a long prompt only sheds.
+ */
 static bool last_visit(route_t *route, pimento_usec_t now, route_retry_t *retry,
-		       const route_query_t *query, route_choice_t *choice)
+		       const route_query_t *query, route_choice_t *choice,
+		       uint8_t *hops)
 {
 	route_query_t q = *query;
 
@@ -423,8 +542,12 @@
 		return false;
 	q.avoid = retry->last;
 	q.avoid_count = retry->last_count;
-	if (route_pick(route, now, &q, choice))
-		return false;
+	*hops = OWNER_HOPS_LAST;
+	if (choose(route, now, &q, false, choice)) {
+		*hops = OWNER_HOPS_SHED;
+		if (choose(route, now, &q, true, choice))
+			return false;
+	}
 	retry->last[retry->last_count++] = choice->endpoint;
 	return true;
 }
@@ -443,9 +566,7 @@
 	}
 	if (query->tier + 1U < route->tier_count &&
 	    feasible(route, now, query, patience) &&
-	    last_visit(route, now, retry, query, choice)) {
-		*hops = OWNER_HOPS_LAST;
+	    last_visit(route, now, retry, query, choice, hops))
 		return 0;
-	}
 	return retry->reason;
 }
--- a/src/route.h
+++ b/src/route.h
@@ -9,6 +9,7 @@
 
 #include "config.h"
 #include "message.h"
+#include "mix.h"
 
 typedef struct route_endpoint route_endpoint_t;
 
@@ -20,6 +21,8 @@
 	uint32_t count;
 	uint32_t tier_count;
 	route_prefix_t *prefixes; /* where prompts were sent before */
+	mix_t mix;
+	pimento_usec_t divided; /* when endpoints were last divided by it */
 } route_t;
 
 typedef struct route_query {
