route, owner: divide by id, not by measured rate; leave urgent answers slack

Cause: entries disagreed on which endpoints take long prompts, for engines of equal speed changed places with each sample of their rates; so counter questions met theses again. And a prompt could use up all of an urgent answer's slack.

Change: endpoints are divided in the order of their ids; the mix of work is remembered for 60 s; a prompt may use up half of any slack.

Theses still pay for urgent answers that run on the endpoints meant for long prompts.

--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -13,6 +13,7 @@
 
 #define ROOM_PART 8 /* one slot in so many is kept for more urgent tiers */
 #define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
+#define SLACK_FACTOR 2 /* a prompt may use up so small a part of a slack */
 #define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
 #define PEAK_SPAN (30 * PIMENTO_SEC)
 #define FOREIGN_SPAN (10 * PIMENTO_SEC)
@@ -100,7 +101,7 @@
 		if (!r->item.deadline)
 			continue;
 		left -= limit_making(&e->limit, tokens_left(r));
-		if (left > 0 && left < reading)
+		if (left > 0 && left < reading * SLACK_FACTOR)
 			return false;
 	}
 	return true;
--- a/src/mix.c
+++ b/src/mix.c
@@ -12,7 +12,7 @@
 #include <math.h>
 #include <string.h>
 
-#define HALF_LIFE (20 * PIMENTO_SEC)
+#define HALF_LIFE (60 * PIMENTO_SEC)
 #define DECAY_STEP (200 * PIMENTO_MSEC)
 #define LITTLE 0.01 /* a part of work that is not worth an endpoint */
 
--- a/src/route.c
+++ b/src/route.c
@@ -341,24 +341,16 @@
 	       reading(query, best) > LENGTHY;
 }
 
-static int faster(const void *a, const void *b)
-{
-	const route_endpoint_t *left = *(const route_endpoint_t *const *)a;
-	const route_endpoint_t *right = *(const route_endpoint_t *const *)b;
-	double difference = prefill_of(right) - prefill_of(left);
-
-	if (difference > 0 || difference < 0)
-		return difference > 0 ? 1 : -1;
-	return (left->id > right->id) - (left->id < right->id);
-}
-
-/* Keeps the fastest endpoints of a target that make up its part. */
+/*
+ * Keeps the first endpoints of a target that make up its part. In the order of
+ * their ids, on which all entries agree: were it the order of measured rates,
+ * two entries would send long and short prompts to the same endpoint.
+ */
 static void divide_target(route_endpoint_t **list, uint32_t count, double part)
 {
 	double all = 0;
 	double sum = 0;
 
-	qsort(list, count, sizeof(route_endpoint_t *), faster);
 	for (uint32_t i = 0; i < count; i++)
 		all += larger(prefill_of(list[i]), 1);
 	for (uint32_t i = 0; i < count; i++) {
