owner: a shorter line; services tell how fast they answer

Cause: theses wait for more than half of their patience and then leave other prompts no slack, so few are in flight and steps are spent on small batches (mean batch 3 to 6 on endpoints that take long prompts; 15 to 19 under better-of-two). Entries judged services by few samples of their own.

To be replaced by an estimate of how long an answer takes beside others.

--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -13,7 +13,9 @@
 
 #define ROOM_PART 8 /* one slot in so many is kept for more urgent tiers */
 #define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
-#define SLACK_FACTOR 2 /* a prompt may use up so small a part of a slack */
+/* A prompt may use up so small a part of the slack of answers in progress. */
+#define SLACK_URGENT 2.0
+#define SLACK 1.6
 #define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
 #define PEAK_SPAN (30 * PIMENTO_SEC)
 #define FOREIGN_SPAN (10 * PIMENTO_SEC)
@@ -93,15 +95,16 @@
  * them from ever being done in time; an answer's slack says how much it bears.
  */
 static bool slack_suffices(const owner_endpoint_t *e, pimento_usec_t now,
-			   pimento_usec_t reading)
+			   uint8_t tier, pimento_usec_t reading)
 {
 	for (const reservation_t *r = e->flight; r; r = r->older) {
 		pimento_usec_t left = r->item.deadline - now;
+		double factor = r->item.tier < tier ? SLACK_URGENT : SLACK;
 
-		if (!r->item.deadline)
+		if (!r->item.deadline || r->item.tier > tier)
 			continue;
 		left -= limit_making(&e->limit, tokens_left(r));
-		if (left > 0 && left < reading * SLACK_FACTOR)
+		if (left > 0 && (double)left < (double)reading * factor)
 			return false;
 	}
 	return true;
@@ -116,7 +119,7 @@
 		return true;
 	if (limit_reading(&e->limit, e->prefilling, 0) > PREFILL_SPAN)
 		return false;
-	return slack_suffices(e, now,
+	return slack_suffices(e, now, r->item.tier,
 			      limit_reading(&e->limit, e->prefilling, prompt));
 }
 
@@ -244,5 +247,7 @@
 	summary->waiting_tokens = e->prefilling;
 	summary->prefill_rate = (float)limit_prefill_rate(&e->limit);
 	summary->decode_rate = (float)limit_decode_rate(&e->limit);
+	if (e->limit.service > 0) /* a service: answers a second */
+		summary->decode_rate = (float)(1 / e->limit.service);
 	summary->leaving = e->leaving;
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -23,6 +23,7 @@
  * granted at the last moment, and many are then cut off half made.
  */
 #define MARGIN 1.25
+#define WAIT_MARGIN 3.0
 
 int owner_init(owner_t *owner, const owner_options_t *options, outbox_t *out)
 {
@@ -340,7 +341,7 @@
 		return PIMENTO_EBUSY;
 	wait = endpoint_wait(e, now, asked->tier);
 	service = endpoint_service(e, asked);
-	if ((double)(wait + service) * MARGIN > (double)asked->patience)
+	if ((double)wait * WAIT_MARGIN + (double)service * MARGIN > (double)asked->patience)
 		return PIMENTO_ELATE;
 	if (wait && !above_floor(e, now, asked->tier))
 		return PIMENTO_EBUSY;
--- a/src/route.c
+++ b/src/route.c
@@ -24,6 +24,7 @@
 #define GUESS_SERVICE 0.05 /* seconds */
 #define MOVED_MAX 4
 #define JITTER 0.05
+#define QUICK_PART 0.4 /* of the patience that is quick enough */
 #define LENGTHY 1.0 /* seconds of reading that make a prompt a long one */
 #define DIVIDE_SPAN (500 * PIMENTO_MSEC)
 #define SIDE_BY_SIDE 16 /* answers made at once, roughly */
@@ -244,6 +245,13 @@
 					  : e->decode;
 }
 
+/* Seconds of a plain service's answer. */
+static double service_of(const route_endpoint_t *e)
+{
+	return e->summary.decode_rate > 0 ? 1 / (double)e->summary.decode_rate
+					  : e->service;
+}
+
 static bool serves(const route_endpoint_t *e, const route_query_t *query)
 {
 	return e->target == query->target &&
@@ -266,9 +274,9 @@
 			continue;
 		best.prefill = larger(best.prefill, prefill_of(e));
 		best.decode = larger(best.decode, decode_of(e));
-		if (e->service > 0 &&
-		    (best.service <= 0 || e->service < best.service))
-			best.service = e->service;
+		if (service_of(e) > 0 &&
+		    (best.service <= 0 || service_of(e) < best.service))
+			best.service = service_of(e);
 	}
 	if (best.prefill <= 0)
 		best.prefill = GUESS_PREFILL;
@@ -289,7 +297,7 @@
 	double prompt = query->prompt_tokens;
 
 	if (e->target == CONFIG_TARGET_SERVICE)
-		return e->service > 0 ? e->service : best->service;
+		return service_of(e) > 0 ? service_of(e) : best->service;
 	prompt -= cached_tokens(route, now, query, e->id);
 	prompt += e->summary.waiting_tokens;
 	return prompt / prefill + query->answer_tokens / decode;
@@ -389,9 +397,17 @@
 	free(list);
 }
 
+/* Which endpoints a choice is among. */
+typedef enum among { AMONG_ALL, AMONG_KEPT, AMONG_OTHERS } among_t;
+
+static bool is_among(const route_endpoint_t *e, among_t among)
+{
+	return among == AMONG_ALL || e->kept == (among == AMONG_KEPT);
+}
+
 static route_endpoint_t *pick(route_t *route, pimento_usec_t now,
 			      const route_query_t *query, const rates_t *best,
-			      bool kept_too, double *least)
+			      among_t among, double *least)
 {
 	route_endpoint_t *found = NULL;
 
@@ -400,7 +416,7 @@
 		double one;
 		double all;
 
-		if (!usable(e, now, query) || (e->kept && !kept_too))
+		if (!usable(e, now, query) || !is_among(e, among))
 			continue;
 		one = service(route, now, query, e, best);
 		all = one + line(query, e, one);
@@ -413,6 +429,24 @@
 	return found;
 }
 
+/*
+ * A short urgent request goes where no long prompt comes while that is quick
+ * enough, even if another endpoint is quicker just now: there it would hold up
+ * the next long prompt, which may not use up its slack.
+ */
+static route_endpoint_t *pick_short(route_t *route, pimento_usec_t now,
+				    const route_query_t *query,
+				    const rates_t *best, double *least)
+{
+	route_endpoint_t *found;
+
+	found = pick(route, now, query, best, AMONG_KEPT, least);
+	if (found &&
+	    *least * PIMENTO_SEC <= (double)query->patience * QUICK_PART)
+		return found;
+	return pick(route, now, query, best, AMONG_ALL, least);
+}
+
 static void note_work(route_t *route, pimento_usec_t now,
 		      const route_query_t *query, const rates_t *best)
 {
@@ -435,8 +469,11 @@
 	double least = 0;
 	route_endpoint_t *found;
 
-	kept_too = kept_too || !lengthy(query, &best);
-	found = pick(route, now, query, &best, kept_too, &least);
+	if (lengthy(query, &best))
+		found = pick(route, now, query, &best,
+			     kept_too ? AMONG_ALL : AMONG_OTHERS, &least);
+	else
+		found = pick_short(route, now, query, &best, &least);
 	if (!found)
 		return PIMENTO_EUNREACHABLE;
 	found->sent++;
