owner: count on prompts being read beside an answer

Cause: as before, long answers were granted with too little time left to let another prompt in beside them.

Change: an answer is expected to take twice its making; the margin on whole spans goes.

--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -15,7 +15,15 @@
 #define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
 /* A prompt may use up so small a part of the slack of answers in progress. */
 #define SLACK_URGENT 2.0
-#define SLACK 1.6
+#define SLACK 1.3
+/*
+ * An answer takes so much longer beside prompts that are read meanwhile. If it
+ * were granted with less time left, no prompt could be let in beside it, and
+ * the engine would make few answers at once, which is the costly way.
+ */
+#define SHARING 2.0
+/* Half of a service's answers take longer than the mean. */
+#define MARGIN 1.25
 #define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
 #define PEAK_SPAN (30 * PIMENTO_SEC)
 #define FOREIGN_SPAN (10 * PIMENTO_SEC)
@@ -136,8 +144,14 @@
 pimento_usec_t endpoint_service(const owner_endpoint_t *e,
 				const message_reserve_t *asked)
 {
-	return limit_service(&e->limit, e->prefilling, asked->prompt_tokens,
-			     asked->answer_tokens);
+	pimento_usec_t reading =
+		limit_reading(&e->limit, e->prefilling, asked->prompt_tokens);
+	double making = (double)limit_making(&e->limit, asked->answer_tokens);
+
+	if (e->description.target == CONFIG_TARGET_SERVICE)
+		return (pimento_usec_t)(MARGIN *
+					limit_service(&e->limit, 0, 0, 0));
+	return reading + (pimento_usec_t)(making * SHARING);
 }
 
 pimento_usec_t endpoint_work(const owner_endpoint_t *e,
--- a/src/owner.c
+++ b/src/owner.c
@@ -17,13 +17,8 @@
 #define RETRY_MOST (60 * PIMENTO_SEC)
 #define ENDPOINTS_FIRST 8
 
-/*
- * Answers take as long as they take, so half of them take longer than expected.
- * Without slack a line in front of a busy endpoint grows until each request is
- * granted at the last moment, and many are then cut off half made.
- */
-#define MARGIN 1.25
-#define WAIT_MARGIN 3.0
+/* Waiting takes longer than it seems: what is more urgent still comes. */
+#define WAIT_MARGIN 1.25
 
 int owner_init(owner_t *owner, const owner_options_t *options, outbox_t *out)
 {
@@ -294,9 +289,7 @@
 /* From when on it can no longer finish in time. */
 static pimento_usec_t latest_start(const reservation_t *r)
 {
-	pimento_usec_t service = endpoint_service(r->endpoint, &r->asked);
-
-	return r->item.deadline - (pimento_usec_t)((double)service * MARGIN);
+	return r->item.deadline - endpoint_service(r->endpoint, &r->asked);
 }
 
 static reservation_t *enter(owner_t *owner, pimento_usec_t now,
@@ -341,7 +334,8 @@
 		return PIMENTO_EBUSY;
 	wait = endpoint_wait(e, now, asked->tier);
 	service = endpoint_service(e, asked);
-	if ((double)wait * WAIT_MARGIN + (double)service * MARGIN > (double)asked->patience)
+	if ((double)wait * WAIT_MARGIN + (double)service >
+	    (double)asked->patience)
 		return PIMENTO_ELATE;
 	if (wait && !above_floor(e, now, asked->tier))
 		return PIMENTO_EBUSY;
