--- a/Makefile
+++ b/Makefile
@@ -91,7 +91,7 @@
 proto:
 	cd src && protoc-c --c_out=. wire.proto
 
-OWN = $(filter-out src/wire.pb-c.%,$(wildcard pimentoshelf.h src/*.[ch] \
+OWN = $(filter-out src/wire.pb-c.c src/wire.pb-c.h,$(wildcard pimentoshelf.h src/*.[ch] \
 	io/*.[ch] daemon/*.[ch] standin/*.[ch] bench/*.[ch] test/*.[ch]))
 LINT = $(filter %.c,$(filter-out test/%,$(OWN)))
 
--- a/pimentoshelf.h
+++ b/pimentoshelf.h
@@ -134,4 +134,198 @@
 /* Uniform in [0, 1). */
 double pimento_random_unit(pimento_random_t *random);
 
+/*
+ * The configuration in force, immutable; defined in src/config.h. A reference
+ * keeps it alive while a request that came in under it is in progress.
+ */
+struct pimento_config;
+struct message;
+struct hostlist;
+
+struct pimento_config *pimento_config_hold(struct pimento_config *config);
+void pimento_config_drop(struct pimento_config *config);
+
+#define PIMENTO_SECRET_SIZE 32
+
+typedef struct pimento_host_options {
+	const char *name; /* as the host list has it */
+	uint64_t incarnation; /* random, never zero, new at every start */
+	uint64_t seed; /* of every choice the host makes */
+	int64_t wall_msec; /* wall clock at the start */
+	uint8_t secret[PIMENTO_SECRET_SIZE]; /* authenticates issued keys */
+	uint32_t requests_max; /* in progress at once, a hard cap */
+	uint32_t waiting_max; /* reservations of all entries held here */
+	uint32_t keys_max; /* idempotency keys witnessed at once */
+	pimento_usec_t skew; /* bound on clock difference; 0: the default */
+} pimento_host_options_t;
+
+/* One request of a caller, after its contract was found. */
+typedef struct pimento_request {
+	pimento_id_t account;
+	bool model; /* a model engine's, else a plain service's */
+	char target[PIMENTO_NAME_MAX]; /* the model's or the service's name */
+	uint8_t tier; /* rank, 0 is the most urgent */
+	pimento_usec_t patience; /* span until the caller stops caring */
+	bool repeatable; /* false: refused without a key */
+	uint32_t prompt_tokens; /* estimate */
+	uint32_t answer_tokens; /* estimate */
+	uint64_t prefix; /* hash of the prompt's beginning, 0 none */
+	uint64_t digest; /* hash of the whole body */
+	const char *key; /* idempotency key, NULL none; copied */
+	uint32_t attempt; /* of the key, as the caller says; 0 not said */
+	int64_t wall_msec; /* wall clock now, for the key's age */
+} pimento_request_t;
+
+typedef enum pimento_action_kind {
+	PIMENTO_ACTION_NONE = 0,
+	PIMENTO_ACTION_SEND, /* message to the peer */
+	PIMENTO_ACTION_DISPATCH, /* connect, then pimento_host_commit() */
+	PIMENTO_ACTION_FOLLOW, /* resume the stream where the caller is */
+	PIMENTO_ACTION_REPLAY, /* the answer kept from an earlier call */
+	PIMENTO_ACTION_REFUSE, /* the final answer of a request */
+	PIMENTO_ACTION_CANCEL, /* cancel the stream at the endpoint */
+	PIMENTO_ACTION_END, /* the request is over; its handle is no more */
+	PIMENTO_ACTION_CONFIG, /* another configuration is in force */
+	PIMENTO_ACTION_HOSTS, /* another host list is in force */
+} pimento_action_kind_t;
+
+typedef struct pimento_action {
+	pimento_action_kind_t kind;
+	pimento_id_t peer; /* SEND */
+	const struct message *message; /* SEND; until the next call */
+	pimento_handle_t request; /* all but SEND, CONFIG and HOSTS */
+	pimento_id_t endpoint; /* DISPATCH, FOLLOW, CANCEL */
+	pimento_reqid_t stream; /* id of the request at the endpoint */
+	pimento_verdict_t verdict; /* REFUSE */
+	int error; /* REFUSE */
+	pimento_usec_t retry_after; /* REFUSE; 0: a repeat is of no use */
+	uint32_t attempt; /* REFUSE: the key's next attempt; 0 no key */
+	uint16_t status; /* REPLAY */
+	uint8_t *answer; /* REPLAY; the receiver calls free() */
+	size_t answer_size;
+} pimento_action_t;
+
+typedef enum pimento_event_kind {
+	PIMENTO_EVENT_UNREACHABLE = 1, /* never connected, nothing was sent */
+	PIMENTO_EVENT_TOKENS, /* tokens of the answer arrived */
+	PIMENTO_EVENT_DONE, /* the whole answer arrived */
+	PIMENTO_EVENT_BROKEN, /* the connection broke after the commit */
+	PIMENTO_EVENT_LOST, /* the endpoint does not know the stream */
+	PIMENTO_EVENT_LEFT, /* the caller left */
+} pimento_event_kind_t;
+
+typedef struct pimento_event {
+	pimento_event_kind_t kind;
+	uint32_t tokens; /* of the answer so far */
+	uint16_t status; /* DONE: HTTP status */
+	const uint8_t *answer; /* DONE: whole answer, if small and kept */
+	size_t answer_size;
+} pimento_event_t;
+
+typedef struct pimento_host pimento_host_t;
+
+/*
+ * Bytes that a host needs; the caller owns them. The structure is defined in
+ * src/host.h for those who want it on the stack.
+ */
+size_t pimento_host_size(void);
+
+/* Returns 0, PIMENTO_EINVAL, PIMENTO_ENOMEM. */
+int pimento_host_init(pimento_host_t *host,
+		      const pimento_host_options_t *options,
+		      pimento_usec_t now);
+void pimento_host_finish(pimento_host_t *host);
+
+/*
+ * Accepts a request. Returns 0 and a handle that is good until the request's
+ * last action (REFUSE, REPLAY or END).
+ * Otherwise nothing was taken on and the verdict is "not run" for this call:
+ * PIMENTO_EFULL, PIMENTO_EUNREADY (no configuration yet, or one that must
+ * be confirmed after a pause), PIMENTO_ELEAVING, PIMENTO_EAUTH (forged
+ * key), PIMENTO_EINVAL (a request that may not be repeated, without a key),
+ * PIMENTO_ENOQUORUM, PIMENTO_ENOMEM.
+ */
+int pimento_host_submit(pimento_host_t *host, pimento_usec_t now,
+			const pimento_request_t *request,
+			pimento_handle_t *handle, pimento_reqid_t *id);
+
+/*
+ * The one-way step: called when the connection stands and before the first
+ * byte leaves. Returns 0: send now, there is no way back. Negative: close the
+ * connection without sending; the host goes on with the request itself.
+ */
+int pimento_host_commit(pimento_host_t *host, pimento_usec_t now,
+			pimento_handle_t handle);
+
+/* Tells what became of a dispatch. Unknown handles are ignored. */
+void pimento_host_event(pimento_host_t *host, pimento_usec_t now,
+			pimento_handle_t handle, const pimento_event_t *event);
+
+/* A message of a peer. Returns 0 or PIMENTO_EINVAL; it may be anything. */
+int pimento_host_receive(pimento_host_t *host, pimento_usec_t now,
+			 pimento_id_t from, const struct message *message);
+
+/*
+ * A text that the platform gave (hosts: the host list, else the
+ * configuration). Returns 0; PIMENTO_ESTALE for an older revision;
+ * PIMENTO_EPARSE if it was refused, the last accepted staying in force.
+ */
+int pimento_host_read(pimento_host_t *host, pimento_usec_t now, bool hosts,
+		      uint64_t revision, const char *text, size_t length);
+
+/*
+ * The platform answered a read that was begun at this time, with a text or
+ * with "nothing newer". After a pause that confirms what is held.
+ */
+void pimento_host_refreshed(pimento_host_t *host, pimento_usec_t now,
+			    pimento_usec_t begun);
+
+/*
+ * How to read the platform now: true for a blocking watch, false for a plain
+ * read every *interval.
+ */
+bool pimento_host_reader(const pimento_host_t *host, pimento_usec_t *interval);
+
+/*
+ * Fills the first message on a link to a peer that is known by its address
+ * only; its answer tells who it is and what it holds.
+ */
+void pimento_host_hello(const pimento_host_t *host, struct message *message);
+
+/* An endpoint's own load report, age old when it was received. */
+void pimento_host_report(pimento_host_t *host, pimento_usec_t now,
+			 pimento_id_t endpoint, uint32_t running,
+			 uint32_t waiting, uint32_t tokens_left,
+			 pimento_usec_t age, bool leaving);
+
+/* This host leaves: no new requests, endpoints handed over. One-way. */
+void pimento_host_leave(pimento_host_t *host, pimento_usec_t now);
+
+/* Requests of callers in progress here. */
+uint32_t pimento_host_busy(const pimento_host_t *host);
+
+void pimento_host_tick(pimento_host_t *host, pimento_usec_t now);
+
+/* When pimento_host_tick() is due; PIMENTO_NEVER if it is not. */
+pimento_usec_t pimento_host_deadline(const pimento_host_t *host);
+
+/* Takes the next action; 0 when there is none, else 1. */
+int pimento_host_next(pimento_host_t *host, pimento_action_t *action);
+
+/* The configuration in force, NULL before the first. Not a reference. */
+struct pimento_config *pimento_host_config(const pimento_host_t *host);
+const struct hostlist *pimento_host_list(const pimento_host_t *host);
+
+/* False from a pause of this process until what it holds was confirmed. */
+bool pimento_host_fresh(const pimento_host_t *host);
+
+/*
+ * Issues an idempotency key that names its witnesses; nonce is random and
+ * wall_msec the wall clock. Returns its length or PIMENTO_ENOQUORUM.
+ */
+#define PIMENTO_KEY_TEXT 256
+int pimento_host_issue(pimento_host_t *host, pimento_usec_t now,
+		       int64_t wall_msec, uint64_t nonce,
+		       char text[PIMENTO_KEY_TEXT]);
+
 #endif
--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,566 @@
+/*
+ * The table of requests in progress. A handle is a slot's index and how often
+ * the slot was used, so that a late event never reaches a later request; the
+ * same number is the low half of the request's id.
+ */
+
+#include "entry_steps.h"
+#include "owner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Between two renewals of a slot's lease at its owner. */
+#define PROGRESS_PERIOD OWNER_PROGRESS
+/* A broken stream is resumed this often, with growing delays. */
+#define RESUMES_MAX 40
+#define RESUME_DELAY (50 * PIMENTO_MSEC)
+#define RESUME_DELAY_MAX PIMENTO_SEC
+/* Resuming goes on this long after the caller's patience. */
+#define RESUME_GRACE (5 * PIMENTO_SEC)
+/* Retries: a tenth of the requests, and a few to begin with. */
+#define BUDGET_SHARE 0.1
+#define BUDGET_MAX 10.0
+#define ACTIONS_MIN 64
+#define CLAIM_STEP_TIMEOUT (400 * PIMENTO_MSEC)
+
+int entry_init(entry_table_t *table, const entry_options_t *options,
+	       route_t *route, member_t *member, outbox_t *out)
+{
+	memset(table, 0, sizeof(*table));
+	table->options = *options;
+	table->route = route;
+	table->member = member;
+	table->out = out;
+	table->wake = PIMENTO_NEVER;
+	table->budget = BUDGET_MAX;
+	table->action_capacity = ACTIONS_MIN;
+	table->entries = calloc(options->requests_max, sizeof(entry_t));
+	table->free_list = calloc(options->requests_max, sizeof(uint32_t));
+	table->actions = calloc(ACTIONS_MIN, sizeof(pimento_action_t));
+	if (!table->entries || !table->free_list || !table->actions) {
+		entry_finish(table);
+		return PIMENTO_ENOMEM;
+	}
+	return PIMENTO_OK;
+}
+
+void entry_finish(entry_table_t *table)
+{
+	pimento_action_t action;
+
+	while (table->actions && entry_next(table, &action))
+		free(action.answer);
+	for (uint32_t i = 0; table->entries && i < table->high; i++)
+		free(table->entries[i].claim);
+	free(table->entries);
+	free(table->free_list);
+	free(table->actions);
+	memset(table, 0, sizeof(*table));
+}
+
+static int grow_actions(entry_table_t *table)
+{
+	uint32_t capacity = table->action_capacity * 2;
+	pimento_action_t *actions = calloc(capacity, sizeof(*actions));
+
+	if (!actions)
+		return PIMENTO_ENOMEM;
+	for (uint32_t i = 0; i < table->action_count; i++)
+		actions[i] = table->actions[(table->action_head + i) %
+					    table->action_capacity];
+	free(table->actions);
+	table->actions = actions;
+	table->action_capacity = capacity;
+	table->action_head = 0;
+	return PIMENTO_OK;
+}
+
+void entry_act(entry_table_t *table, const pimento_action_t *action)
+{
+	uint32_t at;
+
+	/* At most a few actions per request are due, so this stays small. */
+	if (table->action_count == table->action_capacity &&
+	    grow_actions(table))
+		abort();
+	at = (table->action_head + table->action_count) %
+	     table->action_capacity;
+	table->actions[at] = *action;
+	table->action_count++;
+}
+
+bool entry_next(entry_table_t *table, pimento_action_t *action)
+{
+	if (!table->action_count)
+		return false;
+	*action = table->actions[table->action_head];
+	table->action_head = (table->action_head + 1) % table->action_capacity;
+	table->action_count--;
+	return true;
+}
+
+pimento_handle_t entry_handle(const entry_table_t *table, const entry_t *entry)
+{
+	return (uint64_t)entry->generation << 32 |
+	       (uint64_t)(entry - table->entries);
+}
+
+entry_t *entry_find(entry_table_t *table, pimento_handle_t handle)
+{
+	uint32_t index = (uint32_t)handle;
+	entry_t *entry;
+
+	if (index >= table->high)
+		return NULL;
+	entry = &table->entries[index];
+	if (entry->state == ENTRY_FREE || entry->generation != handle >> 32)
+		return NULL;
+	return entry;
+}
+
+void entry_wake(entry_table_t *table, entry_t *entry, pimento_usec_t at)
+{
+	if (entry->state < ENTRY_CLAIMING && entry->claim &&
+	    entry->claim->state == CLAIM_QUERYING &&
+	    claim_deadline(entry->claim) < at)
+		at = claim_deadline(entry->claim);
+	entry->wake = at;
+	if (at < table->wake)
+		table->wake = at;
+}
+
+void entry_free(entry_table_t *table, entry_t *entry)
+{
+	free(entry->claim);
+	entry->claim = NULL;
+	entry->state = ENTRY_FREE;
+	table->free_list[table->free_count++] =
+		(uint32_t)(entry - table->entries);
+	table->busy--;
+}
+
+/* Ends a request that needs no further answer from here. */
+static void end(entry_table_t *table, entry_t *entry)
+{
+	pimento_action_t action = { .kind = PIMENTO_ACTION_END };
+
+	action.request = entry_handle(table, entry);
+	entry_free(table, entry);
+	entry_act(table, &action);
+}
+
+void entry_refuse(entry_table_t *table, entry_t *entry,
+		  pimento_verdict_t verdict, int error,
+		  pimento_usec_t retry_after)
+{
+	pimento_action_t action = { .kind = PIMENTO_ACTION_REFUSE };
+
+	action.request = entry_handle(table, entry);
+	action.verdict = verdict;
+	action.error = error;
+	action.retry_after = retry_after;
+	if (entry->claim)
+		action.attempt = entry->claim->sealed + 1;
+	table->counters.refused[verdict]++;
+	entry_free(table, entry);
+	entry_act(table, &action);
+}
+
+void entry_follow(entry_table_t *table, entry_t *entry)
+{
+	pimento_action_t action = { .kind = PIMENTO_ACTION_FOLLOW };
+
+	entry->state = ENTRY_FOLLOWING;
+	action.request = entry_handle(table, entry);
+	action.endpoint = entry->follow_endpoint;
+	action.stream = entry->follow_stream;
+	entry_wake(table, entry, entry->deadline + RESUME_GRACE);
+	table->counters.resumed++;
+	entry_act(table, &action);
+}
+
+static entry_t *allocate(entry_table_t *table)
+{
+	uint32_t generation;
+	entry_t *entry;
+
+	if (table->free_count)
+		entry = &table->entries[table->free_list[--table->free_count]];
+	else if (table->high < table->options.requests_max)
+		entry = &table->entries[table->high++];
+	else
+		return NULL;
+	generation = entry->generation + 1;
+	memset(entry, 0, sizeof(*entry));
+	entry->generation = generation;
+	table->busy++;
+	return entry;
+}
+
+int entry_start_claim(entry_table_t *table, pimento_usec_t now, entry_t *entry,
+		      const witness_set_t *witnesses, pimento_usec_t age)
+{
+	claim_options_t options = { 0 };
+	int error;
+
+	if (!entry->claim)
+		entry->claim = calloc(1, sizeof(*entry->claim));
+	if (!entry->claim)
+		return PIMENTO_ENOMEM;
+	options.key = entry->key;
+	options.witnesses = *witnesses;
+	options.age = age;
+	options.attempt = entry->request.attempt;
+	options.digest = entry->request.digest;
+	options.sequence = table->next_sequence;
+	options.timeout = CLAIM_STEP_TIMEOUT;
+	table->next_sequence += CLAIM_SEQUENCES;
+	error = claim_init(entry->claim, &options);
+	if (!error)
+		claim_start(entry->claim, now, table->out);
+	return error;
+}
+
+int entry_submit(entry_table_t *table, pimento_usec_t now,
+		 const pimento_request_t *request, pimento_key_t key,
+		 const witness_set_t *witnesses, pimento_usec_t age,
+		 pimento_handle_t *handle, pimento_reqid_t *id)
+{
+	entry_t *entry = allocate(table);
+	int error = PIMENTO_OK;
+
+	if (!entry)
+		return PIMENTO_EFULL;
+	entry->state = ENTRY_RESERVING;
+	entry->request = *request;
+	entry->request.key = NULL;
+	entry->key = key;
+	entry->arrived = now;
+	entry->deadline = now + request->patience;
+	entry->id.hi = table->options.incarnation;
+	entry->id.lo = entry_handle(table, entry);
+	if (witnesses)
+		error = entry_start_claim(table, now, entry, witnesses, age);
+	if (error) {
+		entry_free(table, entry);
+		return error;
+	}
+	*handle = entry_handle(table, entry);
+	*id = entry->id;
+	table->counters.accepted++;
+	table->budget += BUDGET_SHARE;
+	if (table->budget > BUDGET_MAX)
+		table->budget = BUDGET_MAX;
+	entry_reserve(table, now, entry);
+	return PIMENTO_OK;
+}
+
+int entry_commit(entry_table_t *table, pimento_usec_t now,
+		 pimento_handle_t handle)
+{
+	entry_t *entry = entry_find(table, handle);
+
+	if (!entry || entry->state != ENTRY_CONNECTING)
+		return PIMENTO_ESTALE;
+	/*
+	 * A process that was paused between grant and dispatch wakes here and
+	 * would send a request that nobody waits for, into a slot that has
+	 * been given away. The connection is closed without a byte instead.
+	 */
+	if (now >= entry->deadline || now >= entry->grant_ends) {
+		entry_release(table, entry, RELEASE_UNUSED);
+		entry_give_up(table, now, entry, PIMENTO_ELATE, 0);
+		return PIMENTO_ELATE;
+	}
+	entry->state = ENTRY_DISPATCHED;
+	entry->sent = now;
+	entry->told = now;
+	table->counters.dispatched++;
+	route_placed(table->route, now, entry->endpoint, entry->request.prefix,
+		     entry->request.prompt_tokens);
+	entry_tell_progress(table, now, entry);
+	entry_wake(table, entry, now + PROGRESS_PERIOD);
+	return PIMENTO_OK;
+}
+
+void entry_tell_progress(entry_table_t *table, pimento_usec_t now,
+			 entry_t *entry)
+{
+	message_t message = { .kind = MESSAGE_PROGRESS };
+	message_progress_t *progress = &message.u.progress;
+
+	if (!entry->owner)
+		return;
+	progress->request = entry->id;
+	progress->round = entry->round;
+	progress->endpoint = entry->endpoint;
+	progress->epoch = entry->epoch;
+	progress->answer_tokens = entry->tokens;
+	if (entry->first_token) {
+		progress->first_token = entry->first_token - entry->sent;
+		progress->decode = entry->last_token - entry->first_token;
+	}
+	entry->told = now;
+	outbox_put(table->out, entry->owner, &message);
+}
+
+static void on_tokens(entry_table_t *table, pimento_usec_t now, entry_t *entry,
+		      const pimento_event_t *event)
+{
+	bool first = !entry->first_token;
+
+	if (first)
+		entry->first_token = now;
+	entry->last_token = now;
+	entry->tokens = event->tokens;
+	if (first)
+		entry_tell_progress(table, now, entry);
+}
+
+/* Nothing left this process: the request may go elsewhere, within budget. */
+static void on_unreachable(entry_table_t *table, pimento_usec_t now,
+			   entry_t *entry)
+{
+	route_failed(table->route, now, entry->endpoint);
+	entry_release(table, entry, RELEASE_UNUSED);
+	if (entry->claim || table->budget < 1) {
+		entry_give_up(table, now, entry, PIMENTO_EUNREACHABLE, 0);
+		return;
+	}
+	table->budget -= 1;
+	table->counters.retried++;
+	entry_unreached(table, now, entry);
+}
+
+static void observe(entry_table_t *table, pimento_usec_t now,
+		    const entry_t *entry)
+{
+	if (!entry->first_token || !entry->sent)
+		return;
+	route_observe(table->route, now, entry->endpoint,
+		      entry->request.prompt_tokens, entry->tokens,
+		      entry->first_token - entry->sent,
+		      entry->last_token - entry->first_token);
+}
+
+static void on_done(entry_table_t *table, pimento_usec_t now, entry_t *entry,
+		    const pimento_event_t *event)
+{
+	message_place_t place = { 0 };
+
+	if (entry->state == ENTRY_DISPATCHED)
+		observe(table, now, entry);
+	entry->tokens = event->tokens;
+	entry_release(table, entry, RELEASE_DONE);
+	if (entry->claim && entry->claim->state == CLAIM_TAKEN) {
+		place.request = entry->id;
+		place.endpoint = entry->endpoint;
+		place.digest = entry->request.digest;
+		place.done = 1;
+		place.status = event->status;
+		if (event->answer && event->answer_size <= MESSAGE_ANSWER_MAX) {
+			place.answer_size = (uint16_t)event->answer_size;
+			memcpy(place.answer, event->answer, event->answer_size);
+		}
+		claim_done(entry->claim, now, &place, table->out);
+	}
+	table->counters.done++;
+	end(table, entry);
+}
+
+static pimento_usec_t resume_delay(const entry_t *entry)
+{
+	pimento_usec_t delay = RESUME_DELAY * entry->resumes;
+
+	return delay < RESUME_DELAY_MAX ? delay : RESUME_DELAY_MAX;
+}
+
+/*
+ * The connection broke after the commit. An engine goes on by itself and its
+ * stream can be resumed; a plain service cannot be asked, so the verdict is
+ * "may have run" and the caller is told so at once.
+ */
+static void on_broken(entry_table_t *table, pimento_usec_t now, entry_t *entry)
+{
+	if (entry->left || !entry->request.model ||
+	    entry->resumes >= RESUMES_MAX ||
+	    now >= entry->deadline + RESUME_GRACE) {
+		entry_release(table, entry, RELEASE_FAILED);
+		entry_refuse(table, entry, PIMENTO_MAY_HAVE_RUN,
+			     PIMENTO_EENDPOINT, 0);
+		return;
+	}
+	if (entry->state == ENTRY_DISPATCHED) {
+		entry->follow_endpoint = entry->endpoint;
+		entry->follow_stream = entry->id;
+	}
+	entry->resumes++;
+	entry->state = ENTRY_FOLLOWING;
+	entry->asked = now;
+	entry_wake(table, entry, now + resume_delay(entry));
+}
+
+/*
+ * The endpoint does not know the stream. For our own dispatch that means it
+ * was lost there. For another's, the claimant may be just about to dispatch:
+ * the witnesses are asked again until the caller stops caring.
+ */
+static void on_lost(entry_table_t *table, pimento_usec_t now, entry_t *entry)
+{
+	bool own = pimento_reqid_equal(entry->follow_stream, entry->id);
+
+	if (own || !entry->claim || entry->left) {
+		entry_release(table, entry, RELEASE_FAILED);
+		entry_refuse(table, entry, PIMENTO_MAY_HAVE_RUN,
+			     PIMENTO_EENDPOINT, 0);
+		return;
+	}
+	entry->state = ENTRY_ASKING;
+	entry_wake(table, entry, now + RESUME_DELAY);
+}
+
+/*
+ * The caller left. Before the dispatch the request simply ends. After it, an
+ * unkeyed stream is cancelled, for nobody can ever ask for it; a keyed one
+ * goes on, because a repeat will come for the answer.
+ */
+static void on_left(entry_table_t *table, pimento_usec_t now, entry_t *entry)
+{
+	pimento_action_t action = { .kind = PIMENTO_ACTION_CANCEL };
+
+	table->counters.left++;
+	if (entry->claim && entry->state == ENTRY_DISPATCHED) {
+		entry->left = true;
+		return;
+	}
+	if (entry->state == ENTRY_DISPATCHED) {
+		action.request = entry_handle(table, entry);
+		action.endpoint = entry->endpoint;
+		action.stream = entry->id;
+		entry_act(table, &action);
+		entry_release(table, entry, RELEASE_CANCELLED);
+	} else {
+		entry_release(table, entry, RELEASE_UNUSED);
+		if (entry->claim && entry->state != ENTRY_FOLLOWING)
+			claim_seal(entry->claim, now, table->out);
+	}
+	end(table, entry);
+}
+
+void entry_event(entry_table_t *table, pimento_usec_t now,
+		 pimento_handle_t handle, const pimento_event_t *event)
+{
+	entry_t *entry = entry_find(table, handle);
+	bool sent;
+
+	if (!entry)
+		return;
+	sent = entry->state == ENTRY_DISPATCHED ||
+	       entry->state == ENTRY_FOLLOWING;
+	switch (event->kind) {
+	case PIMENTO_EVENT_UNREACHABLE:
+		if (entry->state == ENTRY_CONNECTING)
+			on_unreachable(table, now, entry);
+		else if (entry->state == ENTRY_FOLLOWING)
+			on_broken(table, now, entry);
+		return;
+	case PIMENTO_EVENT_TOKENS:
+		if (sent)
+			on_tokens(table, now, entry, event);
+		return;
+	case PIMENTO_EVENT_DONE:
+		if (sent)
+			on_done(table, now, entry, event);
+		return;
+	case PIMENTO_EVENT_BROKEN:
+		if (sent)
+			on_broken(table, now, entry);
+		return;
+	case PIMENTO_EVENT_LOST:
+		if (sent)
+			on_lost(table, now, entry);
+		return;
+	case PIMENTO_EVENT_LEFT:
+		on_left(table, now, entry);
+		return;
+	default:
+		return;
+	}
+}
+
+static void tick_following(entry_table_t *table, pimento_usec_t now,
+			   entry_t *entry)
+{
+	if (now >= entry->deadline + RESUME_GRACE && entry->asked) {
+		entry_release(table, entry, RELEASE_FAILED);
+		entry_refuse(table, entry, PIMENTO_MAY_HAVE_RUN,
+			     PIMENTO_EENDPOINT, 0);
+		return;
+	}
+	if (entry->asked) {
+		entry->asked = 0;
+		entry_follow(table, entry);
+		return;
+	}
+	entry_tell_progress(table, now, entry);
+	entry_wake(table, entry, now + PROGRESS_PERIOD);
+}
+
+/* The reservation and the claim's query go on side by side. */
+static void tick_reserving(entry_table_t *table, pimento_usec_t now,
+			   entry_t *entry)
+{
+	if (entry->claim && entry->claim->state == CLAIM_QUERYING &&
+	    now >= claim_deadline(entry->claim))
+		entry_claim_tick(table, now, entry);
+	if (entry->state != ENTRY_RESERVING && entry->state != ENTRY_WAITING)
+		return;
+	if (now >= entry->reserve_due)
+		entry_reserve_tick(table, now, entry);
+	else
+		entry_wake(table, entry, entry->reserve_due);
+}
+
+static void tick_entry(entry_table_t *table, pimento_usec_t now, entry_t *entry)
+{
+	switch (entry->state) {
+	case ENTRY_RESERVING:
+	case ENTRY_WAITING:
+		tick_reserving(table, now, entry);
+		return;
+	case ENTRY_CLAIMING:
+	case ENTRY_ASKING:
+	case ENTRY_SEALING:
+		entry_claim_tick(table, now, entry);
+		return;
+	case ENTRY_CONNECTING:
+		/* The commit decides; it will find the deadline passed. */
+		entry_wake(table, entry, now + PROGRESS_PERIOD);
+		return;
+	case ENTRY_DISPATCHED:
+		entry_tell_progress(table, now, entry);
+		entry_wake(table, entry, now + PROGRESS_PERIOD);
+		return;
+	case ENTRY_FOLLOWING:
+		tick_following(table, now, entry);
+		return;
+	case ENTRY_FREE:
+	case ENTRY_STATES:
+	default:
+		return;
+	}
+}
+
+void entry_tick(entry_table_t *table, pimento_usec_t now)
+{
+	table->wake = PIMENTO_NEVER;
+	for (uint32_t i = 0; i < table->high; i++) {
+		entry_t *entry = &table->entries[i];
+
+		if (entry->state != ENTRY_FREE && entry->wake <= now)
+			tick_entry(table, now, entry);
+		if (entry->state != ENTRY_FREE && entry->wake < table->wake)
+			table->wake = entry->wake;
+	}
+}
--- /dev/null
+++ b/src/entry_reserve.c
@@ -0,0 +1,364 @@
+/*
+ * Finding a place for a request: pick the endpoint that should finish first,
+ * ask its owner, go elsewhere when refused. Nothing here lets a byte of the
+ * request out, so each step may be undone and "not run" stays known.
+ */
+
+#include "entry_steps.h"
+
+#include <string.h>
+
+/* An owner answers within a round trip; this is many of them. */
+#define ASK_TIMEOUT (150 * PIMENTO_MSEC)
+#define ASK_REPEATS 2
+/* How often a waiting reservation is renewed, and when silence means loss. */
+#define RENEW_PERIOD PIMENTO_SEC
+#define RENEW_TIMEOUT (3 * PIMENTO_SEC)
+/* A wrong owner means that a change of hosts is still spreading. */
+#define STALE_DELAY (40 * PIMENTO_MSEC)
+#define MOVES_MAX 50
+#define RETRY_DEFAULT PIMENTO_SEC
+
+/* A query of the claim may be due earlier; both are kept. */
+static void look_again(entry_table_t *table, entry_t *entry, pimento_usec_t at)
+{
+	entry->reserve_due = at < entry->deadline ? at : entry->deadline;
+	entry_wake(table, entry, entry->reserve_due);
+}
+
+static void send_reserve(entry_table_t *table, pimento_usec_t now,
+			 entry_t *entry)
+{
+	message_t message = { .kind = MESSAGE_RESERVE };
+	message_reserve_t *reserve = &message.u.reserve;
+
+	reserve->request = entry->id;
+	reserve->round = entry->round;
+	reserve->endpoint = entry->endpoint;
+	reserve->account = entry->request.account;
+	reserve->tier = entry->request.tier;
+	reserve->hops = entry->hops;
+	reserve->patience = entry->deadline - now;
+	reserve->prompt_tokens = entry->request.prompt_tokens;
+	reserve->answer_tokens = entry->request.answer_tokens;
+	reserve->prefix = entry->request.prefix;
+	entry->asked = now;
+	outbox_put(table->out, entry->owner, &message);
+}
+
+static void ask(entry_table_t *table, pimento_usec_t now, entry_t *entry,
+		pimento_id_t endpoint, uint8_t hops)
+{
+	entry->state = ENTRY_RESERVING;
+	entry->round++;
+	entry->endpoint = endpoint;
+	entry->hops = hops;
+	entry->owner = member_owner(table->member, endpoint);
+	if (!entry->owner)
+		entry->owner = table->options.self;
+	entry->heard = 0;
+	entry->grant_ends = 0;
+	entry->repeats = 0;
+	send_reserve(table, now, entry);
+	look_again(table, entry, now + ASK_TIMEOUT);
+}
+
+static void fill_query(const entry_t *entry, pimento_usec_t now,
+		       route_query_t *query)
+{
+	memset(query, 0, sizeof(*query));
+	query->target = entry->request.model ? CONFIG_TARGET_MODEL
+					     : CONFIG_TARGET_SERVICE;
+	query->target_name = entry->request.target;
+	query->tier = entry->request.tier;
+	query->patience = entry->deadline - now;
+	query->prompt_tokens = entry->request.prompt_tokens;
+	query->answer_tokens = entry->request.answer_tokens;
+	query->prefix = entry->request.prefix;
+	query->avoid = entry->retry.refused;
+	query->avoid_count = entry->retry.count;
+}
+
+void entry_reserve(entry_table_t *table, pimento_usec_t now, entry_t *entry)
+{
+	route_query_t query;
+	route_choice_t choice;
+	int error = PIMENTO_ELATE;
+
+	fill_query(entry, now, &query);
+	if (now < entry->deadline)
+		error = route_pick(table->route, now, &query, &choice);
+	if (error) {
+		if (entry->retry.reason)
+			error = entry->retry.reason;
+		entry_give_up(table, now, entry, error,
+			      entry->retry.retry_after);
+		return;
+	}
+	ask(table, now, entry, choice.endpoint, (uint8_t)entry->retry.count);
+}
+
+/* The endpoint's owner said no: route.c knows who is left to be asked. */
+static void refused(entry_table_t *table, pimento_usec_t now, entry_t *entry,
+		    const message_refuse_t *refuse)
+{
+	route_query_t query;
+	route_choice_t choice;
+	uint8_t hops;
+	int error = PIMENTO_ELATE;
+
+	fill_query(entry, now, &query);
+	if (now < entry->deadline)
+		error = route_refused(table->route, now, &entry->retry, &query,
+				      entry->request.patience, entry->endpoint,
+				      refuse, &choice, &hops);
+	if (error)
+		entry_give_up(table, now, entry, error,
+			      entry->retry.retry_after);
+	else
+		ask(table, now, entry, choice.endpoint, hops);
+}
+
+void entry_unreached(entry_table_t *table, pimento_usec_t now, entry_t *entry)
+{
+	message_refuse_t refuse = { .reason = PIMENTO_EUNREACHABLE,
+				    .retry_after = RETRY_DEFAULT };
+
+	refused(table, now, entry, &refuse);
+}
+
+void entry_release(entry_table_t *table, entry_t *entry,
+		   release_outcome_t outcome)
+{
+	message_t message = { .kind = MESSAGE_RELEASE };
+	message_release_t *release = &message.u.release;
+
+	if (!entry->endpoint || !entry->owner)
+		return;
+	release->request = entry->id;
+	release->round = entry->round;
+	release->endpoint = entry->endpoint;
+	release->epoch = entry->epoch;
+	release->outcome = (uint8_t)outcome;
+	release->prompt_tokens = entry->request.prompt_tokens;
+	release->answer_tokens = entry->tokens;
+	if (entry->first_token) {
+		release->first_token = entry->first_token - entry->sent;
+		release->decode = entry->last_token - entry->first_token;
+	}
+	outbox_put(table->out, entry->owner, &message);
+	entry->owner = 0;
+	entry->grant_ends = 0;
+}
+
+/* A grant waits here for the query of its claim; it may outlive the grant. */
+static void hold_grant(entry_table_t *table, pimento_usec_t now, entry_t *entry)
+{
+	if (now < entry->grant_ends) {
+		look_again(table, entry, entry->grant_ends);
+		return;
+	}
+	entry_release(table, entry, RELEASE_UNUSED);
+	entry_reserve(table, now, entry);
+}
+
+void entry_reserve_tick(entry_table_t *table, pimento_usec_t now,
+			entry_t *entry)
+{
+	pimento_usec_t silent =
+		now - (entry->heard ? entry->heard : entry->asked);
+
+	if (now >= entry->deadline) {
+		entry_release(table, entry, RELEASE_UNUSED);
+		entry_give_up(table, now, entry, PIMENTO_ELATE,
+			      entry->retry.retry_after);
+		return;
+	}
+	if (entry->grant_ends) {
+		hold_grant(table, now, entry);
+		return;
+	}
+	if (entry->state == ENTRY_RESERVING && !entry->owner) {
+		entry_reserve(table, now, entry);
+		return;
+	}
+	if (entry->state == ENTRY_WAITING && silent < RENEW_TIMEOUT) {
+		send_reserve(table, now, entry);
+		look_again(table, entry, now + RENEW_PERIOD);
+		return;
+	}
+	if (entry->state == ENTRY_RESERVING && entry->repeats < ASK_REPEATS) {
+		entry->repeats++;
+		send_reserve(table, now, entry);
+		look_again(table, entry, now + ASK_TIMEOUT);
+		return;
+	}
+	/*
+	 * The owner is silent: dead, cut off or paused. It has not dispatched
+	 * anything, so the request goes elsewhere without doubt; a grant that
+	 * still comes is of an old round and is given back.
+	 */
+	entry_release(table, entry, RELEASE_UNUSED);
+	entry_unreached(table, now, entry);
+}
+
+/* Gives back a grant that nobody waits for any more. */
+static void return_grant(entry_table_t *table, pimento_id_t from,
+			 const message_grant_t *grant)
+{
+	message_t message = { .kind = MESSAGE_RELEASE };
+
+	message.u.release.request = grant->request;
+	message.u.release.round = grant->round;
+	message.u.release.endpoint = grant->summary.endpoint;
+	message.u.release.epoch = grant->epoch;
+	message.u.release.outcome = RELEASE_UNUSED;
+	outbox_put(table->out, from, &message);
+}
+
+/* The entry that waits for this owner's answer of this round, else NULL. */
+static entry_t *waiting_for(entry_table_t *table, pimento_id_t from,
+			    pimento_reqid_t id, uint32_t round)
+{
+	entry_t *entry = entry_find(table, id.lo);
+
+	if (id.hi != table->options.incarnation || !entry)
+		return NULL;
+	if (entry->round != round || entry->owner != from)
+		return NULL;
+	if (entry->state != ENTRY_RESERVING && entry->state != ENTRY_WAITING)
+		return NULL;
+	return entry;
+}
+
+static void take_grant(entry_table_t *table, pimento_usec_t now,
+		       pimento_id_t from, const message_grant_t *grant)
+{
+	entry_t *entry = waiting_for(table, from, grant->request, grant->round);
+	const entry_t *any = entry_find(table, grant->request.lo);
+
+	if (entry && !entry->grant_ends) {
+		entry->heard = now;
+		entry->epoch = grant->epoch;
+		entry->grant_ends = now + grant->lifetime;
+		entry_granted(table, now, entry);
+		return;
+	}
+	/* A grant said twice is held already; only a stale one goes back. */
+	if (any && any->round == grant->round && any->owner == from &&
+	    grant->request.hi == table->options.incarnation)
+		return;
+	return_grant(table, from, grant);
+}
+
+static void take_wait(entry_table_t *table, pimento_usec_t now,
+		      pimento_id_t from, const message_wait_t *wait)
+{
+	entry_t *entry = waiting_for(table, from, wait->request, wait->round);
+
+	if (!entry || entry->grant_ends)
+		return;
+	entry->state = ENTRY_WAITING;
+	entry->heard = now;
+	entry->repeats = 0;
+	look_again(table, entry, now + RENEW_PERIOD);
+}
+
+static void take_refuse(entry_table_t *table, pimento_usec_t now,
+			pimento_id_t from, const message_refuse_t *refuse)
+{
+	entry_t *entry =
+		waiting_for(table, from, refuse->request, refuse->round);
+
+	if (!entry)
+		return;
+	entry->owner = 0;
+	entry->grant_ends = 0;
+	if (refuse->reason == PIMENTO_ESTALE && entry->moves < MOVES_MAX) {
+		entry->moves++;
+		entry->state = ENTRY_RESERVING;
+		look_again(table, entry, now + STALE_DELAY);
+		return;
+	}
+	refused(table, now, entry, refuse);
+}
+
+/* The witness's answer goes to the entry that asked; sequences are unique. */
+static void take_witness(entry_table_t *table, pimento_usec_t now,
+			 pimento_id_t from, const message_witness_t *witness)
+{
+	for (uint32_t i = 0; i < table->high; i++) {
+		entry_t *entry = &table->entries[i];
+		claim_event_t event;
+
+		if (entry->state == ENTRY_FREE || !entry->claim ||
+		    !pimento_key_equal(entry->key, witness->key))
+			continue;
+		event = claim_receive(entry->claim, now, from, witness,
+				      table->out);
+		if (event)
+			entry_claim_event(table, now, entry, event);
+	}
+}
+
+int entry_receive(entry_table_t *table, pimento_usec_t now, pimento_id_t from,
+		  const message_t *message)
+{
+	switch (message->kind) {
+	case MESSAGE_GRANT:
+		route_learn(table->route, now, &message->u.grant.summary);
+		take_grant(table, now, from, &message->u.grant);
+		return PIMENTO_OK;
+	case MESSAGE_WAIT:
+		route_learn(table->route, now, &message->u.wait.summary);
+		take_wait(table, now, from, &message->u.wait);
+		return PIMENTO_OK;
+	case MESSAGE_REFUSE:
+		route_learn(table->route, now, &message->u.refuse.summary);
+		take_refuse(table, now, from, &message->u.refuse);
+		return PIMENTO_OK;
+	case MESSAGE_WITNESS:
+		take_witness(table, now, from, &message->u.witness);
+		return PIMENTO_OK;
+	default:
+		return PIMENTO_EINVAL;
+	}
+}
+
+/* A dispatch goes on; only the new owner must learn that its slot is used. */
+static void move_slot(entry_table_t *table, pimento_usec_t now, entry_t *entry,
+		      pimento_id_t owner)
+{
+	if (!entry->owner || entry->owner == owner)
+		return;
+	entry->owner = owner;
+	entry_tell_progress(table, now, entry);
+}
+
+/* Nothing has left this process, so the place is taken at the new owner. */
+static void move_reservation(entry_table_t *table, pimento_usec_t now,
+			     entry_t *entry, pimento_id_t owner)
+{
+	if (entry->grant_ends || !entry->owner || entry->owner == owner)
+		return;
+	entry_release(table, entry, RELEASE_UNUSED);
+	entry_reserve(table, now, entry);
+}
+
+void entry_owners_changed(entry_table_t *table, pimento_usec_t now)
+{
+	for (uint32_t i = 0; i < table->high; i++) {
+		entry_t *entry = &table->entries[i];
+		pimento_id_t owner;
+
+		if (entry->state == ENTRY_FREE || !entry->endpoint)
+			continue;
+		owner = member_owner(table->member, entry->endpoint);
+		if (entry->state == ENTRY_RESERVING ||
+		    entry->state == ENTRY_WAITING)
+			move_reservation(table, now, entry, owner);
+		else if (entry->state == ENTRY_DISPATCHED ||
+			 entry->state == ENTRY_FOLLOWING)
+			move_slot(table, now, entry, owner);
+	}
+}
--- /dev/null
+++ b/src/host.c
@@ -0,0 +1,716 @@
+/*
+ * Puts the parts of one entry host together: hands each message to the part it
+ * is for, loops messages to itself back, takes over published texts, and gives
+ * each endpoint to the owner that the hosts in sight agree on.
+ */
+
+#include "host.h"
+
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define OUTBOX_CAPACITY 8192
+/* How often an owner tells some peers of its endpoints, and how many. */
+#define DIGEST_PERIOD (500 * PIMENTO_MSEC)
+#define DIGEST_FANOUT 4
+/* Witnesses that an issued key names. */
+#define ISSUED_WITNESSES 3
+/* Bound on the difference between two hosts' wall clocks. */
+#define SKEW_DEFAULT (2 * PIMENTO_SEC)
+#define LIVE_MAX 1024
+#define RETENTION_DEFAULT (600 * PIMENTO_SEC)
+#define KEYS_DEFAULT 65536
+#define WAITING_DEFAULT 100000
+#define REQUESTS_DEFAULT 4096
+
+/*
+ * A configuration with its count of references. Traffic threads hold one while
+ * the control thread switches to the next, so the count is atomic; the
+ * configuration itself is never written after it was parsed.
+ */
+typedef struct config_box {
+	pimento_config_t config; /* first, so that the two share an address */
+	atomic_uint references;
+} config_box_t;
+
+struct pimento_config *pimento_config_hold(struct pimento_config *config)
+{
+	if (config)
+		atomic_fetch_add(&((config_box_t *)config)->references, 1);
+	return config;
+}
+
+void pimento_config_drop(struct pimento_config *config)
+{
+	config_box_t *box = (config_box_t *)config;
+
+	if (!box || atomic_fetch_sub(&box->references, 1) != 1)
+		return;
+	pimento_config_finish(&box->config);
+	free(box);
+}
+
+size_t pimento_host_size(void)
+{
+	return sizeof(pimento_host_t);
+}
+
+static void set_defaults(pimento_host_options_t *options)
+{
+	if (!options->requests_max)
+		options->requests_max = REQUESTS_DEFAULT;
+	if (!options->waiting_max)
+		options->waiting_max = WAITING_DEFAULT;
+	if (!options->keys_max)
+		options->keys_max = KEYS_DEFAULT;
+	if (!options->skew)
+		options->skew = SKEW_DEFAULT;
+}
+
+static int init_parts(pimento_host_t *host, pimento_usec_t now)
+{
+	const pimento_host_options_t *o = &host->options;
+	member_options_t member = { .self = host->self,
+				    .incarnation = o->incarnation,
+				    .seed = o->seed + 1 };
+	spread_options_t spread = { .self = host->self, .seed = o->seed + 2 };
+	owner_options_t owner = { .self = host->self,
+				  .seed = o->seed + 3,
+				  .waiting_max = o->waiting_max };
+	witness_options_t witness = { .incarnation = o->incarnation,
+				      .capacity = o->keys_max,
+				      .retention = RETENTION_DEFAULT,
+				      .started = now,
+				      .skew = o->skew };
+	entry_options_t entry = { .self = host->self,
+				  .incarnation = o->incarnation,
+				  .requests_max = o->requests_max };
+	int error = outbox_init(&host->out, OUTBOX_CAPACITY);
+
+	if (!error)
+		error = member_init(&host->member, &member, &host->out);
+	if (!error)
+		error = spread_init(&host->spread, &spread, &host->out);
+	if (!error)
+		error = owner_init(&host->owner, &owner, &host->out);
+	if (!error)
+		error = route_init(&host->route, o->seed + 4);
+	if (!error)
+		error = witness_init(&host->witness, &witness);
+	if (!error)
+		error = entry_init(&host->entries, &entry, &host->route,
+				   &host->member, &host->out);
+	return error;
+}
+
+int pimento_host_init(pimento_host_t *host,
+		      const pimento_host_options_t *options, pimento_usec_t now)
+{
+	int error;
+
+	if (!options->name || !options->incarnation)
+		return PIMENTO_EINVAL;
+	memset(host, 0, sizeof(*host));
+	host->options = *options;
+	set_defaults(&host->options);
+	host->self = pimento_id(options->name);
+	host->started = now;
+	host->now = now;
+	host->next_epoch = 1;
+	pimento_random_init(&host->random, options->seed);
+	error = init_parts(host, now);
+	if (error)
+		pimento_host_finish(host);
+	return error;
+}
+
+void pimento_host_finish(pimento_host_t *host)
+{
+	entry_finish(&host->entries);
+	witness_finish(&host->witness);
+	route_finish(&host->route);
+	owner_finish(&host->owner);
+	spread_finish(&host->spread);
+	member_finish(&host->member);
+	outbox_finish(&host->out);
+	pimento_config_drop(host->config);
+	hostlist_finish(&host->hosts);
+	free(host->endpoints);
+	memset(host, 0, sizeof(*host));
+}
+
+/*
+ * Ownerships are numbered by the wall clock, so that a later one is greater
+ * also across hosts and restarts. Two clocks apart make one summary look older
+ * than it is; only estimates rest on that, never a claim.
+ */
+static uint64_t new_epoch(pimento_host_t *host, pimento_usec_t now)
+{
+	uint64_t epoch = (uint64_t)(host->options.wall_msec * PIMENTO_MSEC +
+				    (now - host->started));
+
+	if (epoch <= host->next_epoch)
+		epoch = host->next_epoch + 1;
+	host->next_epoch = epoch;
+	return epoch;
+}
+
+static void assign_endpoint(pimento_host_t *host, pimento_usec_t now,
+			    host_endpoint_t *endpoint, double share)
+{
+	pimento_id_t id = endpoint->config->id;
+	pimento_id_t owner = member_owner(&host->member, id);
+	bool was_ours = endpoint->owner == host->self;
+	bool is_ours = owner == host->self;
+
+	endpoint->owner = owner;
+	if (was_ours && !is_ours)
+		owner_drop(&host->owner, now, id);
+	if (is_ours && (!was_ours || endpoint->share != share)) {
+		if (!was_ours)
+			endpoint->epoch = new_epoch(host, now);
+		endpoint->share = share;
+		owner_take(&host->owner, now, endpoint->config, endpoint->epoch,
+			   share);
+	}
+	if (member_state(&host->member, id) == HOST_LEAVING) {
+		route_leaving(&host->route, id, true);
+		if (is_ours)
+			owner_leaving(&host->owner, now, id);
+	}
+}
+
+/* Rendezvous over the hosts in sight; each host does this by itself. */
+static void assign_owners(pimento_host_t *host, pimento_usec_t now)
+{
+	double share = member_share(&host->member);
+
+	host->changes = host->member.changes;
+	for (uint32_t i = 0; i < host->endpoint_count; i++)
+		assign_endpoint(host, now, &host->endpoints[i], share);
+	entry_owners_changed(&host->entries, now);
+}
+
+static const host_endpoint_t *find_endpoint(const pimento_host_t *host,
+					    pimento_id_t id)
+{
+	for (uint32_t i = 0; i < host->endpoint_count; i++) {
+		if (host->endpoints[i].config->id == id)
+			return &host->endpoints[i];
+	}
+	return NULL;
+}
+
+/* Endpoints that the new configuration no longer has are given up. */
+static void drop_removed(pimento_host_t *host, pimento_usec_t now,
+			 const pimento_config_t *config)
+{
+	for (uint32_t i = 0; i < host->endpoint_count; i++) {
+		const host_endpoint_t *old = &host->endpoints[i];
+
+		if (old->owner == host->self &&
+		    !pimento_config_endpoint(config, old->config->id))
+			owner_drop(&host->owner, now, old->config->id);
+	}
+}
+
+static int switch_endpoints(pimento_host_t *host, pimento_usec_t now,
+			    const pimento_config_t *config)
+{
+	uint32_t count = config->endpoint_count;
+	host_endpoint_t *endpoints = calloc(count + 1, sizeof(*endpoints));
+
+	if (!endpoints)
+		return PIMENTO_ENOMEM;
+	drop_removed(host, now, config);
+	for (uint32_t i = 0; i < count; i++) {
+		const host_endpoint_t *old =
+			find_endpoint(host, config->endpoints[i].id);
+
+		if (old)
+			endpoints[i] = *old;
+		endpoints[i].config = &config->endpoints[i];
+		endpoints[i].share = 0; /* owner.c takes the description */
+	}
+	free(host->endpoints);
+	host->endpoints = endpoints;
+	host->endpoint_count = count;
+	return PIMENTO_OK;
+}
+
+/* Switching is one step of the control thread: no request sees two halves. */
+static int take_config(pimento_host_t *host, pimento_usec_t now,
+		       uint64_t revision, const char *text, size_t length)
+{
+	config_box_t *box = calloc(1, sizeof(*box));
+	pimento_config_t *old = host->config;
+	problems_t problems;
+	int error;
+
+	if (!box)
+		return PIMENTO_ENOMEM;
+	atomic_init(&box->references, 1);
+	problems_init(&problems);
+	error = pimento_config_parse(&box->config, text, length,
+				     "configuration", &problems);
+	problems_finish(&problems);
+	if (error) {
+		free(box);
+		host->config_refused = revision;
+		return error;
+	}
+	box->config.revision = revision;
+	error = switch_endpoints(host, now, &box->config);
+	if (!error)
+		error = route_configure(&host->route, now, &box->config);
+	if (error) {
+		pimento_config_drop(&box->config);
+		return error;
+	}
+	host->config = &box->config;
+	host->witness.options.retention = box->config.retention;
+	host->config_switches++;
+	host->config_changed = true;
+	assign_owners(host, now);
+	pimento_config_drop(old);
+	return PIMENTO_OK;
+}
+
+static int take_hosts(pimento_host_t *host, pimento_usec_t now,
+		      uint64_t revision, const char *text, size_t length)
+{
+	hostlist_t list;
+	problems_t problems;
+	int error;
+
+	problems_init(&problems);
+	error = hostlist_parse(&list, text, length, &problems);
+	problems_finish(&problems);
+	if (error)
+		return error;
+	list.revision = revision;
+	hostlist_finish(&host->hosts);
+	host->hosts = list;
+	member_publish(&host->member, now, &host->hosts);
+	witness_view(&host->witness, now, &host->hosts, host->self);
+	host->hosts_changed = true;
+	assign_owners(host, now);
+	return PIMENTO_OK;
+}
+
+/* Judges whatever text the spread has complete. */
+static int take_pending(pimento_host_t *host, pimento_usec_t now)
+{
+	static const spread_subject_t subjects[] = { SPREAD_HOSTS,
+						     SPREAD_CONFIG };
+	int result = PIMENTO_OK;
+
+	for (size_t i = 0; i < sizeof(subjects) / sizeof(subjects[0]); i++) {
+		uint64_t revision;
+		size_t length;
+		const char *text = spread_pending(&host->spread, subjects[i],
+						  &revision, &length);
+		int error;
+
+		if (!text)
+			continue;
+		error = subjects[i] == SPREAD_HOSTS
+				? take_hosts(host, now, revision, text, length)
+				: take_config(host, now, revision, text,
+					      length);
+		spread_judge(&host->spread, now, subjects[i], !error);
+		if (error)
+			result = error;
+	}
+	host->member.revision = spread_revision(&host->spread, SPREAD_CONFIG);
+	host->member.hosts_revision =
+		spread_revision(&host->spread, SPREAD_HOSTS);
+	return result;
+}
+
+int pimento_host_read(pimento_host_t *host, pimento_usec_t now, bool hosts,
+		      uint64_t revision, const char *text, size_t length)
+{
+	spread_subject_t subject = hosts ? SPREAD_HOSTS : SPREAD_CONFIG;
+	int error = spread_read(&host->spread, now, subject, revision, text,
+				length);
+
+	host->now = now;
+	if (error)
+		return error;
+	return take_pending(host, now);
+}
+
+void pimento_host_refreshed(pimento_host_t *host, pimento_usec_t now,
+			    pimento_usec_t begun)
+{
+	host->now = now;
+	if (begun >= host->member.woken)
+		member_refreshed(&host->member, now);
+}
+
+bool pimento_host_fresh(const pimento_host_t *host)
+{
+	return member_fresh(&host->member);
+}
+
+bool pimento_host_reader(const pimento_host_t *host, pimento_usec_t *interval)
+{
+	pimento_id_t live[LIVE_MAX];
+	uint32_t count = member_live(&host->member, live, LIVE_MAX);
+
+	return spread_reader(&host->spread, live, count, interval);
+}
+
+static int key_witnesses(pimento_host_t *host, const pimento_request_t *request,
+			 pimento_key_t *key, witness_set_t *witnesses,
+			 pimento_usec_t *age)
+{
+	int64_t birth = -1;
+	int error;
+
+	*key = keyring_hash(request->account, request->key);
+	if (keyring_issued(request->key))
+		error = keyring_read(host->options.secret, request->key,
+				     witnesses, &birth);
+	else
+		error = keyring_own(request->key, *key, &host->hosts, witnesses,
+				    &birth);
+	*age = birth < 0 ? -1 : (request->wall_msec - birth) * PIMENTO_MSEC;
+	return error;
+}
+
+int pimento_host_submit(pimento_host_t *host, pimento_usec_t now,
+			const pimento_request_t *request,
+			pimento_handle_t *handle, pimento_reqid_t *id)
+{
+	pimento_key_t key = { 0, 0 };
+	witness_set_t witnesses;
+	pimento_usec_t age = -1;
+	int error;
+
+	host->now = now;
+	if (host->leaving)
+		return PIMENTO_ELEAVING;
+	/*
+	 * A process that stood still may hold a configuration that was replaced
+	 * meanwhile, and would serve under it as if it were in force.
+	 */
+	if (!host->config || !member_fresh(&host->member))
+		return PIMENTO_EUNREADY;
+	if (request->tier >= PIMENTO_TIERS_MAX || request->patience <= 0)
+		return PIMENTO_EINVAL;
+	if (!request->key)
+		return request->repeatable
+			       ? entry_submit(&host->entries, now, request, key,
+					      NULL, age, handle, id)
+			       : PIMENTO_EINVAL;
+	error = key_witnesses(host, request, &key, &witnesses, &age);
+	if (error)
+		return error;
+	return entry_submit(&host->entries, now, request, key, &witnesses, age,
+			    handle, id);
+}
+
+int pimento_host_commit(pimento_host_t *host, pimento_usec_t now,
+			pimento_handle_t handle)
+{
+	host->now = now;
+	return entry_commit(&host->entries, now, handle);
+}
+
+void pimento_host_event(pimento_host_t *host, pimento_usec_t now,
+			pimento_handle_t handle, const pimento_event_t *event)
+{
+	host->now = now;
+	entry_event(&host->entries, now, handle, event);
+}
+
+static void take_claim(pimento_host_t *host, pimento_usec_t now,
+		       pimento_id_t from, const message_claim_t *claim)
+{
+	message_t reply = { .kind = MESSAGE_WITNESS };
+
+	witness_receive(&host->witness, now, claim, &reply.u.witness);
+	outbox_put(&host->out, from, &reply);
+}
+
+static void take_digest(pimento_host_t *host, pimento_usec_t now,
+			const message_digest_t *digest)
+{
+	for (uint32_t i = 0; i < digest->count; i++)
+		route_learn(&host->route, now, &digest->summaries[i]);
+}
+
+static int receive(pimento_host_t *host, pimento_usec_t now, pimento_id_t from,
+		   const message_t *message)
+{
+	switch (message->kind) {
+	case MESSAGE_RESERVE:
+	case MESSAGE_RELEASE:
+	case MESSAGE_PROGRESS:
+		return owner_receive(&host->owner, now, from, message);
+	case MESSAGE_GRANT:
+	case MESSAGE_WAIT:
+	case MESSAGE_REFUSE:
+	case MESSAGE_WITNESS:
+		return entry_receive(&host->entries, now, from, message);
+	case MESSAGE_DIGEST:
+		take_digest(host, now, &message->u.digest);
+		return PIMENTO_OK;
+	case MESSAGE_CLAIM:
+		take_claim(host, now, from, &message->u.claim);
+		return PIMENTO_OK;
+	case MESSAGE_PROBE:
+	case MESSAGE_ACK:
+		spread_heard(&host->spread, now, from, SPREAD_CONFIG,
+			     message->u.probe.revision);
+		spread_heard(&host->spread, now, from, SPREAD_HOSTS,
+			     message->u.probe.hosts_revision);
+		return member_receive(&host->member, now, from, message);
+	case MESSAGE_OFFER:
+	case MESSAGE_PULL:
+	case MESSAGE_PART:
+		return spread_receive(&host->spread, now, from, message);
+	case MESSAGE_NONE:
+	case MESSAGE_KINDS:
+	default:
+		return PIMENTO_EINVAL;
+	}
+}
+
+int pimento_host_receive(pimento_host_t *host, pimento_usec_t now,
+			 pimento_id_t from, const struct message *message)
+{
+	int error;
+
+	host->now = now;
+	if (from == host->self || !from)
+		return PIMENTO_EINVAL;
+	member_meet(&host->member, now, from);
+	member_heard(&host->member, now, from);
+	error = receive(host, now, from, message);
+	take_pending(host, now);
+	if (host->member.changes != host->changes)
+		assign_owners(host, now);
+	return error;
+}
+
+void pimento_host_report(pimento_host_t *host, pimento_usec_t now,
+			 pimento_id_t endpoint, uint32_t running,
+			 uint32_t waiting, uint32_t tokens_left,
+			 pimento_usec_t age, bool leaving)
+{
+	load_report_t report = { .age = age,
+				 .running = running,
+				 .waiting = waiting,
+				 .tokens_left = tokens_left,
+				 .leaving = leaving };
+
+	host->now = now;
+	owner_report(&host->owner, now, endpoint, &report);
+	if (!leaving)
+		return;
+	member_endpoint_leaving(&host->member, now, endpoint, 0);
+	owner_leaving(&host->owner, now, endpoint);
+	route_leaving(&host->route, endpoint, true);
+}
+
+void pimento_host_leave(pimento_host_t *host, pimento_usec_t now)
+{
+	host->now = now;
+	host->leaving = true;
+	member_leave(&host->member, now);
+	assign_owners(host, now);
+}
+
+uint32_t pimento_host_busy(const pimento_host_t *host)
+{
+	return host->entries.busy;
+}
+
+/* A digest goes to a few peers by chance, so its cost is constant. */
+static void send_digest(pimento_host_t *host, pimento_usec_t now)
+{
+	message_t message = { .kind = MESSAGE_DIGEST };
+	message_digest_t *digest = &message.u.digest;
+	pimento_id_t live[LIVE_MAX];
+	uint32_t peers = member_live(&host->member, live, LIVE_MAX);
+
+	for (uint32_t i = 0;
+	     i < host->endpoint_count && digest->count < MESSAGE_SUMMARIES_MAX;
+	     i++) {
+		uint32_t at = (host->digest_from + i) % host->endpoint_count;
+		pimento_id_t id = host->endpoints[at].config->id;
+
+		if (!owner_summary(&host->owner, now, id,
+				   &digest->summaries[digest->count]))
+			digest->count++;
+	}
+	host->digest_from++;
+	if (!digest->count || !peers)
+		return;
+	for (uint32_t i = 0; i < DIGEST_FANOUT; i++) {
+		pimento_id_t to =
+			live[pimento_random_below(&host->random, peers)];
+
+		if (to != host->self)
+			outbox_put(&host->out, to, &message);
+	}
+	take_digest(host, now, digest);
+}
+
+void pimento_host_tick(pimento_host_t *host, pimento_usec_t now)
+{
+	host->now = now;
+	member_tick(&host->member, now);
+	spread_tick(&host->spread, now);
+	witness_tick(&host->witness, now);
+	take_pending(host, now);
+	if (host->member.changes != host->changes)
+		assign_owners(host, now);
+	owner_tick(&host->owner, now);
+	entry_tick(&host->entries, now);
+	if (now >= host->next_digest) {
+		host->next_digest = now + DIGEST_PERIOD;
+		send_digest(host, now);
+	}
+}
+
+static pimento_usec_t earlier(pimento_usec_t a, pimento_usec_t b)
+{
+	return a < b ? a : b;
+}
+
+pimento_usec_t pimento_host_deadline(const pimento_host_t *host)
+{
+	pimento_usec_t due = host->next_digest;
+
+	due = earlier(due, member_deadline(&host->member));
+	due = earlier(due, spread_deadline(&host->spread));
+	due = earlier(due, owner_deadline(&host->owner));
+	return earlier(due, host->entries.wake);
+}
+
+/* Takes one message out; those to this host itself are handed over here. */
+static bool next_message(pimento_host_t *host, pimento_id_t *to)
+{
+	while (outbox_take(&host->out, to, &host->scratch)) {
+		if (*to != host->self)
+			return true;
+		receive(host, host->now, host->self, &host->scratch);
+	}
+	return false;
+}
+
+int pimento_host_next(pimento_host_t *host, pimento_action_t *action)
+{
+	memset(action, 0, sizeof(*action));
+	if (host->config_changed) {
+		host->config_changed = false;
+		action->kind = PIMENTO_ACTION_CONFIG;
+		return 1;
+	}
+	if (host->hosts_changed) {
+		host->hosts_changed = false;
+		action->kind = PIMENTO_ACTION_HOSTS;
+		return 1;
+	}
+	if (next_message(host, &action->peer)) {
+		action->kind = PIMENTO_ACTION_SEND;
+		action->message = &host->scratch;
+		return 1;
+	}
+	return entry_next(&host->entries, action);
+}
+
+struct pimento_config *pimento_host_config(const pimento_host_t *host)
+{
+	return host->config;
+}
+
+const struct hostlist *pimento_host_list(const pimento_host_t *host)
+{
+	return &host->hosts;
+}
+
+/* Chooses witnesses among the live hosts, this one first. */
+static void choose_witnesses(pimento_host_t *host, witness_set_t *set)
+{
+	pimento_id_t live[LIVE_MAX];
+	uint32_t count = member_live(&host->member, live, LIVE_MAX);
+	uint32_t start =
+		count ? (uint32_t)pimento_random_below(&host->random, count)
+		      : 0;
+
+	memset(set, 0, sizeof(*set));
+	set->hosts[0] = host->self;
+	set->incarnations[0] = host->options.incarnation;
+	set->count = 1;
+	for (uint32_t i = 0; i < count && set->count < ISSUED_WITNESSES; i++) {
+		pimento_id_t id = live[(start + i) % count];
+		uint64_t incarnation = member_incarnation(&host->member, id);
+
+		if (id == host->self || !incarnation)
+			continue;
+		set->hosts[set->count] = id;
+		set->incarnations[set->count] = incarnation;
+		set->count++;
+	}
+	set->quorum = set->count / 2 + 1;
+}
+
+int pimento_host_issue(pimento_host_t *host, pimento_usec_t now,
+		       int64_t wall_msec, uint64_t nonce,
+		       char text[PIMENTO_KEY_TEXT])
+{
+	witness_set_t set;
+
+	(void)now;
+	choose_witnesses(host, &set);
+	/* With two witnesses both are needed; one lost would block the key. */
+	if (host->hosts.count >= ISSUED_WITNESSES &&
+	    set.count < ISSUED_WITNESSES)
+		return PIMENTO_ENOQUORUM;
+	return keyring_issue(host->options.secret, &set, wall_msec, nonce,
+			     text);
+}
+
+void pimento_host_hello(const pimento_host_t *host, struct message *message)
+{
+	message_probe_t *probe = &message->u.probe;
+
+	message->kind = MESSAGE_PROBE;
+	memset(probe, 0, sizeof(*probe));
+	probe->incarnation = host->options.incarnation;
+	probe->revision = host->member.revision;
+	probe->hosts_revision = host->member.hosts_revision;
+}
+
+bool host_endpoint_status(const pimento_host_t *host, pimento_usec_t now,
+			  uint32_t index, const config_endpoint_t **config,
+			  pimento_id_t *owner, message_summary_t *summary)
+{
+	const host_endpoint_t *endpoint;
+
+	if (index >= host->endpoint_count)
+		return false;
+	endpoint = &host->endpoints[index];
+	*config = endpoint->config;
+	*owner = endpoint->owner;
+	memset(summary, 0, sizeof(*summary));
+	owner_summary(&host->owner, now, endpoint->config->id, summary);
+	return true;
+}
+
+const char *host_name(const pimento_host_t *host, pimento_id_t id)
+{
+	if (id == host->self)
+		return host->options.name;
+	for (uint32_t i = 0; i < host->hosts.count; i++) {
+		if (host->hosts.hosts[i].id == id)
+			return host->hosts.hosts[i].name;
+	}
+	return "?";
+}
