--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 
 PURE = $(B)/libpimentoshelf.a
 IOLIB = $(B)/libpimentoio.a
+STANDINLIB = $(B)/libstandin.a
 PROGRAMS = $(B)/pimentod $(B)/pimentoctl $(STANDINS) $(BENCHES)
 
 all: $(PROGRAMS)
@@ -56,19 +57,23 @@
 	@rm -f $@
 	$(AR) rcs $@ $^
 
+$(STANDINLIB): $(call obj,$(STANDIN_SHARED))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
 $(B)/pimentod: $(call obj,daemon/pimentod.c) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
 $(B)/pimentoctl: $(call obj,$(CTL_C)) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(STANDINS): $(B)/%: $(B)/standin/%.c.o $(call obj,$(STANDIN_SHARED)) $(IOLIB) $(PURE)
+$(STANDINS): $(B)/%: $(B)/standin/%.c.o $(STANDINLIB) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(BENCHES): $(B)/%: $(B)/bench/%.c.o $(call obj,$(BENCH_SHARED)) $(IOLIB) $(PURE)
+$(BENCHES): $(B)/%: $(B)/bench/%.c.o $(call obj,$(BENCH_SHARED)) $(STANDINLIB) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(TESTS): $(B)/test/%: $(B)/test/%.c.o $(call obj,$(TEST_SHARED)) $(IOLIB) $(PURE)
+$(TESTS): $(B)/test/%: $(B)/test/%.c.o $(call obj,$(TEST_SHARED)) $(STANDINLIB) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL) $(shell pkg-config --libs check)
 
 $(B)/%.c.o: %.c
--- a/standin/batch.c
+++ b/standin/batch.c
@@ -65,8 +65,6 @@
 	job->ended_ms = standin_now_ms();
 	if (state == JOB_FINISHED)
 		job->run->finished++;
-	else
-		job->run->cancelled++;
 	line_put(&batch->ended, job);
 }
 
@@ -336,8 +334,12 @@
 void batch_cancel(batch_t *batch, job_t *job)
 {
 	pthread_mutex_lock(&batch->mutex);
-	if (job->state == JOB_WAITING || job->state == JOB_RUNNING)
+	if (job->state == JOB_WAITING || job->state == JOB_RUNNING) {
+		/* Here and not in sweep(), or a reader could see the end of
+		 * the stream before the count. */
 		job->state = JOB_CANCELLED;
+		job->run->cancelled++;
+	}
 	pthread_cond_broadcast(&batch->changed);
 	pthread_mutex_unlock(&batch->mutex);
 }
--- /dev/null
+++ b/test/relay.c
@@ -0,0 +1,264 @@
+/*
+ * Two threads for each connection, one a direction, each reading a piece and
+ * writing it on once nothing holds it back. Links are never reused, so that a
+ * thread's descriptor stays its own until the relay is finished.
+ */
+
+#include "relay.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define PIECE 65536
+#define BACKLOG 64
+
+static struct sockaddr_in loopback(uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port) };
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return address;
+}
+
+static void set_nodelay(int fd)
+{
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+}
+
+static int connect_to(uint16_t port)
+{
+	struct sockaddr_in address = loopback(port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (fd >= 0 &&
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)) < 0) {
+		close(fd);
+		return -1;
+	}
+	set_nodelay(fd);
+	return fd;
+}
+
+/* Waits while the direction is cut, then for the delay; false: give up. */
+static bool may_pass(relay_t *relay, int direction)
+{
+	struct timespec pause;
+	int delay_ms;
+	bool pass;
+
+	pthread_mutex_lock(&relay->mutex);
+	while ((relay->cut & direction) && !relay->stopping && !relay->dropped)
+		pthread_cond_wait(&relay->changed, &relay->mutex);
+	delay_ms = relay->delay_ms;
+	pass = !relay->stopping && !relay->dropped;
+	pthread_mutex_unlock(&relay->mutex);
+	pause = (struct timespec){ delay_ms / 1000, delay_ms % 1000 * 1000000 };
+	if (pass && delay_ms)
+		nanosleep(&pause, NULL);
+	return pass;
+}
+
+static bool write_all(int fd, const char *bytes, ssize_t length)
+{
+	while (length > 0) {
+		ssize_t part = send(fd, bytes, (size_t)length, MSG_NOSIGNAL);
+
+		if (part <= 0)
+			return false;
+		bytes += part;
+		length -= part;
+	}
+	return true;
+}
+
+static void pump(relay_t *relay, int from, int to, int direction)
+{
+	char piece[PIECE];
+
+	for (;;) {
+		ssize_t length = recv(from, piece, sizeof(piece), 0);
+
+		if (!may_pass(relay, direction))
+			break;
+		if (length <= 0 || !write_all(to, piece, length))
+			break;
+		pthread_mutex_lock(&relay->mutex);
+		relay->bytes += (uint64_t)length;
+		pthread_mutex_unlock(&relay->mutex);
+	}
+	shutdown(to, SHUT_WR);
+}
+
+static void *pump_to(void *data)
+{
+	relay_link_t *link = data;
+
+	pump(link->relay, link->near_fd, link->far_fd, RELAY_TO);
+	return NULL;
+}
+
+static void *pump_from(void *data)
+{
+	relay_link_t *link = data;
+
+	pump(link->relay, link->far_fd, link->near_fd, RELAY_FROM);
+	return NULL;
+}
+
+/* A connection made during a cut waits for the far side like its bytes. */
+static void *start_link(void *data)
+{
+	relay_link_t *link = data;
+	int fd;
+
+	if (!may_pass(link->relay, RELAY_TO))
+		return NULL;
+	fd = connect_to(link->relay->target);
+	pthread_mutex_lock(&link->relay->mutex);
+	link->far_fd = fd;
+	if (fd >= 0 && (link->relay->stopping || link->relay->dropped))
+		shutdown(fd, SHUT_RDWR);
+	pthread_mutex_unlock(&link->relay->mutex);
+	if (fd < 0) {
+		shutdown(link->near_fd, SHUT_RDWR);
+		return NULL;
+	}
+	if (pthread_create(&link->from, NULL, pump_from, link) == 0) {
+		pump_to(link);
+		pthread_join(link->from, NULL);
+	}
+	return NULL;
+}
+
+static void add_link(relay_t *relay, int fd)
+{
+	relay_link_t *link;
+
+	pthread_mutex_lock(&relay->mutex);
+	if (relay->dropped || relay->stopping ||
+	    relay->link_count == RELAY_LINKS_MAX) {
+		pthread_mutex_unlock(&relay->mutex);
+		close(fd);
+		return;
+	}
+	link = &relay->links[relay->link_count++];
+	link->relay = relay;
+	link->near_fd = fd;
+	link->far_fd = -1;
+	link->started = pthread_create(&link->to, NULL, start_link, link) == 0;
+	pthread_mutex_unlock(&relay->mutex);
+}
+
+static void *accept_links(void *data)
+{
+	relay_t *relay = data;
+
+	for (;;) {
+		int fd = accept4(relay->listen_fd, NULL, NULL, SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return NULL;
+		set_nodelay(fd);
+		add_link(relay, fd);
+	}
+}
+
+int relay_init(relay_t *relay, uint16_t target)
+{
+	struct sockaddr_in address = loopback(0);
+	socklen_t length = sizeof(address);
+
+	memset(relay, 0, sizeof(*relay));
+	relay->target = target;
+	pthread_mutex_init(&relay->mutex, NULL);
+	pthread_cond_init(&relay->changed, NULL);
+	relay->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (relay->listen_fd < 0 ||
+	    bind(relay->listen_fd, (struct sockaddr *)&address,
+		 sizeof(address)) < 0 ||
+	    listen(relay->listen_fd, BACKLOG) < 0 ||
+	    getsockname(relay->listen_fd, (struct sockaddr *)&address,
+			&length) < 0)
+		return -1;
+	relay->port = ntohs(address.sin_port);
+	return pthread_create(&relay->acceptor, NULL, accept_links, relay) ? -1
+									   : 0;
+}
+
+/* Wakes every reader and writer of a link; the descriptors stay open. */
+static void shut_links(relay_t *relay)
+{
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	for (uint32_t i = 0; i < relay->link_count; i++) {
+		relay_link_t *link = &relay->links[i];
+
+		setsockopt(link->near_fd, SOL_SOCKET, SO_LINGER, &reset,
+			   sizeof(reset));
+		shutdown(link->near_fd, SHUT_RDWR);
+		if (link->far_fd >= 0)
+			shutdown(link->far_fd, SHUT_RDWR);
+	}
+	pthread_cond_broadcast(&relay->changed);
+}
+
+void relay_finish(relay_t *relay)
+{
+	pthread_mutex_lock(&relay->mutex);
+	relay->stopping = true;
+	shut_links(relay);
+	pthread_mutex_unlock(&relay->mutex);
+	shutdown(relay->listen_fd, SHUT_RDWR);
+	pthread_join(relay->acceptor, NULL);
+	close(relay->listen_fd);
+	for (uint32_t i = 0; i < relay->link_count; i++) {
+		relay_link_t *link = &relay->links[i];
+
+		if (link->started)
+			pthread_join(link->to, NULL);
+		close(link->near_fd);
+		if (link->far_fd >= 0)
+			close(link->far_fd);
+	}
+	pthread_cond_destroy(&relay->changed);
+	pthread_mutex_destroy(&relay->mutex);
+}
+
+void relay_cut(relay_t *relay, int directions)
+{
+	pthread_mutex_lock(&relay->mutex);
+	relay->cut = directions;
+	pthread_mutex_unlock(&relay->mutex);
+}
+
+void relay_drop(relay_t *relay)
+{
+	pthread_mutex_lock(&relay->mutex);
+	relay->dropped = true;
+	shut_links(relay);
+	pthread_mutex_unlock(&relay->mutex);
+}
+
+void relay_mend(relay_t *relay)
+{
+	pthread_mutex_lock(&relay->mutex);
+	relay->cut = 0;
+	relay->dropped = false;
+	pthread_cond_broadcast(&relay->changed);
+	pthread_mutex_unlock(&relay->mutex);
+}
+
+void relay_delay(relay_t *relay, int ms)
+{
+	pthread_mutex_lock(&relay->mutex);
+	relay->delay_ms = ms;
+	pthread_mutex_unlock(&relay->mutex);
+}
