questionnaire: answers to configuration, and what a change means for whom

Cause: operators change behaviour only by answering the questionnaire again; a new team must see all its mistakes at once, and what a change does. Ruled out: knobs for shares, limits and retention (all are derived from sizes, lengths and spans); API keys in files (answers carry hashes, hash-key reads the key from standard input); a textual diff (says nothing of callers).

--- a/src/config.c
+++ b/src/config.c
@@ -206,9 +206,8 @@
 	return error;
 }
 
-/* Splits "model:planner"; returns false if it is neither kind. */
-static bool split_target(const char *text, config_target_t *target,
-			 char name[PIMENTO_NAME_MAX])
+bool pimento_config_target(const char *text, config_target_t *target,
+			   char name[PIMENTO_NAME_MAX])
 {
 	static const struct {
 		const char *prefix;
@@ -239,8 +238,8 @@
 		raw_contract_t *raw = &reader->contracts[i];
 
 		if (raw->target[0] &&
-		    !split_target(raw->target, &raw->contract.target,
-				  raw->contract.target_name))
+		    !pimento_config_target(raw->target, &raw->contract.target,
+					   raw->contract.target_name))
 			fields_problem(&reader->source, reader->root,
 				       "contract", i, "target", TARGET_HELP);
 	}
@@ -248,8 +247,8 @@
 		raw_endpoint_t *raw = &reader->endpoints[i];
 
 		if (raw->target[0] &&
-		    !split_target(raw->target, &raw->endpoint.target,
-				  raw->endpoint.target_name))
+		    !pimento_config_target(raw->target, &raw->endpoint.target,
+					   raw->endpoint.target_name))
 			fields_problem(&reader->source, reader->root,
 				       "endpoint", i, "target", TARGET_HELP);
 	}
@@ -347,13 +346,19 @@
 	return !strcmp(a, any) || !strcmp(b, any) || !strcmp(a, b);
 }
 
+bool pimento_config_call_overlaps(const char *method_a, const char *path_a,
+				  const char *method_b, const char *path_b)
+{
+	return overlap(method_a, method_b, "") && overlap(path_a, path_b, "");
+}
+
 static bool same_call(const config_contract_t *a, const config_contract_t *b)
 {
 	return a->target == CONFIG_TARGET_SERVICE && b->target == a->target &&
 	       !strcmp(a->target_name, b->target_name) &&
 	       overlap(a->account, b->account, "*") &&
-	       overlap(a->method, b->method, "") &&
-	       overlap(a->path, b->path, "");
+	       pimento_config_call_overlaps(a->method, a->path, b->method,
+					    b->path);
 }
 
 /*
@@ -435,21 +440,27 @@
 	       (path[length] == '/' || !path[length] || path[length] == '?');
 }
 
-static void check_service(const reader_t *reader, uint32_t index)
+const char *pimento_config_prefix_problem(const char *prefix)
 {
-	const char *prefix = reader->config->services[index].prefix;
 	size_t length = strlen(prefix);
 
-	if (!length)
-		return;
 	if (prefix[0] != '/' || length < 2 || prefix[length - 1] == '/')
-		fields_problem(&reader->source, reader->root, "service", index,
-			       "prefix", "must begin with '/' and not end so");
+		return "must begin with '/' and not end so";
 	for (size_t i = 0; i < COUNT(own_paths); i++)
 		if (below(prefix, own_paths[i]))
-			fields_problem(&reader->source, reader->root, "service",
-				       index, "prefix", "is taken by \"%s\"",
-				       own_paths[i]);
+			return "is a path that the daemon answers itself: "
+			       "/v1, /status, /metrics, /healthz or /burn";
+	return NULL;
+}
+
+static void check_service(const reader_t *reader, uint32_t index)
+{
+	const char *prefix = reader->config->services[index].prefix;
+	const char *wrong = pimento_config_prefix_problem(prefix);
+
+	if (prefix[0] && wrong)
+		fields_problem(&reader->source, reader->root, "service", index,
+			       "prefix", "%s", wrong);
 }
 
 static void check_endpoint(const reader_t *reader, uint32_t index)
@@ -626,6 +637,12 @@
 	return XXH3_64bits(text, length);
 }
 
+void pimento_config_key_hash(const char *key, size_t length, uint8_t hash[32])
+{
+	crypto_generichash(hash, 32, (const unsigned char *)key, length, NULL,
+			   0);
+}
+
 int pimento_config_parse(pimento_config_t *config, const char *text,
 			 size_t length, const char *file, problems_t *problems)
 {
--- a/src/config.h
+++ b/src/config.h
@@ -120,6 +120,23 @@
  */
 uint64_t pimento_config_digest(const char *text, size_t length);
 
+/* Hash of an API key, as it stands in the configuration. */
+void pimento_config_key_hash(const char *key, size_t length, uint8_t hash[32]);
+
+/* Splits "model:NAME" or "service:NAME"; returns false if it is neither. */
+bool pimento_config_target(const char *text, config_target_t *target,
+			   char name[PIMENTO_NAME_MAX]);
+
+/* Says what is wrong with a service's path prefix; NULL if nothing is. */
+const char *pimento_config_prefix_problem(const char *prefix);
+
+/*
+ * Whether a service's calls under one method and path may also come under the
+ * other; an empty text stands for any.
+ */
+bool pimento_config_call_overlaps(const char *method_a, const char *path_a,
+				  const char *method_b, const char *path_b);
+
 const config_endpoint_t *pimento_config_endpoint(const pimento_config_t *config,
 						 pimento_id_t id);
 const config_account_t *
--- /dev/null
+++ b/src/diff.c
@@ -0,0 +1,472 @@
+/*
+ * Compares two configurations as callers meet them. A kind of request is
+ * looked up for each account of either side, so that it does not matter
+ * whether a contract was written for one account or for all; callers to whom
+ * the same happens are named in one sentence.
+ */
+
+#include "diff.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SENTENCE_BYTES 400
+
+typedef struct diff {
+	const pimento_config_t *before;
+	const pimento_config_t *after;
+	text_t *text;
+	int changes;
+} diff_t;
+
+/* One caller and what happens to it. */
+typedef struct effect {
+	const char *account;
+	char sentence[SENTENCE_BYTES]; /* "" nothing, or told already */
+} effect_t;
+
+static void span_text(char *text, size_t size, pimento_usec_t span)
+{
+	if (span % PIMENTO_SEC)
+		snprintf(text, size, "%lld ms", (long long)(span / 1000));
+	else
+		snprintf(text, size, "%lld s", (long long)(span / PIMENTO_SEC));
+}
+
+__attribute__((format(printf, 2, 3))) static void say(diff_t *diff,
+						      const char *format, ...)
+{
+	char sentence[SENTENCE_BYTES];
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(sentence, sizeof(sentence), format, args);
+	va_end(args);
+	text_add(diff->text, "%s\n", sentence);
+	diff->changes++;
+}
+
+static const config_account_t *find_account(const pimento_config_t *config,
+					    const char *name)
+{
+	for (uint32_t i = 0; i < config->account_count; i++)
+		if (!strcmp(config->accounts[i].name, name))
+			return &config->accounts[i];
+	return NULL;
+}
+
+static const config_tier_t *find_tier(const pimento_config_t *config,
+				      const char *name)
+{
+	for (uint32_t i = 0; i < config->tier_count; i++)
+		if (!strcmp(config->tiers[i].name, name))
+			return &config->tiers[i];
+	return NULL;
+}
+
+static const config_service_t *find_service(const pimento_config_t *config,
+					    const char *name)
+{
+	for (uint32_t i = 0; i < config->service_count; i++)
+		if (!strcmp(config->services[i].name, name))
+			return &config->services[i];
+	return NULL;
+}
+
+static const config_contract_t *find_contract(const pimento_config_t *config,
+					      const char *account,
+					      const char *name)
+{
+	if (!find_account(config, account))
+		return NULL;
+	for (uint32_t i = 0; i < config->contract_count; i++) {
+		const config_contract_t *c = &config->contracts[i];
+
+		if (!strcmp(c->name, name) &&
+		    (!strcmp(c->account, "*") || !strcmp(c->account, account)))
+			return c;
+	}
+	return NULL;
+}
+
+static void diff_top(diff_t *diff)
+{
+	const pimento_config_t *a = diff->before;
+	const pimento_config_t *b = diff->after;
+
+	if (strcmp(a->deployment, b->deployment) != 0)
+		say(diff,
+		    "This is another deployment: \"%s\" instead of \"%s\".",
+		    b->deployment, a->deployment);
+	if (a->body_max != b->body_max)
+		say(diff,
+		    "Every caller: a request may have %u bytes instead of %u.",
+		    b->body_max, a->body_max);
+	if (a->retention != b->retention)
+		say(diff,
+		    "Every caller: an idempotency key is known for %lld s "
+		    "instead of %lld s.",
+		    (long long)(b->retention / PIMENTO_SEC),
+		    (long long)(a->retention / PIMENTO_SEC));
+}
+
+static void diff_tier(diff_t *diff, const config_tier_t *tier)
+{
+	const config_tier_t *old = find_tier(diff->before, tier->name);
+
+	if (!old) {
+		say(diff, "Tier \"%s\" is new, at place %u of %u.", tier->name,
+		    tier->rank + 1U, diff->after->tier_count);
+		return;
+	}
+	if (old->rank != tier->rank)
+		say(diff, "Tier \"%s\" comes at place %u instead of %u.",
+		    tier->name, tier->rank + 1U, old->rank + 1U);
+}
+
+static void diff_tiers(diff_t *diff)
+{
+	for (uint32_t i = 0; i < diff->after->tier_count; i++)
+		diff_tier(diff, &diff->after->tiers[i]);
+	for (uint32_t i = 0; i < diff->before->tier_count; i++)
+		if (!find_tier(diff->after, diff->before->tiers[i].name))
+			say(diff, "Tier \"%s\" goes.",
+			    diff->before->tiers[i].name);
+}
+
+static void diff_account(diff_t *diff, const config_account_t *account)
+{
+	const config_account_t *old = find_account(diff->before, account->name);
+
+	if (!old) {
+		say(diff, "Caller \"%s\" is new.", account->name);
+		return;
+	}
+	if (memcmp(old->key_hash, account->key_hash, 32) != 0)
+		say(diff,
+		    "Caller \"%s\" has a new API key; the old one is refused.",
+		    account->name);
+	if (old->weight != account->weight)
+		say(diff,
+		    "Caller \"%s\" gets a %s share under load (weight %u "
+		    "instead of %u).",
+		    account->name,
+		    account->weight > old->weight ? "larger" : "smaller",
+		    account->weight, old->weight);
+}
+
+static void diff_accounts(diff_t *diff)
+{
+	for (uint32_t i = 0; i < diff->after->account_count; i++)
+		diff_account(diff, &diff->after->accounts[i]);
+	for (uint32_t i = 0; i < diff->before->account_count; i++)
+		if (!find_account(diff->after, diff->before->accounts[i].name))
+			say(diff, "Caller \"%s\" goes; it is refused.",
+			    diff->before->accounts[i].name);
+}
+
+/* Appends a clause to a sentence, with a comma after the first. */
+__attribute__((format(printf, 2, 3))) static void
+clause(char *sentence, const char *format, ...)
+{
+	size_t used = strlen(sentence);
+	va_list args;
+
+	if (used && used + 2 < SENTENCE_BYTES) {
+		memcpy(sentence + used, ", ", 3);
+		used += 2;
+	}
+	va_start(args, format);
+	vsnprintf(sentence + used, SENTENCE_BYTES - used, format, args);
+	va_end(args);
+}
+
+static bool same_call(const config_contract_t *a, const config_contract_t *b)
+{
+	return a->target == b->target &&
+	       !strcmp(a->target_name, b->target_name) &&
+	       !strcmp(a->method, b->method) && !strcmp(a->path, b->path);
+}
+
+static void call_text(char *text, size_t size, const config_contract_t *c)
+{
+	if (c->target == CONFIG_TARGET_MODEL)
+		snprintf(text, size, "model \"%s\"", c->target_name);
+	else
+		snprintf(text, size, "service \"%s\" (%s %s)", c->target_name,
+			 c->method[0] ? c->method : "any method",
+			 c->path[0] ? c->path : "any path");
+}
+
+static void compare_contracts(const diff_t *diff, char *sentence,
+			      const config_contract_t *a,
+			      const config_contract_t *b)
+{
+	const char *tier_a = diff->before->tiers[a->tier].name;
+	const char *tier_b = diff->after->tiers[b->tier].name;
+	char now[256];
+	char then[256];
+
+	if (!same_call(a, b)) {
+		call_text(now, sizeof(now), b);
+		call_text(then, sizeof(then), a);
+		clause(sentence, "goes to %s instead of %s", now, then);
+	}
+	if (strcmp(tier_a, tier_b) != 0)
+		clause(sentence, "is served in tier \"%s\" instead of \"%s\"",
+		       tier_b, tier_a);
+	if (a->patience != b->patience) {
+		span_text(now, sizeof(now), b->patience);
+		span_text(then, sizeof(then), a->patience);
+		clause(sentence, "is given up after %s instead of %s", now,
+		       then);
+	}
+	if (a->repeatable != b->repeatable)
+		clause(sentence, "%s",
+		       b->repeatable ? "may now be repeated"
+				     : "may no longer be repeated and needs an "
+				       "idempotency key");
+	if (a->answer_tokens != b->answer_tokens)
+		clause(sentence,
+		       "is expected to have answers of %u tokens instead of %u",
+		       b->answer_tokens, a->answer_tokens);
+}
+
+static void find_effect(const diff_t *diff, const char *name, effect_t *effect)
+{
+	const config_contract_t *a =
+		find_contract(diff->before, effect->account, name);
+	const config_contract_t *b =
+		find_contract(diff->after, effect->account, name);
+
+	effect->sentence[0] = '\0';
+	if (a && b)
+		compare_contracts(diff, effect->sentence, a, b);
+	else if (b)
+		clause(effect->sentence, "may now be sent, in tier \"%s\"",
+		       diff->after->tiers[b->tier].name);
+	else if (a)
+		clause(effect->sentence, "may no longer be sent");
+}
+
+/* Says the first untold effect and marks all that are alike as told. */
+static void say_effect(diff_t *diff, const char *name, effect_t *effects,
+		       uint32_t count, uint32_t first)
+{
+	char sentence[SENTENCE_BYTES];
+	uint32_t alike = 0;
+
+	memcpy(sentence, effects[first].sentence, sizeof(sentence));
+	for (uint32_t i = first; i < count; i++)
+		alike += !strcmp(effects[i].sentence, sentence);
+	text_add(diff->text, "Request \"%s\" %s, for ", name, sentence);
+	if (alike == count)
+		text_add(diff->text, "every caller");
+	for (uint32_t i = first; i < count; i++) {
+		if (strcmp(effects[i].sentence, sentence) != 0)
+			continue;
+		if (alike != count)
+			text_add(diff->text, "%s\"%s\"", i > first ? ", " : "",
+				 effects[i].account);
+		effects[i].sentence[0] = '\0';
+	}
+	text_add(diff->text, ".\n");
+	diff->changes++;
+}
+
+static void diff_request(diff_t *diff, const char *name, effect_t *effects,
+			 uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		find_effect(diff, name, &effects[i]);
+	for (uint32_t i = 0; i < count; i++)
+		if (effects[i].sentence[0])
+			say_effect(diff, name, effects, count, i);
+}
+
+static bool named_before(const pimento_config_t *config, uint32_t index)
+{
+	for (uint32_t i = 0; i < index; i++)
+		if (!strcmp(config->contracts[i].name,
+			    config->contracts[index].name))
+			return true;
+	return false;
+}
+
+static bool names_request(const pimento_config_t *config, const char *name)
+{
+	for (uint32_t i = 0; i < config->contract_count; i++)
+		if (!strcmp(config->contracts[i].name, name))
+			return true;
+	return false;
+}
+
+static uint32_t list_accounts(const diff_t *diff, effect_t *effects)
+{
+	const pimento_config_t *a = diff->before;
+	const pimento_config_t *b = diff->after;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < b->account_count; i++)
+		effects[count++].account = b->accounts[i].name;
+	for (uint32_t i = 0; i < a->account_count; i++)
+		if (!find_account(b, a->accounts[i].name))
+			effects[count++].account = a->accounts[i].name;
+	return count;
+}
+
+static int diff_requests(diff_t *diff)
+{
+	const pimento_config_t *a = diff->before;
+	const pimento_config_t *b = diff->after;
+	effect_t *effects =
+		calloc((size_t)a->account_count + b->account_count + 1,
+		       sizeof(*effects));
+	uint32_t count;
+
+	if (!effects)
+		return PIMENTO_ENOMEM;
+	count = list_accounts(diff, effects);
+	for (uint32_t i = 0; i < b->contract_count; i++)
+		if (!named_before(b, i))
+			diff_request(diff, b->contracts[i].name, effects,
+				     count);
+	for (uint32_t i = 0; i < a->contract_count; i++)
+		if (!named_before(a, i) &&
+		    !names_request(b, a->contracts[i].name))
+			diff_request(diff, a->contracts[i].name, effects,
+				     count);
+	free(effects);
+	return PIMENTO_OK;
+}
+
+static void diff_services(diff_t *diff)
+{
+	const pimento_config_t *a = diff->before;
+	const pimento_config_t *b = diff->after;
+
+	for (uint32_t i = 0; i < b->service_count; i++) {
+		const config_service_t *s = &b->services[i];
+		const config_service_t *old = find_service(a, s->name);
+
+		if (!old)
+			say(diff, "Service \"%s\" is new, below %s.", s->name,
+			    s->prefix);
+		else if (strcmp(old->prefix, s->prefix) != 0)
+			say(diff,
+			    "Service \"%s\" is below %s instead of %s, for "
+			    "every caller.",
+			    s->name, s->prefix, old->prefix);
+	}
+	for (uint32_t i = 0; i < a->service_count; i++)
+		if (!find_service(b, a->services[i].name))
+			say(diff, "Service \"%s\" goes.", a->services[i].name);
+}
+
+static bool same_place(const config_endpoint_t *a, const config_endpoint_t *b)
+{
+	return a->port == b->port && !strcmp(a->address, b->address) &&
+	       !strcmp(a->datacentre, b->datacentre);
+}
+
+static void compare_endpoints(char *sentence, const config_endpoint_t *a,
+			      const config_endpoint_t *b)
+{
+	if (a->target != b->target ||
+	    strcmp(a->target_name, b->target_name) != 0)
+		clause(sentence, "serves \"%s\" instead of \"%s\"",
+		       b->target_name, a->target_name);
+	if (!same_place(a, b))
+		clause(sentence, "is at %s:%u in %s instead of %s:%u in %s",
+		       b->address, b->port, b->datacentre, a->address, a->port,
+		       a->datacentre);
+	if (a->concurrency != b->concurrency)
+		clause(sentence, "takes %u requests at once instead of %u",
+		       b->concurrency, a->concurrency);
+	if (a->context_tokens != b->context_tokens)
+		clause(sentence, "reads %u tokens instead of %u (0: any)",
+		       b->context_tokens, a->context_tokens);
+	if (a->fencing != b->fencing)
+		clause(sentence, "%s fencing numbers",
+		       b->fencing ? "now checks" : "no longer checks");
+}
+
+static void diff_endpoint(diff_t *diff, const config_endpoint_t *endpoint)
+{
+	const config_endpoint_t *old =
+		pimento_config_endpoint(diff->before, endpoint->id);
+	char sentence[SENTENCE_BYTES] = "";
+
+	if (!old) {
+		say(diff,
+		    "Endpoint \"%s\" in %s is new: it serves \"%s\", %u "
+		    "requests at once.",
+		    endpoint->name, endpoint->datacentre, endpoint->target_name,
+		    endpoint->concurrency);
+		return;
+	}
+	compare_endpoints(sentence, old, endpoint);
+	if (sentence[0])
+		say(diff, "Endpoint \"%s\" %s.", endpoint->name, sentence);
+}
+
+/* Endpoints are kept by identity; people want them by name. */
+static int by_name(const void *left, const void *right)
+{
+	const config_endpoint_t *const *a = left;
+	const config_endpoint_t *const *b = right;
+
+	return strcmp((*a)->name, (*b)->name);
+}
+
+static const config_endpoint_t **sorted(const pimento_config_t *config)
+{
+	const config_endpoint_t **list = calloc(
+		(size_t)config->endpoint_count + 1, sizeof(const void *));
+
+	if (!list)
+		return NULL;
+	for (uint32_t i = 0; i < config->endpoint_count; i++)
+		list[i] = &config->endpoints[i];
+	qsort(list, config->endpoint_count, sizeof(const void *), by_name);
+	return list;
+}
+
+static int diff_endpoints(diff_t *diff)
+{
+	const config_endpoint_t **before = sorted(diff->before);
+	const config_endpoint_t **after = sorted(diff->after);
+	int error = before && after ? PIMENTO_OK : PIMENTO_ENOMEM;
+
+	for (uint32_t i = 0; !error && i < diff->after->endpoint_count; i++)
+		diff_endpoint(diff, after[i]);
+	for (uint32_t i = 0; !error && i < diff->before->endpoint_count; i++)
+		if (!pimento_config_endpoint(diff->after, before[i]->id))
+			say(diff,
+			    "Endpoint \"%s\" goes; it gets no new requests.",
+			    before[i]->name);
+	free((void *)before);
+	free((void *)after);
+	return error;
+}
+
+int diff_configs(const pimento_config_t *old_config,
+		 const pimento_config_t *new_config, text_t *text)
+{
+	diff_t diff = { old_config, new_config, text, 0 };
+	int error;
+
+	diff_top(&diff);
+	diff_tiers(&diff);
+	diff_accounts(&diff);
+	error = diff_requests(&diff);
+	if (error)
+		return error;
+	diff_services(&diff);
+	error = diff_endpoints(&diff);
+	if (error)
+		return error;
+	return text_error(text) ? PIMENTO_ENOMEM : diff.changes;
+}
--- a/test/test_config.c
+++ b/test/test_config.c
@@ -130,7 +130,7 @@
 	{ WHOLE "[[account]]\nname = \"C\"\nkey_hash = \"12\"\nweight = 0\n",
 	  "account[3].weight: must lie between 1 and 1000", 3 },
 	{ WHOLE "[[service]]\nname = \"s\"\nprefix = \"/v1/x\"\n",
-	  "service[2].prefix: is taken by \"/v1\"", 1 },
+	  "service[2].prefix: is a path that the daemon answers itself", 1 },
 	{ WHOLE "[[service]]\nname = \"s\"\nprefix = \"/orders\"\n",
 	  "service[2].prefix: \"/orders\" stands twice", 1 },
 	{ WHOLE "[[service]]\nname = \"s\"\nprefix = \"s/\"\n",
