burn: the report carries each tier's rank and objective

Cause: a report that names tiers only cannot order them or judge them. Ruled out: guessing the rank from /status, which is another moment's answer. Change: burn_report() and burn_json_write() take the configuration in force. Conclusion: tiers no longer in force are shown last, without rank.

--- a/io/burn_json.c
+++ b/io/burn_json.c
@@ -17,6 +17,12 @@
 			 (json_int_t)count.total);
 }
 
+/* Returns NULL, which is left out, for a tier that is not in force. */
+static json_t *rank_json(uint32_t rank)
+{
+	return rank == BURN_RANK_NONE ? NULL : json_integer(rank);
+}
+
 static json_t *report_json(const burn_report_t *report, json_int_t now_s)
 {
 	json_t *windows = json_array();
@@ -34,11 +40,14 @@
 				series,
 				count_json("t", t, report->series[age]));
 	}
-	return json_pack("{s:s, s:o, s:o}", "tier", report->tier, "windows",
-			 windows, "series", series);
+	return json_pack("{s:s, s:o*, s:f, s:o, s:o}", "tier", report->tier,
+			 "rank", rank_json(report->rank), "objective",
+			 report->objective, "windows", windows, "series",
+			 series);
 }
 
-char *burn_json_write(const burn_t *burn, pimento_usec_t now)
+char *burn_json_write(const burn_t *burn, const pimento_config_t *config,
+		      pimento_usec_t now)
 {
 	json_int_t now_s = now / PIMENTO_SEC;
 	json_t *tiers = json_array();
@@ -47,7 +56,7 @@
 	char *text;
 
 	for (uint32_t i = 0; i < burn->count; i++) {
-		burn_report(burn, i, now, &report);
+		burn_report(burn, i, config, now, &report);
 		json_array_append_new(tiers, report_json(&report, now_s));
 	}
 	root = json_pack("{s:I, s:o}", "now_s", now_s, "tiers", tiers);
@@ -115,6 +124,21 @@
 	}
 }
 
+static void read_objective(const json_t *tier, burn_report_t *report)
+{
+	const json_t *rank = json_object_get(tier, "rank");
+	double objective =
+		json_number_value(json_object_get(tier, "objective"));
+
+	report->rank = BURN_RANK_NONE;
+	report->objective = burn_objective(1, 2);
+	if (json_is_integer(rank) && json_integer_value(rank) >= 0 &&
+	    json_integer_value(rank) < PIMENTO_TIERS_MAX)
+		report->rank = (uint32_t)json_integer_value(rank);
+	if (objective > 0 && objective < 1)
+		report->objective = objective;
+}
+
 static void merge(burn_reports_t *reports, const burn_report_t *report)
 {
 	for (uint32_t i = 0; i < reports->count; i++)
@@ -136,6 +160,7 @@
 		return;
 	memset(&report, 0, sizeof(report));
 	snprintf(report.tier, sizeof(report.tier), "%s", name);
+	read_objective(tier, &report);
 	read_windows(json_object_get(tier, "windows"), &report);
 	read_series(json_object_get(tier, "series"), now_s, &report);
 	merge(reports, &report);
@@ -158,3 +183,19 @@
 	json_decref(root);
 	return error;
 }
+
+static int by_rank(const void *left, const void *right)
+{
+	const burn_report_t *a = left;
+	const burn_report_t *b = right;
+
+	if (a->rank != b->rank)
+		return a->rank < b->rank ? -1 : 1;
+	return strcmp(a->tier, b->tier);
+}
+
+void burn_reports_sort(burn_reports_t *reports)
+{
+	qsort(reports->reports, reports->count, sizeof(*reports->reports),
+	      by_rank);
+}
--- a/io/burn_json.h
+++ b/io/burn_json.h
@@ -4,17 +4,23 @@
 /*
  * The text of GET /burn:
  *
- *	{"now_s": N, "tiers": [{"tier": "charge",
+ *	{"now_s": N, "tiers": [{"tier": "charge", "rank": 0,
+ *	  "objective": 0.999,
  *	  "windows": [{"seconds": 300, "good": n, "total": n}, ...],
  *	  "series": [{"t": N - age, "good": n, "total": n}, ...]}]}
  *
- * Empty points of the series are left out.
+ * Empty points of the series are left out, and the rank of a tier that is no
+ * longer in force.
  */
 
 #include "../src/burn.h"
 
-/* Returns a text to be freed, or NULL if memory could not be had. */
-char *burn_json_write(const burn_t *burn, pimento_usec_t now);
+/*
+ * Returns a text to be freed, or NULL if memory could not be had. config is
+ * the one in force, or NULL.
+ */
+char *burn_json_write(const burn_t *burn, const pimento_config_t *config,
+		      pimento_usec_t now);
 
 /* Several hosts' reports, merged by the name of the tier. */
 typedef struct burn_reports {
@@ -31,4 +37,7 @@
  */
 int burn_json_read(burn_reports_t *reports, const char *text, size_t length);
 
+/* Sorts by rank, then by name. */
+void burn_reports_sort(burn_reports_t *reports);
+
 #endif
--- a/src/burn.c
+++ b/src/burn.c
@@ -143,13 +143,27 @@
 	return tier ? window_of(tier, seconds, now) : (burn_count_t){ 0, 0 };
 }
 
-void burn_report(const burn_t *burn, uint32_t index, pimento_usec_t now,
+static void find_rank(const pimento_config_t *config, burn_report_t *report)
+{
+	report->rank = BURN_RANK_NONE;
+	report->objective = 1 - BUDGET_LAST;
+	for (uint32_t i = 0; config && i < config->tier_count; i++) {
+		if (strcmp(config->tiers[i].name, report->tier) != 0)
+			continue;
+		report->rank = i;
+		report->objective = burn_objective(i, config->tier_count);
+	}
+}
+
+void burn_report(const burn_t *burn, uint32_t index,
+		 const pimento_config_t *config, pimento_usec_t now,
 		 burn_report_t *report)
 {
 	const burn_tier_t *tier = &burn->tiers[index];
 	int64_t newest = slot_of(now, BURN_COARSE_STEP);
 
 	memcpy(report->tier, tier->name, sizeof(report->tier));
+	find_rank(config, report);
 	for (int i = 0; i < BURN_WINDOWS; i++)
 		report->windows[i] =
 			window_of(tier, burn_window_seconds[i], now);
@@ -160,6 +174,10 @@
 
 void burn_merge(burn_report_t *to, const burn_report_t *from)
 {
+	if (from->rank < to->rank) {
+		to->rank = from->rank;
+		to->objective = from->objective;
+	}
 	for (int i = 0; i < BURN_WINDOWS; i++)
 		sum(&to->windows[i], from->windows[i]);
 	for (int age = 0; age < BURN_COARSE_BUCKETS; age++)
@@ -188,21 +206,20 @@
 	return bad / (1 - objective);
 }
 
-static bool over(const burn_report_t *report, int window, double objective,
-		 double limit)
+static bool over(const burn_report_t *report, int window, double limit)
 {
-	return burn_rate(report->windows[window], objective) > limit;
+	return burn_rate(report->windows[window], report->objective) > limit;
 }
 
-burn_state_t burn_judge(const burn_report_t *report, double objective)
+burn_state_t burn_judge(const burn_report_t *report)
 {
-	if (over(report, WINDOW_1_H, objective, RATE_FAST) &&
-	    over(report, WINDOW_5_MIN, objective, RATE_FAST))
+	if (over(report, WINDOW_1_H, RATE_FAST) &&
+	    over(report, WINDOW_5_MIN, RATE_FAST))
 		return BURN_FAST;
-	if (over(report, WINDOW_6_H, objective, RATE_SLOW) &&
-	    over(report, WINDOW_30_MIN, objective, RATE_SLOW))
+	if (over(report, WINDOW_6_H, RATE_SLOW) &&
+	    over(report, WINDOW_30_MIN, RATE_SLOW))
 		return BURN_SLOW;
-	if (over(report, WINDOW_24_H, objective, RATE_SPENT))
+	if (over(report, WINDOW_24_H, RATE_SPENT))
 		return BURN_SPENT;
 	return report->windows[WINDOW_24_H].total ? BURN_OK : BURN_IDLE;
 }
--- a/src/burn.h
+++ b/src/burn.h
@@ -12,7 +12,7 @@
  * another tier.
  */
 
-#include "../pimentoshelf.h"
+#include "config.h"
 
 #define BURN_TIERS_MAX ((size_t)2 * PIMENTO_TIERS_MAX)
 
@@ -62,20 +62,30 @@
 burn_count_t burn_window(const burn_t *burn, const char *tier, uint32_t seconds,
 			 pimento_usec_t now);
 
+/* Rank of a tier that the configuration in force does not name. */
+#define BURN_RANK_NONE UINT32_MAX
+
 /* One tier as it is reported, merged over hosts, and drawn. */
 typedef struct burn_report {
 	char tier[PIMENTO_NAME_MAX];
+	uint32_t rank;
+	double objective;
 	burn_count_t windows[BURN_WINDOWS];
 	burn_count_t series[BURN_COARSE_BUCKETS]; /* by age, newest first */
 } burn_report_t;
 
-/* Fills the report of burn->tiers[index], index below burn->count. */
-void burn_report(const burn_t *burn, uint32_t index, pimento_usec_t now,
+/*
+ * Fills the report of burn->tiers[index], index below burn->count. config may
+ * be NULL: then every tier is without rank and has the lowest objective.
+ */
+void burn_report(const burn_t *burn, uint32_t index,
+		 const pimento_config_t *config, pimento_usec_t now,
 		 burn_report_t *report);
 
 /*
  * Adds the counts of another host. Hosts share no clock, so counts are merged
- * by their age.
+ * by their age. Where hosts have unlike configurations, the more urgent
+ * rank and its objective are kept.
  */
 void burn_merge(burn_report_t *to, const burn_report_t *from);
 
@@ -102,7 +112,7 @@
 
 /* Judges long windows together with short ones: a fault that is over is not
  * reported as going on. */
-burn_state_t burn_judge(const burn_report_t *report, double objective);
+burn_state_t burn_judge(const burn_report_t *report);
 
 /* Returns "idle", "ok", "spent", "slow" or "fast"; never NULL. */
 const char *burn_state_name(burn_state_t state);
--- a/test/test_burn.c
+++ b/test/test_burn.c
@@ -80,14 +80,14 @@
 	burn_report_t report;
 
 	memset(&report, 0, sizeof(report));
-	ck_assert_int_eq(burn_judge(&report, 0.999), BURN_IDLE);
+	report.objective = judgements[_i].objective;
+	ck_assert_int_eq(burn_judge(&report), BURN_IDLE);
 	for (int i = 0; i < BURN_WINDOWS; i++) {
 		report.windows[i].total = 1000;
 		report.windows[i].good = 1000 - judgements[_i].bad[i];
 	}
-	ck_assert_str_eq(
-		burn_state_name(burn_judge(&report, judgements[_i].objective)),
-		burn_state_name(judgements[_i].state));
+	ck_assert_str_eq(burn_state_name(burn_judge(&report)),
+			 burn_state_name(judgements[_i].state));
 }
 END_TEST
 
@@ -110,6 +110,10 @@
 {
 	const pimento_usec_t now[] = { 1000 * PIMENTO_SEC,
 				       500000 * PIMENTO_SEC };
+	pimento_config_t config = { .tier_count = 3,
+				    .tiers = { { .name = "a" },
+					       { .name = "charge" },
+					       { .name = "c" } } };
 	burn_reports_t reports;
 	burn_t burn;
 	char *text;
@@ -119,13 +123,16 @@
 		ck_assert_int_eq(burn_init(&burn), 0);
 		burn_add(&burn, "charge", true, now[i]);
 		burn_add(&burn, "charge", i, now[i] - 600 * PIMENTO_SEC);
-		text = burn_json_write(&burn, now[i]);
+		text = burn_json_write(&burn, i ? &config : NULL, now[i]);
 		ck_assert_int_eq(burn_json_read(&reports, text, strlen(text)),
 				 0);
 		free(text);
 		burn_finish(&burn);
 	}
 	ck_assert_uint_eq(reports.count, 1);
+	ck_assert_uint_eq(reports.reports[0].rank, 1);
+	ck_assert_double_eq_tol(reports.reports[0].objective,
+				burn_objective(1, 3), 1e-9);
 	ck_assert_uint_eq(reports.reports[0].windows[0].total, 2);
 	ck_assert_uint_eq(reports.reports[0].windows[4].total, 4);
 	ck_assert_uint_eq(reports.reports[0].windows[4].good, 3);
