pimentoctl: status, send and burn

Cause: operators need one command for what the hosts say, and a sender that does not make a request run twice. Ruled out: going on to the next entry host after any failure (only "not run" allows it); judging a connect failure by the library's error, which does not tell it from a lost answer (a probe of the connection does). Change: ctl_status, ctl_send and ctl_burn over ulfius' client, bounded in time and size; answers are read however they are cut, and a stream without its end mark is "may have run"; the burn page has inline plots and nothing from outside.

--- a/daemon/pimentoctl.c
+++ b/daemon/pimentoctl.c
@@ -17,6 +17,9 @@
 	{ "generate", ctl_generate, "questionnaire to configuration" },
 	{ "diff", ctl_diff, "what a new configuration changes for whom" },
 	{ "hash-key", ctl_hash_key, "hash of an API key, for the answers" },
+	{ "status", ctl_status, "hosts, endpoints, owners, waiting requests" },
+	{ "send", ctl_send, "send a request, print answer and verdict" },
+	{ "burn", ctl_burn, "service-level burn per tier" },
 };
 
 #define COMMANDS (sizeof(commands) / sizeof(commands[0]))
--- /dev/null
+++ b/io/status_table.c
@@ -0,0 +1,212 @@
+/*
+ * An endpoint is shown as its owner reports it, because only the owner knows
+ * what is in flight there. Two owners, on the two sides of a partition, give
+ * two lines; an endpoint that nobody asked owns gives one, with a mark.
+ */
+
+#include "status_table.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define CELL_BYTES 64
+#define NOTHING "-"
+
+static void clean(char *cell)
+{
+	for (; *cell; cell++)
+		if ((unsigned char)*cell < 0x20 || *cell == 0x7f)
+			*cell = '?';
+}
+
+/* Writes a string or number of an object as a cell. */
+static void cell_of(char cell[CELL_BYTES], const json_t *object,
+		    const char *key)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (json_is_string(value))
+		snprintf(cell, CELL_BYTES, "%s", json_string_value(value));
+	else if (json_is_integer(value))
+		snprintf(cell, CELL_BYTES, "%lld",
+			 (long long)json_integer_value(value));
+	else
+		snprintf(cell, CELL_BYTES, NOTHING);
+	clean(cell);
+}
+
+static void config_cell(char cell[CELL_BYTES], const json_t *host)
+{
+	const json_t *config = json_object_get(host, "config");
+	char revision[CELL_BYTES];
+	json_int_t refused =
+		json_integer_value(json_object_get(config, "refused_revision"));
+
+	cell_of(revision, config, "revision");
+	if (refused)
+		snprintf(cell, CELL_BYTES, "%.24s, refused %lld", revision,
+			 (long long)refused);
+	else
+		snprintf(cell, CELL_BYTES, "%s", revision);
+}
+
+static void add_host(const json_t *host, text_t *text)
+{
+	char name[CELL_BYTES];
+	char incarnation[CELL_BYTES];
+	char state[CELL_BYTES];
+	char config[CELL_BYTES];
+	char hosts[CELL_BYTES];
+	char busy[CELL_BYTES];
+	char calls[CELL_BYTES];
+
+	cell_of(name, host, "name");
+	cell_of(incarnation, host, "incarnation");
+	cell_of(state, host, "state");
+	config_cell(config, host);
+	cell_of(hosts, json_object_get(host, "hosts"), "revision");
+	cell_of(busy, json_object_get(host, "requests"), "in_progress");
+	cell_of(calls, json_object_get(host, "platform"), "calls");
+	text_add(text, "%-14s %-16s %-9s %-16s %6s %11s %9s\n", name,
+		 incarnation, state, config, hosts, busy, calls);
+}
+
+static void waiting_cell(char cell[CELL_BYTES], const json_t *endpoint)
+{
+	const json_t *waiting = json_object_get(endpoint, "waiting");
+	const json_t *number;
+	size_t used = 0;
+	size_t index;
+
+	snprintf(cell, CELL_BYTES, NOTHING);
+	json_array_foreach(waiting, index, number)
+	{
+		used += (size_t)snprintf(cell + used, CELL_BYTES - used,
+					 "%s%lld", index ? " " : "",
+					 (long long)json_integer_value(number));
+		if (used >= CELL_BYTES)
+			break;
+	}
+}
+
+static void add_endpoint(const json_t *endpoint, const char *mark, text_t *text)
+{
+	char name[CELL_BYTES];
+	char owner[CELL_BYTES];
+	char running[CELL_BYTES];
+	char limit[CELL_BYTES];
+	char waiting[CELL_BYTES];
+
+	cell_of(name, endpoint, "name");
+	cell_of(owner, endpoint, "owner");
+	cell_of(running, endpoint, "running");
+	cell_of(limit, endpoint, "limit");
+	waiting_cell(waiting, endpoint);
+	text_add(text, "%-18s %-14s %7s %6s  %s%s\n", name, owner, running,
+		 limit, waiting, mark);
+}
+
+static const char *string_of(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "";
+}
+
+static bool is_owner(const json_t *host, const json_t *endpoint)
+{
+	return !strcmp(string_of(host, "name"), string_of(endpoint, "owner"));
+}
+
+/* Whether an owner, or an earlier host, shows the endpoint. */
+static bool shown_elsewhere(json_t *const *hosts, size_t count, size_t self,
+			    const char *name)
+{
+	const json_t *endpoint;
+	size_t index;
+
+	for (size_t i = 0; i < count; i++)
+		json_array_foreach(
+			json_object_get(hosts[i], "endpoints"), index,
+			endpoint) if (!strcmp(string_of(endpoint, "name"),
+					      name) &&
+				      (i < self ||
+				       is_owner(hosts[i],
+						endpoint))) return true;
+	return false;
+}
+
+static void add_endpoints(json_t *const *hosts, size_t count, size_t self,
+			  text_t *text)
+{
+	const json_t *endpoint;
+	size_t index;
+
+	json_array_foreach(json_object_get(hosts[self], "endpoints"), index,
+			   endpoint)
+	{
+		if (is_owner(hosts[self], endpoint))
+			add_endpoint(endpoint, "", text);
+		else if (!shown_elsewhere(hosts, count, self,
+					  string_of(endpoint, "name")))
+			add_endpoint(endpoint, "  (owner not asked)", text);
+	}
+}
+
+static void add_members(const json_t *host, text_t *text)
+{
+	const json_t *members =
+		json_object_get(json_object_get(host, "hosts"), "members");
+	const json_t *member;
+	char name[CELL_BYTES];
+	char state[CELL_BYTES];
+	size_t index;
+
+	if (!json_array_size(members))
+		return;
+	cell_of(name, host, "name");
+	text_add(text, "%s sees:", name);
+	json_array_foreach(members, index, member)
+	{
+		cell_of(name, member, "name");
+		cell_of(state, member, "state");
+		text_add(text, "%s %s %s", index ? "," : "", name, state);
+	}
+	text_add(text, "\n");
+}
+
+static void add_difference(json_t *const *hosts, size_t count, text_t *text)
+{
+	const json_t *first =
+		json_object_get(json_object_get(hosts[0], "config"), "digest");
+
+	for (size_t i = 1; i < count; i++) {
+		const json_t *other = json_object_get(
+			json_object_get(hosts[i], "config"), "digest");
+
+		if (first && other && !json_equal(first, other)) {
+			text_add(text, "\nThe hosts do not all have the same "
+				       "configuration.\n");
+			return;
+		}
+	}
+}
+
+void status_table(json_t *const *hosts, size_t count, text_t *text)
+{
+	if (!count)
+		return;
+	text_add(text, "%-14s %-16s %-9s %-16s %6s %11s %9s\n", "HOST",
+		 "INCARNATION", "STATE", "CONFIGURATION", "HOSTS",
+		 "IN PROGRESS", "PLATFORM");
+	for (size_t i = 0; i < count; i++)
+		add_host(hosts[i], text);
+	text_add(text, "\n%-18s %-14s %7s %6s  %s\n", "ENDPOINT", "OWNER",
+		 "RUNNING", "LIMIT", "WAITING BY TIER");
+	for (size_t i = 0; i < count; i++)
+		add_endpoints(hosts, count, i, text);
+	text_add(text, "\n");
+	for (size_t i = 0; i < count; i++)
+		add_members(hosts[i], text);
+	add_difference(hosts, count, text);
+}
--- /dev/null
+++ b/src/burn_page.c
@@ -0,0 +1,294 @@
+/*
+ * Table and page of the burn report. The plots are inline SVG, drawn in the
+ * units of the buckets: one step to the right is five minutes. Each rate is
+ * drawn against a line at 1, where the error budget is used up exactly.
+ */
+
+#include "burn_page.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define PLOT_WIDTH 720.0
+#define PLOT_HEIGHT 110.0
+#define PLOT_LEFT 56
+#define PLOT_TOP 14
+#define IMAGE_WIDTH 800
+#define IMAGE_HEIGHT 150
+#define BAR_WIDTH (PLOT_WIDTH / BURN_COARSE_BUCKETS)
+
+#define RATE_LEAST_TOP 2.0 /* so that the line at 1 is always inside */
+#define HOURS 24
+#define TICK_HOURS 6
+
+static const char *const window_names[BURN_WINDOWS] = { "5 min", "30 min",
+							"1 h", "6 h", "24 h" };
+
+static void rate_text(char *to, size_t size, const burn_report_t *report,
+		      int window)
+{
+	burn_count_t count = report->windows[window];
+
+	if (!count.total)
+		snprintf(to, size, "-");
+	else
+		snprintf(to, size, "%.2f", burn_rate(count, report->objective));
+}
+
+static void objective_text(char *to, size_t size, double objective)
+{
+	snprintf(to, size, "%.2f %%", objective * 100);
+}
+
+static void add_row(const burn_report_t *report, text_t *text)
+{
+	const burn_count_t *day = &report->windows[BURN_WINDOWS - 1];
+	char cell[32];
+
+	objective_text(cell, sizeof(cell), report->objective);
+	text_add(text, "%-20s %9s", report->tier, cell);
+	for (int i = 0; i < BURN_WINDOWS; i++) {
+		rate_text(cell, sizeof(cell), report, i);
+		text_add(text, " %8s", cell);
+	}
+	text_add(text, " %12llu %12llu  %s\n", (unsigned long long)day->good,
+		 (unsigned long long)day->total,
+		 burn_state_name(burn_judge(report)));
+}
+
+void burn_table(const burn_report_t *reports, uint32_t count, text_t *text)
+{
+	text_add(text, "%-20s %9s", "TIER", "OBJECTIVE");
+	for (int i = 0; i < BURN_WINDOWS; i++)
+		text_add(text, " %8s", window_names[i]);
+	text_add(text, " %12s %12s  %s\n", "GOOD 24 h", "ALL 24 h", "STATE");
+	for (uint32_t i = 0; i < count; i++)
+		add_row(&reports[i], text);
+}
+
+static void add_escaped(text_t *text, const char *from)
+{
+	for (; *from; from++) {
+		if (*from == '<')
+			text_add(text, "&lt;");
+		else if (*from == '&')
+			text_add(text, "&amp;");
+		else if (*from == '"')
+			text_add(text, "&quot;");
+		else if ((unsigned char)*from >= 0x20)
+			text_add_bytes(text, from, 1);
+	}
+}
+
+/* Buckets are numbered by age; the newest stands at the right. */
+static double x_of(int age)
+{
+	return PLOT_LEFT + (BURN_COARSE_BUCKETS - 1 - age) * BAR_WIDTH;
+}
+
+static double y_of(double value, double top)
+{
+	double part = value < top ? value / top : 1;
+
+	return PLOT_TOP + PLOT_HEIGHT * (1 - part);
+}
+
+static void add_axes(double top, const char *unit, text_t *text)
+{
+	double bottom = PLOT_TOP + PLOT_HEIGHT;
+
+	text_add(text,
+		 "<line class=\"axis\" x1=\"%d\" y1=\"%.1f\" x2=\"%.1f\" "
+		 "y2=\"%.1f\"/>\n",
+		 PLOT_LEFT, bottom, PLOT_LEFT + PLOT_WIDTH, bottom);
+	text_add(text, "<text class=\"y\" x=\"%d\" y=\"%d\">%g</text>\n",
+		 PLOT_LEFT - 6, PLOT_TOP + 4, top);
+	text_add(text, "<text class=\"y\" x=\"%d\" y=\"%.1f\">0</text>\n",
+		 PLOT_LEFT - 6, bottom + 4);
+	text_add(text, "<text x=\"%d\" y=\"%d\">%s</text>\n", PLOT_LEFT + 4,
+		 PLOT_TOP - 4, unit);
+	for (int hour = 0; hour <= HOURS; hour += TICK_HOURS) {
+		double x = PLOT_LEFT + PLOT_WIDTH * (HOURS - hour) / HOURS;
+
+		text_add(text,
+			 "<text class=\"x\" x=\"%.1f\" y=\"%.1f\">%s%d "
+			 "h</text>\n",
+			 x, bottom + 16, hour ? "-" : "", hour);
+	}
+}
+
+static void open_image(const char *label, text_t *text)
+{
+	text_add(text,
+		 "<svg viewBox=\"0 0 %d %d\" role=\"img\" "
+		 "aria-label=\"%s\">\n",
+		 IMAGE_WIDTH, IMAGE_HEIGHT, label);
+}
+
+static uint64_t most_requests(const burn_report_t *report)
+{
+	uint64_t most = 1;
+
+	for (int age = 0; age < BURN_COARSE_BUCKETS; age++)
+		if (report->series[age].total > most)
+			most = report->series[age].total;
+	return most;
+}
+
+static void add_bar(const char *style, int age, double from, double to,
+		    double top, text_t *text)
+{
+	if (to <= from)
+		return;
+	text_add(text,
+		 "<rect class=\"%s\" x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" "
+		 "height=\"%.1f\"/>\n",
+		 style, x_of(age), y_of(to, top), BAR_WIDTH,
+		 y_of(from, top) - y_of(to, top));
+}
+
+static void add_requests(const burn_report_t *report, text_t *text)
+{
+	double top = (double)most_requests(report);
+
+	open_image("requests in five minutes", text);
+	for (int age = BURN_COARSE_BUCKETS - 1; age >= 0; age--) {
+		double good = (double)report->series[age].good;
+		double total = (double)report->series[age].total;
+
+		add_bar("good", age, 0, good, top, text);
+		add_bar("bad", age, good, total, top, text);
+	}
+	add_axes(top, "requests in 5 min", text);
+	text_add(text, "</svg>\n");
+}
+
+/* The next of 1, 2, 5, 10, 20, 50, ... that is not below the value. */
+static double round_top(double value)
+{
+	static const double steps[] = { 2, 2.5, 2 };
+	double top = 1;
+
+	for (int i = 0; top < value; i++)
+		top *= steps[i % 3];
+	return top;
+}
+
+static double highest_rate(const burn_report_t *report)
+{
+	double highest = RATE_LEAST_TOP;
+
+	for (int age = 0; age < BURN_COARSE_BUCKETS; age++) {
+		double rate = burn_rate(report->series[age], report->objective);
+
+		if (rate > highest)
+			highest = rate;
+	}
+	return round_top(highest);
+}
+
+static void add_rates(const burn_report_t *report, text_t *text)
+{
+	double top = highest_rate(report);
+
+	open_image("burn rate", text);
+	for (int age = BURN_COARSE_BUCKETS - 1; age >= 0; age--) {
+		double rate = burn_rate(report->series[age], report->objective);
+
+		add_bar(rate > 1 ? "bad" : "good", age, 0, rate, top, text);
+	}
+	text_add(text,
+		 "<line class=\"budget\" x1=\"%d\" y1=\"%.1f\" x2=\"%.1f\" "
+		 "y2=\"%.1f\"/>\n",
+		 PLOT_LEFT, y_of(1, top), PLOT_LEFT + PLOT_WIDTH, y_of(1, top));
+	text_add(text, "<text x=\"%.1f\" y=\"%.1f\">1</text>\n",
+		 PLOT_LEFT + PLOT_WIDTH + 4, y_of(1, top) + 4);
+	add_axes(top, "burn rate of 5 min", text);
+	text_add(text, "</svg>\n");
+}
+
+static void add_html_row(const burn_report_t *report, text_t *text)
+{
+	const char *state = burn_state_name(burn_judge(report));
+	const burn_count_t *day = &report->windows[BURN_WINDOWS - 1];
+	char cell[32];
+
+	objective_text(cell, sizeof(cell), report->objective);
+	text_add(text, "<tr><th scope=\"row\">");
+	add_escaped(text, report->tier);
+	text_add(text, "</th><td>%s</td>", cell);
+	for (int i = 0; i < BURN_WINDOWS; i++) {
+		rate_text(cell, sizeof(cell), report, i);
+		text_add(text, "<td>%s</td>", cell);
+	}
+	text_add(text,
+		 "<td>%llu</td><td>%llu</td><td class=\"%s\">%s</td></tr>\n",
+		 (unsigned long long)day->good, (unsigned long long)day->total,
+		 state, state);
+}
+
+static void add_html_table(const burn_report_t *reports, uint32_t count,
+			   text_t *text)
+{
+	text_add(text, "<table>\n<tr><th scope=\"col\">tier</th>"
+		       "<th scope=\"col\">objective</th>");
+	for (int i = 0; i < BURN_WINDOWS; i++)
+		text_add(text, "<th scope=\"col\">%s</th>", window_names[i]);
+	text_add(text, "<th scope=\"col\">good, 24 h</th>"
+		       "<th scope=\"col\">all, 24 h</th>"
+		       "<th scope=\"col\">state</th></tr>\n");
+	for (uint32_t i = 0; i < count; i++)
+		add_html_row(&reports[i], text);
+	text_add(text, "</table>\n");
+}
+
+static const char style[] =
+	"<style>\n"
+	"body { font: 15px/1.5 sans-serif; margin: 2em auto; max-width: 60em;"
+	" padding: 0 1em; color: #222; background: #fff }\n"
+	"table { border-collapse: collapse }\n"
+	"th, td { padding: .25em .8em; text-align: right;"
+	" border-bottom: 1px solid #ccc }\n"
+	"th:first-child { text-align: left }\n"
+	"td.fast, td.slow { background: #d55e00; color: #fff }\n"
+	"td.spent { background: #f0c27b }\n"
+	"svg { width: 100%; height: auto; display: block }\n"
+	"svg text { font: 11px sans-serif; fill: #444 }\n"
+	"svg text.y { text-anchor: end }\n"
+	"svg text.x { text-anchor: middle }\n"
+	"rect.good { fill: #0072b2 }\n"
+	"rect.bad { fill: #d55e00 }\n"
+	"line.axis { stroke: #444 }\n"
+	"line.budget { stroke: #444; stroke-dasharray: 4 3 }\n"
+	"</style>\n";
+
+static void add_head(size_t hosts, const char *when, text_t *text)
+{
+	text_add(text, "<!DOCTYPE html>\n<html lang=\"en\">\n<head>\n"
+		       "<meta charset=\"utf-8\"/>\n"
+		       "<title>Service-level burn</title>\n");
+	text_add_bytes(text, style, sizeof(style) - 1);
+	text_add(text, "</head>\n<body>\n<h1>Service-level burn</h1>\n<p>");
+	add_escaped(text, when);
+	text_add(text,
+		 ", counts of %zu host%s. A request is good if its whole "
+		 "answer came while the caller still cared. Rate 1 uses the "
+		 "error budget up exactly as fast as the objective allows.</p>"
+		 "\n",
+		 hosts, hosts == 1 ? "" : "s");
+}
+
+void burn_html(const burn_report_t *reports, uint32_t count, size_t hosts,
+	       const char *when, text_t *text)
+{
+	add_head(hosts, when, text);
+	add_html_table(reports, count, text);
+	for (uint32_t i = 0; i < count; i++) {
+		text_add(text, "<h2>");
+		add_escaped(text, reports[i].tier);
+		text_add(text, "</h2>\n");
+		add_requests(&reports[i], text);
+		add_rates(&reports[i], text);
+	}
+	text_add(text, "</body>\n</html>\n");
+}
--- a/src/text.c
+++ b/src/text.c
@@ -61,6 +61,15 @@
 	text->length += (size_t)length;
 }
 
+void text_add_bytes(text_t *text, const char *bytes, size_t length)
+{
+	if (text->failed || !reserve(text, length))
+		return;
+	memcpy(text->bytes + text->length, bytes, length);
+	text->length += length;
+	text->bytes[text->length] = '\0';
+}
+
 const char *text_get(const text_t *text)
 {
 	return text->bytes ? text->bytes : "";
--- a/src/text.h
+++ b/src/text.h
@@ -22,6 +22,9 @@
 void text_add(text_t *text, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/* Appends bytes as they are; what follows a NUL is seen by length only. */
+void text_add_bytes(text_t *text, const char *bytes, size_t length);
+
 /* Returns the text, "" while it is empty; never NULL. */
 const char *text_get(const text_t *text);
 
