pimentoctl: status shows digests and sorts endpoints by name

Cause: operators compare the digest in force with the generated file's; the hosts list endpoints in the order of identity, which reads as no order. Change: a column for the digest; rows sorted; send ends the line on a terminal. Conclusion: none beyond the change.

--- a/daemon/ctl_send.c
+++ b/daemon/ctl_send.c
@@ -15,6 +15,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define ENTRIES_MAX 16
 #define KEY_BYTES 512
@@ -268,6 +269,9 @@
 
 static void print_outcome(const char *entry, outcome_t *outcome)
 {
+	/* the answer's bytes are left alone where they go into a file */
+	if (outcome->status && isatty(STDOUT_FILENO))
+		puts("");
 	fprintf(stderr, "entry: %s\n", entry);
 	if (outcome->status)
 		fprintf(stderr, "status: %ld\n", outcome->status);
--- a/io/status_table.c
+++ b/io/status_table.c
@@ -7,11 +7,20 @@
 #include "status_table.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define CELL_BYTES 64
+#define ROW_BYTES 384
 #define NOTHING "-"
 
+#define HOST_FORMAT "%-14s %-16s %-9s %-16s %-16s %6s %11s %9s\n"
+#define ENDPOINT_FORMAT "%-18s %-14s %7s %6s  %s%s\n"
+
+typedef struct row {
+	char text[ROW_BYTES];
+} row_t;
+
 static void clean(char *cell)
 {
 	for (; *cell; cell++)
@@ -56,6 +65,7 @@
 	char incarnation[CELL_BYTES];
 	char state[CELL_BYTES];
 	char config[CELL_BYTES];
+	char digest[CELL_BYTES];
 	char hosts[CELL_BYTES];
 	char busy[CELL_BYTES];
 	char calls[CELL_BYTES];
@@ -64,11 +74,12 @@
 	cell_of(incarnation, host, "incarnation");
 	cell_of(state, host, "state");
 	config_cell(config, host);
+	cell_of(digest, json_object_get(host, "config"), "digest");
 	cell_of(hosts, json_object_get(host, "hosts"), "revision");
 	cell_of(busy, json_object_get(host, "requests"), "in_progress");
 	cell_of(calls, json_object_get(host, "platform"), "calls");
-	text_add(text, "%-14s %-16s %-9s %-16s %6s %11s %9s\n", name,
-		 incarnation, state, config, hosts, busy, calls);
+	text_add(text, HOST_FORMAT, name, incarnation, state, config, digest,
+		 hosts, busy, calls);
 }
 
 static void waiting_cell(char cell[CELL_BYTES], const json_t *endpoint)
@@ -89,7 +100,7 @@
 	}
 }
 
-static void add_endpoint(const json_t *endpoint, const char *mark, text_t *text)
+static void fill_row(row_t *row, const json_t *endpoint, const char *mark)
 {
 	char name[CELL_BYTES];
 	char owner[CELL_BYTES];
@@ -102,8 +113,8 @@
 	cell_of(running, endpoint, "running");
 	cell_of(limit, endpoint, "limit");
 	waiting_cell(waiting, endpoint);
-	text_add(text, "%-18s %-14s %7s %6s  %s%s\n", name, owner, running,
-		 limit, waiting, mark);
+	snprintf(row->text, sizeof(row->text), ENDPOINT_FORMAT, name, owner,
+		 running, limit, waiting, mark);
 }
 
 static const char *string_of(const json_t *object, const char *key)
@@ -136,21 +147,53 @@
 	return false;
 }
 
-static void add_endpoints(json_t *const *hosts, size_t count, size_t self,
-			  text_t *text)
+static size_t fill_rows(json_t *const *hosts, size_t count, size_t self,
+			row_t *rows)
 {
 	const json_t *endpoint;
+	size_t filled = 0;
 	size_t index;
 
 	json_array_foreach(json_object_get(hosts[self], "endpoints"), index,
 			   endpoint)
 	{
 		if (is_owner(hosts[self], endpoint))
-			add_endpoint(endpoint, "", text);
+			fill_row(&rows[filled++], endpoint, "");
 		else if (!shown_elsewhere(hosts, count, self,
 					  string_of(endpoint, "name")))
-			add_endpoint(endpoint, "  (owner not asked)", text);
+			fill_row(&rows[filled++], endpoint,
+				 "  (owner not asked)");
 	}
+	return filled;
+}
+
+static int compare_rows(const void *left, const void *right)
+{
+	const row_t *a = left;
+	const row_t *b = right;
+
+	return strcmp(a->text, b->text);
+}
+
+static void add_endpoints(json_t *const *hosts, size_t count, text_t *text)
+{
+	size_t most = 0;
+	size_t filled = 0;
+	row_t *rows;
+
+	for (size_t i = 0; i < count; i++)
+		most += json_array_size(json_object_get(hosts[i], "endpoints"));
+	rows = calloc(most + 1, sizeof(*rows));
+	if (!rows) {
+		text->failed = true;
+		return;
+	}
+	for (size_t i = 0; i < count; i++)
+		filled += fill_rows(hosts, count, i, rows + filled);
+	qsort(rows, filled, sizeof(*rows), compare_rows);
+	for (size_t i = 0; i < filled; i++)
+		text_add(text, "%s", rows[i].text);
+	free(rows);
 }
 
 static void add_members(const json_t *host, text_t *text)
@@ -196,15 +239,13 @@
 {
 	if (!count)
 		return;
-	text_add(text, "%-14s %-16s %-9s %-16s %6s %11s %9s\n", "HOST",
-		 "INCARNATION", "STATE", "CONFIGURATION", "HOSTS",
-		 "IN PROGRESS", "PLATFORM");
+	text_add(text, HOST_FORMAT, "HOST", "INCARNATION", "STATE",
+		 "CONFIGURATION", "DIGEST", "HOSTS", "IN PROGRESS", "PLATFORM");
 	for (size_t i = 0; i < count; i++)
 		add_host(hosts[i], text);
-	text_add(text, "\n%-18s %-14s %7s %6s  %s\n", "ENDPOINT", "OWNER",
-		 "RUNNING", "LIMIT", "WAITING BY TIER");
-	for (size_t i = 0; i < count; i++)
-		add_endpoints(hosts, count, i, text);
+	text_add(text, "\n" ENDPOINT_FORMAT, "ENDPOINT", "OWNER", "RUNNING",
+		 "LIMIT", "WAITING BY TIER", "");
+	add_endpoints(hosts, count, text);
 	text_add(text, "\n");
 	for (size_t i = 0; i < count; i++)
 		add_members(hosts[i], text);
