member, spread: a fleet in virtual time under random faults

Cause: table tests on one host say nothing of many hosts that die, restart, stand still, are cut off and lose messages at once. Ruled out: real processes for this; thousands of hours of faults would take as long, and no run could be repeated by its seed. Change: test/fleet.c drives membership and spread of up to 400 hosts with lossy, slow and reordering links and a platform that is down or stale; test_fleet.c checks after each run that no live host stays dead, that leaving never reverts within an incarnation, that owners are agreed, that no revision goes down, that accepted texts arrive, and that a woken host does not serve under what was withdrawn during its pause.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wformat=2 -Werror
 SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
-DEFS = -D_GNU_SOURCE -I. -Isrc -Iio
+DEFS = -D_GNU_SOURCE -I. -Isrc -Iio -Itest
 CFLAGS_ALL = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS) $(DEFS) -pthread \
 	$(shell pkg-config --cflags $(PKGS) check)
 CXXFLAGS_ALL = -std=c++17 -g $(OPT) -Wall -Wextra -Werror $(SANFLAGS) $(DEFS)
@@ -36,6 +36,8 @@
 	bench/load.c))
 BENCH_SHARED = $(filter-out bench/bench.c bench/slopes.c bench/load.c,\
 	$(wildcard bench/*.c))
+# The hosts in virtual time, for the tests and for the slopes.
+FLEET = $(wildcard test/fleet.c)
 TESTS = $(patsubst test/%.c,$(B)/test/%,$(wildcard test/test_*.c))
 TEST_SHARED = $(filter-out $(wildcard test/test_*.c test/fuzz_*.c),\
 	$(wildcard test/*.c))
@@ -65,7 +67,7 @@
 $(STANDINS): $(B)/%: $(B)/standin/%.c.o $(call obj,$(STANDIN_SHARED)) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(BENCHES): $(B)/%: $(B)/bench/%.c.o $(call obj,$(BENCH_SHARED)) $(IOLIB) $(PURE)
+$(BENCHES): $(B)/%: $(B)/bench/%.c.o $(call obj,$(BENCH_SHARED) $(FLEET)) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
 $(TESTS): $(B)/test/%: $(B)/test/%.c.o $(call obj,$(TEST_SHARED)) $(IOLIB) $(PURE)
--- a/src/member.c
+++ b/src/member.c
@@ -442,6 +442,9 @@
 {
 	uint32_t asked = 0;
 
+	/* The target may have been forgotten since, and nobody be left. */
+	if (!m->order_count)
+		return;
 	for (uint32_t i = 0; i < 4 * INDIRECT && asked < INDIRECT; i++) {
 		uint64_t n = pimento_random_below(&m->random, m->order_count);
 		const member_host_t *h = subject_find(m, m->order[n]);
--- /dev/null
+++ b/test/fleet.h
@@ -0,0 +1,96 @@
+#ifndef FLEET_H
+#define FLEET_H
+
+/*
+ * Many hosts' membership and spread in virtual time, for tests and for the
+ * slopes: links that lose, delay and reorder, hosts that die, restart and
+ * stand still, cuts, and a platform that can be down or stale. Everything
+ * follows from the seed. No requests; just what those two parts need.
+ */
+
+#include "member.h"
+#include "spread.h"
+
+#define FLEET_MAX 400
+
+typedef struct fleet_host {
+	member_t member;
+	spread_t spread;
+	outbox_t out;
+	pimento_id_t id;
+	uint64_t incarnation;
+	bool up;
+	uint8_t side; /* hosts of different sides cannot reach one another */
+	uint8_t datacentre;
+	pimento_usec_t paused_at;
+	pimento_usec_t paused_until; /* 0: runs */
+	pimento_usec_t tick_at; /* of the valid tick event */
+	pimento_usec_t read_at;
+	uint64_t
+		revision; /* highest in force since the start, to see it fall */
+	uint64_t wake_floor; /* in force elsewhere when it woke */
+	pimento_usec_t in_force; /* when the revision came into force */
+	uint64_t sent_bytes;
+	uint64_t sent_messages;
+	uint64_t received_bytes;
+} fleet_host_t;
+
+typedef struct fleet_event {
+	pimento_usec_t at;
+	uint64_t order;
+	uint32_t host;
+	pimento_id_t from;
+	message_t *message; /* NULL: a tick */
+} fleet_event_t;
+
+typedef struct fleet {
+	pimento_random_t random;
+	pimento_usec_t now;
+	fleet_host_t *hosts;
+	uint32_t count;
+	fleet_event_t *heap;
+	uint32_t heap_count;
+	uint32_t heap_capacity;
+	uint64_t order;
+	double loss;
+	pimento_usec_t delay_min;
+	pimento_usec_t delay_max;
+	double straggle; /* chance of a delay of up to a second */
+	bool platform_down;
+	bool platform_stale; /* shows what was published before the last */
+	uint64_t revisions[2]; /* published, by subject */
+	char *texts[2];
+	char *former[2];
+	uint64_t platform_reads;
+	uint64_t judged_bad;
+	uint64_t problems; /* broken promises; each printed */
+} fleet_t;
+
+void fleet_init(fleet_t *fleet, uint32_t count, uint64_t seed);
+void fleet_finish(fleet_t *fleet);
+void fleet_run(fleet_t *fleet, pimento_usec_t span);
+
+void fleet_start(fleet_t *fleet, uint32_t host);
+void fleet_kill(fleet_t *fleet, uint32_t host);
+void fleet_pause(fleet_t *fleet, uint32_t host, pimento_usec_t span);
+
+/* Publishes a text with the next revision; takes over the allocated text. */
+void fleet_publish(fleet_t *fleet, spread_subject_t subject, char *text);
+
+/* Publishes the hosts that are up; leaving ones by their own word. */
+void fleet_publish_hosts(fleet_t *fleet);
+
+/* A configuration of about this many bytes; differs by the revision. */
+char *fleet_config(fleet_t *fleet, size_t size);
+
+/* Counts hosts that are up and have the published revision in force. */
+uint32_t fleet_in_force(const fleet_t *fleet, spread_subject_t subject);
+uint32_t fleet_up(const fleet_t *fleet);
+
+/* Counts pairs of hosts that are up and do not see one another live. */
+uint32_t fleet_misjudged(const fleet_t *fleet);
+
+/* Counts endpoints whose owner is not the same for all hosts that are up. */
+uint32_t fleet_disputed_owners(const fleet_t *fleet, uint32_t endpoints);
+
+#endif
