member: a pause shows before the next tick

Cause: member_fresh() told the state as of the last tick, so a request handed in right after a wake was served under the configuration from before the pause; and a platform read begun before the pause could confirm a lone host, since the wake had not been noticed when the two times were compared. Ruled out: a tick before each submission; every caller would have to know. Change: member_fresh() takes the time and looks at the gap itself; member_refreshed() takes the time at which the read was begun and compares after it has noticed the pause. host.c passes both.

--- a/src/host.c
+++ b/src/host.c
@@ -346,13 +346,12 @@
 			    pimento_usec_t begun)
 {
 	host->now = now;
-	if (begun >= host->member.woken)
-		member_refreshed(&host->member, now);
+	member_refreshed(&host->member, now, begun);
 }
 
 bool pimento_host_fresh(const pimento_host_t *host)
 {
-	return member_fresh(&host->member);
+	return member_fresh(&host->member, host->now);
 }
 
 bool pimento_host_reader(const pimento_host_t *host, pimento_usec_t *interval)
@@ -397,7 +396,7 @@
 	 * A process that stood still may hold a configuration that was replaced
 	 * meanwhile, and would serve under it as if it were in force.
 	 */
-	if (!host->config || !member_fresh(&host->member))
+	if (!host->config || !member_fresh(&host->member, now))
 		return PIMENTO_EUNREADY;
 	if (request->tier >= PIMENTO_TIERS_MAX || request->patience <= 0)
 		return PIMENTO_EINVAL;
--- a/src/member.c
+++ b/src/member.c
@@ -60,14 +60,18 @@
  * A process that stood still believes what was true before. It would show as
  * work granted or dispatched under a configuration that everyone else has left
  * behind. Ticks come at least once a period, so a long gap between them gives
- * the pause away; every entry point looks for it, because after a wake a
- * message can be handled before the next tick.
+ * the pause away; every entry point looks for it, because after a wake much
+ * can be handled before the next tick.
  */
-static void notice_pause(member_t *m, pimento_usec_t now)
+static bool stood_still(const member_t *m, pimento_usec_t now)
 {
-	pimento_usec_t gap = now - m->last_tick;
+	return m->last_tick >= 0 &&
+	       now - m->last_tick > PAUSE_PERIODS * m->options.period;
+}
 
-	if (m->last_tick < 0 || gap <= PAUSE_PERIODS * m->options.period)
+static void notice_pause(member_t *m, pimento_usec_t now)
+{
+	if (!stood_still(m, now))
 		return;
 	m->pauses++;
 	m->last_tick = now;
@@ -98,8 +102,10 @@
 	return n;
 }
 
-bool member_fresh(const member_t *member)
+bool member_fresh(const member_t *member, pimento_usec_t now)
 {
+	if (stood_still(member, now))
+		return false;
 	if (member->fresh)
 		return true;
 	return member->confirmed && member->revision >= member->told_revision &&
@@ -118,14 +124,15 @@
 		m->confirmed = true;
 	if (peers && m->fresh_acks + m->stale_acks >= peers)
 		m->confirmed = true;
-	if (member_fresh(m))
+	if (member_fresh(m, m->last_tick))
 		m->fresh = true;
 }
 
-void member_refreshed(member_t *member, pimento_usec_t now)
+void member_refreshed(member_t *member, pimento_usec_t now,
+		      pimento_usec_t begun)
 {
 	notice_pause(member, now);
-	if (member->fresh)
+	if (member->fresh || begun < member->woken)
 		return;
 	if (!live_peers(member) ||
 	    (!member->fresh_acks && now - member->woken >= REFRESH_GRACE))
@@ -144,7 +151,7 @@
 	p->sequence = sequence;
 	p->incarnation = m->options.incarnation;
 	p->target = target;
-	if (member_fresh(m)) {
+	if (member_fresh(m, m->last_tick)) {
 		p->revision = m->revision;
 		p->hosts_revision = m->hosts_revision;
 	}
--- a/src/member.h
+++ b/src/member.h
@@ -126,10 +126,14 @@
  * the platform was read since (member_refreshed) and no fresh peer answered
  * for a grace time, or there is none. Until then serve nothing.
  */
-bool member_fresh(const member_t *member);
+bool member_fresh(const member_t *member, pimento_usec_t now);
 
-/* A read of the platform that was begun after the wake came in. */
-void member_refreshed(member_t *member, pimento_usec_t now);
+/*
+ * A read of the platform came in. One that was begun before a pause says
+ * nothing of what was published during it, and is ignored.
+ */
+void member_refreshed(member_t *member, pimento_usec_t now,
+		      pimento_usec_t begun);
 
 void member_tick(member_t *member, pimento_usec_t now);
 pimento_usec_t member_deadline(const member_t *member);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -160,7 +160,7 @@
 	if (h->member.revision < h->revision)
 		problem(f, h, "the configuration reverted");
 	h->revision = h->member.revision;
-	if (member_fresh(&h->member) && h->revision < h->wake_floor)
+	if (member_fresh(&h->member, f->now) && h->revision < h->wake_floor)
 		problem(f, h, "serves under a revision from before its pause");
 	while (outbox_take(&h->out, &to, &message))
 		post(f, h, to, &message);
@@ -207,7 +207,7 @@
 	h->member.revision = spread_revision(&h->spread, SPREAD_CONFIG);
 	h->member.hosts_revision = spread_revision(&h->spread, SPREAD_HOSTS);
 	/* A host cannot tell that the platform is stale. */
-	member_refreshed(&h->member, f->now);
+	member_refreshed(&h->member, f->now, f->now);
 }
 
 static void tick(fleet_t *f, fleet_host_t *h)
@@ -243,7 +243,8 @@
 
 		if (h == woken || !h->up || h->side != woken->side)
 			continue;
-		if (f->now < h->paused_until || !member_fresh(&h->member))
+		if (f->now < h->paused_until ||
+		    !member_fresh(&h->member, f->now))
 			return 0;
 		if (h->revision < floor)
 			floor = h->revision;
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -276,19 +276,39 @@
 	publish(1, 3, 16);
 	member.revision = 6;
 	run(PIMENTO_SEC);
-	ck_assert(member_fresh(&member));
+	ck_assert(member_fresh(&member, now));
 	before = member.sequence;
 	now += 10 * PIMENTO_SEC;
 	member_tick(&member, now);
 	ck_assert_uint_eq(member.pauses, 1);
-	ck_assert(!member_fresh(&member));
+	ck_assert(!member_fresh(&member, now));
 	ack_from(PEER, before, 7); /* answers from before the wake */
-	ck_assert(!member_fresh(&member));
+	ck_assert(!member_fresh(&member, now));
 	ack_from(PEER, before + 1, 7);
 	ack_from(300, before + 2, 6);
-	ck_assert(!member_fresh(&member)); /* 7 is not yet in force here */
+	ck_assert(!member_fresh(&member, now)); /* 7 is not yet in force here */
 	member.revision = 7;
-	ck_assert(member_fresh(&member));
+	ck_assert(member_fresh(&member, now));
+}
+END_TEST
+
+/*
+ * The first thing that a woken process does may be to take a request on, or to
+ * take in an answer of the platform that was asked for before the pause. A
+ * caller would be served by what was in force then.
+ */
+START_TEST(pause_shows_before_the_next_tick)
+{
+	pimento_usec_t begun;
+
+	run(PIMENTO_SEC);
+	begun = now;
+	now += 10 * PIMENTO_SEC;
+	ck_assert(!member_fresh(&member, now));
+	member_refreshed(&member, now, begun);
+	ck_assert(!member_fresh(&member, now));
+	member_refreshed(&member, now, now);
+	ck_assert(member_fresh(&member, now));
 }
 END_TEST
 
@@ -297,9 +317,9 @@
 	run(PIMENTO_SEC);
 	now += 10 * PIMENTO_SEC;
 	member_tick(&member, now);
-	ck_assert(!member_fresh(&member));
-	member_refreshed(&member, now);
-	ck_assert(member_fresh(&member));
+	ck_assert(!member_fresh(&member, now));
+	member_refreshed(&member, now, now);
+	ck_assert(member_fresh(&member, now));
 }
 END_TEST
 
@@ -330,6 +350,7 @@
 			    sizeof(endpoint_cases) / sizeof(endpoint_cases[0]));
 	tcase_add_test(tc, owners_move_only_from_the_lost_host);
 	tcase_add_test(tc, pause_makes_stale_until_peers_answer);
+	tcase_add_test(tc, pause_shows_before_the_next_tick);
 	tcase_add_test(tc, pause_of_a_lone_host_ends_with_a_read);
 	tcase_add_test(tc, others_are_dead_when_nobody_answers);
 	suite_add_tcase(suite, tc);
