--- a/test/test_fleet.c
+++ b/test/test_gossip.c
@@ -1,10 +1,10 @@
 /*
  * Membership and spread among several hosts in virtual time, under random
- * faults by seed. FLEET_SEED and FLEET_RUNS choose other seeds than the fixed
+ * faults by seed. GOSSIP_SEED and GOSSIP_RUNS choose other seeds than the fixed
  * ones.
  */
 
-#include "fleet.h"
+#include "gossip.h"
 
 #include <check.h>
 #include <stdio.h>
@@ -22,12 +22,12 @@
 	bool leaving;
 } seen_t;
 
-static void check_leaving(fleet_t *f, seen_t *seen)
+static void check_leaving(gossip_t *f, seen_t *seen)
 {
 	for (uint32_t i = 0; i < f->count; i++) {
 		for (uint32_t j = 0; j < f->count; j++) {
 			seen_t *s = &seen[i * f->count + j];
-			const fleet_host_t *h = &f->hosts[i];
+			const gossip_host_t *h = &f->hosts[i];
 			pimento_id_t id = f->hosts[j].id;
 			host_state_t state;
 			uint64_t incarnation;
@@ -52,29 +52,29 @@
 	}
 }
 
-static void act(fleet_t *f)
+static void act(gossip_t *f)
 {
 	uint32_t host = (uint32_t)pimento_random_below(&f->random, f->count);
-	fleet_host_t *h = &f->hosts[host];
+	gossip_host_t *h = &f->hosts[host];
 	uint64_t n = pimento_random_below(&f->random, 16);
 
 	switch (n) {
 	case 0:
-		fleet_kill(f, host);
+		gossip_kill(f, host);
 		break;
 	case 1:
 	case 2:
-		fleet_kill(f, host);
-		fleet_start(f, host);
+		gossip_kill(f, host);
+		gossip_start(f, host);
 		break;
 	case 3:
-		fleet_start(f, host);
+		gossip_start(f, host);
 		break;
 	case 4:
 	case 5:
-		fleet_pause(f, host,
-			    (pimento_usec_t)pimento_random_below(
-				    &f->random, 20 * PIMENTO_SEC));
+		gossip_pause(f, host,
+			     (pimento_usec_t)pimento_random_below(
+				     &f->random, 20 * PIMENTO_SEC));
 		break;
 	case 6:
 		h->side = !h->side;
@@ -95,10 +95,10 @@
 	case 10:
 	case 11:
 	case 12:
-		fleet_publish(f, SPREAD_CONFIG, fleet_config(f, 3000));
+		gossip_publish(f, SPREAD_CONFIG, gossip_config(f, 3000));
 		break;
 	case 13:
-		fleet_publish_hosts(f);
+		gossip_publish_hosts(f);
 		break;
 	case 14:
 		f->platform_down = !f->platform_down;
@@ -109,7 +109,7 @@
 	}
 }
 
-static void heal(fleet_t *f)
+static void heal(gossip_t *f)
 {
 	f->loss = 0;
 	f->straggle = 0;
@@ -117,28 +117,28 @@
 	f->platform_stale = false;
 	for (uint32_t i = 0; i < f->count; i++)
 		f->hosts[i].side = 0;
-	fleet_start(f, 0);
-	fleet_publish_hosts(f);
-	fleet_run(f, QUIET);
+	gossip_start(f, 0);
+	gossip_publish_hosts(f);
+	gossip_run(f, QUIET);
 }
 
 static void run_seed(uint64_t seed, uint32_t count)
 {
-	fleet_t f;
+	gossip_t f;
 	seen_t *seen = calloc((size_t)count * count, sizeof(*seen));
 
-	fleet_init(&f, count, seed);
+	gossip_init(&f, count, seed);
 	f.loss = pimento_random_unit(&f.random) * 0.2;
 	f.delay_max = 5 * PIMENTO_MSEC;
 	f.straggle = 0.01;
-	fleet_publish(&f, SPREAD_CONFIG, fleet_config(&f, 3000));
-	fleet_publish_hosts(&f);
+	gossip_publish(&f, SPREAD_CONFIG, gossip_config(&f, 3000));
+	gossip_publish_hosts(&f);
 	for (uint32_t i = 0; i < count; i++)
-		fleet_start(&f, i);
+		gossip_start(&f, i);
 	for (uint32_t i = 0; i < ACTIONS; i++) {
 		for (uint32_t j = 0; j < 4; j++) {
-			fleet_run(&f, (pimento_usec_t)pimento_random_below(
-					      &f.random, PIMENTO_SEC));
+			gossip_run(&f, (pimento_usec_t)pimento_random_below(
+					       &f.random, PIMENTO_SEC));
 			check_leaving(&f, seen);
 		}
 		act(&f);
@@ -147,17 +147,18 @@
 	check_leaving(&f, seen);
 	ck_assert_msg(!f.problems, "seed %llu: %llu problems",
 		      (unsigned long long)seed, (unsigned long long)f.problems);
-	ck_assert_msg(!fleet_misjudged(&f), "seed %llu, %u hosts: %u misjudged",
-		      (unsigned long long)seed, count, fleet_misjudged(&f));
-	ck_assert_msg(!fleet_disputed_owners(&f, ENDPOINTS),
+	ck_assert_msg(!gossip_misjudged(&f),
+		      "seed %llu, %u hosts: %u misjudged",
+		      (unsigned long long)seed, count, gossip_misjudged(&f));
+	ck_assert_msg(!gossip_disputed_owners(&f, ENDPOINTS),
 		      "seed %llu: owners disputed", (unsigned long long)seed);
-	ck_assert_msg(fleet_in_force(&f, SPREAD_CONFIG) == fleet_up(&f) &&
-			      fleet_in_force(&f, SPREAD_HOSTS) == fleet_up(&f),
-		      "seed %llu: in force at %u and %u of %u",
-		      (unsigned long long)seed,
-		      fleet_in_force(&f, SPREAD_CONFIG),
-		      fleet_in_force(&f, SPREAD_HOSTS), fleet_up(&f));
-	fleet_finish(&f);
+	ck_assert_msg(
+		gossip_in_force(&f, SPREAD_CONFIG) == gossip_up(&f) &&
+			gossip_in_force(&f, SPREAD_HOSTS) == gossip_up(&f),
+		"seed %llu: in force at %u and %u of %u",
+		(unsigned long long)seed, gossip_in_force(&f, SPREAD_CONFIG),
+		gossip_in_force(&f, SPREAD_HOSTS), gossip_up(&f));
+	gossip_finish(&f);
 	free(seen);
 }
 
@@ -167,9 +168,9 @@
  * leave lasting marks, some endpoint would have two owners or none for good,
  * or a host would go on serving under a configuration that was withdrawn.
  */
-START_TEST(fleet_agrees_after_any_faults)
+START_TEST(gossip_agrees_after_any_faults)
 {
-	const char *seed = getenv("FLEET_SEED");
+	const char *seed = getenv("GOSSIP_SEED");
 	uint64_t base = seed ? strtoull(seed, NULL, 10) : 1;
 
 	printf("fleet: seed %llu\n", (unsigned long long)base + (uint64_t)_i);
@@ -178,32 +179,32 @@
 }
 END_TEST
 
-static void quiet_fleet(fleet_t *f, uint32_t count)
+static void quiet_fleet(gossip_t *f, uint32_t count)
 {
-	fleet_init(f, count, 5);
-	fleet_publish(f, SPREAD_CONFIG, fleet_config(f, 20000));
-	fleet_publish_hosts(f);
+	gossip_init(f, count, 5);
+	gossip_publish(f, SPREAD_CONFIG, gossip_config(f, 20000));
+	gossip_publish_hosts(f);
 	for (uint32_t i = 0; i < count; i++)
-		fleet_start(f, i);
-	fleet_publish_hosts(f);
-	fleet_run(f, 20 * PIMENTO_SEC);
-	ck_assert_uint_eq(fleet_misjudged(f), 0);
+		gossip_start(f, i);
+	gossip_publish_hosts(f);
+	gossip_run(f, 20 * PIMENTO_SEC);
+	ck_assert_uint_eq(gossip_misjudged(f), 0);
 }
 
 /* Span until the check counts zero, or the limit. */
-static pimento_usec_t until(fleet_t *f, uint32_t (*count)(const fleet_t *),
+static pimento_usec_t until(gossip_t *f, uint32_t (*count)(const gossip_t *),
 			    pimento_usec_t limit)
 {
 	pimento_usec_t start = f->now;
 
 	while (f->now - start < limit && count(f))
-		fleet_run(f, 50 * PIMENTO_MSEC);
+		gossip_run(f, 50 * PIMENTO_MSEC);
 	return f->now - start;
 }
 
-static uint32_t not_in_force(const fleet_t *f)
+static uint32_t not_in_force(const gossip_t *f)
 {
-	return fleet_up(f) - fleet_in_force(f, SPREAD_CONFIG);
+	return gossip_up(f) - gossip_in_force(f, SPREAD_CONFIG);
 }
 
 /*
@@ -213,21 +214,21 @@
  */
 START_TEST(cut_heals)
 {
-	fleet_t f;
+	gossip_t f;
 
 	quiet_fleet(&f, 12);
 	for (uint32_t i = 0; i < 6; i++)
 		f.hosts[i].side = 1;
-	fleet_run(&f, 60 * PIMENTO_SEC);
+	gossip_run(&f, 60 * PIMENTO_SEC);
 	ck_assert_uint_eq(member_live(&f.hosts[0].member, NULL, 0), 6);
 	ck_assert_uint_eq(member_live(&f.hosts[11].member, NULL, 0), 6);
 	ck_assert_double_eq(member_share(&f.hosts[0].member), 0.5);
 	for (uint32_t i = 0; i < 6; i++)
 		f.hosts[i].side = 0;
-	ck_assert_int_lt(until(&f, fleet_misjudged, 60 * PIMENTO_SEC),
+	ck_assert_int_lt(until(&f, gossip_misjudged, 60 * PIMENTO_SEC),
 			 6 * PIMENTO_SEC);
-	ck_assert_uint_eq(fleet_disputed_owners(&f, ENDPOINTS), 0);
-	fleet_finish(&f);
+	ck_assert_uint_eq(gossip_disputed_owners(&f, ENDPOINTS), 0);
+	gossip_finish(&f);
 }
 END_TEST
 
@@ -239,13 +240,13 @@
 {
 	static const uint32_t sizes[] = { 3, 8, 50 };
 	static const int limits[] = { 4, 4, 7 };
-	fleet_t f;
+	gossip_t f;
 
 	quiet_fleet(&f, sizes[_i]);
-	fleet_kill(&f, 1);
-	ck_assert_int_lt(until(&f, fleet_misjudged, 60 * PIMENTO_SEC),
+	gossip_kill(&f, 1);
+	ck_assert_int_lt(until(&f, gossip_misjudged, 60 * PIMENTO_SEC),
 			 limits[_i] * PIMENTO_SEC);
-	fleet_finish(&f);
+	gossip_finish(&f);
 }
 END_TEST
 
@@ -256,18 +257,18 @@
  */
 START_TEST(host_starts_with_the_platform_down)
 {
-	fleet_t f;
+	gossip_t f;
 
 	quiet_fleet(&f, 8);
 	f.platform_down = true;
-	fleet_kill(&f, 3);
-	fleet_run(&f, 10 * PIMENTO_SEC);
-	fleet_start(&f, 3);
+	gossip_kill(&f, 3);
+	gossip_run(&f, 10 * PIMENTO_SEC);
+	gossip_start(&f, 3);
 	ck_assert_int_lt(until(&f, not_in_force, 60 * PIMENTO_SEC),
 			 2 * PIMENTO_SEC);
-	ck_assert_int_lt(until(&f, fleet_misjudged, 60 * PIMENTO_SEC),
+	ck_assert_int_lt(until(&f, gossip_misjudged, 60 * PIMENTO_SEC),
 			 6 * PIMENTO_SEC);
-	fleet_finish(&f);
+	gossip_finish(&f);
 }
 END_TEST
 
@@ -279,26 +280,26 @@
 START_TEST(configuration_is_in_force_within_seconds)
 {
 	static const uint32_t sizes[] = { 3, 8, 50 };
-	fleet_t f;
+	gossip_t f;
 
 	quiet_fleet(&f, sizes[_i]);
 	f.loss = 0.05;
 	for (uint32_t i = 0; i < 20; i++) {
-		fleet_publish(&f, SPREAD_CONFIG, fleet_config(&f, 20000));
+		gossip_publish(&f, SPREAD_CONFIG, gossip_config(&f, 20000));
 		ck_assert_int_lt(until(&f, not_in_force, 60 * PIMENTO_SEC),
 				 3 * PIMENTO_SEC);
-		fleet_run(&f, PIMENTO_SEC);
+		gossip_run(&f, PIMENTO_SEC);
 	}
 	ck_assert_uint_eq(f.problems, 0);
-	fleet_finish(&f);
+	gossip_finish(&f);
 }
 END_TEST
 
 int main(void)
 {
-	Suite *suite = suite_create("fleet");
-	TCase *tc = tcase_create("fleet");
-	const char *runs = getenv("FLEET_RUNS");
+	Suite *suite = suite_create("gossip");
+	TCase *tc = tcase_create("gossip");
+	const char *runs = getenv("GOSSIP_RUNS");
 	SRunner *runner;
 	int failed;
 
@@ -307,7 +308,7 @@
 	tcase_add_loop_test(tc, dead_host_is_known_within_seconds, 0, 3);
 	tcase_add_test(tc, host_starts_with_the_platform_down);
 	tcase_add_loop_test(tc, configuration_is_in_force_within_seconds, 0, 3);
-	tcase_add_loop_test(tc, fleet_agrees_after_any_faults, 0,
+	tcase_add_loop_test(tc, gossip_agrees_after_any_faults, 0,
 			    runs ? atoi(runs) : RUNS);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
