--- a/src/config.h
+++ b/src/config.h
@@ -137,6 +137,9 @@
 bool pimento_config_call_overlaps(const char *method_a, const char *path_a,
 				  const char *method_b, const char *path_b);
 
+/* Puts the endpoints in the order that look-ups need; parsing does it. */
+void pimento_config_sort(pimento_config_t *config);
+
 const config_endpoint_t *pimento_config_endpoint(const pimento_config_t *config,
 						 pimento_id_t id);
 const config_account_t *
