--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -12,7 +12,8 @@
 #include <string.h>
 
 #define ROOM_PART 8 /* one slot in so many is kept for more urgent tiers */
-#define PREFILL_SPAN 1.0 /* seconds of prompts that may queue at the engine */
+#define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
+#define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
 #define PEAK_SPAN (30 * PIMENTO_SEC)
 #define FOREIGN_SPAN (10 * PIMENTO_SEC)
 
@@ -76,13 +77,46 @@
 	return slots - (room ? room : 1);
 }
 
-static bool prefill_fits(const owner_endpoint_t *e, const reservation_t *r)
+static uint32_t tokens_left(const reservation_t *r)
+{
+	uint32_t least = r->asked.answer_tokens / ESTIMATE_PART;
+
+	if (r->answered + least >= r->asked.answer_tokens)
+		return least;
+	return r->asked.answer_tokens - r->answered;
+}
+
+/*
+ * While an engine reads a long prompt it hardly makes tokens, so each prompt
+ * let in puts off all answers in progress. One prompt after another would keep
+ * them from ever being done in time; an answer's slack says how much it bears.
+ */
+static bool slack_suffices(const owner_endpoint_t *e, pimento_usec_t now,
+			   pimento_usec_t reading)
+{
+	for (const reservation_t *r = e->flight; r; r = r->older) {
+		pimento_usec_t left = r->item.deadline - now;
+
+		if (!r->item.deadline)
+			continue;
+		left -= limit_making(&e->limit, tokens_left(r));
+		if (left > 0 && left < reading)
+			return false;
+	}
+	return true;
+}
+
+static bool prefill_fits(const owner_endpoint_t *e, pimento_usec_t now,
+			 const reservation_t *r)
 {
-	double rate = limit_prefill_rate(&e->limit);
+	uint32_t prompt = r->asked.prompt_tokens;
 
-	if (!r->item.tier || !e->prefilling || rate <= 0)
+	if (!r->item.tier || !prompt)
 		return true;
-	return e->prefilling + r->asked.prompt_tokens <= rate * PREFILL_SPAN;
+	if (limit_reading(&e->limit, e->prefilling, 0) > PREFILL_SPAN)
+		return false;
+	return slack_suffices(e, now,
+			      limit_reading(&e->limit, e->prefilling, prompt));
 }
 
 bool endpoint_fits(const owner_endpoint_t *e, pimento_usec_t now,
@@ -92,7 +126,7 @@
 		return false;
 	if (e->running >= endpoint_slots(e, now, r->item.tier))
 		return false;
-	return prefill_fits(e, r);
+	return prefill_fits(e, now, r);
 }
 
 pimento_usec_t endpoint_service(const owner_endpoint_t *e,
@@ -102,16 +136,31 @@
 			     asked->answer_tokens);
 }
 
+pimento_usec_t endpoint_work(const owner_endpoint_t *e,
+			     const message_reserve_t *asked)
+{
+	return limit_work(&e->limit, asked->prompt_tokens,
+			  asked->answer_tokens);
+}
+
+/* Until the first of the slots in use is free again. */
+static pimento_usec_t next_slot(const owner_endpoint_t *e)
+{
+	uint32_t mean = (uint32_t)(e->running_tokens / e->running);
+
+	return limit_service(&e->limit, 0, 0, mean) / e->running;
+}
+
 pimento_usec_t endpoint_wait(const owner_endpoint_t *e, pimento_usec_t now,
 			     uint8_t tier)
 {
-	uint32_t slots = endpoint_slots(e, now, tier);
-	pimento_usec_t work = queue_work(&e->queue, tier);
+	pimento_usec_t wait = queue_work(&e->queue, tier);
 
-	if (!work && e->running < slots)
-		return 0;
-	/* What is in flight is on average half done. */
-	return (work + e->running_work / 2) / slots;
+	if (tier)
+		wait += limit_reading(&e->limit, e->prefilling, 0);
+	if (e->running && e->running >= endpoint_slots(e, now, tier))
+		wait += next_slot(e);
+	return wait;
 }
 
 static void peak_note(owner_endpoint_t *e, pimento_usec_t now)
@@ -135,20 +184,12 @@
 		e->flight->newer = r;
 	e->flight = r;
 	e->running++;
-	e->running_work += r->item.work;
 	e->running_tokens += r->asked.answer_tokens;
 	if (!r->first_token)
 		e->prefilling += r->asked.prompt_tokens;
 	peak_note(e, now);
 }
 
-static uint32_t tokens_left(const reservation_t *r)
-{
-	if (r->answered >= r->asked.answer_tokens)
-		return 0;
-	return r->asked.answer_tokens - r->answered;
-}
-
 void endpoint_stop(owner_endpoint_t *e, reservation_t *r)
 {
 	endpoint_read(e, r);
@@ -159,7 +200,6 @@
 	else
 		e->flight = r->older;
 	e->running--;
-	e->running_work -= r->item.work;
 	e->running_tokens -= tokens_left(r);
 }
 
