config: refuse two endpoints at one place

Cause: one process under two names would have two owners and get twice its limit; the questionnaire refused it, the configuration did not. Ruled out: comparing every pair (16384 endpoints); they are sorted instead. Change: check_places(), and a case of the table. Conclusion: the generated configuration and a hand-written one are checked alike.

--- a/src/config_parse.c
+++ b/src/config_parse.c
@@ -447,6 +447,50 @@
 	return error;
 }
 
+static int compare_places(const void *left, const void *right)
+{
+	const raw_endpoint_t *a = *(const raw_endpoint_t *const *)left;
+	const raw_endpoint_t *b = *(const raw_endpoint_t *const *)right;
+	int order = strcmp(a->endpoint.address, b->endpoint.address);
+
+	if (order)
+		return order;
+	if (a->endpoint.port != b->endpoint.port)
+		return a->endpoint.port < b->endpoint.port ? -1 : 1;
+	return (a > b) - (a < b);
+}
+
+static bool same_place(const config_endpoint_t *a, const config_endpoint_t *b)
+{
+	return a->port && a->port == b->port && !strcmp(a->address, b->address);
+}
+
+/*
+ * One process under two names would have two owners, each of which believes
+ * that what the other let in is not there; it would get twice its limit.
+ */
+static int check_places(const reader_t *reader)
+{
+	const raw_endpoint_t **sorted = calloc(
+		(size_t)reader->endpoint_count + 1, sizeof(const void *));
+
+	if (!sorted)
+		return PIMENTO_ENOMEM;
+	for (uint32_t i = 0; i < reader->endpoint_count; i++)
+		sorted[i] = &reader->endpoints[i];
+	qsort((void *)sorted, reader->endpoint_count, sizeof(const void *),
+	      compare_places);
+	for (uint32_t i = 1; i < reader->endpoint_count; i++)
+		if (same_place(&sorted[i - 1]->endpoint, &sorted[i]->endpoint))
+			fields_problem(
+				&reader->source, reader->root, "endpoint",
+				(uint32_t)(sorted[i] - reader->endpoints),
+				"port", "endpoint \"%s\" is at the same place",
+				sorted[i - 1]->endpoint.name);
+	free((void *)sorted);
+	return PIMENTO_OK;
+}
+
 /* Two accounts with one key could not be told apart. */
 static void check_key_hashes(const reader_t *reader)
 {
@@ -524,6 +568,8 @@
 {
 	int error = check_unique(reader);
 
+	if (!error)
+		error = check_places(reader);
 	if (error)
 		return error;
 	split_targets(reader);
--- a/test/test_config.c
+++ b/test/test_config.c
@@ -139,6 +139,10 @@
 		"target = \"service:no\"\naddress = \"localhost\"\nport = 0\n"
 		"concurrency = true\n",
 	  "endpoint[3].address: must be an IP number", 5 },
+	{ WHOLE "[[endpoint]]\nname = \"e9\"\ndatacentre = \"m\"\n"
+		"target = \"model:planner\"\naddress = \"127.0.0.1\"\n"
+		"port = 7101\nconcurrency = 1\n",
+	  "endpoint[3].port: endpoint \"e1\" is at the same place", 1 },
 	{ "digest = \"0123456789abcdef\"\n" WHOLE,
 	  "c.toml:1: digest: does not fit the text", 1 },
 	{ TOP "digest = \"0123456789abcdef\"\n" TIERS ACCOUNTS CONTRACTS
