--- a/daemon/pimentod.c
+++ b/daemon/pimentod.c
@@ -19,6 +19,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define SETTINGS_MAX ((size_t)256 * 1024)
 
@@ -77,7 +78,8 @@
 
 static int serve(const settings_t *settings)
 {
-	platform_t platform;
+	static platform_t platform;
+	bool joined;
 	http_t http = { 0 };
 	uint32_t left;
 	int error = control_init(&control, settings);
@@ -99,10 +101,12 @@
 		log_line(LOG_LEVEL_ERROR, "pimentod",
 			 "stopped at the limit with %u requests in progress",
 			 left);
-	platform_finish(&platform);
+	joined = platform_finish(&platform);
 	http_finish(&http);
-	control_finish(&control);
 	log_line(LOG_LEVEL_INFO, "pimentod", "stopped");
+	if (!joined)
+		_exit(left ? EXIT_FAILURE : EXIT_SUCCESS);
+	control_finish(&control);
 	return left ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
--- a/io/call.h
+++ b/io/call.h
@@ -40,7 +40,7 @@
 	size_t body_size;
 	bool model;
 	bool stream; /* answer as server-sent events */
-	uint8_t tier;
+	char tier[PIMENTO_NAME_MAX];
 	pimento_usec_t began;
 	pimento_usec_t patience;
 	pimento_handle_t handle;
--- a/io/control.c
+++ b/io/control.c
@@ -105,7 +105,9 @@
 	control->calls = calloc(control->calls_max, sizeof(call_t *));
 	if (!control->calls)
 		return PIMENTO_ENOMEM;
-	error = init_wake(control);
+	error = burn_init(&control->burn);
+	if (!error)
+		error = init_wake(control);
 	if (!error)
 		error = init_host(control);
 	if (!error)
@@ -119,6 +121,7 @@
 		call_drop(control->calls[i]);
 	free(control->calls);
 	link_finish(&control->links);
+	burn_finish(&control->burn);
 	if (control->host)
 		pimento_host_finish(control->host);
 	free(control->host);
@@ -259,6 +262,15 @@
 	return commit.error;
 }
 
+/* Good is a whole answer while the caller still cares. */
+static void count_answer(control_t *control, const call_t *call, bool whole)
+{
+	pimento_usec_t now = sys_now();
+	bool in_time = now - call->began <= call->patience;
+
+	burn_add(&control->burn, call->tier, whole && in_time, now);
+}
+
 typedef struct event {
 	call_t *call;
 	const pimento_event_t *event;
@@ -271,9 +283,8 @@
 
 	pimento_host_event(control->host, sys_now(), call->handle,
 			   event->event);
-	if (event->event->kind == PIMENTO_EVENT_DONE && control->on_answer)
-		control->on_answer(control, call,
-				   sys_now() - call->began <= call->patience);
+	if (event->event->kind == PIMENTO_EVENT_DONE)
+		count_answer(control, call, true);
 }
 
 void control_event(control_t *control, call_t *call,
@@ -323,6 +334,24 @@
 		 (unsigned long long)config->revision, config->endpoint_count);
 }
 
+/* One log line for each mistake; the last accepted text stays in force. */
+static void act_refused_text(control_t *control)
+{
+	uint64_t revision;
+	const char *line = pimento_host_problems(control->host, &revision);
+
+	log_line(LOG_LEVEL_WARNING, "config",
+		 "revision %llu refused, the last one stays in force",
+		 (unsigned long long)revision);
+	while (line && *line) {
+		size_t length = strcspn(line, "\n");
+
+		log_line(LOG_LEVEL_WARNING, "config", "%.*s", (int)length,
+			 line);
+		line += length + (line[length] == '\n');
+	}
+}
+
 static void cancel_call(call_t *call)
 {
 	pthread_mutex_lock(&call->lock);
@@ -365,8 +394,7 @@
 	log_line(LOG_LEVEL_DEBUG, "entry", "refused a request: %s, %s",
 		 pimento_strerror(action->error),
 		 pimento_verdict_name(action->verdict));
-	if (control->on_answer)
-		control->on_answer(control, call, false);
+	count_answer(control, call, false);
 	call_refuse(call, action);
 	forget_call(control, call);
 }
@@ -379,6 +407,7 @@
 		call_begin(call, action->status, "application/json");
 		call_write(call, action->answer, action->answer_size);
 		call_end(call);
+		count_answer(control, call, true);
 		forget_call(control, call);
 	}
 	free(action->answer);
@@ -411,6 +440,9 @@
 	case PIMENTO_ACTION_HOSTS:
 		act_hosts(control);
 		return;
+	case PIMENTO_ACTION_REFUSED_TEXT:
+		act_refused_text(control);
+		return;
 	case PIMENTO_ACTION_NONE:
 	default:
 		return;
--- a/io/control.h
+++ b/io/control.h
@@ -6,6 +6,7 @@
  * to touch them. Other threads hand it a command and wait for it to be done.
  */
 
+#include "burn.h"
 #include "call.h"
 #include "host.h"
 #include "link.h"
@@ -48,7 +49,7 @@
 	pimento_usec_t stop_at;
 	pimento_usec_t next_links;
 	control_counters_t counters;
-	void (*on_answer)(control_t *control, const call_t *call, bool good);
+	burn_t burn;
 };
 
 /* settings are borrowed. Returns 0, PIMENTO_EIO or PIMENTO_ENOMEM. */
--- a/io/http.c
+++ b/io/http.c
@@ -5,6 +5,7 @@
  */
 
 #include "http.h"
+#include "burn_json.h"
 #include "log.h"
 #include "status.h"
 #include "sys.h"
@@ -231,7 +232,8 @@
 		memcpy(call->body, http->binary_body, http->binary_body_length);
 	call->body_size = http->binary_body_length;
 	call->model = in->request.model;
-	call->tier = in->request.tier;
+	memcpy(call->tier, in->config->tiers[in->request.tier].name,
+	       sizeof(call->tier));
 	call->began = sys_now();
 	call->patience = in->request.patience;
 	in->request.digest = XXH3_64bits(call->body, call->body_size);
@@ -639,6 +641,34 @@
 	return U_CALLBACK_COMPLETE;
 }
 
+typedef struct burn_text {
+	char *text;
+} burn_text_t;
+
+static void run_burn(control_t *control, void *argument)
+{
+	burn_text_t *burn = argument;
+
+	burn->text = burn_json_write(
+		&control->burn, pimento_host_config(control->host), sys_now());
+}
+
+static int on_burn(const struct _u_request *request,
+		   struct _u_response *response, void *data)
+{
+	http_t *http = data;
+	burn_text_t burn = { NULL };
+
+	(void)request;
+	control_call(http->control, run_burn, &burn);
+	if (!burn.text)
+		return refuse_early(response, PIMENTO_ELEAVING, NULL);
+	u_map_put(response->map_header, "Content-Type", "application/json");
+	ulfius_set_string_body_response(response, 200, burn.text);
+	free(burn.text);
+	return U_CALLBACK_COMPLETE;
+}
+
 typedef struct page {
 	const char *method;
 	const char *path;
@@ -653,6 +683,7 @@
 	{ "GET", "/healthz", on_health },
 	{ "GET", "/status", on_status },
 	{ "GET", "/metrics", on_metrics },
+	{ "GET", "/burn", on_burn },
 };
 
 static int add_pages(http_t *http)
--- a/io/platform.c
+++ b/io/platform.c
@@ -21,6 +21,7 @@
 #define REPORTS_PERIOD PIMENTO_SEC
 #define REPORT_TIMEOUT_SECONDS 1
 #define REPORTS_MAX 128
+#define FINISH_TIMEOUT (200 * PIMENTO_MSEC)
 #define URL_MAX 256
 
 /* Sleeps, but not beyond the end of the process. */
@@ -101,12 +102,6 @@
 		reading.length = response->binary_body_length;
 	}
 	control_call(reader->control, run_reading, &reading);
-	if (reading.error && reading.error != PIMENTO_ESTALE)
-		log_line(LOG_LEVEL_WARNING, "platform",
-			 "%s revision %llu refused: %s",
-			 reader->hosts ? "host list" : "configuration",
-			 (unsigned long long)reading.revision,
-			 pimento_strerror(reading.error));
 	if (reading.revision > reader->revision)
 		reader->revision = reading.revision;
 }
@@ -169,6 +164,7 @@
 		else if (sys_now() - begun < NAP)
 			rest(control, NAP);
 	}
+	reader->platform->running--;
 	return NULL;
 }
 
@@ -272,6 +268,7 @@
 			read_report(control, &list.targets[i]);
 		rest(control, REPORTS_PERIOD);
 	}
+	platform->running--;
 	return NULL;
 }
 
@@ -283,23 +280,36 @@
 		platform_reader_t *reader = &platform->readers[i];
 
 		reader->control = control;
+		reader->platform = platform;
 		reader->hosts = i == 1;
 		if (pthread_create(&reader->thread, NULL, run_reader, reader))
 			return PIMENTO_EIO;
 		reader->started = true;
+		platform->running++;
 	}
 	if (pthread_create(&platform->reports, NULL, run_reports, platform))
 		return PIMENTO_EIO;
 	platform->reports_started = true;
+	platform->running++;
 	return PIMENTO_OK;
 }
 
-void platform_finish(platform_t *platform)
+bool platform_finish(platform_t *platform)
 {
+	pimento_usec_t end = sys_now() + FINISH_TIMEOUT;
+	bool done = false;
+
+	while (!done && sys_now() < end) {
+		usleep((useconds_t)NAP);
+		done = !platform->running;
+	}
+	if (!done)
+		return false;
 	for (int i = 0; i < 2; i++) {
 		if (platform->readers[i].started)
 			pthread_join(platform->readers[i].thread, NULL);
 	}
 	if (platform->reports_started)
 		pthread_join(platform->reports, NULL);
+	return true;
 }
--- a/io/platform.h
+++ b/io/platform.h
@@ -10,7 +10,10 @@
 
 #include "control.h"
 
+struct platform;
+
 typedef struct platform_reader {
+	struct platform *platform;
 	control_t *control;
 	bool hosts; /* the host list, else the configuration */
 	uint64_t revision; /* newest that the platform gave */
@@ -23,11 +26,16 @@
 	platform_reader_t readers[2];
 	pthread_t reports;
 	bool reports_started;
+	atomic_int running; /* threads not at their end */
 } platform_t;
 
 int platform_init(platform_t *platform, control_t *control);
 
-/* Waits for the threads; control->stopped must be set. */
-void platform_finish(platform_t *platform);
+/*
+ * Waits a moment for the threads; control->stopped must be set. Returns false
+ * if one still waits for the platform's answer to a watch. Such a thread holds
+ * nothing, but what it uses may not be freed: the process must simply end.
+ */
+bool platform_finish(platform_t *platform);
 
 #endif
--- a/pimentoshelf.h
+++ b/pimentoshelf.h
@@ -187,6 +187,7 @@
 	PIMENTO_ACTION_END, /* the request is over; its handle is no more */
 	PIMENTO_ACTION_CONFIG, /* another configuration is in force */
 	PIMENTO_ACTION_HOSTS, /* another host list is in force */
+	PIMENTO_ACTION_REFUSED_TEXT, /* see pimento_host_problems() */
 } pimento_action_kind_t;
 
 typedef struct pimento_action {
@@ -317,6 +318,13 @@
 struct pimento_config *pimento_host_config(const pimento_host_t *host);
 const struct hostlist *pimento_host_list(const pimento_host_t *host);
 
+/*
+ * The mistakes for which a published text was refused last, a line each, and
+ * its revision; NULL if none was. All hosts come to the same result.
+ */
+const char *pimento_host_problems(const pimento_host_t *host,
+				  uint64_t *revision);
+
 /* False from a pause of this process until what it holds was confirmed. */
 bool pimento_host_fresh(const pimento_host_t *host);
 
--- a/src/host.c
+++ b/src/host.c
@@ -137,6 +137,7 @@
 	pimento_config_drop(host->config);
 	hostlist_finish(&host->hosts);
 	free(host->endpoints);
+	free(host->problems);
 	memset(host, 0, sizeof(*host));
 }
 
@@ -239,6 +240,16 @@
 	return PIMENTO_OK;
 }
 
+/* Keeps the mistakes, for whoever must mend the answers and publish again. */
+static void note_refused(pimento_host_t *host, uint64_t revision,
+			 problems_t *problems)
+{
+	free(host->problems);
+	host->problems = problems->text ? strdup(problems->text) : NULL;
+	host->refused_revision = revision;
+	host->refused_changed = true;
+}
+
 /* Switching is one step of the control thread: no request sees two halves. */
 static int take_config(pimento_host_t *host, pimento_usec_t now,
 		       uint64_t revision, const char *text, size_t length)
@@ -254,6 +265,8 @@
 	problems_init(&problems);
 	error = pimento_config_parse(&box->config, text, length,
 				     "configuration", &problems);
+	if (error)
+		note_refused(host, revision, &problems);
 	problems_finish(&problems);
 	if (error) {
 		free(box);
@@ -286,6 +299,8 @@
 
 	problems_init(&problems);
 	error = hostlist_parse(&list, text, length, &problems);
+	if (error)
+		note_refused(host, revision, &problems);
 	problems_finish(&problems);
 	if (error)
 		return error;
@@ -616,6 +631,11 @@
 		action->kind = PIMENTO_ACTION_HOSTS;
 		return 1;
 	}
+	if (host->refused_changed) {
+		host->refused_changed = false;
+		action->kind = PIMENTO_ACTION_REFUSED_TEXT;
+		return 1;
+	}
 	if (next_message(host, &action->peer)) {
 		action->kind = PIMENTO_ACTION_SEND;
 		action->message = &host->scratch;
@@ -634,6 +654,13 @@
 	return &host->hosts;
 }
 
+const char *pimento_host_problems(const pimento_host_t *host,
+				  uint64_t *revision)
+{
+	*revision = host->refused_revision;
+	return host->problems;
+}
+
 /* Chooses witnesses among the live hosts, this one first. */
 static void choose_witnesses(pimento_host_t *host, witness_set_t *set)
 {
--- a/src/host.h
+++ b/src/host.h
@@ -39,6 +39,9 @@
 	uint64_t changes; /* of membership, as far as taken over */
 	uint64_t next_epoch;
 	uint64_t config_refused; /* revision that failed its checks */
+	uint64_t refused_revision; /* of either text */
+	char *problems; /* why it was refused */
+	bool refused_changed;
 	pimento_usec_t started;
 	pimento_usec_t now; /* of the latest call */
 	pimento_usec_t next_digest;
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -45,16 +45,6 @@
 	"[[tier]]\nname = \"charge\"\nrank = 0\npatience_ms = 10000\n"
 	"[[tier]]\nname = \"parent\"\nrank = 1\npatience_ms = 20000\n"
 	"[[tier]]\nname = \"summary\"\nrank = 2\npatience_ms = 60000\n"
-	"[[service]]\nname = \"orders\"\nprefix = \"/orders\"\n"
-	"[[contract]]\nname = \"charge\"\naccount = \"*\"\n"
-	"target = \"service:orders\"\ntier = \"charge\"\n"
-	"repeatable = false\nmethod = \"POST\"\npath = \"/charge\"\n"
-	"[[contract]]\nname = \"skip\"\naccount = \"*\"\n"
-	"target = \"service:orders\"\ntier = \"charge\"\n"
-	"repeatable = false\nmethod = \"POST\"\npath = \"/skip\"\n"
-	"[[contract]]\nname = \"status\"\naccount = \"*\"\n"
-	"target = \"service:orders\"\ntier = \"parent\"\n"
-	"repeatable = true\n"
 	"[[contract]]\nname = \"weekly-box\"\naccount = \"*\"\n"
 	"target = \"model:planner\"\ntier = \"parent\"\n"
 	"repeatable = true\nanswer_tokens = 64\n"
@@ -68,6 +58,19 @@
 	"target = \"model:planner\"\ntier = \"summary\"\n"
 	"repeatable = true\nanswer_tokens = 256\n";
 
+/* Only with services: a contract without an endpoint is a mistake. */
+static const char service_contracts[] =
+	"[[service]]\nname = \"orders\"\nprefix = \"/orders\"\n"
+	"[[contract]]\nname = \"charge\"\naccount = \"*\"\n"
+	"target = \"service:orders\"\ntier = \"charge\"\n"
+	"repeatable = false\nmethod = \"POST\"\npath = \"/charge\"\n"
+	"[[contract]]\nname = \"skip\"\naccount = \"*\"\n"
+	"target = \"service:orders\"\ntier = \"charge\"\n"
+	"repeatable = false\nmethod = \"POST\"\npath = \"/skip\"\n"
+	"[[contract]]\nname = \"status\"\naccount = \"*\"\n"
+	"target = \"service:orders\"\ntier = \"parent\"\n"
+	"repeatable = true\nmethod = \"GET\"\npath = \"/status\"\n";
+
 static void add_account(text_t *text, const char *name, const char *key)
 {
 	unsigned char hash[KEY_HASH_SIZE];
@@ -102,6 +105,8 @@
 {
 	text->length = 0;
 	add(text, "%s", head);
+	if (fleet->options.services)
+		add(text, "%s", service_contracts);
 	add_account(text, "shop", FLEET_KEY);
 	add_account(text, "other", FLEET_OTHER_KEY);
 	for (int i = 0; i < fleet->options.engines; i++)
