member: the freshest news goes first

Cause: rumours were told in turn. Ruled out: more facts on a message (bytes grow for every probe); fewer tells (a rumour then misses hosts, and only the rotation finds them). Change: a message takes the subjects told least often, in turn among equals. Conclusion: the time to know of a death no longer depends on what else is being told.

--- a/src/member.h
+++ b/src/member.h
@@ -56,6 +56,7 @@
 	uint32_t order_count;
 	uint32_t order_next;
 	uint32_t untold; /* subjects with something left to tell */
+	uint32_t telling; /* number of the message being filled */
 	uint32_t tell_next; /* where the next message goes on telling */
 	uint32_t sweep_next; /* likewise for facts that nobody asked for */
 	pimento_id_t urgent; /* probed next, out of turn; 0 none */
--- a/src/subject.c
+++ b/src/subject.c
@@ -223,21 +223,47 @@
 		put_fact(p, h, HOST_LIVE);
 }
 
+/*
+ * The subject told least often that this message does not tell yet, in turn
+ * among those told equally often; NULL when there is none.
+ */
+static member_host_t *freshest(member_t *m)
+{
+	member_host_t *best = NULL;
+	uint32_t at = 0;
+
+	for (uint32_t i = 0; i < m->count; i++) {
+		uint32_t j = (m->tell_next + i) % m->count;
+		member_host_t *h = &m->hosts[j];
+
+		if (!h->untold || h->told == m->telling)
+			continue;
+		if (best && h->untold <= best->untold)
+			continue;
+		best = h;
+		at = j;
+	}
+	m->tell_next = at + 1;
+	return best;
+}
+
+/*
+ * The freshest news goes first. When a data centre starts or is lost, word of
+ * it fills every message for a minute or more; a death told in turn with the
+ * rest would wait that long, and requests with the dead host.
+ */
 void subject_put_rumours(member_t *m, message_probe_t *p)
 {
 	uint32_t room = MESSAGE_FACTS_MAX - SWEEP - 1;
 
-	for (uint32_t i = 0; i < m->count && m->untold; i++) {
-		member_host_t *h;
+	m->telling++;
+	while (m->untold && p->count < room) {
+		member_host_t *h = freshest(m);
 
-		if (p->count >= room)
+		if (!h)
 			break;
-		if (m->tell_next >= m->count)
-			m->tell_next = 0;
-		h = &m->hosts[m->tell_next++];
-		if (!h->untold)
-			continue;
 		subject_put(p, h);
+		h->told = m->telling;
 		if (!--h->untold)
 			m->untold--;
 	}
--- a/src/subject.h
+++ b/src/subject.h
@@ -23,6 +23,7 @@
 	pimento_usec_t heard;
 	uint32_t version; /* 0: never told by the subject */
 	uint32_t acked; /* number of the pause since which it acked */
+	uint32_t told; /* number of the last message that told it */
 	uint8_t rank;
 	uint8_t untold; /* messages that shall still carry it */
 	bool has_left;
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -481,6 +481,22 @@
 	return n;
 }
 
+uint32_t fleet_unaware(const fleet_t *fleet, uint32_t dead)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < fleet->count; i++) {
+		const fleet_host_t *h = &fleet->hosts[i];
+		host_state_t state;
+
+		if (!h->up)
+			continue;
+		state = member_state(&h->member, fleet->hosts[dead].id);
+		n += state == HOST_LIVE || state == HOST_SUSPECT;
+	}
+	return n;
+}
+
 uint32_t fleet_disputed_owners(const fleet_t *fleet, uint32_t endpoints)
 {
 	uint32_t n = 0;
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -90,6 +90,9 @@
 /* Counts pairs of hosts that are up and do not see one another live. */
 uint32_t fleet_misjudged(const fleet_t *fleet);
 
+/* Counts hosts that are up and still believe that this one lives. */
+uint32_t fleet_unaware(const fleet_t *fleet, uint32_t dead);
+
 /* Counts endpoints whose owner is not the same for all hosts that are up. */
 uint32_t fleet_disputed_owners(const fleet_t *fleet, uint32_t endpoints);
 
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -249,6 +249,33 @@
 }
 END_TEST
 
+/*
+ * A data centre's worth of hosts starts at once, and while word of that still
+ * fills every message, a host dies. Were its death to wait its turn behind the
+ * rest, requests would go on waiting with the dead host for half a minute.
+ */
+START_TEST(death_is_told_before_older_news)
+{
+	pimento_usec_t start;
+	fleet_t f;
+
+	fleet_init(&f, 200, 5);
+	fleet_publish(&f, SPREAD_CONFIG, fleet_config(&f, 2000));
+	fleet_publish_hosts(&f);
+	for (uint32_t i = 0; i < 200; i++)
+		fleet_start(&f, i);
+	fleet_publish_hosts(&f);
+	fleet_run(&f, 5 * PIMENTO_SEC);
+	fleet_kill(&f, 1);
+	start = f.now;
+	while (fleet_unaware(&f, 1) && f.now - start < 60 * PIMENTO_SEC)
+		fleet_run(&f, 100 * PIMENTO_MSEC);
+	printf("fleet: known after %d ms\n", (int)((f.now - start) / 1000));
+	ck_assert_int_lt(f.now - start, 8 * PIMENTO_SEC);
+	fleet_finish(&f);
+}
+END_TEST
+
 /*
  * The platform is down for hours, and meanwhile a host is replaced. It knows
  * two peers from its settings and has to learn the rest from them, or the
@@ -305,6 +332,7 @@
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, cut_heals);
 	tcase_add_loop_test(tc, dead_host_is_known_within_seconds, 0, 3);
+	tcase_add_test(tc, death_is_told_before_older_news);
 	tcase_add_test(tc, host_starts_with_the_platform_down);
 	tcase_add_loop_test(tc, configuration_is_in_force_within_seconds, 0, 3);
 	tcase_add_loop_test(tc, fleet_agrees_after_any_faults, 0,
