entry hosts: ready when keys can be issued; a guessed rate refuses nothing

A first long stream was refused as too late because the owner took its guess of 30 tokens a second for a measurement; an endpoint whose every caller wants more would never be tried. POST /v1/keys failed right after a start, when the balancer already sent callers, because no peer had been met. Ruled out: a greater guess (any guess is wrong for some endpoint); answering /v1/keys late (it would hold the caller for nothing). Change: rates not measured yet count as no time when a request is judged; two tests of the owner now teach the rates first, and one more holds the new rule. Health turns once two witnesses are known, or after 3 s without. The stand-ins' run table takes the length of an issued key.

--- a/io/status.c
+++ b/io/status.c
@@ -24,10 +24,10 @@
 
 	if (control->leaving)
 		*state = "leaving";
-	else if (!pimento_host_config(control->host))
-		*state = "not-ready";
 	else if (!pimento_host_fresh(control->host))
 		*state = "not-fresh";
+	else if (!pimento_host_ready(control->host, sys_now()))
+		*state = "not-ready";
 	else
 		*state = "serving";
 }
--- a/pimentoshelf.h
+++ b/pimentoshelf.h
@@ -325,6 +325,13 @@
 const char *pimento_host_problems(const pimento_host_t *host,
 				  uint64_t *revision);
 
+/*
+ * True when callers should be sent here: a configuration is in force, what is
+ * held was confirmed, this host is not leaving, and it has met enough peers to
+ * issue keys, or has waited for them long enough.
+ */
+bool pimento_host_ready(const pimento_host_t *host, pimento_usec_t now);
+
 /* False from a pause of this process until what it holds was confirmed. */
 bool pimento_host_fresh(const pimento_host_t *host);
 
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -141,17 +141,29 @@
 	return prefill_fits(e, now, r);
 }
 
+/*
+ * A rate that is only guessed counts as no time at all. Else an endpoint whose
+ * every caller wants more than the guess allows refuses them all as too late,
+ * and never learns that it is faster.
+ */
 pimento_usec_t endpoint_service(const owner_endpoint_t *e,
 				const message_reserve_t *asked)
 {
-	pimento_usec_t reading =
-		limit_reading(&e->limit, e->prefilling, asked->prompt_tokens);
-	double making = (double)limit_making(&e->limit, asked->answer_tokens);
+	const limit_t *limit = &e->limit;
+	double span = 0;
 
 	if (e->description.target == CONFIG_TARGET_SERVICE)
-		return (pimento_usec_t)(MARGIN *
-					limit_service(&e->limit, 0, 0, 0));
-	return reading + (pimento_usec_t)(making * SHARING);
+		return limit_decode_rate(limit) > 0
+			       ? (pimento_usec_t)(MARGIN *
+						  limit_service(limit, 0, 0, 0))
+			       : 0;
+	if (limit_prefill_rate(limit) > 0)
+		span += (double)limit_reading(limit, e->prefilling,
+					      asked->prompt_tokens);
+	if (limit_decode_rate(limit) > 0)
+		span += (double)limit_making(limit, asked->answer_tokens) *
+			SHARING;
+	return (pimento_usec_t)span;
 }
 
 pimento_usec_t endpoint_work(const owner_endpoint_t *e,
--- a/src/host.c
+++ b/src/host.c
@@ -19,6 +19,8 @@
 /* Bound on the difference between two hosts' wall clocks. */
 #define SKEW_DEFAULT (2 * PIMENTO_SEC)
 #define LIVE_MAX 1024
+/* A new host waits this long for peers before it takes callers without. */
+#define READY_GRACE (3 * PIMENTO_SEC)
 #define RETENTION_DEFAULT (600 * PIMENTO_SEC)
 #define KEYS_DEFAULT 65536
 #define WAITING_DEFAULT 100000
@@ -662,13 +664,11 @@
 }
 
 /* Chooses witnesses among the live hosts, this one first. */
-static void choose_witnesses(pimento_host_t *host, witness_set_t *set)
+static void choose_witnesses(const pimento_host_t *host, uint32_t start,
+			     witness_set_t *set)
 {
 	pimento_id_t live[LIVE_MAX];
 	uint32_t count = member_live(&host->member, live, LIVE_MAX);
-	uint32_t start =
-		count ? (uint32_t)pimento_random_below(&host->random, count)
-		      : 0;
 
 	memset(set, 0, sizeof(*set));
 	set->hosts[0] = host->self;
@@ -687,22 +687,44 @@
 	set->quorum = set->count / 2 + 1;
 }
 
+/* With two witnesses both are needed; one lost would block the key. */
+static bool enough_witnesses(const pimento_host_t *host,
+			     const witness_set_t *set)
+{
+	uint32_t entries = 0;
+
+	for (uint32_t i = 0; i < host->hosts.count; i++)
+		entries += !host->hosts.hosts[i].endpoint;
+	return set->count >= ISSUED_WITNESSES || entries < ISSUED_WITNESSES;
+}
+
 int pimento_host_issue(pimento_host_t *host, pimento_usec_t now,
 		       int64_t wall_msec, uint64_t nonce,
 		       char text[PIMENTO_KEY_TEXT])
 {
+	uint32_t start =
+		(uint32_t)pimento_random_below(&host->random, LIVE_MAX);
 	witness_set_t set;
 
 	(void)now;
-	choose_witnesses(host, &set);
-	/* With two witnesses both are needed; one lost would block the key. */
-	if (host->hosts.count >= ISSUED_WITNESSES &&
-	    set.count < ISSUED_WITNESSES)
+	choose_witnesses(host, start, &set);
+	if (!enough_witnesses(host, &set))
 		return PIMENTO_ENOQUORUM;
 	return keyring_issue(host->options.secret, &set, wall_msec, nonce,
 			     text);
 }
 
+bool pimento_host_ready(const pimento_host_t *host, pimento_usec_t now)
+{
+	witness_set_t set;
+
+	if (host->leaving || !host->config || !member_fresh(&host->member, now))
+		return false;
+	choose_witnesses(host, 0, &set);
+	return enough_witnesses(host, &set) ||
+	       now - host->started > READY_GRACE;
+}
+
 void pimento_host_hello(const pimento_host_t *host, struct message *message)
 {
 	message_probe_t *probe = &message->u.probe;
--- a/standin/runs.h
+++ b/standin/runs.h
@@ -10,7 +10,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define RUNS_ID_MAX 72
+#define RUNS_ID_MAX 264 /* also of idempotency keys */
 #define RUNS_MAX 200000
 #define RUNS_BUCKETS 16384
 
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -6,6 +6,7 @@
 
 #include "fleet.h"
 
+#include <signal.h>
 #include <sodium.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -327,7 +328,7 @@
 	add(text, "[limits]\nconnections = 1024\nstop_seconds = 15\n");
 }
 
-int fleet_start_host(fleet_t *fleet, int host)
+static int launch_host(fleet_t *fleet, int host)
 {
 	static text_t text;
 	char name[PROCESS_NAME_MAX];
@@ -341,6 +342,13 @@
 	if (process_write_file(path, file, text.bytes) < 0 ||
 	    process_start(&fleet->host[host], name, "pimentod", args) < 0)
 		return -1;
+	return 0;
+}
+
+int fleet_start_host(fleet_t *fleet, int host)
+{
+	if (launch_host(fleet, host) < 0)
+		return -1;
 	return process_wait_health(fleet->http_port[host], START_MS);
 }
 
@@ -349,7 +357,10 @@
 	if (fleet_start_standins(fleet, options) < 0)
 		return -1;
 	for (int i = 0; i < options->hosts; i++)
-		if (fleet_start_host(fleet, i) < 0)
+		if (launch_host(fleet, i) < 0)
+			return -1;
+	for (int i = 0; i < options->hosts; i++)
+		if (process_wait_health(fleet->http_port[i], START_MS) < 0)
 			return -1;
 	return 0;
 }
@@ -362,10 +373,21 @@
 	return process_stop(process, STOP_MS) == PROCESS_KILLED;
 }
 
+/* All at once, for each stop takes its time; a second SIGTERM is harmless. */
+static void ask_to_stop(process_t *process)
+{
+	if (!process_running(process))
+		return;
+	process_thaw(process);
+	kill(process->pid, SIGTERM);
+}
+
 int fleet_stop(fleet_t *fleet)
 {
 	int killed = 0;
 
+	for (int i = 0; i < fleet->options.hosts; i++)
+		ask_to_stop(&fleet->host[i]);
 	for (int i = 0; i < fleet->options.hosts; i++)
 		killed += stop_one(&fleet->host[i]);
 	for (int i = 0; i < fleet->options.engines; i++)
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -210,7 +210,7 @@
 	json = client_json(&keys);
 	key = json_string_value(
 		json_array_get(json_object_get(json, "keys"), 0));
-	ck_assert_ptr_nonnull(key);
+	ck_assert_msg(key != NULL, "%s", keys.body);
 	call.headers[0].name = "Authorization";
 	call.headers[0].value = "Bearer " FLEET_KEY;
 	call.headers[1].name = "Idempotency-Key";
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -199,8 +199,39 @@
 }
 END_TEST
 
+/* One answer of 30 tokens, made at 30 a second, teaches the rates. */
+static void learn_rates(void)
+{
+	message_t m = { .kind = MESSAGE_RELEASE };
+
+	reserve(99, 0);
+	expect(MESSAGE_GRANT, 99, 0);
+	progress(99, 0);
+	m.u.release.request.lo = 99;
+	m.u.release.round = 1;
+	m.u.release.endpoint = engine.id;
+	m.u.release.outcome = RELEASE_DONE;
+	m.u.release.prompt_tokens = 100;
+	m.u.release.answer_tokens = 30;
+	m.u.release.first_token = 25 * PIMENTO_MSEC;
+	m.u.release.decode = PIMENTO_SEC;
+	ck_assert_int_eq(owner_receive(&owner, 0, ENTRY, &m), 0);
+}
+
+/*
+ * All callers of a new endpoint want long answers in little time. If a guessed
+ * rate refused them, nobody would ever learn that the endpoint is fast.
+ */
+START_TEST(guess_refuses_nothing)
+{
+	reserve_of(1, 1, 0, ACCOUNT_LARGE, 10 * PIMENTO_MSEC, 0, 0);
+	expect(MESSAGE_GRANT, 1, 0);
+}
+END_TEST
+
 START_TEST(late_is_refused_at_once)
 {
+	learn_rates();
 	reserve_of(1, 1, 0, ACCOUNT_LARGE, 10 * PIMENTO_MSEC, 0, 0);
 	expect(MESSAGE_REFUSE, 1, PIMENTO_ELATE);
 }
@@ -212,6 +243,7 @@
  */
 START_TEST(waiting_is_refused_when_it_can_no_longer_finish)
 {
+	learn_rates();
 	fill();
 	reserve_of(10, 1, 0, ACCOUNT_LARGE, 4 * PIMENTO_SEC, 0, 0);
 	expect(MESSAGE_WAIT, 10, 0);
@@ -376,6 +408,7 @@
 	tcase_add_test(tc, large_account_does_not_starve_small);
 	tcase_add_test(tc, earliest_deadline_first_within_an_account);
 	tcase_add_test(tc, full_table_displaces_the_lowest_tier);
+	tcase_add_test(tc, guess_refuses_nothing);
 	tcase_add_test(tc, late_is_refused_at_once);
 	tcase_add_test(tc, waiting_is_refused_when_it_can_no_longer_finish);
 	tcase_add_test(tc, last_visit_sheds_what_is_less_urgent);
