--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,12 @@
 SAN ?=
 CCACHE ?= $(shell command -v ccache 2>/dev/null)
 
-PKGS = libulfius jansson libprotobuf-c libxxhash libsodium libcurl
+PKGS = libulfius libmicrohttpd jansson libprotobuf-c libxxhash libsodium libcurl
 OPT ?= -O2
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wformat=2 -Werror
 SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
-DEFS = -D_GNU_SOURCE -I. -Isrc -Iio
+DEFS = -D_GNU_SOURCE -I. -Isrc -Iio -Itest
 CFLAGS_ALL = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS) $(DEFS) -pthread \
 	$(shell pkg-config --cflags $(PKGS) check)
 CXXFLAGS_ALL = -std=c++17 -g $(OPT) -Wall -Wextra -Werror $(SANFLAGS) $(DEFS)
@@ -36,14 +36,18 @@
 	bench/load.c))
 BENCH_SHARED = $(filter-out bench/bench.c bench/slopes.c bench/load.c,\
 	$(wildcard bench/*.c))
+# The hosts in virtual time, for the tests and for the slopes.
+GOSSIP = $(wildcard test/gossip.c)
 TESTS = $(patsubst test/%.c,$(B)/test/%,$(wildcard test/test_*.c))
 TEST_SHARED = $(filter-out $(wildcard test/test_*.c test/fuzz_*.c),\
 	$(wildcard test/*.c))
 
-obj = $(patsubst %,$(B)/%.o,$(1))
+# Objects lie apart: bench/ and the program bench would share a path.
+obj = $(patsubst %,$(B)/obj/%.o,$(1))
 
 PURE = $(B)/libpimentoshelf.a
 IOLIB = $(B)/libpimentoio.a
+STANDINLIB = $(B)/libstandin.a
 PROGRAMS = $(B)/pimentod $(B)/pimentoctl $(STANDINS) $(BENCHES)
 
 all: $(PROGRAMS)
@@ -56,31 +60,36 @@
 	@rm -f $@
 	$(AR) rcs $@ $^
 
+$(STANDINLIB): $(call obj,$(STANDIN_SHARED))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
 $(B)/pimentod: $(call obj,daemon/pimentod.c) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
 $(B)/pimentoctl: $(call obj,$(CTL_C)) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(STANDINS): $(B)/%: $(B)/standin/%.c.o $(call obj,$(STANDIN_SHARED)) $(IOLIB) $(PURE)
+$(STANDINS): $(B)/%: $(B)/obj/standin/%.c.o $(STANDINLIB) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(BENCHES): $(B)/%: $(B)/bench/%.c.o $(call obj,$(BENCH_SHARED)) $(IOLIB) $(PURE)
+$(BENCHES): $(B)/%: $(B)/obj/bench/%.c.o $(call obj,$(BENCH_SHARED) $(GOSSIP)) $(STANDINLIB) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(TESTS): $(B)/test/%: $(B)/test/%.c.o $(call obj,$(TEST_SHARED)) $(IOLIB) $(PURE)
+$(TESTS): $(B)/test/%: $(B)/obj/test/%.c.o $(call obj,$(TEST_SHARED)) $(STANDINLIB) $(IOLIB) $(PURE)
+	@mkdir -p $(@D)
 	$(CC) -o $@ $^ $(LDLIBS_ALL) $(shell pkg-config --libs check)
 
-$(B)/%.c.o: %.c
+$(B)/obj/%.c.o: %.c
 	@mkdir -p $(@D)
 	$(CCACHE) $(CC) $(CFLAGS_ALL) -MMD -c -o $@ $<
 
 # The generated codec is committed; its warnings are not ours.
-$(B)/src/wire.pb-c.c.o: src/wire.pb-c.c
+$(B)/obj/src/wire.pb-c.c.o: src/wire.pb-c.c
 	@mkdir -p $(@D)
 	$(CCACHE) $(CC) $(CFLAGS_ALL) -Wno-error -MMD -c -o $@ $<
 
-$(B)/%.cc.o: %.cc
+$(B)/obj/%.cc.o: %.cc
 	@mkdir -p $(@D)
 	$(CCACHE) $(CXX) $(CXXFLAGS_ALL) -MMD -c -o $@ $<
 
@@ -91,7 +100,7 @@
 proto:
 	cd src && protoc-c --c_out=. wire.proto
 
-OWN = $(filter-out src/wire.pb-c.%,$(wildcard pimentoshelf.h src/*.[ch] \
+OWN = $(filter-out src/wire.pb-c.c src/wire.pb-c.h,$(wildcard pimentoshelf.h src/*.[ch] \
 	io/*.[ch] daemon/*.[ch] standin/*.[ch] bench/*.[ch] test/*.[ch]))
 LINT = $(filter %.c,$(filter-out test/%,$(OWN)))
 
--- /dev/null
+++ b/io/platform.h
@@ -0,0 +1,41 @@
+#ifndef PLATFORM_H
+#define PLATFORM_H
+
+/*
+ * Readers of the platform: one thread for the configuration, one for the host
+ * list, one for the load reports of the endpoints that this host owns. Whether
+ * a thread watches or reads now and then is the host's choice, so that the
+ * platform's reads do not grow with the fleet.
+ */
+
+#include "control.h"
+
+struct platform;
+
+typedef struct platform_reader {
+	struct platform *platform;
+	control_t *control;
+	bool hosts; /* the host list, else the configuration */
+	uint64_t revision; /* newest that the platform gave */
+	pthread_t thread;
+	bool started;
+} platform_reader_t;
+
+typedef struct platform {
+	control_t *control;
+	platform_reader_t readers[2];
+	pthread_t reports;
+	bool reports_started;
+	atomic_int running; /* threads not at their end */
+} platform_t;
+
+int platform_init(platform_t *platform, control_t *control);
+
+/*
+ * Waits a moment for the threads; control->stopped must be set. Returns false
+ * if one still waits for the platform's answer to a watch. Such a thread holds
+ * nothing, but what it uses may not be freed: the process must simply end.
+ */
+bool platform_finish(platform_t *platform);
+
+#endif
--- /dev/null
+++ b/src/config.c
@@ -0,0 +1,200 @@
+/*
+ * The configuration in use: look-ups, and the rules of its parts that the
+ * questionnaire shares.
+ *
+ * Tiers are kept in the order of rank, so that a rank is an index; endpoints
+ * in the order of identity, for the search by halves. Contracts keep the order
+ * of the text, because the first that fits is the one that serves.
+ */
+
+#include "config.h"
+
+#include "fields.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+uint64_t pimento_config_digest(const char *text, size_t length)
+{
+	return XXH3_64bits(text, length);
+}
+
+void pimento_config_key_hash(const char *key, size_t length, uint8_t hash[32])
+{
+	crypto_generichash(hash, 32, (const unsigned char *)key, length, NULL,
+			   0);
+}
+
+bool pimento_config_target(const char *text, config_target_t *target,
+			   char name[PIMENTO_NAME_MAX])
+{
+	static const struct {
+		const char *prefix;
+		config_target_t target;
+	} kinds[] = {
+		{ "model:", CONFIG_TARGET_MODEL },
+		{ "service:", CONFIG_TARGET_SERVICE },
+	};
+
+	for (size_t i = 0; i < COUNT(kinds); i++) {
+		size_t length = strlen(kinds[i].prefix);
+
+		if (strncmp(text, kinds[i].prefix, length) != 0 ||
+		    !fields_is_name(text + length))
+			continue;
+		*target = kinds[i].target;
+		snprintf(name, PIMENTO_NAME_MAX, "%s", text + length);
+		return true;
+	}
+	return false;
+}
+
+static bool overlap(const char *a, const char *b)
+{
+	return !a[0] || !b[0] || !strcmp(a, b);
+}
+
+bool pimento_config_call_overlaps(const char *method_a, const char *path_a,
+				  const char *method_b, const char *path_b)
+{
+	return overlap(method_a, method_b) && overlap(path_a, path_b);
+}
+
+/* Paths that the daemon answers itself. */
+static const char *const own_paths[] = { "/v1", "/status", "/metrics",
+					 "/healthz", "/burn" };
+
+static bool below(const char *path, const char *prefix)
+{
+	size_t length = strlen(prefix);
+
+	return !strncmp(path, prefix, length) &&
+	       (path[length] == '/' || !path[length] || path[length] == '?');
+}
+
+const char *pimento_config_prefix_problem(const char *prefix)
+{
+	size_t length = strlen(prefix);
+
+	if (prefix[0] != '/' || length < 2 || prefix[length - 1] == '/')
+		return "must begin with '/' and not end so";
+	for (size_t i = 0; i < COUNT(own_paths); i++)
+		if (below(prefix, own_paths[i]))
+			return "is a path that the daemon answers itself: "
+			       "/v1, /status, /metrics, /healthz or /burn";
+	return NULL;
+}
+
+void pimento_config_finish(pimento_config_t *config)
+{
+	free(config->accounts);
+	free(config->contracts);
+	free(config->services);
+	free(config->endpoints);
+	memset(config, 0, sizeof(*config));
+}
+
+static int compare_endpoints(const void *left, const void *right)
+{
+	const config_endpoint_t *a = left;
+	const config_endpoint_t *b = right;
+
+	return (a->id > b->id) - (a->id < b->id);
+}
+
+void pimento_config_sort(pimento_config_t *config)
+{
+	if (config->endpoint_count)
+		qsort(config->endpoints, config->endpoint_count,
+		      sizeof(*config->endpoints), compare_endpoints);
+}
+
+const config_endpoint_t *pimento_config_endpoint(const pimento_config_t *config,
+						 pimento_id_t id)
+{
+	config_endpoint_t wanted = { .id = id };
+
+	if (!config->endpoint_count)
+		return NULL;
+	return bsearch(&wanted, config->endpoints, config->endpoint_count,
+		       sizeof(wanted), compare_endpoints);
+}
+
+/*
+ * Every account is compared whole, so that the time taken tells nothing about
+ * how much of a guessed key's hash was right or which account it resembles.
+ */
+const config_account_t *pimento_config_account(const pimento_config_t *config,
+					       const uint8_t key_hash[32])
+{
+	uint32_t found = 0;
+
+	for (uint32_t i = 0; i < config->account_count; i++) {
+		int unlike = sodium_memcmp(config->accounts[i].key_hash,
+					   key_hash, 32);
+		uint32_t mask = (uint32_t)unlike & 1U;
+
+		/* mask is 0 for an equal hash, else 1 */
+		found |= (i + 1) & (mask - 1U);
+	}
+	return found ? &config->accounts[found - 1] : NULL;
+}
+
+static bool fits(const config_contract_t *contract,
+		 const config_account_t *account, const char *name,
+		 config_target_t target, const char *target_name)
+{
+	if (contract->target != target ||
+	    strcmp(contract->target_name, target_name) != 0)
+		return false;
+	if (name && strcmp(contract->name, name) != 0)
+		return false;
+	return !strcmp(contract->account, "*") ||
+	       !strcmp(contract->account, account->name);
+}
+
+static bool fits_call(const config_contract_t *contract, const char *method,
+		      const char *path)
+{
+	if (contract->method[0] &&
+	    (!method || strcmp(contract->method, method) != 0))
+		return false;
+	return !contract->path[0] || (path && !strcmp(contract->path, path));
+}
+
+const config_contract_t *
+pimento_config_contract(const pimento_config_t *config,
+			const config_account_t *account, const char *name,
+			config_target_t target, const char *target_name,
+			const char *method, const char *path)
+{
+	for (uint32_t i = 0; i < config->contract_count; i++) {
+		const config_contract_t *contract = &config->contracts[i];
+
+		if (fits(contract, account, name, target, target_name) &&
+		    fits_call(contract, method, path))
+			return contract;
+	}
+	return NULL;
+}
+
+const config_service_t *pimento_config_service(const pimento_config_t *config,
+					       const char *path)
+{
+	const config_service_t *best = NULL;
+
+	for (uint32_t i = 0; i < config->service_count; i++) {
+		const config_service_t *service = &config->services[i];
+
+		if (!below(path, service->prefix))
+			continue;
+		if (!best || strlen(service->prefix) > strlen(best->prefix))
+			best = service;
+	}
+	return best;
+}
--- a/src/config.h
+++ b/src/config.h
@@ -10,7 +10,7 @@
 
 #include "../pimentoshelf.h"
 
-#define CONFIG_TEXT_MAX (1024 * 1024)
+#define CONFIG_TEXT_MAX ((size_t)1048576)
 
 /* How urgent requests are; rank 0 is the most urgent. */
 typedef struct config_tier {
@@ -114,6 +114,32 @@
 			 size_t length, const char *file, problems_t *problems);
 void pimento_config_finish(pimento_config_t *config);
 
+/*
+ * Digest of a text. A configuration may carry, on its first line, the digest
+ * of all that follows that line, as 16 hexadecimal digits; it is then checked.
+ */
+uint64_t pimento_config_digest(const char *text, size_t length);
+
+/* Hash of an API key, as it stands in the configuration. */
+void pimento_config_key_hash(const char *key, size_t length, uint8_t hash[32]);
+
+/* Splits "model:NAME" or "service:NAME"; returns false if it is neither. */
+bool pimento_config_target(const char *text, config_target_t *target,
+			   char name[PIMENTO_NAME_MAX]);
+
+/* Says what is wrong with a service's path prefix; NULL if nothing is. */
+const char *pimento_config_prefix_problem(const char *prefix);
+
+/*
+ * Whether a service's calls under one method and path may also come under the
+ * other; an empty text stands for any.
+ */
+bool pimento_config_call_overlaps(const char *method_a, const char *path_a,
+				  const char *method_b, const char *path_b);
+
+/* Puts the endpoints in the order that look-ups need; parsing does it. */
+void pimento_config_sort(pimento_config_t *config);
+
 const config_endpoint_t *pimento_config_endpoint(const pimento_config_t *config,
 						 pimento_id_t id);
 const config_account_t *
--- /dev/null
+++ b/src/endpoint.c
@@ -0,0 +1,279 @@
+/*
+ * Engines know no priorities: what was let in is served in its order and all
+ * together. So whatever urgent requests may need tomorrow has to be kept free
+ * today: less urgent tiers fill only a part of the slots, and their prompts
+ * queue at the engine only up to a short span, since an urgent request's first
+ * token waits for every prompt that was let in before it.
+ */
+
+#include "endpoint.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ROOM_PART 8 /* one slot in so many is kept for more urgent tiers */
+#define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
+/* A prompt may use up so small a part of the slack of answers in progress. */
+#define SLACK_URGENT 2.0
+#define SLACK 1.3
+/*
+ * An answer takes so much longer beside prompts that are read meanwhile. If it
+ * were granted with less time left, no prompt could be let in beside it, and
+ * the engine would make few answers at once, which is the costly way.
+ */
+#define SHARING 2.0
+/* Half of a service's answers take longer than the mean. */
+#define MARGIN 1.25
+#define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
+#define PEAK_SPAN (30 * PIMENTO_SEC)
+#define FOREIGN_SPAN (10 * PIMENTO_SEC)
+
+owner_endpoint_t *endpoint_new(const config_endpoint_t *description,
+			       uint64_t epoch, double weight)
+{
+	owner_endpoint_t *e = calloc(1, sizeof(*e));
+
+	if (!e)
+		return NULL;
+	e->description = *description;
+	e->epoch = epoch;
+	e->weight = weight;
+	e->floor = PIMENTO_TIERS_MAX;
+	queue_init(&e->queue);
+	limit_init(&e->limit, description->target, description->concurrency);
+	return e;
+}
+
+void endpoint_free(owner_endpoint_t *e)
+{
+	queue_finish(&e->queue);
+	free(e);
+}
+
+bool endpoint_alike(const owner_endpoint_t *a, const owner_endpoint_t *b)
+{
+	return a->description.target == b->description.target &&
+	       !strcmp(a->description.target_name, b->description.target_name);
+}
+
+static uint32_t share(const owner_endpoint_t *e)
+{
+	uint32_t all = limit_requests(&e->limit);
+	uint32_t part = (uint32_t)(all * e->weight);
+
+	return part ? part : 1;
+}
+
+static uint32_t foreign(const owner_endpoint_t *e, pimento_usec_t now)
+{
+	return now < e->foreign_until ? e->foreign : 0;
+}
+
+uint32_t endpoint_slots(const owner_endpoint_t *e, pimento_usec_t now,
+			uint8_t tier)
+{
+	uint32_t slots = share(e);
+	uint32_t free_of_others = limit_requests(&e->limit);
+	uint32_t others = foreign(e, now);
+	uint32_t room;
+
+	free_of_others = free_of_others > others ? free_of_others - others : 0;
+	if (slots > free_of_others)
+		slots = free_of_others;
+	if (!slots)
+		slots = 1;
+	if (!tier || slots < 2)
+		return slots;
+	room = slots / ROOM_PART;
+	return slots - (room ? room : 1);
+}
+
+static uint32_t tokens_left(const reservation_t *r)
+{
+	uint32_t least = r->asked.answer_tokens / ESTIMATE_PART;
+
+	if (r->answered + least >= r->asked.answer_tokens)
+		return least;
+	return r->asked.answer_tokens - r->answered;
+}
+
+/*
+ * While an engine reads a long prompt it hardly makes tokens, so each prompt
+ * let in puts off all answers in progress. One prompt after another would keep
+ * them from ever being done in time; an answer's slack says how much it bears.
+ */
+static bool slack_suffices(const owner_endpoint_t *e, pimento_usec_t now,
+			   uint8_t tier, pimento_usec_t reading)
+{
+	for (const reservation_t *r = e->flight; r; r = r->older) {
+		pimento_usec_t left = r->item.deadline - now;
+		double factor = r->item.tier < tier ? SLACK_URGENT : SLACK;
+
+		if (!r->item.deadline || r->item.tier > tier)
+			continue;
+		left -= limit_making(&e->limit, tokens_left(r));
+		if (left > 0 && (double)left < (double)reading * factor)
+			return false;
+	}
+	return true;
+}
+
+static bool prefill_fits(const owner_endpoint_t *e, pimento_usec_t now,
+			 const reservation_t *r)
+{
+	uint32_t prompt = r->asked.prompt_tokens;
+
+	if (!r->item.tier || !prompt)
+		return true;
+	if (limit_reading(&e->limit, e->prefilling, 0) > PREFILL_SPAN)
+		return false;
+	return slack_suffices(e, now, r->item.tier,
+			      limit_reading(&e->limit, e->prefilling, prompt));
+}
+
+bool endpoint_fits(const owner_endpoint_t *e, pimento_usec_t now,
+		   const reservation_t *r)
+{
+	if (e->leaving)
+		return false;
+	if (e->running >= endpoint_slots(e, now, r->item.tier))
+		return false;
+	return prefill_fits(e, now, r);
+}
+
+/*
+ * A rate that is only guessed counts as no time at all. Else an endpoint whose
+ * every caller wants more than the guess allows refuses them all as too late,
+ * and never learns that it is faster.
+ */
+pimento_usec_t endpoint_service(const owner_endpoint_t *e,
+				const message_reserve_t *asked)
+{
+	const limit_t *limit = &e->limit;
+	double span = 0;
+
+	if (e->description.target == CONFIG_TARGET_SERVICE)
+		return limit_decode_rate(limit) > 0
+			       ? (pimento_usec_t)(MARGIN *
+						  limit_service(limit, 0, 0, 0))
+			       : 0;
+	if (limit_prefill_rate(limit) > 0)
+		span += (double)limit_reading(limit, e->prefilling,
+					      asked->prompt_tokens);
+	if (limit_decode_rate(limit) > 0)
+		span += (double)limit_making(limit, asked->answer_tokens) *
+			SHARING;
+	return (pimento_usec_t)span;
+}
+
+pimento_usec_t endpoint_work(const owner_endpoint_t *e,
+			     const message_reserve_t *asked)
+{
+	return limit_work(&e->limit, asked->prompt_tokens,
+			  asked->answer_tokens);
+}
+
+/* Until the first of the slots in use is free again. */
+static pimento_usec_t next_slot(const owner_endpoint_t *e)
+{
+	uint32_t mean = (uint32_t)(e->running_tokens / e->running);
+
+	return limit_service(&e->limit, 0, 0, mean) / e->running;
+}
+
+pimento_usec_t endpoint_wait(const owner_endpoint_t *e, pimento_usec_t now,
+			     uint8_t tier)
+{
+	pimento_usec_t wait = queue_work(&e->queue, tier);
+
+	if (tier)
+		wait += limit_reading(&e->limit, e->prefilling, 0);
+	if (e->running && e->running >= endpoint_slots(e, now, tier))
+		wait += next_slot(e);
+	return wait;
+}
+
+static void peak_note(owner_endpoint_t *e, pimento_usec_t now)
+{
+	if (now - e->peak_since > PEAK_SPAN) {
+		e->peak_before = e->peak;
+		e->peak = 0;
+		e->peak_since = now;
+	}
+	if (e->running > e->peak)
+		e->peak = e->running;
+}
+
+void endpoint_start(owner_endpoint_t *e, pimento_usec_t now, reservation_t *r)
+{
+	r->ahead = e->prefilling;
+	r->granted = now;
+	r->newer = NULL;
+	r->older = e->flight;
+	if (e->flight)
+		e->flight->newer = r;
+	e->flight = r;
+	e->running++;
+	e->running_tokens += r->asked.answer_tokens;
+	if (!r->first_token)
+		e->prefilling += r->asked.prompt_tokens;
+	peak_note(e, now);
+}
+
+void endpoint_stop(owner_endpoint_t *e, reservation_t *r)
+{
+	endpoint_read(e, r);
+	if (r->older)
+		r->older->newer = r->newer;
+	if (r->newer)
+		r->newer->older = r->older;
+	else
+		e->flight = r->older;
+	e->running--;
+	e->running_tokens -= tokens_left(r);
+}
+
+void endpoint_read(owner_endpoint_t *e, reservation_t *r)
+{
+	if (r->first_token)
+		return;
+	r->first_token = true;
+	e->prefilling -= r->asked.prompt_tokens;
+}
+
+void endpoint_made(owner_endpoint_t *e, reservation_t *r, uint32_t answered)
+{
+	e->running_tokens -= tokens_left(r);
+	r->answered = answered;
+	e->running_tokens += tokens_left(r);
+}
+
+void endpoint_report(owner_endpoint_t *e, pimento_usec_t now,
+		     const load_report_t *report)
+{
+	uint32_t known = e->peak > e->peak_before ? e->peak : e->peak_before;
+	uint32_t seen = report->running + report->waiting;
+
+	e->foreign = seen > known ? seen - known : 0;
+	e->foreign_until = now + FOREIGN_SPAN;
+}
+
+void endpoint_summary(const owner_endpoint_t *e, pimento_usec_t now,
+		      message_summary_t *summary)
+{
+	memset(summary, 0, sizeof(*summary));
+	summary->endpoint = e->description.id;
+	summary->epoch = e->epoch;
+	summary->running = e->running;
+	summary->limit = endpoint_slots(e, now, 0);
+	summary->running_tokens = (uint32_t)e->running_tokens;
+	summary->token_limit = e->description.context_tokens;
+	for (int i = 0; i < PIMENTO_TIERS_MAX; i++)
+		summary->waiting[i] = e->queue.tiers[i].count;
+	summary->waiting_tokens = e->prefilling;
+	summary->prefill_rate = (float)limit_prefill_rate(&e->limit);
+	summary->decode_rate = (float)limit_decode_rate(&e->limit);
+	if (e->limit.service > 0) /* a service: answers a second */
+		summary->decode_rate = (float)(1 / e->limit.service);
+	summary->leaving = e->leaving;
+}
--- /dev/null
+++ b/src/limit.c
@@ -0,0 +1,192 @@
+/*
+ * Rates are ratios of sums that decay with each sample, so that a long answer
+ * counts for more than a short one and an engine which slowed down shows after
+ * a few answers. The limit of requests follows additive increase and
+ * multiplicative decrease. What shows that too much is in flight is a line
+ * inside the endpoint: first tokens come far later than the prompts in front
+ * explain, or a plain service's answers take far longer than they did. The gap
+ * between tokens is no such sign, for it grows with every prompt that the
+ * engine reads meanwhile.
+ */
+
+#include "limit.h"
+
+#include <string.h>
+
+#define DECAY 0.9
+#define GAP_KEEP 0.9 /* of the old value in each new sample */
+#define GAP_ENOUGH 8 /* tokens that make a sample */
+#define FIRST_WORSE 3.0 /* times the expected span that is still accepted */
+#define FIRST_SLACK 0.5 /* seconds: a step that reads a full chunk, twice */
+#define BEST_FORGET 0.999 /* the best decays by this, to be learnt anew */
+#define DECREASE 0.8
+#define DECREASE_PAUSE (1 * PIMENTO_SEC)
+#define SERVICE_NEW 0.05 /* of each new sample: single spans scatter widely */
+#define SERVICE_ENOUGH 40 /* samples before the mean is worth comparing */
+#define SERVICE_WORSE 3.0
+#define GUESS_PREFILL 4000.0 /* tokens a second, until learnt */
+#define GUESS_DECODE 30.0
+#define GUESS_SERVICE 0.05 /* seconds */
+
+void limit_init(limit_t *limit, config_target_t target, uint32_t concurrency)
+{
+	memset(limit, 0, sizeof(*limit));
+	limit->target = target;
+	limit->requests_max = concurrency ? concurrency : 1;
+	limit->requests = limit->requests_max;
+}
+
+void limit_cap(limit_t *limit, uint32_t concurrency)
+{
+	limit->requests_max = concurrency ? concurrency : 1;
+	if (limit->requests > limit->requests_max)
+		limit->requests = limit->requests_max;
+}
+
+static void decrease(limit_t *limit, pimento_usec_t now)
+{
+	if (limit->changed && now - limit->changed < DECREASE_PAUSE)
+		return;
+	limit->changed = now;
+	limit->requests *= DECREASE;
+	if (limit->requests < 1)
+		limit->requests = 1;
+}
+
+static void increase(limit_t *limit)
+{
+	limit->requests += 1 / limit->requests;
+	if (limit->requests > limit->requests_max)
+		limit->requests = limit->requests_max;
+}
+
+static void adapt(limit_t *limit, pimento_usec_t now, bool worse,
+		  uint32_t running)
+{
+	if (worse)
+		decrease(limit, now);
+	else if (running + 1 >= limit_requests(limit))
+		increase(limit);
+}
+
+void limit_first_token(limit_t *limit, pimento_usec_t now, uint32_t tokens,
+		       pimento_usec_t span, uint32_t running)
+{
+	double seconds = (double)span / PIMENTO_SEC;
+	double expected;
+
+	if (!tokens || span <= 0)
+		return;
+	limit->prefill_tokens = limit->prefill_tokens * DECAY + tokens;
+	limit->prefill_seconds = limit->prefill_seconds * DECAY + seconds;
+	limit->prefill_best *= BEST_FORGET;
+	if (limit->prefill_best < limit_prefill_rate(limit))
+		limit->prefill_best = limit_prefill_rate(limit);
+	expected = tokens / limit->prefill_best;
+	adapt(limit, now, seconds > FIRST_SLACK + expected * FIRST_WORSE,
+	      running);
+}
+
+void limit_decoded(limit_t *limit, uint32_t tokens, pimento_usec_t span)
+{
+	double gap;
+
+	if (!tokens || span <= 0)
+		return;
+	gap = (double)span / PIMENTO_SEC / tokens;
+	limit->gap_best /= BEST_FORGET;
+	if (tokens >= GAP_ENOUGH &&
+	    (limit->gap_best <= 0 || gap < limit->gap_best))
+		limit->gap_best = gap;
+	if (limit->gap > 0)
+		gap = limit->gap * GAP_KEEP + gap * (1 - GAP_KEEP);
+	limit->gap = gap;
+}
+
+void limit_served(limit_t *limit, pimento_usec_t now, pimento_usec_t span,
+		  uint32_t running)
+{
+	double seconds = (double)span / PIMENTO_SEC;
+	double part = limit->served < SERVICE_ENOUGH / 2
+			      ? 1.0 / (limit->served + 1)
+			      : SERVICE_NEW;
+
+	limit->served++;
+	limit->service += (seconds - limit->service) * part;
+	if (limit->served < SERVICE_ENOUGH)
+		return;
+	limit->service_best /= BEST_FORGET;
+	if (limit->service_best <= 0 || limit->service < limit->service_best)
+		limit->service_best = limit->service;
+	adapt(limit, now, limit->service > SERVICE_WORSE * limit->service_best,
+	      running);
+}
+
+void limit_failed(limit_t *limit, pimento_usec_t now)
+{
+	decrease(limit, now);
+}
+
+double limit_prefill_rate(const limit_t *limit)
+{
+	if (limit->prefill_seconds <= 0)
+		return 0;
+	return limit->prefill_tokens / limit->prefill_seconds;
+}
+
+double limit_decode_rate(const limit_t *limit)
+{
+	return limit->gap > 0 ? 1 / limit->gap : 0;
+}
+
+uint32_t limit_requests(const limit_t *limit)
+{
+	return limit->requests < 1 ? 1 : (uint32_t)limit->requests;
+}
+
+static double reading(const limit_t *limit, uint32_t ahead, uint32_t prompt)
+{
+	double rate = limit_prefill_rate(limit);
+
+	return ((double)ahead + prompt) / (rate > 0 ? rate : GUESS_PREFILL);
+}
+
+pimento_usec_t limit_reading(const limit_t *limit, uint32_t ahead,
+			     uint32_t prompt)
+{
+	return (pimento_usec_t)(reading(limit, ahead, prompt) * PIMENTO_SEC);
+}
+
+pimento_usec_t limit_making(const limit_t *limit, uint32_t answer)
+{
+	double gap = limit->gap_best > 0 ? limit->gap_best : 1 / GUESS_DECODE;
+
+	return (pimento_usec_t)(answer * gap * PIMENTO_SEC);
+}
+
+static pimento_usec_t served_span(const limit_t *limit)
+{
+	double seconds = limit->service > 0 ? limit->service : GUESS_SERVICE;
+
+	return (pimento_usec_t)(seconds * PIMENTO_SEC);
+}
+
+pimento_usec_t limit_service(const limit_t *limit, uint32_t ahead,
+			     uint32_t prompt, uint32_t answer)
+{
+	if (limit->target == CONFIG_TARGET_SERVICE)
+		return served_span(limit);
+	return limit_reading(limit, ahead, prompt) +
+	       limit_making(limit, answer);
+}
+
+pimento_usec_t limit_work(const limit_t *limit, uint32_t prompt,
+			  uint32_t answer)
+{
+	uint32_t slots = limit_requests(limit);
+
+	if (limit->target == CONFIG_TARGET_SERVICE)
+		return served_span(limit) / slots;
+	return limit_reading(limit, 0, prompt) +
+	       limit_making(limit, answer) / slots;
+}
