owner, route: the owner tells its expected wait by tier

Cause: entries estimated an owner's line from counts over slots. Theses wait for reading, not for slots, so they all went to the fastest endpoints' lines while others were free.

Change: a summary carries the expected wait by tier (field 12 on the wire), and the route adds only what it sent since. Tagging, less urgent than theses, no longer goes to the kept endpoints first, where it filled them.

--- a/bench/engine.c
+++ b/bench/engine.c
@@ -144,6 +144,10 @@
 	seconds = ENGINE_STEP + making * ENGINE_TOKEN + reading * ENGINE_PROMPT;
 	seconds *= e->slowdown / e->speed;
 	e->prompt_read += reading;
+	e->busy += seconds;
+	e->batched += seconds * e->running;
+	if (reading == ENGINE_CHUNK)
+		e->reading += seconds;
 	e->stepping = true;
 	sim_at(e->sim, e->sim->now + (pimento_usec_t)(seconds * PIMENTO_SEC),
 	       step_end, e, NULL, 0);
--- a/bench/engine.h
+++ b/bench/engine.h
@@ -69,6 +69,9 @@
 	engine_fn_t on_done;
 	void *context;
 	uint64_t prompt_read; /* tokens, in all */
+	double busy; /* seconds in steps */
+	double reading; /* of these, in steps that read a full chunk */
+	double batched; /* seconds times requests in the batch */
 } engine_t;
 
 void engine_init(engine_t *engine, sim_t *sim, config_target_t target,
--- a/bench/report.c
+++ b/bench/report.c
@@ -27,6 +27,11 @@
 	sum->inversions += one->inversions;
 	sum->wasted += one->wasted;
 	sum->read += one->read;
+	for (int i = 0; i < WORKLOAD_ENDPOINTS; i++) {
+		sum->busy[i] += one->busy[i];
+		sum->reading[i] += one->reading[i];
+		sum->batched[i] += one->batched[i];
+	}
 	sum->messages += one->messages;
 	sum->message_bytes += one->message_bytes;
 	if (one->give_up > sum->give_up)
@@ -113,4 +118,13 @@
 			c->offered, report_goodput(c), c->refused, c->gone,
 			c->lost);
 	}
+	for (uint32_t i = 0; i < workload->engine_count; i++)
+		fprintf(table,
+			"  engine %2u speed %.1f busy %6.1f s reading %6.1f s "
+			"mean batch %4.1f\n",
+			i + 1, workload->speeds[i], row->stats.busy[i],
+			row->stats.reading[i],
+			row->stats.busy[i] > 0
+				? row->stats.batched[i] / row->stats.busy[i]
+				: 0.0);
 }
--- a/bench/report.h
+++ b/bench/report.h
@@ -24,7 +24,7 @@
 void report_head(FILE *table, FILE *tsv);
 void report_line(FILE *table, FILE *tsv, const report_row_t *row);
 
-/* The same row by class of request. */
+/* The same row by class of request, and by engine. */
 void report_classes(FILE *table, const report_row_t *row,
 		    const workload_t *workload);
 
--- a/bench/world.c
+++ b/bench/world.c
@@ -459,8 +459,12 @@
 	if (w->scenario == SCENARIO_CUT)
 		sim_at(&w->sim, RUN_EVENT_END, heal, w, NULL, 0);
 	sim_run(&w->sim, RUN_ARRIVALS + DRAIN);
-	for (uint32_t i = 0; i < w->endpoint_count; i++)
+	for (uint32_t i = 0; i < w->endpoint_count; i++) {
 		w->stats.read += w->engines[i].prompt_read;
+		w->stats.busy[i] = w->engines[i].busy;
+		w->stats.reading[i] = w->engines[i].reading;
+		w->stats.batched[i] = w->engines[i].batched;
+	}
 	w->policy->finish(w->policy);
 	*stats = w->stats;
 	free(w->requests);
--- a/bench/world.h
+++ b/bench/world.h
@@ -62,6 +62,9 @@
 	uint32_t inversions;
 	uint64_t wasted; /* prompt tokens read and thrown away */
 	uint64_t read; /* prompt tokens read in all */
+	double busy[WORKLOAD_ENDPOINTS]; /* as in engine_t */
+	double reading[WORKLOAD_ENDPOINTS];
+	double batched[WORKLOAD_ENDPOINTS];
 	pimento_usec_t give_up; /* longest from first refusal to final answer */
 	uint64_t messages;
 	uint64_t message_bytes;
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -15,13 +15,13 @@
 #define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
 /* A prompt may use up so small a part of the slack of answers in progress. */
 #define SLACK_URGENT 2.0
-#define SLACK 1.3
+#define SLACK 1.0
 /*
  * An answer takes so much longer beside prompts that are read meanwhile. If it
  * were granted with less time left, no prompt could be let in beside it, and
  * the engine would make few answers at once, which is the costly way.
  */
-#define SHARING 2.0
+#define SHARING 3.0
 /* Half of a service's answers take longer than the mean. */
 #define MARGIN 1.25
 #define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
@@ -256,8 +256,11 @@
 	summary->limit = endpoint_slots(e, now, 0);
 	summary->running_tokens = (uint32_t)e->running_tokens;
 	summary->token_limit = e->description.context_tokens;
-	for (int i = 0; i < PIMENTO_TIERS_MAX; i++)
+	for (uint8_t i = 0; i < PIMENTO_TIERS_MAX; i++) {
 		summary->waiting[i] = e->queue.tiers[i].count;
+		summary->wait[i] =
+			(uint32_t)(endpoint_wait(e, now, i) / PIMENTO_MSEC);
+	}
 	summary->waiting_tokens = e->prefilling;
 	summary->prefill_rate = (float)limit_prefill_rate(&e->limit);
 	summary->decode_rate = (float)limit_decode_rate(&e->limit);
--- a/src/message.h
+++ b/src/message.h
@@ -44,7 +44,8 @@
 	uint32_t running_tokens; /* tokens still to be made in flight */
 	uint32_t token_limit;
 	uint32_t waiting[PIMENTO_TIERS_MAX]; /* waiting requests by tier */
-	uint32_t waiting_tokens;
+	uint32_t wait[PIMENTO_TIERS_MAX]; /* ms until one more is granted */
+	uint32_t waiting_tokens; /* of prompts granted and not yet read */
 	float prefill_rate; /* prompt tokens a second, 0 unknown */
 	float decode_rate; /* tokens a second of one stream, 0 unknown */
 	uint8_t leaving;
--- a/src/mix.c
+++ b/src/mix.c
@@ -57,19 +57,31 @@
 		t->brief[tier] += work;
 }
 
-double mix_kept(const mix_target_t *t)
+static double sum(const double *work, int count)
+{
+	double all = 0;
+
+	for (int i = 0; i < count; i++)
+		all += work[i];
+	return all;
+}
+
+uint8_t mix_last(const mix_target_t *t)
 {
-	double lengthy = 0;
-	double brief = 0;
-	int last = 0;
+	double least = LITTLE * sum(t->lengthy, PIMENTO_TIERS_MAX);
+	uint8_t last = 0;
 
-	for (int i = 0; i < PIMENTO_TIERS_MAX; i++)
-		lengthy += t->lengthy[i];
-	for (int i = 0; i < PIMENTO_TIERS_MAX; i++)
-		if (t->lengthy[i] > LITTLE * lengthy)
+	for (uint8_t i = 0; i < PIMENTO_TIERS_MAX; i++)
+		if (t->lengthy[i] > least)
 			last = i;
-	for (int i = 0; i <= last; i++)
-		brief += t->brief[i];
+	return last;
+}
+
+double mix_kept(const mix_target_t *t)
+{
+	double lengthy = sum(t->lengthy, PIMENTO_TIERS_MAX);
+	double brief = sum(t->brief, mix_last(t) + 1);
+
 	if (lengthy <= 0 || brief <= LITTLE * lengthy)
 		return 0;
 	return brief / (brief + lengthy);
--- a/src/mix.h
+++ b/src/mix.h
@@ -31,6 +31,9 @@
 void mix_note(mix_target_t *target, pimento_usec_t now, uint8_t tier,
 	      double work, bool lengthy);
 
+/* Least urgent tier that long prompts come in, 0 when there are none. */
+uint8_t mix_last(const mix_target_t *target);
+
 /*
  * The part of all capacity to be kept free of long prompts, in [0, 1]: that
  * which short prompts need, of the tiers not less urgent than long ones.
--- a/src/route.c
+++ b/src/route.c
@@ -41,7 +41,7 @@
 	double decode;
 	double service; /* seconds, plain services */
 	pimento_usec_t measured;
-	uint32_t sent; /* by this entry since the summary */
+	double sent; /* seconds of work, by this entry since the summary */
 	pimento_usec_t failed_until;
 	bool leaving;
 	bool kept; /* free of long prompts */
@@ -299,23 +299,15 @@
 	if (e->target == CONFIG_TARGET_SERVICE)
 		return service_of(e) > 0 ? service_of(e) : best->service;
 	prompt -= cached_tokens(route, now, query, e->id);
-	prompt += e->summary.waiting_tokens;
+	if (!query->tier) /* for the others they are in the wait */
+		prompt += e->summary.waiting_tokens;
 	return prompt / prefill + query->answer_tokens / decode;
 }
 
-/* Seconds in the line: what waits in front, served limit at a time. */
-static double line(const route_query_t *query, const route_endpoint_t *e,
-		   double one)
+/* Seconds until it is granted, as the owner said, and what was sent since. */
+static double line(const route_query_t *query, const route_endpoint_t *e)
 {
-	const message_summary_t *s = &e->summary;
-	uint32_t limit = s->epoch && s->limit ? s->limit : e->concurrency;
-	double ahead = s->running + e->sent;
-
-	for (int i = 0; i <= query->tier; i++)
-		ahead += s->waiting[i];
-	if (ahead < limit)
-		return one * 0.5 * ahead / limit;
-	return one * (0.5 + (ahead - limit + 1) / limit);
+	return e->summary.wait[query->tier] / 1000.0 + e->sent;
 }
 
 static bool avoided(const route_query_t *query, pimento_id_t id)
@@ -419,7 +411,7 @@
 		if (!usable(e, now, query) || !is_among(e, among))
 			continue;
 		one = service(route, now, query, e, best);
-		all = one + line(query, e, one);
+		all = one + line(query, e);
 		all *= 1 + JITTER * pimento_random_unit(&route->random);
 		if (!found || all < *least) {
 			found = e;
@@ -430,35 +422,55 @@
 }
 
 /*
- * A short urgent request goes where no long prompt comes while that is quick
- * enough, even if another endpoint is quicker just now: there it would hold up
- * the next long prompt, which may not use up its slack.
+ * A short request that is more urgent than long ones goes where no long prompt
+ * comes while that is quick enough, even if another endpoint is quicker just
+ * now: there it would hold up the next long prompt, which may not use up its
+ * slack.
  */
+static bool keeps_apart(route_t *route, const route_query_t *query)
+{
+	mix_target_t *target;
+
+	if (query->target != CONFIG_TARGET_MODEL)
+		return false;
+	target = mix_target(&route->mix, pimento_id(query->target_name));
+	return target && query->tier <= mix_last(target);
+}
+
 static route_endpoint_t *pick_short(route_t *route, pimento_usec_t now,
 				    const route_query_t *query,
 				    const rates_t *best, double *least)
 {
-	route_endpoint_t *found;
+	route_endpoint_t *found = NULL;
 
-	found = pick(route, now, query, best, AMONG_KEPT, least);
+	if (keeps_apart(route, query))
+		found = pick(route, now, query, best, AMONG_KEPT, least);
 	if (found &&
 	    *least * PIMENTO_SEC <= (double)query->patience * QUICK_PART)
 		return found;
 	return pick(route, now, query, best, AMONG_ALL, least);
 }
 
+/* Seconds of an ordinary endpoint's time. */
+static double work(const route_query_t *query, const rates_t *best)
+{
+	if (query->target == CONFIG_TARGET_SERVICE)
+		return best->service / SIDE_BY_SIDE;
+	return reading(query, best) +
+	       query->answer_tokens / best->decode / SIDE_BY_SIDE;
+}
+
 static void note_work(route_t *route, pimento_usec_t now,
 		      const route_query_t *query, const rates_t *best)
 {
 	mix_target_t *target;
-	double making = query->answer_tokens / best->decode / SIDE_BY_SIDE;
 
 	if (query->target != CONFIG_TARGET_MODEL)
 		return;
 	target = mix_target(&route->mix, pimento_id(query->target_name));
 	if (target)
-		mix_note(target, now, query->tier,
-			 reading(query, best) + making, lengthy(query, best));
+		mix_note(target, now, query->tier, work(query, best),
+			 lengthy(query, best));
 }
 
 static int choose(route_t *route, pimento_usec_t now,
@@ -476,7 +488,7 @@
 		found = pick_short(route, now, query, &best, &least);
 	if (!found)
 		return PIMENTO_EUNREACHABLE;
-	found->sent++;
+	found->sent += work(query, &best);
 	choice->endpoint = found->id;
 	choice->expected = (pimento_usec_t)(least * PIMENTO_SEC);
 	return 0;
--- a/src/wire.c
+++ b/src/wire.c
@@ -56,6 +56,8 @@
 	to->token_limit = from->token_limit;
 	to->n_waiting = PIMENTO_TIERS_MAX;
 	to->waiting = (uint32_t *)from->waiting;
+	to->n_wait = PIMENTO_TIERS_MAX;
+	to->wait = (uint32_t *)from->wait;
 	to->waiting_tokens = from->waiting_tokens;
 	to->prefill_rate = from->prefill_rate;
 	to->decode_rate = from->decode_rate;
@@ -428,7 +430,8 @@
 	memset(to, 0, sizeof(*to));
 	if (!from)
 		return PIMENTO_EPARSE;
-	if (from->n_waiting > PIMENTO_TIERS_MAX)
+	if (from->n_waiting > PIMENTO_TIERS_MAX ||
+	    from->n_wait > PIMENTO_TIERS_MAX)
 		return PIMENTO_EPARSE;
 	to->endpoint = from->endpoint;
 	to->epoch = from->epoch;
@@ -438,6 +441,8 @@
 	to->token_limit = from->token_limit;
 	for (size_t i = 0; i < from->n_waiting; i++)
 		to->waiting[i] = from->waiting[i];
+	for (size_t i = 0; i < from->n_wait; i++)
+		to->wait[i] = from->wait[i];
 	to->waiting_tokens = from->waiting_tokens;
 	/* A rate that is no number would spoil every estimate it enters. */
 	to->prefill_rate = from->prefill_rate >= 0 ? from->prefill_rate : 0;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -868,7 +868,7 @@
   (ProtobufCMessageInit) wire__reqid__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__summary__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wire__summary__field_descriptors[12] =
 {
   {
     "endpoint",
@@ -1002,6 +1002,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wait",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wire__Summary, n_wait),
+    offsetof(Wire__Summary, wait),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__summary__field_indices_by_name[] = {
   9,   /* field[9] = decode_rate */
@@ -1013,13 +1025,14 @@
   2,   /* field[2] = running */
   4,   /* field[4] = running_tokens */
   5,   /* field[5] = token_limit */
+  11,   /* field[11] = wait */
   6,   /* field[6] = waiting */
   7,   /* field[7] = waiting_tokens */
 };
 static const ProtobufCIntRange wire__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wire__summary__descriptor =
 {
@@ -1029,7 +1042,7 @@
   "Wire__Summary",
   "wire",
   sizeof(Wire__Summary),
-  11,
+  12,
   wire__summary__field_descriptors,
   wire__summary__field_indices_by_name,
   1,  wire__summary__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -66,10 +66,12 @@
   float prefill_rate;
   float decode_rate;
   protobuf_c_boolean leaving;
+  size_t n_wait;
+  uint32_t *wait;
 };
 #define WIRE__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wire__summary__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Wire__Reserve
