--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -86,6 +86,63 @@
 }
 END_TEST
 
+static const char *const tokens[] = {
+	"a",	       "b.c",  "\"k\"", "'q'",
+	"=",	       "[",    "]",	"[[",
+	"]]",	       "{",    "}",	",",
+	"\n",	       "\r\n", "\"",	"\"\"\"",
+	"'''",	       "#",    "1",	"-",
+	"0x",	       "1e",   ":",	"1979-05-27",
+	"07:32",       "true", "inf",	"\\",
+	"\\u0041",     "\xc3", "\xa9",	"\xef\xbb\xbf",
+	".",	       " ",    "\t",	"host",
+	"\\U0010FFFF", "\x7f", "\x01",	"=[{",
+};
+
+#define SOUP_BYTES 600
+#define SOUP_TOKENS 60
+
+static size_t make_soup(char *text, pimento_random_t *random)
+{
+	uint64_t count = 1 + pimento_random_below(random, SOUP_TOKENS);
+	size_t used = 0;
+
+	for (uint64_t i = 0; i < count && used < SOUP_BYTES - 20; i++) {
+		size_t at = pimento_random_below(random, COUNT(tokens));
+
+		memcpy(text + used, tokens[at], strlen(tokens[at]));
+		used += strlen(tokens[at]);
+		if (!pimento_random_below(random, 40))
+			text[used++] = '\0';
+	}
+	return used;
+}
+
+/*
+ * Somebody edits the settings and leaves half a line behind. A parser that
+ * trips over it ends the daemon without a word of what is wrong; the user sees
+ * a host that does not start. Under the sanitizers this found characters that
+ * the library did not expect.
+ */
+START_TEST(any_text_is_judged)
+{
+	char text[SOUP_BYTES];
+	pimento_random_t random;
+
+	pimento_random_init(&random, (uint64_t)_i);
+	for (int round = 0; round < 5000; round++) {
+		size_t length = make_soup(text, &random);
+
+		problems_init(&problems);
+		ck_assert_int_eq(
+			settings_parse(&settings, text, length, "s", &problems),
+			PIMENTO_EPARSE);
+		ck_assert_uint_gt(problems.count, 0);
+		problems_finish(&problems);
+	}
+}
+END_TEST
+
 #define ENTRY                                                              \
 	"{\"name\":\"h1\",\"datacentre\":\"m\",\"address\":\"127.0.0.1\"," \
 	"\"port\":9080,\"role\":\"entry\",\"state\":\"live\",\"new\":1}"
@@ -137,6 +194,7 @@
 
 	tcase_add_test(tc, defaults_and_values);
 	tcase_add_loop_test(tc, mistakes_are_all_reported, 0, COUNT(refused));
+	tcase_add_loop_test(tc, any_text_is_judged, 0, 4);
 	tcase_add_loop_test(tc, host_lists, 0, COUNT(lists));
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
