burn: judge no long window with less than three bad requests

Ruled out: a least number of requests (a tier with few but all bad ones is worth a look). Change: BAD_LEAST in burn_judge(); an empty report says so. Conclusion: rates are shown as before, only the state changes.

--- a/src/burn.c
+++ b/src/burn.c
@@ -18,6 +18,9 @@
 #define RATE_SLOW 6.0 /* 5 % of a month's budget in six hours */
 #define RATE_SPENT 1.0
 
+/* Below this many bad requests a rate says more of chance than of service. */
+#define BAD_LEAST 3
+
 enum { WINDOW_5_MIN, WINDOW_30_MIN, WINDOW_1_H, WINDOW_6_H, WINDOW_24_H };
 
 const uint32_t burn_window_seconds[BURN_WINDOWS] = { 300, 1800, 3600, 21600,
@@ -211,15 +214,23 @@
 	return burn_rate(report->windows[window], report->objective) > limit;
 }
 
+static bool enough(const burn_report_t *report, int window)
+{
+	const burn_count_t *count = &report->windows[window];
+
+	return count->total >= count->good + BAD_LEAST;
+}
+
 burn_state_t burn_judge(const burn_report_t *report)
 {
-	if (over(report, WINDOW_1_H, RATE_FAST) &&
+	if (enough(report, WINDOW_1_H) && over(report, WINDOW_1_H, RATE_FAST) &&
 	    over(report, WINDOW_5_MIN, RATE_FAST))
 		return BURN_FAST;
-	if (over(report, WINDOW_6_H, RATE_SLOW) &&
+	if (enough(report, WINDOW_6_H) && over(report, WINDOW_6_H, RATE_SLOW) &&
 	    over(report, WINDOW_30_MIN, RATE_SLOW))
 		return BURN_SLOW;
-	if (over(report, WINDOW_24_H, RATE_SPENT))
+	if (enough(report, WINDOW_24_H) &&
+	    over(report, WINDOW_24_H, RATE_SPENT))
 		return BURN_SPENT;
 	return report->windows[WINDOW_24_H].total ? BURN_OK : BURN_IDLE;
 }
--- a/src/burn.h
+++ b/src/burn.h
@@ -110,8 +110,11 @@
 	BURN_FAST /* over 14.4 in the last hour and still so in 5 min */
 } burn_state_t;
 
-/* Judges long windows together with short ones: a fault that is over is not
- * reported as going on. */
+/*
+ * Judges long windows together with short ones: a fault that is over is not
+ * reported as going on. A long window with less than three bad requests is
+ * never judged, whatever its rate.
+ */
 burn_state_t burn_judge(const burn_report_t *report);
 
 /* Returns "idle", "ok", "spent", "slow" or "fast"; never NULL. */
--- a/src/burn_page.c
+++ b/src/burn_page.c
@@ -64,6 +64,8 @@
 	text_add(text, " %12s %12s  %s\n", "GOOD 24 h", "ALL 24 h", "STATE");
 	for (uint32_t i = 0; i < count; i++)
 		add_row(&reports[i], text);
+	if (!count)
+		text_add(text, "no request was counted yet\n");
 }
 
 static void add_escaped(text_t *text, const char *from)
--- a/test/test_burn.c
+++ b/test/test_burn.c
@@ -62,17 +62,20 @@
 END_TEST
 
 static const struct {
-	uint64_t bad[BURN_WINDOWS]; /* of 1000 in each window */
+	uint64_t bad[BURN_WINDOWS]; /* of so many in each window */
+	uint64_t total;
 	double objective;
 	burn_state_t state;
 } judgements[] = {
-	{ { 0, 0, 0, 0, 0 }, 0.999, BURN_OK },
-	{ { 15, 15, 15, 15, 15 }, 0.999, BURN_FAST },
-	{ { 15, 15, 15, 15, 15 }, 0.95, BURN_OK },
-	{ { 0, 0, 15, 15, 15 }, 0.999, BURN_SPENT },
-	{ { 0, 7, 7, 7, 7 }, 0.999, BURN_SLOW },
-	{ { 0, 0, 0, 0, 1 }, 0.999, BURN_OK },
-	{ { 800, 800, 800, 800, 800 }, 0.95, BURN_FAST },
+	{ { 0, 0, 0, 0, 0 }, 1000, 0.999, BURN_OK },
+	{ { 15, 15, 15, 15, 15 }, 1000, 0.999, BURN_FAST },
+	{ { 15, 15, 15, 15, 15 }, 1000, 0.95, BURN_OK },
+	{ { 0, 0, 15, 15, 15 }, 1000, 0.999, BURN_SPENT },
+	{ { 0, 7, 7, 7, 7 }, 1000, 0.999, BURN_SLOW },
+	{ { 0, 0, 0, 0, 1 }, 1000, 0.999, BURN_OK },
+	{ { 2, 2, 2, 2, 2 }, 4, 0.999, BURN_OK },
+	{ { 3, 3, 3, 3, 3 }, 4, 0.999, BURN_FAST },
+	{ { 800, 800, 800, 800, 800 }, 1000, 0.95, BURN_FAST },
 };
 
 START_TEST(long_and_short_windows_are_judged)
@@ -83,8 +86,9 @@
 	report.objective = judgements[_i].objective;
 	ck_assert_int_eq(burn_judge(&report), BURN_IDLE);
 	for (int i = 0; i < BURN_WINDOWS; i++) {
-		report.windows[i].total = 1000;
-		report.windows[i].good = 1000 - judgements[_i].bad[i];
+		report.windows[i].total = judgements[_i].total;
+		report.windows[i].good =
+			judgements[_i].total - judgements[_i].bad[i];
 	}
 	ck_assert_str_eq(burn_state_name(burn_judge(&report)),
 			 burn_state_name(judgements[_i].state));
