burn: refusals that are the caller's fault do not count

Cause: a key used with another body, an unknown path or a caller who left was counted against the tier. Change: burn_counts() says which errors count; the daemon asks it. Conclusion: what counts is stated in one place.

--- a/io/control.c
+++ b/io/control.c
@@ -394,7 +394,8 @@
 	log_line(LOG_LEVEL_DEBUG, "entry", "refused a request: %s, %s",
 		 pimento_strerror(action->error),
 		 pimento_verdict_name(action->verdict));
-	count_answer(control, call, false);
+	if (burn_counts(action->error))
+		count_answer(control, call, false);
 	call_refuse(call, action);
 	forget_call(control, call);
 }
--- a/src/burn.c
+++ b/src/burn.c
@@ -98,6 +98,23 @@
 	    good);
 }
 
+bool burn_counts(int error)
+{
+	switch (error) {
+	case PIMENTO_EINVAL:
+	case PIMENTO_EPARSE:
+	case PIMENTO_EAUTH:
+	case PIMENTO_ENOTFOUND:
+	case PIMENTO_ETOOBIG:
+	case PIMENTO_EEXPIRED:
+	case PIMENTO_EMISMATCH:
+	case PIMENTO_ECANCELLED:
+		return false;
+	default:
+		return true;
+	}
+}
+
 static burn_count_t count_at(const burn_bucket_t *ring, int64_t buckets,
 			     int64_t slot)
 {
--- a/src/burn.h
+++ b/src/burn.h
@@ -58,6 +58,12 @@
  */
 void burn_add(burn_t *burn, const char *tier, bool good, pimento_usec_t now);
 
+/*
+ * Whether a refusal with this error is the service's fault and counts as not
+ * good. A caller who left, or who sent what can never be served, does not.
+ */
+bool burn_counts(int error);
+
 /* Counts of the last seconds; both zero for a tier that is not known. */
 burn_count_t burn_window(const burn_t *burn, const char *tier, uint32_t seconds,
 			 pimento_usec_t now);
--- a/test/test_burn.c
+++ b/test/test_burn.c
@@ -95,6 +95,22 @@
 }
 END_TEST
 
+static const struct {
+	int error;
+	bool counts;
+} refusals[] = {
+	{ PIMENTO_ELATE, true },	{ PIMENTO_EBUSY, true },
+	{ PIMENTO_EENDPOINT, true },	{ PIMENTO_ENOQUORUM, true },
+	{ PIMENTO_EUNREACHABLE, true }, { PIMENTO_ECANCELLED, false },
+	{ PIMENTO_EMISMATCH, false },	{ PIMENTO_ENOTFOUND, false },
+};
+
+START_TEST(callers_faults_do_not_count)
+{
+	ck_assert_int_eq(burn_counts(refusals[_i].error), refusals[_i].counts);
+}
+END_TEST
+
 START_TEST(objectives_fall_with_rank)
 {
 	burn_count_t count = { 998, 1000 };
@@ -180,6 +196,8 @@
 	tcase_add_test(tc, names_are_bounded);
 	tcase_add_loop_test(tc, long_and_short_windows_are_judged, 0,
 			    COUNT(judgements));
+	tcase_add_loop_test(tc, callers_faults_do_not_count, 0,
+			    COUNT(refusals));
 	tcase_add_test(tc, objectives_fall_with_rank);
 	tcase_add_test(tc, hosts_merge_by_age);
 	tcase_add_loop_test(tc, rubbish_is_refused, 0, COUNT(rubbish));
