--- a/bench/slope.c
+++ b/bench/slope.c
@@ -75,9 +75,9 @@
 				"[[endpoint]]\nname = \"e%u\"\n"
 				"datacentre = \"dc%u\"\n"
 				"target = \"model:m%u\"\n"
-				"address = \"10.1.%u.%u\"\nport = 7101\n"
+				"address = \"127.0.0.1\"\nport = %u\n"
 				"concurrency = 64\n",
-				i, i % 8, i % 4, i / 250, i % 250);
+				i, i % 8, i % 4, 30000 + i);
 }
 
 static size_t config_contract(char *text, size_t room, uint32_t i,
--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -5,9 +5,10 @@
  *
  *	slopes			every section
  *	slopes SECTION		one of wire tables request gossip change loss reads
+ *	slopes config ENDPOINTS BYTES
  *	slopes repeat OPERATION SIZE TIMES
  *
- * The last form is for bench/instructions, which counts the instructions of
+ * The third prints a configuration for bench/daemons. The last form is for bench/instructions, which counts the instructions of
  * one operation under valgrind; unlike time, these are the same on each run
  * and on a busy machine.
  */
@@ -37,6 +38,15 @@
 		return slope_repeat(argv[2],
 				    (uint32_t)strtoul(argv[3], NULL, 10),
 				    (uint32_t)strtoul(argv[4], NULL, 10));
+	if (argc == 4 && !strcmp(argv[1], "config")) {
+		char *text =
+			slope_config((uint32_t)strtoul(argv[2], NULL, 10),
+				     (size_t)strtoul(argv[3], NULL, 10), 1);
+
+		fputs(text, stdout);
+		free(text);
+		return EXIT_SUCCESS;
+	}
 	if (argc <= 2)
 		printf("%-8s %-40s %8s %14s %s\n", "section", "what", "size",
 		       "value", "unit");
