--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -13,6 +13,17 @@
 
 #define ROOM_PART 8 /* one slot in so many is kept for more urgent tiers */
 #define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
+/* A prompt may use up so small a part of the slack of answers in progress. */
+#define SLACK_URGENT 2.0
+#define SLACK 1.3
+/*
+ * An answer takes so much longer beside prompts that are read meanwhile. If it
+ * were granted with less time left, no prompt could be let in beside it, and
+ * the engine would make few answers at once, which is the costly way.
+ */
+#define SHARING 2.0
+/* Half of a service's answers take longer than the mean. */
+#define MARGIN 1.25
 #define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
 #define PEAK_SPAN (30 * PIMENTO_SEC)
 #define FOREIGN_SPAN (10 * PIMENTO_SEC)
@@ -92,15 +103,16 @@
  * them from ever being done in time; an answer's slack says how much it bears.
  */
 static bool slack_suffices(const owner_endpoint_t *e, pimento_usec_t now,
-			   pimento_usec_t reading)
+			   uint8_t tier, pimento_usec_t reading)
 {
 	for (const reservation_t *r = e->flight; r; r = r->older) {
 		pimento_usec_t left = r->item.deadline - now;
+		double factor = r->item.tier < tier ? SLACK_URGENT : SLACK;
 
-		if (!r->item.deadline)
+		if (!r->item.deadline || r->item.tier > tier)
 			continue;
 		left -= limit_making(&e->limit, tokens_left(r));
-		if (left > 0 && left < reading)
+		if (left > 0 && (double)left < (double)reading * factor)
 			return false;
 	}
 	return true;
@@ -115,7 +127,7 @@
 		return true;
 	if (limit_reading(&e->limit, e->prefilling, 0) > PREFILL_SPAN)
 		return false;
-	return slack_suffices(e, now,
+	return slack_suffices(e, now, r->item.tier,
 			      limit_reading(&e->limit, e->prefilling, prompt));
 }
 
@@ -129,11 +141,29 @@
 	return prefill_fits(e, now, r);
 }
 
+/*
+ * A rate that is only guessed counts as no time at all. Else an endpoint whose
+ * every caller wants more than the guess allows refuses them all as too late,
+ * and never learns that it is faster.
+ */
 pimento_usec_t endpoint_service(const owner_endpoint_t *e,
 				const message_reserve_t *asked)
 {
-	return limit_service(&e->limit, e->prefilling, asked->prompt_tokens,
-			     asked->answer_tokens);
+	const limit_t *limit = &e->limit;
+	double span = 0;
+
+	if (e->description.target == CONFIG_TARGET_SERVICE)
+		return limit_decode_rate(limit) > 0
+			       ? (pimento_usec_t)(MARGIN *
+						  limit_service(limit, 0, 0, 0))
+			       : 0;
+	if (limit_prefill_rate(limit) > 0)
+		span += (double)limit_reading(limit, e->prefilling,
+					      asked->prompt_tokens);
+	if (limit_decode_rate(limit) > 0)
+		span += (double)limit_making(limit, asked->answer_tokens) *
+			SHARING;
+	return (pimento_usec_t)span;
 }
 
 pimento_usec_t endpoint_work(const owner_endpoint_t *e,
@@ -243,5 +273,7 @@
 	summary->waiting_tokens = e->prefilling;
 	summary->prefill_rate = (float)limit_prefill_rate(&e->limit);
 	summary->decode_rate = (float)limit_decode_rate(&e->limit);
+	if (e->limit.service > 0) /* a service: answers a second */
+		summary->decode_rate = (float)(1 / e->limit.service);
 	summary->leaving = e->leaving;
 }
