entry, owner: a silent owner refuses nothing; whole answers teach the rates

A request that waited behind an engine whose speed nobody had measured was refused as too late on a guess of 30 tokens a second; a charge was refused within half a second because the host that owned the one service had died; a charge whose endpoint refused the connection was never tried at another. Services and whole answers told the owner no span, so it never learnt. Ruled out: longer timeouts for owners (they hide a dead one from requests that have another endpoint). Change: a guessed rate refuses nothing, neither by service nor by wait; a silent owner is left for another endpoint, or asked again until its endpoint has another owner; unreachable endpoints are waited for 3 s; a claim that is ours may name another endpoint; the span of a whole answer is told.

--- a/io/traffic.c
+++ b/io/traffic.c
@@ -12,6 +12,7 @@
 #include "sys.h"
 
 #include <curl/curl.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -306,6 +307,18 @@
 	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
 }
 
+/* Tokens that an engine says it made for a whole answer; 0 if it does not. */
+static uint32_t used_tokens(const call_t *call)
+{
+	json_t *body = json_loadb((const char *)call->buffer, call->buffer_used,
+				  0, NULL);
+	json_int_t tokens = json_integer_value(json_object_get(
+		json_object_get(body, "usage"), "completion_tokens"));
+
+	json_decref(body);
+	return tokens > 0 && tokens < UINT32_MAX ? (uint32_t)tokens : 0;
+}
+
 /* A whole answer is complete: its head and body become visible together. */
 static void finish_answer(exchange_t *exchange, long status)
 {
@@ -315,6 +328,7 @@
 	event.status = (uint16_t)status;
 	event.tokens = call->events;
 	if (!is_stream(exchange)) {
+		event.tokens = call->model ? used_tokens(call) : 0;
 		event.answer = call->buffer;
 		event.answer_size = call->buffer_used;
 	}
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -141,6 +141,13 @@
 	return prefill_fits(e, now, r);
 }
 
+bool endpoint_measured(const owner_endpoint_t *e)
+{
+	if (e->description.target == CONFIG_TARGET_SERVICE)
+		return e->limit.served > 0;
+	return limit_decode_rate(&e->limit) > 0;
+}
+
 /*
  * A rate that is only guessed counts as no time at all. Else an endpoint whose
  * every caller wants more than the guess allows refuses them all as too late,
--- a/src/endpoint.h
+++ b/src/endpoint.h
@@ -45,6 +45,9 @@
 bool endpoint_fits(const owner_endpoint_t *endpoint, pimento_usec_t now,
 		   const reservation_t *r);
 
+/* False while the endpoint's speed is only guessed: it then refuses nothing. */
+bool endpoint_measured(const owner_endpoint_t *e);
+
 /* Span that the request would take, if granted now. */
 pimento_usec_t endpoint_service(const owner_endpoint_t *endpoint,
 				const message_reserve_t *asked);
--- a/src/entry.c
+++ b/src/entry.c
@@ -326,7 +326,7 @@
 {
 	route_failed(table->route, now, entry->endpoint);
 	entry_release(table, entry, RELEASE_UNUSED);
-	if (entry->claim || table->budget < 1) {
+	if (table->budget < 1) {
 		entry_give_up(table, now, entry, PIMENTO_EUNREACHABLE, 0);
 		return;
 	}
@@ -346,13 +346,32 @@
 		      entry->last_token - entry->first_token);
 }
 
+/*
+ * An answer that came as one piece shows no first token. A service's span is
+ * all there is to know of it; an engine's is taken as the making of tokens.
+ */
+static void note_whole(pimento_usec_t now, entry_t *entry,
+		       const pimento_event_t *event)
+{
+	if (entry->first_token || !entry->sent)
+		return;
+	entry->tokens = event->tokens;
+	if (!entry->request.model)
+		entry->first_token = now;
+	else
+		entry->whole = now - entry->sent;
+	entry->last_token = now;
+}
+
 static void on_done(entry_table_t *table, pimento_usec_t now, entry_t *entry,
 		    const pimento_event_t *event)
 {
 	message_place_t place = { 0 };
 
-	if (entry->state == ENTRY_DISPATCHED)
+	if (entry->state == ENTRY_DISPATCHED) {
+		note_whole(now, entry, event);
 		observe(table, now, entry);
+	}
 	entry->tokens = event->tokens;
 	entry_release(table, entry, RELEASE_DONE);
 	if (entry->claim && entry->claim->state == CLAIM_TAKEN) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -51,12 +51,14 @@
 	pimento_usec_t grant_ends; /* 0: no grant is held */
 	route_retry_t retry; /* what owners said no so far */
 	uint32_t moves; /* times that the owner had changed */
+	pimento_usec_t unreached; /* since when no endpoint was; 0 never */
 	uint32_t repeats; /* of one unanswered reservation */
 	pimento_usec_t retry_after;
 	/* dispatch */
 	pimento_usec_t sent;
 	pimento_usec_t first_token;
 	pimento_usec_t last_token;
+	pimento_usec_t whole; /* span of an answer in one piece; 0 none */
 	pimento_usec_t told; /* when the owner was last told of progress */
 	uint32_t tokens;
 	uint32_t resumes;
--- a/src/entry_claim.c
+++ b/src/entry_claim.c
@@ -58,8 +58,13 @@
 		dispatch(table, entry);
 		return;
 	}
-	/* The query is still out: its event comes back here. */
-	if (entry->claim->state == CLAIM_KNOWN)
+	/*
+	 * Taken before, for an endpoint that could not be reached: the claim
+	 * stays ours and only names another place. If the query is still out,
+	 * its event comes back here.
+	 */
+	if (entry->claim->state == CLAIM_KNOWN ||
+	    entry->claim->state == CLAIM_TAKEN)
 		take_claim(table, now, entry);
 }
 
--- a/src/entry_reserve.c
+++ b/src/entry_reserve.c
@@ -16,8 +16,10 @@
 #define RENEW_TIMEOUT (3 * PIMENTO_SEC)
 /* A wrong owner means that a change of hosts is still spreading. */
 #define STALE_DELAY (40 * PIMENTO_MSEC)
+/* Between two questions when every owner is silent. */
+#define SILENCE_DELAY (150 * PIMENTO_MSEC)
+#define UNREACHED_SPAN (3 * PIMENTO_SEC)
 #define MOVES_MAX 50
-#define RETRY_DEFAULT PIMENTO_SEC
 
 /* A query of the claim may be due earlier; both are kept. */
 static void look_again(entry_table_t *table, entry_t *entry, pimento_usec_t at)
@@ -79,6 +81,23 @@
 	query->avoid_count = entry->retry.count;
 }
 
+/*
+ * No endpoint can be reached just now. A restart of one takes about this long,
+ * and an urgent request is worth waiting for it; after that the caller is told.
+ */
+static bool wait_unreached(entry_table_t *table, pimento_usec_t now,
+			   entry_t *entry)
+{
+	if (!entry->unreached)
+		entry->unreached = now;
+	if (now - entry->unreached > UNREACHED_SPAN)
+		return false;
+	entry->state = ENTRY_RESERVING;
+	entry->owner = 0;
+	look_again(table, entry, now + SILENCE_DELAY);
+	return true;
+}
+
 void entry_reserve(entry_table_t *table, pimento_usec_t now, entry_t *entry)
 {
 	route_query_t query;
@@ -88,14 +107,17 @@
 	fill_query(entry, now, &query);
 	if (now < entry->deadline)
 		error = route_pick(table->route, now, &query, &choice);
-	if (error) {
-		if (entry->retry.reason)
-			error = entry->retry.reason;
-		entry_give_up(table, now, entry, error,
-			      entry->retry.retry_after);
+	if (!error) {
+		ask(table, now, entry, choice.endpoint,
+		    (uint8_t)entry->retry.count);
 		return;
 	}
-	ask(table, now, entry, choice.endpoint, (uint8_t)entry->retry.count);
+	if (error == PIMENTO_EUNREACHABLE && !entry->retry.count &&
+	    wait_unreached(table, now, entry))
+		return;
+	if (entry->retry.reason)
+		error = entry->retry.reason;
+	entry_give_up(table, now, entry, error, entry->retry.retry_after);
 }
 
 /* The endpoint's owner said no: route.c knows who is left to be asked. */
@@ -119,12 +141,31 @@
 		ask(table, now, entry, choice.endpoint, hops);
 }
 
+/*
+ * Silence says nothing of an endpoint's capacity, only that its owner is dead,
+ * cut off or slow. Another endpoint is taken if there is one; else the same is
+ * asked again, for by then the hosts have found it another owner. An urgent
+ * charge is not refused because one of our hosts died.
+ */
 void entry_unreached(entry_table_t *table, pimento_usec_t now, entry_t *entry)
 {
-	message_refuse_t refuse = { .reason = PIMENTO_EUNREACHABLE,
-				    .retry_after = RETRY_DEFAULT };
+	pimento_id_t avoid[ROUTE_VISITS_MAX + 1];
+	route_query_t query;
+	route_choice_t choice;
 
-	refused(table, now, entry, &refuse);
+	fill_query(entry, now, &query);
+	memcpy(avoid, query.avoid, query.avoid_count * sizeof(avoid[0]));
+	avoid[query.avoid_count++] = entry->endpoint;
+	query.avoid = avoid;
+	if (now < entry->deadline &&
+	    !route_pick(table->route, now, &query, &choice)) {
+		ask(table, now, entry, choice.endpoint,
+		    (uint8_t)entry->retry.count);
+		return;
+	}
+	entry->state = ENTRY_RESERVING;
+	entry->owner = 0;
+	look_again(table, entry, now + SILENCE_DELAY);
 }
 
 void entry_release(entry_table_t *table, entry_t *entry,
@@ -145,6 +186,8 @@
 	if (entry->first_token) {
 		release->first_token = entry->first_token - entry->sent;
 		release->decode = entry->last_token - entry->first_token;
+	} else {
+		release->decode = entry->whole;
 	}
 	outbox_put(table->out, entry->owner, &message);
 	entry->owner = 0;
--- a/src/message.h
+++ b/src/message.h
@@ -108,7 +108,8 @@
 	uint32_t prompt_tokens;
 	uint32_t answer_tokens; /* made in fact */
 	pimento_usec_t first_token; /* span from dispatch, 0 unknown */
-	pimento_usec_t decode; /* span from first to last token */
+	pimento_usec_t
+		decode; /* from first to last token; of all if no first */
 } message_release_t;
 
 /* Entry to owner: the slot is still in use. Missing ones free the slot. */
--- a/src/owner.c
+++ b/src/owner.c
@@ -228,6 +228,8 @@
 static void refuse_hopeless(owner_t *owner, pimento_usec_t now,
 			    owner_endpoint_t *e)
 {
+	if (!endpoint_measured(e))
+		return;
 	for (int tier = PIMENTO_TIERS_MAX - 1; tier >= 0; tier--) {
 		reservation_t *r;
 
@@ -334,8 +336,9 @@
 		return PIMENTO_EBUSY;
 	wait = endpoint_wait(e, now, asked->tier);
 	service = endpoint_service(e, asked);
-	if ((double)wait * WAIT_MARGIN + (double)service >
-	    (double)asked->patience)
+	if (endpoint_measured(e) &&
+	    (double)wait * WAIT_MARGIN + (double)service >
+		    (double)asked->patience)
 		return PIMENTO_ELATE;
 	if (wait && !above_floor(e, now, asked->tier))
 		return PIMENTO_EBUSY;
@@ -413,7 +416,9 @@
 	if (first_token > 0 && !r->first_token)
 		limit_first_token(limit, now, r->ahead + r->asked.prompt_tokens,
 				  first_token, r->endpoint->running);
-	if (answer_tokens > r->answered && decode > r->decode && r->answered)
+	/* Without a first token the span is that of all tokens. */
+	if (answer_tokens > r->answered && decode > r->decode &&
+	    (r->answered || first_token <= 0))
 		limit_decoded(limit, answer_tokens - r->answered,
 			      decode - r->decode);
 	if (decode > r->decode)
--- a/test/test_owner.c
+++ b/test/test_owner.c
@@ -204,9 +204,16 @@
 {
 	message_t m = { .kind = MESSAGE_RELEASE };
 
+	message_t first = { .kind = MESSAGE_PROGRESS };
+
 	reserve(99, 0);
 	expect(MESSAGE_GRANT, 99, 0);
-	progress(99, 0);
+	first.u.progress.request.lo = 99;
+	first.u.progress.round = 1;
+	first.u.progress.endpoint = engine.id;
+	first.u.progress.answer_tokens = 1;
+	first.u.progress.first_token = 25 * PIMENTO_MSEC;
+	ck_assert_int_eq(owner_receive(&owner, 0, ENTRY, &first), 0);
 	m.u.release.request.lo = 99;
 	m.u.release.round = 1;
 	m.u.release.endpoint = engine.id;
@@ -259,6 +266,7 @@
  */
 START_TEST(last_visit_sheds_what_is_less_urgent)
 {
+	learn_rates();
 	fill();
 	reserve(10, 2);
 	expect(MESSAGE_WAIT, 10, 0);
--- a/test/world.c
+++ b/test/world.c
@@ -418,7 +418,9 @@
 
 static void on_end(world_t *world, const thing_t *thing)
 {
-	pimento_event_t event = { .kind = thing->event, .status = 200 };
+	pimento_event_t event = { .kind = thing->event,
+				  .status = 200,
+				  .tokens = 10 };
 
 	/* Small answers are kept; the id stands for the bytes. */
 	if (thing->event == PIMENTO_EVENT_DONE) {
