owner, route: the shedding order holds across floors and late returns

Besides, the best gap was forgotten in half a minute of reading, after which counter questions were refused as late; and one slot in eight of a service was kept free although the next one is free in milliseconds.

Change: last visits are repeated when their chain is older than half a floor; floors are kept by tier; feasibility uses the best rates; room is kept only where the next slot is far. Tokens in flight have a learnt limit, lowered when a first token is so late that the request had no place in the batch.

--- a/bench/world.h
+++ b/bench/world.h
@@ -40,7 +40,10 @@
 	/* Which hosts a host holds live has changed, or an endpoint leaves. */
 	void (*view)(policy_t *policy, uint32_t host);
 	void (*leaving)(policy_t *policy, uint32_t endpoint);
-	/* Less urgent requests that wait within reach of a host. */
+	/*
+	 * Less urgent requests that wait within reach of a host: at owners that
+	 * its messages reach and that it holds live.
+	 */
 	uint32_t (*waiting_below)(policy_t *policy, uint32_t host,
 				  const request_t *r);
 };
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #define ROOM_PART 8 /* one slot in so many is kept for more urgent tiers */
+#define ROOM_WAIT (100 * PIMENTO_MSEC) /* for a slot, that needs no room */
 #define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
 /* A prompt may use up so small a part of the slack of answers in progress. */
 #define SLACK_URGENT 2.0
@@ -38,7 +39,6 @@
 	e->description = *description;
 	e->epoch = epoch;
 	e->weight = weight;
-	e->floor = PIMENTO_TIERS_MAX;
 	queue_init(&e->queue);
 	limit_init(&e->limit, description->target, description->concurrency);
 	return e;
@@ -69,6 +69,14 @@
 	return now < e->foreign_until ? e->foreign : 0;
 }
 
+/* Until the first of the slots in use is free again. */
+static pimento_usec_t next_slot(const owner_endpoint_t *e)
+{
+	uint32_t mean = (uint32_t)(e->running_tokens / e->running);
+
+	return limit_service(&e->limit, 0, 0, mean) / e->running;
+}
+
 uint32_t endpoint_slots(const owner_endpoint_t *e, pimento_usec_t now,
 			uint8_t tier)
 {
@@ -82,12 +90,24 @@
 		slots = free_of_others;
 	if (!slots)
 		slots = 1;
-	if (!tier || slots < 2)
+	if (!tier || slots < 2 || !e->running || next_slot(e) < ROOM_WAIT)
 		return slots;
 	room = slots / ROOM_PART;
 	return slots - (room ? room : 1);
 }
 
+static uint64_t tokens_of(const reservation_t *r)
+{
+	return (uint64_t)r->asked.prompt_tokens + r->asked.answer_tokens;
+}
+
+limit_load_t endpoint_load(const owner_endpoint_t *e)
+{
+	limit_load_t load = { e->running, e->flight_tokens };
+
+	return load;
+}
+
 static uint32_t tokens_left(const reservation_t *r)
 {
 	uint32_t least = r->asked.answer_tokens / ESTIMATE_PART;
@@ -138,6 +158,9 @@
 		return false;
 	if (e->running >= endpoint_slots(e, now, r->item.tier))
 		return false;
+	if (r->item.tier && e->running &&
+	    !limit_tokens_fit(&e->limit, e->flight_tokens + tokens_of(r)))
+		return false;
 	return prefill_fits(e, now, r);
 }
 
@@ -161,14 +184,6 @@
 			  asked->answer_tokens);
 }
 
-/* Until the first of the slots in use is free again. */
-static pimento_usec_t next_slot(const owner_endpoint_t *e)
-{
-	uint32_t mean = (uint32_t)(e->running_tokens / e->running);
-
-	return limit_service(&e->limit, 0, 0, mean) / e->running;
-}
-
 pimento_usec_t endpoint_wait(const owner_endpoint_t *e, pimento_usec_t now,
 			     uint8_t tier)
 {
@@ -203,6 +218,7 @@
 	e->flight = r;
 	e->running++;
 	e->running_tokens += r->asked.answer_tokens;
+	e->flight_tokens += tokens_of(r);
 	if (!r->first_token)
 		e->prefilling += r->asked.prompt_tokens;
 	peak_note(e, now);
@@ -219,6 +235,7 @@
 		e->flight = r->older;
 	e->running--;
 	e->running_tokens -= tokens_left(r);
+	e->flight_tokens -= tokens_of(r);
 }
 
 void endpoint_read(owner_endpoint_t *e, reservation_t *r)
@@ -255,7 +272,7 @@
 	summary->running = e->running;
 	summary->limit = endpoint_slots(e, now, 0);
 	summary->running_tokens = (uint32_t)e->running_tokens;
-	summary->token_limit = e->description.context_tokens;
+	summary->token_limit = (uint32_t)e->limit.tokens;
 	for (uint8_t i = 0; i < PIMENTO_TIERS_MAX; i++) {
 		summary->waiting[i] = e->queue.tiers[i].count;
 		summary->wait[i] =
--- a/src/endpoint.h
+++ b/src/endpoint.h
@@ -20,13 +20,14 @@
 	uint32_t running; /* in flight, granted ones included */
 	uint32_t prefilling; /* prompt tokens granted and not yet read */
 	uint64_t running_tokens; /* still to be made, as estimated */
+	uint64_t flight_tokens; /* of prompts and answers in flight */
 	uint32_t foreign; /* in flight, but not through this owner */
 	pimento_usec_t foreign_until;
 	uint32_t peak; /* most in flight lately, to judge late reports by */
 	uint32_t peak_before;
 	pimento_usec_t peak_since;
-	uint8_t floor; /* least urgent tier that may wait, until floor_until */
-	pimento_usec_t floor_until;
+	/* Until when nothing less urgent than this tier may wait. */
+	pimento_usec_t floor_until[PIMENTO_TIERS_MAX];
 };
 
 owner_endpoint_t *endpoint_new(const config_endpoint_t *description,
@@ -57,6 +58,8 @@
 pimento_usec_t endpoint_wait(const owner_endpoint_t *endpoint,
 			     pimento_usec_t now, uint8_t tier);
 
+limit_load_t endpoint_load(const owner_endpoint_t *endpoint);
+
 /* Counts a reservation in, and out of, what is in flight. */
 void endpoint_start(owner_endpoint_t *endpoint, pimento_usec_t now,
 		    reservation_t *r);
--- a/src/limit.c
+++ b/src/limit.c
@@ -18,8 +18,18 @@
 #define GAP_ENOUGH 8 /* tokens that make a sample */
 #define FIRST_WORSE 3.0 /* times the expected span that is still accepted */
 #define FIRST_SLACK 0.5 /* seconds: a step that reads a full chunk, twice */
-#define BEST_FORGET 0.999 /* the best decays by this, to be learnt anew */
+/*
+ * The best decays by this with each sample, to be learnt anew in minutes: were
+ * it forgotten while prompts are read without a pause, the pace of an engine
+ * that reads would pass for its best, and urgent requests would be refused.
+ */
+#define BEST_FORGET 0.9999
 #define DECREASE 0.8
+#define TOKENS_INCREASE 1.01
+#define TOKENS_DECREASE 0.9
+#define FULL_PAUSE (5 * PIMENTO_SEC)
+#define FULL_SLACK 3.0 /* seconds: far more than a step */
+#define USED 0.75 /* of a limit, that makes it the one that was met */
 #define DECREASE_PAUSE (1 * PIMENTO_SEC)
 #define SERVICE_NEW 0.05 /* of each new sample: single spans scatter widely */
 #define SERVICE_ENOUGH 40 /* samples before the mean is worth comparing */
@@ -43,34 +53,54 @@
 		limit->requests = limit->requests_max;
 }
 
-static void decrease(limit_t *limit, pimento_usec_t now)
+/* Only a limit that was used up can have been too high. */
+static void decrease(limit_t *limit, pimento_usec_t now,
+		     const limit_load_t *load)
 {
 	if (limit->changed && now - limit->changed < DECREASE_PAUSE)
 		return;
+	if (load->requests < limit->requests * USED)
+		return;
 	limit->changed = now;
 	limit->requests *= DECREASE;
 	if (limit->requests < 1)
 		limit->requests = 1;
 }
 
-static void increase(limit_t *limit)
+static void increase(limit_t *limit, const limit_load_t *load)
 {
-	limit->requests += 1 / limit->requests;
+	if (load->requests + 1 >= limit_requests(limit))
+		limit->requests += 1 / limit->requests;
 	if (limit->requests > limit->requests_max)
 		limit->requests = limit->requests_max;
 }
 
 static void adapt(limit_t *limit, pimento_usec_t now, bool worse,
-		  uint32_t running)
+		  const limit_load_t *load)
 {
 	if (worse)
-		decrease(limit, now);
-	else if (running + 1 >= limit_requests(limit))
-		increase(limit);
+		decrease(limit, now, load);
+	else
+		increase(limit, load);
+}
+
+/* A first token came so late that the request had no place in the batch. */
+static void decrease_tokens(limit_t *limit, pimento_usec_t now,
+			    const limit_load_t *load)
+{
+	if (limit->full && now - limit->full < FULL_PAUSE)
+		return;
+	limit->full = now;
+	limit->tokens = (double)load->tokens * TOKENS_DECREASE;
+}
+
+bool limit_tokens_fit(const limit_t *limit, uint64_t tokens)
+{
+	return limit->tokens <= 0 || (double)tokens <= limit->tokens;
 }
 
 void limit_first_token(limit_t *limit, pimento_usec_t now, uint32_t tokens,
-		       pimento_usec_t span, uint32_t running)
+		       pimento_usec_t span, const limit_load_t *load)
 {
 	double seconds = (double)span / PIMENTO_SEC;
 	double expected;
@@ -83,8 +113,12 @@
 	if (limit->prefill_best < limit_prefill_rate(limit))
 		limit->prefill_best = limit_prefill_rate(limit);
 	expected = tokens / limit->prefill_best;
-	adapt(limit, now, seconds > FIRST_SLACK + expected * FIRST_WORSE,
-	      running);
+	adapt(limit, now, seconds > FIRST_SLACK + expected * FIRST_WORSE, load);
+	if (seconds > FULL_SLACK + expected * FIRST_WORSE &&
+	    load->requests < limit->requests * USED)
+		decrease_tokens(limit, now, load);
+	else if ((double)load->tokens >= limit->tokens * USED)
+		limit->tokens *= TOKENS_INCREASE;
 }
 
 void limit_decoded(limit_t *limit, uint32_t tokens, pimento_usec_t span)
@@ -104,7 +138,7 @@
 }
 
 void limit_served(limit_t *limit, pimento_usec_t now, pimento_usec_t span,
-		  uint32_t running)
+		  const limit_load_t *load)
 {
 	double seconds = (double)span / PIMENTO_SEC;
 	double part = limit->served < SERVICE_ENOUGH / 2
@@ -119,12 +153,14 @@
 	if (limit->service_best <= 0 || limit->service < limit->service_best)
 		limit->service_best = limit->service;
 	adapt(limit, now, limit->service > SERVICE_WORSE * limit->service_best,
-	      running);
+	      load);
 }
 
 void limit_failed(limit_t *limit, pimento_usec_t now)
 {
-	decrease(limit, now);
+	limit_load_t all = { limit->requests_max, 0 };
+
+	decrease(limit, now, &all);
 }
 
 double limit_prefill_rate(const limit_t *limit)
--- a/src/limit.h
+++ b/src/limit.h
@@ -12,6 +12,7 @@
 	config_target_t target;
 	uint32_t requests_max; /* the configuration's cap */
 	double requests; /* learnt, between 1 and requests_max */
+	double tokens; /* learnt, of prompts and answers; 0 no limit yet */
 	double prefill_tokens; /* sums that decay, of first-token samples */
 	double prefill_seconds;
 	double gap; /* seconds between tokens, 0 unknown */
@@ -21,25 +22,35 @@
 	double service_best; /* least that it has been lately */
 	uint32_t served; /* samples of it */
 	pimento_usec_t changed; /* when requests last went down */
+	pimento_usec_t full; /* when tokens last did */
 } limit_t;
 
 void limit_init(limit_t *limit, config_target_t target, uint32_t concurrency);
 /* The configuration changed the cap; what was learnt stays. */
 void limit_cap(limit_t *limit, uint32_t concurrency);
 
+/* What is in flight at an endpoint. */
+typedef struct limit_load {
+	uint32_t requests;
+	uint64_t tokens; /* of prompts and answers, as estimated */
+} limit_load_t;
+
 /*
  * A first token came after span; tokens counts the prompt and all prompts that
- * were ahead of it at the endpoint, running the requests in flight.
+ * were ahead of it at the endpoint.
  */
 void limit_first_token(limit_t *limit, pimento_usec_t now, uint32_t tokens,
-		       pimento_usec_t span, uint32_t running);
+		       pimento_usec_t span, const limit_load_t *load);
+
+/* True if so many tokens may be in flight. */
+bool limit_tokens_fit(const limit_t *limit, uint64_t tokens);
 
 /* tokens more came in span, of one stream. */
 void limit_decoded(limit_t *limit, uint32_t tokens, pimento_usec_t span);
 
 /* A plain service answered after span, with running requests in flight. */
 void limit_served(limit_t *limit, pimento_usec_t now, pimento_usec_t span,
-		  uint32_t running);
+		  const limit_load_t *load);
 
 /* The endpoint failed a request that it had taken. */
 void limit_failed(limit_t *limit, pimento_usec_t now);
--- a/src/owner.c
+++ b/src/owner.c
@@ -270,9 +270,7 @@
 
 		if (!endpoint_alike(e, like))
 			continue;
-		if (now >= e->floor_until || tier < e->floor)
-			e->floor = tier;
-		e->floor_until = now + OWNER_FLOOR;
+		e->floor_until[tier] = now + OWNER_FLOOR;
 		while ((lowest = queue_lowest(&e->queue)) > tier)
 			refuse(owner, now,
 			       (reservation_t *)queue_last(&e->queue, lowest),
@@ -283,7 +281,10 @@
 static bool above_floor(const owner_endpoint_t *e, pimento_usec_t now,
 			uint8_t tier)
 {
-	return now >= e->floor_until || tier <= e->floor;
+	for (uint8_t i = 0; i < tier; i++)
+		if (now < e->floor_until[i])
+			return false;
+	return true;
 }
 
 /* From when on it can no longer finish in time. */
@@ -337,8 +338,6 @@
 	if ((double)wait * WAIT_MARGIN + (double)service >
 	    (double)asked->patience)
 		return PIMENTO_ELATE;
-	if (wait && !above_floor(e, now, asked->tier))
-		return PIMENTO_EBUSY;
 	return 0;
 }
 
@@ -370,8 +369,15 @@
 		displace_lowest(owner, now);
 	refuse_hopeless(owner, now, e);
 	r = reservation_find(&owner->reservations, request);
-	if (r && r->state == RESERVATION_WAITING)
+	if (!r || r->state != RESERVATION_WAITING)
+		return;
+	if (above_floor(e, now, asked->tier)) {
 		send_wait(owner, now, r);
+		return;
+	}
+	if (asked->hops >= OWNER_HOPS_SHED)
+		shed_below(owner, now, e, asked->tier);
+	refuse(owner, now, r, PIMENTO_EBUSY);
 }
 
 static void reserve(owner_t *owner, pimento_usec_t now, pimento_id_t from,
@@ -407,12 +413,13 @@
 		  pimento_usec_t first_token, pimento_usec_t decode)
 {
 	limit_t *limit = &r->endpoint->limit;
+	limit_load_t load = endpoint_load(r->endpoint);
 
 	if (r->endpoint->description.target == CONFIG_TARGET_SERVICE)
 		return;
 	if (first_token > 0 && !r->first_token)
 		limit_first_token(limit, now, r->ahead + r->asked.prompt_tokens,
-				  first_token, r->endpoint->running);
+				  first_token, &load);
 	if (answer_tokens > r->answered && decode > r->decode && r->answered)
 		limit_decoded(limit, answer_tokens - r->answered,
 			      decode - r->decode);
@@ -426,10 +433,12 @@
 	reservation_t *r =
 		reservation_find(&owner->reservations, said->request);
 	owner_endpoint_t *e;
+	limit_load_t load;
 
 	if (!r || said->round < r->asked.round)
 		return;
 	e = r->endpoint;
+	load = endpoint_load(e);
 	if (r->state != RESERVATION_WAITING &&
 	    said->outcome != RELEASE_UNUSED) {
 		learn(r, now, said->answer_tokens, said->first_token,
@@ -437,8 +446,7 @@
 		if (e->description.target == CONFIG_TARGET_SERVICE &&
 		    said->first_token > 0)
 			limit_served(&e->limit, now,
-				     said->first_token + said->decode,
-				     e->running);
+				     said->first_token + said->decode, &load);
 	}
 	if (said->outcome == RELEASE_FAILED)
 		limit_failed(&e->limit, now);
--- a/src/route.c
+++ b/src/route.c
@@ -24,6 +24,7 @@
 #define GUESS_SERVICE 0.05 /* seconds */
 #define MOVED_MAX 4
 #define JITTER 0.05
+#define BEST_FORGET 0.9999
 #define QUICK_PART 0.4 /* of the patience that is quick enough */
 #define LENGTHY 1.0 /* seconds of reading that make a prompt a long one */
 #define DIVIDE_SPAN (500 * PIMENTO_MSEC)
@@ -37,6 +38,8 @@
 	uint32_t concurrency;
 	uint32_t context_tokens;
 	message_summary_t summary; /* epoch 0: none yet */
+	double prefill_best; /* rates of its quickest time lately */
+	double decode_best;
 	double prefill; /* measured here, tokens a second, 0 unknown */
 	double decode;
 	double service; /* seconds, plain services */
@@ -131,6 +134,11 @@
 	return 0;
 }
 
+static double larger(double a, double b)
+{
+	return a > b ? a : b;
+}
+
 void route_learn(route_t *route, pimento_usec_t now,
 		 const message_summary_t *summary)
 {
@@ -141,6 +149,10 @@
 		return;
 	e->summary = *summary;
 	e->sent = 0;
+	e->prefill_best = larger(e->prefill_best * BEST_FORGET,
+				 (double)summary->prefill_rate);
+	e->decode_best = larger(e->decode_best * BEST_FORGET,
+				(double)summary->decode_rate);
 }
 
 static double blend(double old, double sample)
@@ -258,11 +270,6 @@
 	       !strcmp(e->target_name, query->target_name);
 }
 
-static double larger(double a, double b)
-{
-	return a > b ? a : b;
-}
-
 static rates_t best_rates(const route_t *route, const route_query_t *query)
 {
 	rates_t best = { 0, 0, 0 };
@@ -550,7 +557,11 @@
 	       choice->expected <= query->patience;
 }
 
-/* True if an idle endpoint could do it within the span it came with. */
+/*
+ * True if an idle endpoint could do it within the span it came with. By the
+ * best rates, not those of now: a request that is late only because endpoints
+ * are busy is one that less urgent work must not outlive.
+ */
 static bool feasible(const route_t *route, pimento_usec_t now,
 		     const route_query_t *query, pimento_usec_t patience)
 {
@@ -560,10 +571,18 @@
 	q.avoid_count = 0;
 	for (uint32_t i = 0; i < route->count; i++) {
 		const route_endpoint_t *e = &route->endpoints[i];
+		double seconds;
 
-		if (usable(e, now, &q) &&
-		    service(route, now, &q, e, &best) * PIMENTO_SEC <=
-			    (double)patience)
+		if (!usable(e, now, &q))
+			continue;
+		if (e->target == CONFIG_TARGET_SERVICE)
+			seconds = best.service;
+		else
+			seconds = q.prompt_tokens / larger(e->prefill_best,
+							   best.prefill) +
+				  q.answer_tokens /
+					  larger(e->decode_best, best.decode);
+		if (seconds * PIMENTO_SEC <= (double)patience)
 			return true;
 	}
 	return false;
@@ -579,6 +598,12 @@
 {
 	route_query_t q = *query;
 
+	/* One that was let wait at its last visit comes back when others have
+	 * let less urgent work in again. */
+	if (now - retry->last_visit > OWNER_FLOOR / 2) {
+		retry->last_count = 0;
+		retry->last_visit = now;
+	}
 	if (retry->last_count >= ROUTE_VISITS_MAX)
 		return false;
 	q.avoid = retry->last;
--- a/src/route.h
+++ b/src/route.h
@@ -84,6 +84,8 @@
 	uint32_t count;
 	pimento_id_t last[ROUTE_VISITS_MAX]; /* ... and no for the last time */
 	uint32_t last_count;
+	pimento_usec_t
+		last_visit; /* the first of these; old ones do not count */
 	uint32_t moved; /* refusals because the owner had changed */
 	int reason; /* of the first refusal */
 	pimento_usec_t retry_after; /* the least that was said */
