--- a/test/fleet.h
+++ b/test/fleet.h
@@ -96,6 +96,14 @@
 /* Starts under one idempotency key in all services. */
 int fleet_key_runs(fleet_t *fleet, const char *key);
 
+#define FLEET_KEY_MAX 256
+
+/* Fetches a key that a daemon issues. Returns 0, or -1. */
+int fleet_issue_key(uint16_t port, char key[FLEET_KEY_MAX]);
+
+/* Draws a caller's own key that carries its birth: a UUID version 7. */
+void fleet_draw_key(char key[FLEET_KEY_MAX]);
+
 /* A completion through a daemon, with the shop's key. */
 client_call_t fleet_completion(uint16_t port, const char *json);
 
