--- a/src/claim.h
+++ b/src/claim.h
@@ -50,9 +50,10 @@
 } claim_state_t;
 
 /*
- * What the entry learns from a step. Only CLAIM_GIVEN_UP allows "not run"; it
- * is said of claim->attempt and of those before it. All others that end
- * without a dispatch of ours are "may have run".
+ * What the entry learns from a step. CLAIM_GIVEN_UP allows "not run"; it is
+ * said of claim->attempt and of those before it. But for CLAIM_MISMATCH with a
+ * known outcome, all others that end without a dispatch of ours are "may have
+ * run".
  */
 typedef enum claim_event {
 	CLAIM_NOTHING = 0,
@@ -67,7 +68,12 @@
 	CLAIM_DOUBT, /* "may have run" */
 	CLAIM_NO_QUORUM, /* too few answered a query: seal could not be had */
 	CLAIM_EXPIRED, /* the key is past its retention or from the future */
-	CLAIM_MISMATCH /* the key was used with another body */
+	/*
+	 * The key was used with another body. If claim->held.done, this one
+	 * has not run and will not; else the claim with the other body may not
+	 * have won, and this one may have run through another entry.
+	 */
+	CLAIM_MISMATCH
 } claim_event_t;
 
 typedef struct claim_options {
--- a/src/entry_claim.c
+++ b/src/entry_claim.c
@@ -163,8 +163,11 @@
 		return;
 	case CLAIM_MISMATCH:
 		entry_release(table, entry, RELEASE_UNUSED);
-		entry_refuse(table, entry, PIMENTO_NOT_RUN, PIMENTO_EMISMATCH,
-			     0);
+		/* Only a known outcome shows which body has run. */
+		entry_refuse(table, entry,
+			     entry->claim->held.done ? PIMENTO_NOT_RUN
+						     : PIMENTO_MAY_HAVE_RUN,
+			     PIMENTO_EMISMATCH, 0);
 		return;
 	case CLAIM_EXPIRED:
 		entry_release(table, entry, RELEASE_UNUSED);
