--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -160,7 +160,7 @@
 	double span = 0;
 
 	if (e->description.target == CONFIG_TARGET_SERVICE)
-		return limit_decode_rate(limit) > 0
+		return endpoint_measured(e)
 			       ? (pimento_usec_t)(MARGIN *
 						  limit_service(limit, 0, 0, 0))
 			       : 0;
