--- a/test/test_burn.c
+++ b/test/test_burn.c
@@ -62,17 +62,20 @@
 END_TEST
 
 static const struct {
-	uint64_t bad[BURN_WINDOWS]; /* of 1000 in each window */
+	uint64_t bad[BURN_WINDOWS]; /* of so many in each window */
+	uint64_t total;
 	double objective;
 	burn_state_t state;
 } judgements[] = {
-	{ { 0, 0, 0, 0, 0 }, 0.999, BURN_OK },
-	{ { 15, 15, 15, 15, 15 }, 0.999, BURN_FAST },
-	{ { 15, 15, 15, 15, 15 }, 0.95, BURN_OK },
-	{ { 0, 0, 15, 15, 15 }, 0.999, BURN_SPENT },
-	{ { 0, 7, 7, 7, 7 }, 0.999, BURN_SLOW },
-	{ { 0, 0, 0, 0, 1 }, 0.999, BURN_OK },
-	{ { 800, 800, 800, 800, 800 }, 0.95, BURN_FAST },
+	{ { 0, 0, 0, 0, 0 }, 1000, 0.999, BURN_OK },
+	{ { 15, 15, 15, 15, 15 }, 1000, 0.999, BURN_FAST },
+	{ { 15, 15, 15, 15, 15 }, 1000, 0.95, BURN_OK },
+	{ { 0, 0, 15, 15, 15 }, 1000, 0.999, BURN_SPENT },
+	{ { 0, 7, 7, 7, 7 }, 1000, 0.999, BURN_SLOW },
+	{ { 0, 0, 0, 0, 1 }, 1000, 0.999, BURN_OK },
+	{ { 2, 2, 2, 2, 2 }, 4, 0.999, BURN_OK },
+	{ { 3, 3, 3, 3, 3 }, 4, 0.999, BURN_FAST },
+	{ { 800, 800, 800, 800, 800 }, 1000, 0.95, BURN_FAST },
 };
 
 START_TEST(long_and_short_windows_are_judged)
@@ -83,14 +86,31 @@
 	report.objective = judgements[_i].objective;
 	ck_assert_int_eq(burn_judge(&report), BURN_IDLE);
 	for (int i = 0; i < BURN_WINDOWS; i++) {
-		report.windows[i].total = 1000;
-		report.windows[i].good = 1000 - judgements[_i].bad[i];
+		report.windows[i].total = judgements[_i].total;
+		report.windows[i].good =
+			judgements[_i].total - judgements[_i].bad[i];
 	}
 	ck_assert_str_eq(burn_state_name(burn_judge(&report)),
 			 burn_state_name(judgements[_i].state));
 }
 END_TEST
 
+static const struct {
+	int error;
+	bool counts;
+} refusals[] = {
+	{ PIMENTO_ELATE, true },	{ PIMENTO_EBUSY, true },
+	{ PIMENTO_EENDPOINT, true },	{ PIMENTO_ENOQUORUM, true },
+	{ PIMENTO_EUNREACHABLE, true }, { PIMENTO_ECANCELLED, false },
+	{ PIMENTO_EMISMATCH, false },	{ PIMENTO_ENOTFOUND, false },
+};
+
+START_TEST(callers_faults_do_not_count)
+{
+	ck_assert_int_eq(burn_counts(refusals[_i].error), refusals[_i].counts);
+}
+END_TEST
+
 START_TEST(objectives_fall_with_rank)
 {
 	burn_count_t count = { 998, 1000 };
@@ -176,6 +196,8 @@
 	tcase_add_test(tc, names_are_bounded);
 	tcase_add_loop_test(tc, long_and_short_windows_are_judged, 0,
 			    COUNT(judgements));
+	tcase_add_loop_test(tc, callers_faults_do_not_count, 0,
+			    COUNT(refusals));
 	tcase_add_test(tc, objectives_fall_with_rank);
 	tcase_add_test(tc, hosts_merge_by_age);
 	tcase_add_loop_test(tc, rubbish_is_refused, 0, COUNT(rubbish));
