test: one_key_one_run releases its reply

Cause: the address sanitizer found 4096 bytes of a reply that the test used twice and released once. Ruled out: a leak of the daemon; the buffer is the test client's. Change: released before it is used again. Conclusion: a fault of the test only.

--- a/test/test_http.c
+++ b/test/test_http.c
@@ -227,6 +227,7 @@
 		client_reply_finish(&reply);
 	}
 	ck_assert_int_eq(fleet_key_runs(&fleet, key), 1);
+	client_reply_finish(&keys);
 	call.body = "{\"amount\":13}";
 	client_call(&keys, &call);
 	ck_assert_int_eq(keys.status, 422);
