--- a/src/host.c
+++ b/src/host.c
@@ -19,6 +19,8 @@
 /* Bound on the difference between two hosts' wall clocks. */
 #define SKEW_DEFAULT (2 * PIMENTO_SEC)
 #define LIVE_MAX 1024
+/* A new host waits this long for peers before it takes callers without. */
+#define READY_GRACE (3 * PIMENTO_SEC)
 #define RETENTION_DEFAULT (600 * PIMENTO_SEC)
 #define KEYS_DEFAULT 65536
 #define WAITING_DEFAULT 100000
@@ -137,6 +139,7 @@
 	pimento_config_drop(host->config);
 	hostlist_finish(&host->hosts);
 	free(host->endpoints);
+	free(host->problems);
 	memset(host, 0, sizeof(*host));
 }
 
@@ -239,6 +242,16 @@
 	return PIMENTO_OK;
 }
 
+/* Keeps the mistakes, for whoever must mend the answers and publish again. */
+static void note_refused(pimento_host_t *host, uint64_t revision,
+			 problems_t *problems)
+{
+	free(host->problems);
+	host->problems = problems->text ? strdup(problems->text) : NULL;
+	host->refused_revision = revision;
+	host->refused_changed = true;
+}
+
 /* Switching is one step of the control thread: no request sees two halves. */
 static int take_config(pimento_host_t *host, pimento_usec_t now,
 		       uint64_t revision, const char *text, size_t length)
@@ -254,6 +267,8 @@
 	problems_init(&problems);
 	error = pimento_config_parse(&box->config, text, length,
 				     "configuration", &problems);
+	if (error)
+		note_refused(host, revision, &problems);
 	problems_finish(&problems);
 	if (error) {
 		free(box);
@@ -286,6 +301,8 @@
 
 	problems_init(&problems);
 	error = hostlist_parse(&list, text, length, &problems);
+	if (error)
+		note_refused(host, revision, &problems);
 	problems_finish(&problems);
 	if (error)
 		return error;
@@ -616,6 +633,11 @@
 		action->kind = PIMENTO_ACTION_HOSTS;
 		return 1;
 	}
+	if (host->refused_changed) {
+		host->refused_changed = false;
+		action->kind = PIMENTO_ACTION_REFUSED_TEXT;
+		return 1;
+	}
 	if (next_message(host, &action->peer)) {
 		action->kind = PIMENTO_ACTION_SEND;
 		action->message = &host->scratch;
@@ -634,14 +656,19 @@
 	return &host->hosts;
 }
 
+const char *pimento_host_problems(const pimento_host_t *host,
+				  uint64_t *revision)
+{
+	*revision = host->refused_revision;
+	return host->problems;
+}
+
 /* Chooses witnesses among the live hosts, this one first. */
-static void choose_witnesses(pimento_host_t *host, witness_set_t *set)
+static void choose_witnesses(const pimento_host_t *host, uint32_t start,
+			     witness_set_t *set)
 {
 	pimento_id_t live[LIVE_MAX];
 	uint32_t count = member_live(&host->member, live, LIVE_MAX);
-	uint32_t start =
-		count ? (uint32_t)pimento_random_below(&host->random, count)
-		      : 0;
 
 	memset(set, 0, sizeof(*set));
 	set->hosts[0] = host->self;
@@ -660,22 +687,44 @@
 	set->quorum = set->count / 2 + 1;
 }
 
+/* With two witnesses both are needed; one lost would block the key. */
+static bool enough_witnesses(const pimento_host_t *host,
+			     const witness_set_t *set)
+{
+	uint32_t entries = 0;
+
+	for (uint32_t i = 0; i < host->hosts.count; i++)
+		entries += !host->hosts.hosts[i].endpoint;
+	return set->count >= ISSUED_WITNESSES || entries < ISSUED_WITNESSES;
+}
+
 int pimento_host_issue(pimento_host_t *host, pimento_usec_t now,
 		       int64_t wall_msec, uint64_t nonce,
 		       char text[PIMENTO_KEY_TEXT])
 {
+	uint32_t start =
+		(uint32_t)pimento_random_below(&host->random, LIVE_MAX);
 	witness_set_t set;
 
 	(void)now;
-	choose_witnesses(host, &set);
-	/* With two witnesses both are needed; one lost would block the key. */
-	if (host->hosts.count >= ISSUED_WITNESSES &&
-	    set.count < ISSUED_WITNESSES)
+	choose_witnesses(host, start, &set);
+	if (!enough_witnesses(host, &set))
 		return PIMENTO_ENOQUORUM;
 	return keyring_issue(host->options.secret, &set, wall_msec, nonce,
 			     text);
 }
 
+bool pimento_host_ready(const pimento_host_t *host, pimento_usec_t now)
+{
+	witness_set_t set;
+
+	if (host->leaving || !host->config || !member_fresh(&host->member, now))
+		return false;
+	choose_witnesses(host, 0, &set);
+	return enough_witnesses(host, &set) ||
+	       now - host->started > READY_GRACE;
+}
+
 void pimento_host_hello(const pimento_host_t *host, struct message *message)
 {
 	message_probe_t *probe = &message->u.probe;
--- a/src/message.h
+++ b/src/message.h
@@ -44,7 +44,8 @@
 	uint32_t running_tokens; /* tokens still to be made in flight */
 	uint32_t token_limit;
 	uint32_t waiting[PIMENTO_TIERS_MAX]; /* waiting requests by tier */
-	uint32_t waiting_tokens;
+	uint32_t wait[PIMENTO_TIERS_MAX]; /* ms until one more is granted */
+	uint32_t waiting_tokens; /* of prompts granted and not yet read */
 	float prefill_rate; /* prompt tokens a second, 0 unknown */
 	float decode_rate; /* tokens a second of one stream, 0 unknown */
 	uint8_t leaving;
@@ -107,7 +108,8 @@
 	uint32_t prompt_tokens;
 	uint32_t answer_tokens; /* made in fact */
 	pimento_usec_t first_token; /* span from dispatch, 0 unknown */
-	pimento_usec_t decode; /* span from first to last token */
+	pimento_usec_t
+		decode; /* from first to last token; of all if no first */
 } message_release_t;
 
 /* Entry to owner: the slot is still in use. Missing ones free the slot. */
--- a/src/route.c
+++ b/src/route.c
@@ -24,6 +24,7 @@
 #define GUESS_SERVICE 0.05 /* seconds */
 #define MOVED_MAX 4
 #define JITTER 0.05
+#define QUICK_PART 0.4 /* of the patience that is quick enough */
 #define LENGTHY 1.0 /* seconds of reading that make a prompt a long one */
 #define DIVIDE_SPAN (500 * PIMENTO_MSEC)
 #define SIDE_BY_SIDE 16 /* answers made at once, roughly */
@@ -40,7 +41,7 @@
 	double decode;
 	double service; /* seconds, plain services */
 	pimento_usec_t measured;
-	uint32_t sent; /* by this entry since the summary */
+	double sent; /* seconds of work, by this entry since the summary */
 	pimento_usec_t failed_until;
 	bool leaving;
 	bool kept; /* free of long prompts */
@@ -244,6 +245,13 @@
 					  : e->decode;
 }
 
+/* Seconds of a plain service's answer. */
+static double service_of(const route_endpoint_t *e)
+{
+	return e->summary.decode_rate > 0 ? 1 / (double)e->summary.decode_rate
+					  : e->service;
+}
+
 static bool serves(const route_endpoint_t *e, const route_query_t *query)
 {
 	return e->target == query->target &&
@@ -266,9 +274,9 @@
 			continue;
 		best.prefill = larger(best.prefill, prefill_of(e));
 		best.decode = larger(best.decode, decode_of(e));
-		if (e->service > 0 &&
-		    (best.service <= 0 || e->service < best.service))
-			best.service = e->service;
+		if (service_of(e) > 0 &&
+		    (best.service <= 0 || service_of(e) < best.service))
+			best.service = service_of(e);
 	}
 	if (best.prefill <= 0)
 		best.prefill = GUESS_PREFILL;
@@ -289,25 +297,17 @@
 	double prompt = query->prompt_tokens;
 
 	if (e->target == CONFIG_TARGET_SERVICE)
-		return e->service > 0 ? e->service : best->service;
+		return service_of(e) > 0 ? service_of(e) : best->service;
 	prompt -= cached_tokens(route, now, query, e->id);
-	prompt += e->summary.waiting_tokens;
+	if (!query->tier) /* for the others they are in the wait */
+		prompt += e->summary.waiting_tokens;
 	return prompt / prefill + query->answer_tokens / decode;
 }
 
-/* Seconds in the line: what waits in front, served limit at a time. */
-static double line(const route_query_t *query, const route_endpoint_t *e,
-		   double one)
+/* Seconds until it is granted, as the owner said, and what was sent since. */
+static double line(const route_query_t *query, const route_endpoint_t *e)
 {
-	const message_summary_t *s = &e->summary;
-	uint32_t limit = s->epoch && s->limit ? s->limit : e->concurrency;
-	double ahead = s->running + e->sent;
-
-	for (int i = 0; i <= query->tier; i++)
-		ahead += s->waiting[i];
-	if (ahead < limit)
-		return one * 0.5 * ahead / limit;
-	return one * (0.5 + (ahead - limit + 1) / limit);
+	return e->summary.wait[query->tier] / 1000.0 + e->sent;
 }
 
 static bool avoided(const route_query_t *query, pimento_id_t id)
@@ -341,24 +341,16 @@
 	       reading(query, best) > LENGTHY;
 }
 
-static int faster(const void *a, const void *b)
-{
-	const route_endpoint_t *left = *(const route_endpoint_t *const *)a;
-	const route_endpoint_t *right = *(const route_endpoint_t *const *)b;
-	double difference = prefill_of(right) - prefill_of(left);
-
-	if (difference > 0 || difference < 0)
-		return difference > 0 ? 1 : -1;
-	return (left->id > right->id) - (left->id < right->id);
-}
-
-/* Keeps the fastest endpoints of a target that make up its part. */
+/*
+ * Keeps the first endpoints of a target that make up its part. In the order of
+ * their ids, on which all entries agree: were it the order of measured rates,
+ * two entries would send long and short prompts to the same endpoint.
+ */
 static void divide_target(route_endpoint_t **list, uint32_t count, double part)
 {
 	double all = 0;
 	double sum = 0;
 
-	qsort(list, count, sizeof(route_endpoint_t *), faster);
 	for (uint32_t i = 0; i < count; i++)
 		all += larger(prefill_of(list[i]), 1);
 	for (uint32_t i = 0; i < count; i++) {
@@ -397,9 +389,17 @@
 	free(list);
 }
 
+/* Which endpoints a choice is among. */
+typedef enum among { AMONG_ALL, AMONG_KEPT, AMONG_OTHERS } among_t;
+
+static bool is_among(const route_endpoint_t *e, among_t among)
+{
+	return among == AMONG_ALL || e->kept == (among == AMONG_KEPT);
+}
+
 static route_endpoint_t *pick(route_t *route, pimento_usec_t now,
 			      const route_query_t *query, const rates_t *best,
-			      bool kept_too, double *least)
+			      among_t among, double *least)
 {
 	route_endpoint_t *found = NULL;
 
@@ -408,10 +408,10 @@
 		double one;
 		double all;
 
-		if (!usable(e, now, query) || (e->kept && !kept_too))
+		if (!usable(e, now, query) || !is_among(e, among))
 			continue;
 		one = service(route, now, query, e, best);
-		all = one + line(query, e, one);
+		all = one + line(query, e);
 		all *= 1 + JITTER * pimento_random_unit(&route->random);
 		if (!found || all < *least) {
 			found = e;
@@ -421,18 +421,56 @@
 	return found;
 }
 
+/*
+ * A short request that is more urgent than long ones goes where no long prompt
+ * comes while that is quick enough, even if another endpoint is quicker just
+ * now: there it would hold up the next long prompt, which may not use up its
+ * slack.
+ */
+static bool keeps_apart(route_t *route, const route_query_t *query)
+{
+	mix_target_t *target;
+
+	if (query->target != CONFIG_TARGET_MODEL)
+		return false;
+	target = mix_target(&route->mix, pimento_id(query->target_name));
+	return target && query->tier <= mix_last(target);
+}
+
+static route_endpoint_t *pick_short(route_t *route, pimento_usec_t now,
+				    const route_query_t *query,
+				    const rates_t *best, double *least)
+{
+	route_endpoint_t *found = NULL;
+
+	if (keeps_apart(route, query))
+		found = pick(route, now, query, best, AMONG_KEPT, least);
+	if (found &&
+	    *least * PIMENTO_SEC <= (double)query->patience * QUICK_PART)
+		return found;
+	return pick(route, now, query, best, AMONG_ALL, least);
+}
+
+/* Seconds of an ordinary endpoint's time. */
+static double work(const route_query_t *query, const rates_t *best)
+{
+	if (query->target == CONFIG_TARGET_SERVICE)
+		return best->service / SIDE_BY_SIDE;
+	return reading(query, best) +
+	       query->answer_tokens / best->decode / SIDE_BY_SIDE;
+}
+
 static void note_work(route_t *route, pimento_usec_t now,
 		      const route_query_t *query, const rates_t *best)
 {
 	mix_target_t *target;
-	double making = query->answer_tokens / best->decode / SIDE_BY_SIDE;
 
 	if (query->target != CONFIG_TARGET_MODEL)
 		return;
 	target = mix_target(&route->mix, pimento_id(query->target_name));
 	if (target)
-		mix_note(target, now, query->tier,
-			 reading(query, best) + making, lengthy(query, best));
+		mix_note(target, now, query->tier, work(query, best),
+			 lengthy(query, best));
 }
 
 static int choose(route_t *route, pimento_usec_t now,
@@ -443,11 +481,14 @@
 	double least = 0;
 	route_endpoint_t *found;
 
-	kept_too = kept_too || !lengthy(query, &best);
-	found = pick(route, now, query, &best, kept_too, &least);
+	if (lengthy(query, &best))
+		found = pick(route, now, query, &best,
+			     kept_too ? AMONG_ALL : AMONG_OTHERS, &least);
+	else
+		found = pick_short(route, now, query, &best, &least);
 	if (!found)
 		return PIMENTO_EUNREACHABLE;
-	found->sent++;
+	found->sent += work(query, &best);
 	choice->endpoint = found->id;
 	choice->expected = (pimento_usec_t)(least * PIMENTO_SEC);
 	return 0;
--- a/test/gossip.h
+++ b/test/gossip.h
@@ -90,6 +90,9 @@
 /* Counts pairs of hosts that are up and do not see one another live. */
 uint32_t gossip_misjudged(const gossip_t *fleet);
 
+/* Counts hosts that are up and still believe that this one lives. */
+uint32_t gossip_unaware(const gossip_t *fleet, uint32_t dead);
+
 /* Counts endpoints whose owner is not the same for all hosts that are up. */
 uint32_t gossip_disputed_owners(const gossip_t *fleet, uint32_t endpoints);
 
