daemon: a stop that reached its limit ends the process

Cause: an interrupted demo left three daemons that had logged "stopped at the limit" ten minutes before. Callers' threads stood in call_wait() and call_read(), waiting for the control thread, which had ended; ulfius waited for them.

Ruled out: a bound on those waits, which would cut long answers as well; a limit in the harness only, since whoever replaces a host has none.

--- a/daemon/pimentod.c
+++ b/daemon/pimentod.c
@@ -104,7 +104,9 @@
 	joined = platform_finish(&platform);
 	http_finish(&http);
 	log_line(LOG_LEVEL_INFO, "pimentod", "stopped");
-	if (!joined)
+	/* A thread that still waits for the platform or for an endpoint uses
+	 * what control_finish() would free. */
+	if (!joined || left)
 		_exit(left ? EXIT_FAILURE : EXIT_SUCCESS);
 	control_finish(&control);
 	return left ? EXIT_FAILURE : EXIT_SUCCESS;
--- a/io/control.c
+++ b/io/control.c
@@ -527,6 +527,29 @@
 	run_commands(control);
 }
 
+/*
+ * After the limit nobody is left who could end a call. Its caller's thread
+ * would wait for ever and the process never end, so that a replacement of the
+ * host hangs until somebody kills it. What was dispatched may still run.
+ */
+static void cut_calls(control_t *control)
+{
+	const pimento_action_t action = {
+		.verdict = PIMENTO_MAY_HAVE_RUN,
+		.error = PIMENTO_ELEAVING,
+	};
+
+	for (uint32_t i = 0; i < control->calls_max; i++) {
+		call_t *call = control->calls[i];
+
+		if (!call)
+			continue;
+		cancel_call(call);
+		call_refuse(call, &action);
+		forget_call(control, call);
+	}
+}
+
 uint32_t control_run(control_t *control)
 {
 	uint32_t left;
@@ -549,6 +572,7 @@
 	act_all(control);
 	left = pimento_host_busy(control->host);
 	close_commands(control);
+	cut_calls(control);
 	control->stopped = true;
 	return left;
 }
