--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 OPT ?= -O2
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wformat=2 -Werror
-SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
+SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer) \
+	$(if $(FUZZ),-fsanitize=fuzzer-no-link -fno-sanitize-recover=all)
 DEFS = -D_GNU_SOURCE -I. -Isrc -Iio -Itest
 CFLAGS_ALL = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS) $(DEFS) -pthread \
 	$(shell pkg-config --cflags $(PKGS) check)
@@ -137,6 +138,30 @@
 tsan:
 	$(MAKE) B=build/tsan SAN=thread OPT=-O1 tests
 
+# Each parser of what others send, for a few seconds; FUZZ_SECONDS for more.
+FUZZERS = $(patsubst test/%.c,$(B)/test/%,$(wildcard test/fuzz_*.c))
+FUZZ_SECONDS ?= 6
+FUZZ_RUN = -max_total_time=$(FUZZ_SECONDS) -seed=1 -max_len=4096 \
+	-rss_limit_mb=1500 -print_final_stats=1 -verbosity=0
+
+$(FUZZERS): $(B)/test/%: $(B)/obj/test/%.c.o $(PURE)
+	@mkdir -p $(@D)
+	$(CXX) -fsanitize=fuzzer,$(SAN) -o $@ $^ $(LDLIBS_ALL)
+
+fuzzers: $(FUZZERS)
+
+fuzz:
+	@$(MAKE) -s B=build/fuzz CC=clang CXX=clang++ OPT=-O1 \
+		SAN=address,undefined FUZZ=yes fuzzers
+	@for f in $(patsubst test/%.c,%,$(wildcard test/fuzz_*.c)); do \
+		echo "$$f"; \
+		mkdir -p build/fuzz/$$f.corpus; \
+		(cd build/fuzz && test/$$f $$f.corpus $(FUZZ_RUN)) \
+			>build/fuzz/$$f.log 2>&1 || \
+			{ tail -40 build/fuzz/$$f.log; exit 1; }; \
+		grep -E 'executed_units|new_units|peak_rss' build/fuzz/$$f.log; \
+	done; echo "fuzz: clean"
+
 model:
 	model/check
 
@@ -153,4 +178,5 @@
 	rm -rf build
 
 .PHONY: all proto deps format format-check lint purity tests check asan tsan \
+	fuzz fuzzers \
 	model demo bench slopes clean
--- /dev/null
+++ b/test/fuzz_wire.c
@@ -0,0 +1,96 @@
+/*
+ * Frames of peers, as libFuzzer makes them up. A frame that is taken must be
+ * written again and read back the same, or two hosts would see two messages.
+ *
+ * The fuzzer starts from one frame of each kind, written into the corpus
+ * folder that is its first argument: from nothing it takes hours to find them.
+ */
+
+#include "wire.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+int LLVMFuzzerInitialize(int *argc, char ***argv);
+
+/* Members that are counts or enumerations get values that are in range. */
+static void make(message_t *message, message_kind_t kind)
+{
+	memset(message, 1, sizeof(*message));
+	message->kind = kind;
+	if (kind == MESSAGE_DIGEST)
+		message->u.digest.count = 3;
+	if (kind == MESSAGE_PROBE || kind == MESSAGE_ACK)
+		message->u.probe.count = 3;
+	if (kind == MESSAGE_PART)
+		message->u.part.length = 20;
+	if (kind == MESSAGE_CLAIM)
+		message->u.claim.place.answer_size = 20;
+	if (kind == MESSAGE_WITNESS)
+		message->u.witness.place.answer_size = 20;
+}
+
+static void write_seed(const char *folder, message_kind_t kind)
+{
+	static uint8_t frame[WIRE_FRAME_MAX];
+	static message_t message;
+	char path[256];
+	FILE *file;
+	int length;
+
+	make(&message, kind);
+	length = wire_encode(1, &message, frame, sizeof(frame));
+	if (length < WIRE_HEAD)
+		return;
+	snprintf(path, sizeof(path), "%s/%s", folder, message_name(kind));
+	file = fopen(path, "wb");
+	if (!file)
+		return;
+	fwrite(frame + WIRE_HEAD, 1, (size_t)(length - WIRE_HEAD), file);
+	fclose(file);
+}
+
+int LLVMFuzzerInitialize(int *argc, char ***argv)
+{
+	if (*argc < 2 || (*argv)[1][0] == '-')
+		return 0;
+	for (int kind = 1; kind < MESSAGE_KINDS; kind++)
+		write_seed((*argv)[1], (message_kind_t)kind);
+	return 0;
+}
+
+static void read_back(pimento_id_t from, const message_t *message)
+{
+	static uint8_t frame[WIRE_FRAME_MAX];
+	static uint8_t again[WIRE_FRAME_MAX];
+	static message_t copy;
+	pimento_id_t sender;
+	int length = wire_encode(from, message, frame, sizeof(frame));
+
+	if (length < WIRE_HEAD || wire_length(frame) != length - WIRE_HEAD)
+		abort();
+	memset(&copy, 0, sizeof(copy));
+	if (wire_decode(frame + WIRE_HEAD, (size_t)(length - WIRE_HEAD),
+			&sender, &copy))
+		abort();
+	if (sender != from || copy.kind != message->kind)
+		abort();
+	if (wire_encode(sender, &copy, again, sizeof(again)) != length ||
+	    memcmp(frame, again, (size_t)length) != 0)
+		abort();
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	static message_t message;
+	pimento_id_t from;
+
+	if (size >= WIRE_HEAD)
+		(void)wire_length(data);
+	memset(&message, 0, sizeof(message));
+	if (wire_decode(data, size, &from, &message) == 0)
+		read_back(from, &message);
+	return 0;
+}
