owner: notice an endpoint that is full of tokens by its silence

Change: a request with no first token long after its prompt should have been read marks the endpoint as full until it has one; the limit of tokens goes down by 15 % then and up by 1 % in 30 s at most. Under a cut each side counts its tokens over its share.

--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -26,6 +26,8 @@
 /* Half of a service's answers take longer than the mean. */
 #define MARGIN 1.25
 #define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
+#define FULL_SPAN (1500 * PIMENTO_MSEC) /* until the next word is due */
+#define FULL_WAIT (5 * PIMENTO_SEC) /* a guess: until some answer ends */
 #define PEAK_SPAN (30 * PIMENTO_SEC)
 #define FOREIGN_SPAN (10 * PIMENTO_SEC)
 
@@ -101,9 +103,15 @@
 	return (uint64_t)r->asked.prompt_tokens + r->asked.answer_tokens;
 }
 
+/* Of two owners on the sides of a cut each fills only its share. */
+static uint64_t whole(const owner_endpoint_t *e, uint64_t tokens)
+{
+	return (uint64_t)((double)tokens / e->weight);
+}
+
 limit_load_t endpoint_load(const owner_endpoint_t *e)
 {
-	limit_load_t load = { e->running, e->flight_tokens };
+	limit_load_t load = { e->running, whole(e, e->flight_tokens) };
 
 	return load;
 }
@@ -154,12 +162,13 @@
 bool endpoint_fits(const owner_endpoint_t *e, pimento_usec_t now,
 		   const reservation_t *r)
 {
-	if (e->leaving)
+	if (e->leaving || now < e->full_until)
 		return false;
 	if (e->running >= endpoint_slots(e, now, r->item.tier))
 		return false;
 	if (r->item.tier && e->running &&
-	    !limit_tokens_fit(&e->limit, e->flight_tokens + tokens_of(r)))
+	    !limit_tokens_fit(&e->limit,
+			      whole(e, e->flight_tokens + tokens_of(r))))
 		return false;
 	return prefill_fits(e, now, r);
 }
@@ -189,6 +198,8 @@
 {
 	pimento_usec_t wait = queue_work(&e->queue, tier);
 
+	if (now < e->full_until)
+		wait += FULL_WAIT;
 	if (tier)
 		wait += limit_reading(&e->limit, e->prefilling, 0);
 	if (e->running && e->running >= endpoint_slots(e, now, tier))
@@ -246,6 +257,24 @@
 	e->prefilling -= r->asked.prompt_tokens;
 }
 
+/*
+ * An engine whose memory is full lets nothing more into its batch, and what it
+ * gets waits inside in order of arrival, urgent or not. It shows as a request
+ * without a first token long after its prompt should have been read. Until
+ * that one has it, others are better off elsewhere.
+ */
+void endpoint_silent(owner_endpoint_t *e, pimento_usec_t now,
+		     const reservation_t *r)
+{
+	limit_load_t load = endpoint_load(e);
+
+	if (e->description.target != CONFIG_TARGET_MODEL || r->first_token)
+		return;
+	if (limit_silent(&e->limit, now, r->ahead + r->asked.prompt_tokens,
+			 now - r->granted, &load))
+		e->full_until = now + FULL_SPAN;
+}
+
 void endpoint_made(owner_endpoint_t *e, reservation_t *r, uint32_t answered)
 {
 	e->running_tokens -= tokens_left(r);
--- a/src/endpoint.h
+++ b/src/endpoint.h
@@ -23,6 +23,7 @@
 	uint64_t flight_tokens; /* of prompts and answers in flight */
 	uint32_t foreign; /* in flight, but not through this owner */
 	pimento_usec_t foreign_until;
+	pimento_usec_t full_until; /* it seems to have no room for tokens */
 	uint32_t peak; /* most in flight lately, to judge late reports by */
 	uint32_t peak_before;
 	pimento_usec_t peak_since;
@@ -68,6 +69,10 @@
 /* The reservation's first token came: its prompt is read. */
 void endpoint_read(owner_endpoint_t *endpoint, reservation_t *r);
 
+/* The reservation still has no first token. */
+void endpoint_silent(owner_endpoint_t *endpoint, pimento_usec_t now,
+		     const reservation_t *r);
+
 /* More of the answer came. */
 void endpoint_made(owner_endpoint_t *endpoint, reservation_t *r,
 		   uint32_t answered);
--- a/src/limit.c
+++ b/src/limit.c
@@ -25,10 +25,11 @@
  */
 #define BEST_FORGET 0.9999
 #define DECREASE 0.8
-#define TOKENS_INCREASE 1.01
-#define TOKENS_DECREASE 0.9
+#define TOKENS_INCREASE 1.01 /* once in each pause: being full costs much */
+#define TOKENS_PAUSE (30 * PIMENTO_SEC)
+#define TOKENS_DECREASE 0.85
 #define FULL_PAUSE (5 * PIMENTO_SEC)
-#define FULL_SLACK 3.0 /* seconds: far more than a step */
+#define FULL_SLACK 2.0 /* seconds: far more than a step */
 #define USED 0.75 /* of a limit, that makes it the one that was met */
 #define DECREASE_PAUSE (1 * PIMENTO_SEC)
 #define SERVICE_NEW 0.05 /* of each new sample: single spans scatter widely */
@@ -99,6 +100,20 @@
 	return limit->tokens <= 0 || (double)tokens <= limit->tokens;
 }
 
+bool limit_silent(limit_t *limit, pimento_usec_t now, uint32_t tokens,
+		  pimento_usec_t span, const limit_load_t *load)
+{
+	double seconds = (double)span / PIMENTO_SEC;
+
+	if (limit->prefill_best <= 0 ||
+	    load->requests >= limit->requests * USED)
+		return false;
+	if (seconds <= FULL_SLACK + tokens / limit->prefill_best * FIRST_WORSE)
+		return false;
+	decrease_tokens(limit, now, load);
+	return true;
+}
+
 void limit_first_token(limit_t *limit, pimento_usec_t now, uint32_t tokens,
 		       pimento_usec_t span, const limit_load_t *load)
 {
@@ -114,11 +129,13 @@
 		limit->prefill_best = limit_prefill_rate(limit);
 	expected = tokens / limit->prefill_best;
 	adapt(limit, now, seconds > FIRST_SLACK + expected * FIRST_WORSE, load);
-	if (seconds > FULL_SLACK + expected * FIRST_WORSE &&
-	    load->requests < limit->requests * USED)
-		decrease_tokens(limit, now, load);
-	else if ((double)load->tokens >= limit->tokens * USED)
+	if (limit_silent(limit, now, tokens, span, load))
+		return;
+	if ((double)load->tokens >= limit->tokens * USED &&
+	    now - limit->full >= TOKENS_PAUSE) {
+		limit->full = now;
 		limit->tokens *= TOKENS_INCREASE;
+	}
 }
 
 void limit_decoded(limit_t *limit, uint32_t tokens, pimento_usec_t span)
--- a/src/limit.h
+++ b/src/limit.h
@@ -22,7 +22,7 @@
 	double service_best; /* least that it has been lately */
 	uint32_t served; /* samples of it */
 	pimento_usec_t changed; /* when requests last went down */
-	pimento_usec_t full; /* when tokens last did */
+	pimento_usec_t full; /* when tokens last changed */
 } limit_t;
 
 void limit_init(limit_t *limit, config_target_t target, uint32_t concurrency);
@@ -42,6 +42,13 @@
 void limit_first_token(limit_t *limit, pimento_usec_t now, uint32_t tokens,
 		       pimento_usec_t span, const limit_load_t *load);
 
+/*
+ * No first token yet after span. Returns true if that is so long that the
+ * request can have no place in the batch: the endpoint is full of tokens.
+ */
+bool limit_silent(limit_t *limit, pimento_usec_t now, uint32_t tokens,
+		  pimento_usec_t span, const limit_load_t *load);
+
 /* True if so many tokens may be in flight. */
 bool limit_tokens_fit(const limit_t *limit, uint64_t tokens);
 
--- a/src/owner.c
+++ b/src/owner.c
@@ -502,6 +502,8 @@
 	r->state = RESERVATION_RUNNING;
 	if (said->first_token > 0)
 		endpoint_read(r->endpoint, r);
+	else
+		endpoint_silent(r->endpoint, now, r);
 	endpoint_made(r->endpoint, r, said->answer_tokens);
 	r->due = now + OWNER_LEASE;
 	heap_put(&owner->due, r, r->due);
