--- a/bench/world.h
+++ b/bench/world.h
@@ -40,7 +40,10 @@
 	/* Which hosts a host holds live has changed, or an endpoint leaves. */
 	void (*view)(policy_t *policy, uint32_t host);
 	void (*leaving)(policy_t *policy, uint32_t endpoint);
-	/* Less urgent requests that wait within reach of a host. */
+	/*
+	 * Less urgent requests that wait within reach of a host: at owners that
+	 * its messages reach and that it holds live.
+	 */
 	uint32_t (*waiting_below)(policy_t *policy, uint32_t host,
 				  const request_t *r);
 };
@@ -62,6 +65,9 @@
 	uint32_t inversions;
 	uint64_t wasted; /* prompt tokens read and thrown away */
 	uint64_t read; /* prompt tokens read in all */
+	double busy[WORKLOAD_ENDPOINTS]; /* as in engine_t */
+	double reading[WORKLOAD_ENDPOINTS];
+	double batched[WORKLOAD_ENDPOINTS];
 	pimento_usec_t give_up; /* longest from first refusal to final answer */
 	uint64_t messages;
 	uint64_t message_bytes;
--- a/src/route.c
+++ b/src/route.c
@@ -24,6 +24,7 @@
 #define GUESS_SERVICE 0.05 /* seconds */
 #define MOVED_MAX 4
 #define JITTER 0.05
+#define BEST_FORGET 0.9999
 #define QUICK_PART 0.4 /* of the patience that is quick enough */
 #define LENGTHY 1.0 /* seconds of reading that make a prompt a long one */
 #define DIVIDE_SPAN (500 * PIMENTO_MSEC)
@@ -37,11 +38,13 @@
 	uint32_t concurrency;
 	uint32_t context_tokens;
 	message_summary_t summary; /* epoch 0: none yet */
+	double prefill_best; /* rates of its quickest time lately */
+	double decode_best;
 	double prefill; /* measured here, tokens a second, 0 unknown */
 	double decode;
 	double service; /* seconds, plain services */
 	pimento_usec_t measured;
-	uint32_t sent; /* by this entry since the summary */
+	double sent; /* seconds of work, by this entry since the summary */
 	pimento_usec_t failed_until;
 	bool leaving;
 	bool kept; /* free of long prompts */
@@ -131,6 +134,11 @@
 	return 0;
 }
 
+static double larger(double a, double b)
+{
+	return a > b ? a : b;
+}
+
 void route_learn(route_t *route, pimento_usec_t now,
 		 const message_summary_t *summary)
 {
@@ -141,6 +149,10 @@
 		return;
 	e->summary = *summary;
 	e->sent = 0;
+	e->prefill_best = larger(e->prefill_best * BEST_FORGET,
+				 (double)summary->prefill_rate);
+	e->decode_best = larger(e->decode_best * BEST_FORGET,
+				(double)summary->decode_rate);
 }
 
 static double blend(double old, double sample)
@@ -258,11 +270,6 @@
 	       !strcmp(e->target_name, query->target_name);
 }
 
-static double larger(double a, double b)
-{
-	return a > b ? a : b;
-}
-
 static rates_t best_rates(const route_t *route, const route_query_t *query)
 {
 	rates_t best = { 0, 0, 0 };
@@ -299,23 +306,15 @@
 	if (e->target == CONFIG_TARGET_SERVICE)
 		return service_of(e) > 0 ? service_of(e) : best->service;
 	prompt -= cached_tokens(route, now, query, e->id);
-	prompt += e->summary.waiting_tokens;
+	if (!query->tier) /* for the others they are in the wait */
+		prompt += e->summary.waiting_tokens;
 	return prompt / prefill + query->answer_tokens / decode;
 }
 
-/* Seconds in the line: what waits in front, served limit at a time. */
-static double line(const route_query_t *query, const route_endpoint_t *e,
-		   double one)
+/* Seconds until it is granted, as the owner said, and what was sent since. */
+static double line(const route_query_t *query, const route_endpoint_t *e)
 {
-	const message_summary_t *s = &e->summary;
-	uint32_t limit = s->epoch && s->limit ? s->limit : e->concurrency;
-	double ahead = s->running + e->sent;
-
-	for (int i = 0; i <= query->tier; i++)
-		ahead += s->waiting[i];
-	if (ahead < limit)
-		return one * 0.5 * ahead / limit;
-	return one * (0.5 + (ahead - limit + 1) / limit);
+	return e->summary.wait[query->tier] / 1000.0 + e->sent;
 }
 
 static bool avoided(const route_query_t *query, pimento_id_t id)
@@ -419,7 +418,7 @@
 		if (!usable(e, now, query) || !is_among(e, among))
 			continue;
 		one = service(route, now, query, e, best);
-		all = one + line(query, e, one);
+		all = one + line(query, e);
 		all *= 1 + JITTER * pimento_random_unit(&route->random);
 		if (!found || all < *least) {
 			found = e;
@@ -430,35 +429,55 @@
 }
 
 /*
- * A short urgent request goes where no long prompt comes while that is quick
- * enough, even if another endpoint is quicker just now: there it would hold up
- * the next long prompt, which may not use up its slack.
+ * A short request that is more urgent than long ones goes where no long prompt
+ * comes while that is quick enough, even if another endpoint is quicker just
+ * now: there it would hold up the next long prompt, which may not use up its
+ * slack.
  */
+static bool keeps_apart(route_t *route, const route_query_t *query)
+{
+	mix_target_t *target;
+
+	if (query->target != CONFIG_TARGET_MODEL)
+		return false;
+	target = mix_target(&route->mix, pimento_id(query->target_name));
+	return target && query->tier <= mix_last(target);
+}
+
 static route_endpoint_t *pick_short(route_t *route, pimento_usec_t now,
 				    const route_query_t *query,
 				    const rates_t *best, double *least)
 {
-	route_endpoint_t *found;
+	route_endpoint_t *found = NULL;
 
-	found = pick(route, now, query, best, AMONG_KEPT, least);
+	if (keeps_apart(route, query))
+		found = pick(route, now, query, best, AMONG_KEPT, least);
 	if (found &&
 	    *least * PIMENTO_SEC <= (double)query->patience * QUICK_PART)
 		return found;
 	return pick(route, now, query, best, AMONG_ALL, least);
 }
 
+/* Seconds of an ordinary endpoint's time. */
+static double work(const route_query_t *query, const rates_t *best)
+{
+	if (query->target == CONFIG_TARGET_SERVICE)
+		return best->service / SIDE_BY_SIDE;
+	return reading(query, best) +
+	       query->answer_tokens / best->decode / SIDE_BY_SIDE;
+}
+
 static void note_work(route_t *route, pimento_usec_t now,
 		      const route_query_t *query, const rates_t *best)
 {
 	mix_target_t *target;
-	double making = query->answer_tokens / best->decode / SIDE_BY_SIDE;
 
 	if (query->target != CONFIG_TARGET_MODEL)
 		return;
 	target = mix_target(&route->mix, pimento_id(query->target_name));
 	if (target)
-		mix_note(target, now, query->tier,
-			 reading(query, best) + making, lengthy(query, best));
+		mix_note(target, now, query->tier, work(query, best),
+			 lengthy(query, best));
 }
 
 static int choose(route_t *route, pimento_usec_t now,
@@ -476,7 +495,7 @@
 		found = pick_short(route, now, query, &best, &least);
 	if (!found)
 		return PIMENTO_EUNREACHABLE;
-	found->sent++;
+	found->sent += work(query, &best);
 	choice->endpoint = found->id;
 	choice->expected = (pimento_usec_t)(least * PIMENTO_SEC);
 	return 0;
@@ -538,7 +557,11 @@
 	       choice->expected <= query->patience;
 }
 
-/* True if an idle endpoint could do it within the span it came with. */
+/*
+ * True if an idle endpoint could do it within the span it came with. By the
+ * best rates, not those of now: a request that is late only because endpoints
+ * are busy is one that less urgent work must not outlive.
+ */
 static bool feasible(const route_t *route, pimento_usec_t now,
 		     const route_query_t *query, pimento_usec_t patience)
 {
@@ -548,10 +571,18 @@
 	q.avoid_count = 0;
 	for (uint32_t i = 0; i < route->count; i++) {
 		const route_endpoint_t *e = &route->endpoints[i];
+		double seconds;
 
-		if (usable(e, now, &q) &&
-		    service(route, now, &q, e, &best) * PIMENTO_SEC <=
-			    (double)patience)
+		if (!usable(e, now, &q))
+			continue;
+		if (e->target == CONFIG_TARGET_SERVICE)
+			seconds = best.service;
+		else
+			seconds = q.prompt_tokens / larger(e->prefill_best,
+							   best.prefill) +
+				  q.answer_tokens /
+					  larger(e->decode_best, best.decode);
+		if (seconds * PIMENTO_SEC <= (double)patience)
 			return true;
 	}
 	return false;
@@ -567,6 +598,12 @@
 {
 	route_query_t q = *query;
 
+	/* One that was let wait at its last visit comes back when others have
+	 * let less urgent work in again. */
+	if (now - retry->last_visit > OWNER_FLOOR / 2) {
+		retry->last_count = 0;
+		retry->last_visit = now;
+	}
 	if (retry->last_count >= ROUTE_VISITS_MAX)
 		return false;
 	q.avoid = retry->last;
