bench: changes of every line as well as of one

Cause: a difference of one line is the best case of a change. Change: "slopes change" also publishes texts that share no line with the one before, so that the whole text travels. Conclusion: both ends of the range are measured.

--- a/bench/slope_gossip.c
+++ b/bench/slope_gossip.c
@@ -142,10 +142,23 @@
 	return x < y ? -1 : x > y;
 }
 
+static char *next_text(size_t size, uint32_t endpoints, uint32_t change,
+		       bool whole)
+{
+	char *text = slope_config(endpoints, size, 100 + change);
+
+	/* Every line differs from the one before; hosts here do not parse. */
+	for (char *c = text; whole && change % 2 && *c; c++)
+		if (*c >= 'a' && *c <= 'z')
+			*c = (char)(*c - 'a' + 'A');
+	return text;
+}
+
 /* Publishes several times; prints when it was in force at the last host. */
-static void changes(gossip_t *f, const char *label, size_t size,
-		    uint32_t endpoints, uint32_t times)
+static void changes(gossip_t *f, bool whole, size_t size, uint32_t endpoints,
+		    uint32_t times)
 {
+	const char *label = whole ? "all lines" : "one line";
 	pimento_usec_t spans[64];
 	char what[128];
 	double mean;
@@ -155,7 +168,7 @@
 	clear_counters(f);
 	for (uint32_t i = 0; i < times; i++) {
 		gossip_publish(f, SPREAD_CONFIG,
-			       slope_config(endpoints, size, 100 + i));
+			       next_text(size, endpoints, i, whole));
 		spans[i] = until(f, not_in_force);
 		gossip_run(f, PIMENTO_SEC);
 	}
@@ -184,8 +197,9 @@
 			char *text = slope_config(endpoints[j], texts[j], 1);
 
 			start_fleet(&f, hosts[i], text);
-			changes(&f, "one line", texts[j], endpoints[j],
+			changes(&f, false, texts[j], endpoints[j],
 				hosts[i] < 400 ? 50 : 20);
+			changes(&f, true, texts[j], endpoints[j], 10);
 			gossip_finish(&f);
 		}
 	}
