test: an entry dies between claim and dispatch; a sealed attempt stays sealed

Cause: both were only proved in virtual time. The thread sanitizer also told of a reader that had ended and was not joined when the other still waited. Ruled out: freezing the endpoint (the kernel still accepts, so the request leaves). A port with a full accept queue neither stands nor fails. Change: two tests in test_failure.c; each thread of platform.c is joined or let go by itself. Conclusion: the verdicts are may-have-run and not-run as they must be.

--- a/io/platform.c
+++ b/io/platform.c
@@ -164,7 +164,7 @@
 		else if (sys_now() - begun < NAP)
 			rest(control, NAP);
 	}
-	reader->platform->running--;
+	reader->thread.ended = true;
 	return NULL;
 }
 
@@ -268,48 +268,57 @@
 			read_report(control, &list.targets[i]);
 		rest(control, REPORTS_PERIOD);
 	}
-	platform->running--;
+	platform->reports.ended = true;
 	return NULL;
 }
 
+static int start_thread(platform_thread_t *thread, void *(*run)(void *),
+			void *data)
+{
+	if (pthread_create(&thread->thread, NULL, run, data))
+		return PIMENTO_EIO;
+	thread->started = true;
+	return PIMENTO_OK;
+}
+
 int platform_init(platform_t *platform, control_t *control)
 {
+	int error = PIMENTO_OK;
+
 	memset(platform, 0, sizeof(*platform));
 	platform->control = control;
-	for (int i = 0; i < 2; i++) {
+	for (int i = 0; i < 2 && !error; i++) {
 		platform_reader_t *reader = &platform->readers[i];
 
 		reader->control = control;
-		reader->platform = platform;
 		reader->hosts = i == 1;
-		if (pthread_create(&reader->thread, NULL, run_reader, reader))
-			return PIMENTO_EIO;
-		reader->started = true;
-		platform->running++;
+		error = start_thread(&reader->thread, run_reader, reader);
 	}
-	if (pthread_create(&platform->reports, NULL, run_reports, platform))
-		return PIMENTO_EIO;
-	platform->reports_started = true;
-	platform->running++;
-	return PIMENTO_OK;
+	if (!error)
+		error = start_thread(&platform->reports, run_reports, platform);
+	return error;
+}
+
+/* Joins the thread if it ends in time, else lets it go; true if joined. */
+static bool finish_thread(platform_thread_t *thread, pimento_usec_t end)
+{
+	if (!thread->started)
+		return true;
+	while (!thread->ended && sys_now() < end)
+		usleep((useconds_t)NAP);
+	if (thread->ended)
+		pthread_join(thread->thread, NULL);
+	else
+		pthread_detach(thread->thread);
+	return thread->ended;
 }
 
 bool platform_finish(platform_t *platform)
 {
 	pimento_usec_t end = sys_now() + FINISH_TIMEOUT;
-	bool done = false;
+	bool joined = finish_thread(&platform->reports, end);
 
-	while (!done && sys_now() < end) {
-		usleep((useconds_t)NAP);
-		done = !platform->running;
-	}
-	if (!done)
-		return false;
-	for (int i = 0; i < 2; i++) {
-		if (platform->readers[i].started)
-			pthread_join(platform->readers[i].thread, NULL);
-	}
-	if (platform->reports_started)
-		pthread_join(platform->reports, NULL);
-	return true;
+	for (int i = 0; i < 2; i++)
+		joined &= finish_thread(&platform->readers[i].thread, end);
+	return joined;
 }
--- a/io/platform.h
+++ b/io/platform.h
@@ -10,23 +10,23 @@
 
 #include "control.h"
 
-struct platform;
+typedef struct platform_thread {
+	pthread_t thread;
+	bool started;
+	atomic_bool ended; /* at its end: joining does not wait */
+} platform_thread_t;
 
 typedef struct platform_reader {
-	struct platform *platform;
 	control_t *control;
 	bool hosts; /* the host list, else the configuration */
 	uint64_t revision; /* newest that the platform gave */
-	pthread_t thread;
-	bool started;
+	platform_thread_t thread;
 } platform_reader_t;
 
 typedef struct platform {
 	control_t *control;
 	platform_reader_t readers[2];
-	pthread_t reports;
-	bool reports_started;
-	atomic_int running; /* threads not at their end */
+	platform_thread_t reports;
 } platform_t;
 
 int platform_init(platform_t *platform, control_t *control);
--- a/test/test_failure.c
+++ b/test/test_failure.c
@@ -456,6 +456,126 @@
 }
 END_TEST
 
+/*
+ * A port whose accept queue is full: connections to it neither stand nor fail,
+ * so that a test can act between the claim and the dispatch.
+ */
+typedef struct stuck {
+	int listener;
+	int fillers[4];
+	uint16_t port;
+} stuck_t;
+
+static void stuck_init(stuck_t *stuck)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	socklen_t size = sizeof(at);
+
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	stuck->listener = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(bind(stuck->listener, (struct sockaddr *)&at, size),
+			 0);
+	ck_assert_int_eq(listen(stuck->listener, 0), 0);
+	getsockname(stuck->listener, (struct sockaddr *)&at, &size);
+	stuck->port = ntohs(at.sin_port);
+	for (int i = 0; i < 4; i++) {
+		stuck->fillers[i] =
+			socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(stuck->fillers[i], (struct sockaddr *)&at, size);
+	}
+	pause_ms(100);
+}
+
+static void stuck_finish(stuck_t *stuck)
+{
+	for (int i = 0; i < 4; i++)
+		close(stuck->fillers[i]);
+	close(stuck->listener);
+}
+
+static void start_with_stuck_service(stuck_t *stuck, char *more, size_t size)
+{
+	fleet_options_t options = { .hosts = 3, .engines = 1 };
+
+	stuck_init(stuck);
+	snprintf(more, size,
+		 "[[service]]\nname = \"orders\"\nprefix = \"/orders\"\n"
+		 "[[contract]]\nname = \"charge\"\naccount = \"*\"\n"
+		 "target = \"service:orders\"\ntier = \"charge\"\n"
+		 "repeatable = false\n"
+		 "[[endpoint]]\nname = \"stuck\"\ndatacentre = \"dc0\"\n"
+		 "target = \"service:orders\"\naddress = \"127.0.0.1\"\n"
+		 "port = %u\nconcurrency = 4\ncontext_tokens = 0\n",
+		 stuck->port);
+	options.config_more = more;
+	start(&options);
+}
+
+/*
+ * An entry host has won the claim of a charge and dies before it could send
+ * it. Nobody else can know that it had not been sent: a repeat through another
+ * host must say "may have run", and must not send it either.
+ */
+START_TEST(entry_killed_between_claim_and_dispatch)
+{
+	stuck_t stuck;
+	char more[1024];
+	const char *key;
+	client_call_t call;
+	client_reply_t reply;
+	background_t first;
+
+	start_with_stuck_service(&stuck, more, sizeof(more));
+	key = issue_key(1);
+	call = keyed(0, "/orders/charge", "{}", key);
+	background_start(&first, &call);
+	pause_ms(500);
+	process_kill(&fleet.host[0]);
+	background_wait(&first);
+	client_reply_finish(&first.reply);
+	call = keyed(1, "/orders/charge", "{}", key);
+	call.headers[2].name = "Pimento-Deadline-Ms";
+	call.headers[2].value = "3000";
+	client_call(&reply, &call);
+	ck_assert_msg(!strcmp(reply.verdict, "may-have-run"), "%s", reply.body);
+	client_reply_finish(&reply);
+	stop();
+	stuck_finish(&stuck);
+}
+END_TEST
+
+/*
+ * The only endpoint of a charge cannot be reached. The caller is told "not
+ * run" within a few seconds; from then on that attempt must never run, and
+ * the caller is told which attempt can.
+ */
+START_TEST(not_run_seals_the_attempt)
+{
+	stuck_t stuck;
+	char more[1024];
+	const char *key;
+	client_call_t call;
+	client_reply_t reply;
+
+	start_with_stuck_service(&stuck, more, sizeof(more));
+	key = issue_key(0);
+	call = keyed(0, "/orders/charge", "{}", key);
+	client_call(&reply, &call);
+	ck_assert_msg(!strcmp(reply.verdict, "not-run"), "%s", reply.body);
+	ck_assert_int_lt(reply.total_us, 9000000);
+	client_reply_finish(&reply);
+	call.headers[2].name = "Pimento-Attempt";
+	call.headers[2].value = "1";
+	call.port = fleet.http_port[1];
+	client_call(&reply, &call);
+	ck_assert_int_eq(reply.status, 409);
+	ck_assert_str_eq(reply.verdict, "not-run");
+	client_reply_finish(&reply);
+	stop();
+	stuck_finish(&stuck);
+}
+END_TEST
+
 static const struct {
 	const char *name;
 	const char *bytes;
@@ -526,6 +646,8 @@
 	tcase_add_loop_test(tc, endpoint_closes, 0,
 			    sizeof(closes) / sizeof(closes[0]));
 	tcase_add_test(tc, each_caller_its_own_answer);
+	tcase_add_test(tc, entry_killed_between_claim_and_dispatch);
+	tcase_add_test(tc, not_run_seals_the_attempt);
 	tcase_add_test(tc, malformed_frames);
 	suite_add_tcase(suite, tc);
 	return process_run_suite(suite);
