--- a/standin/engine.c
+++ b/standin/engine.c
@@ -224,7 +224,8 @@
 	if (given && *given)
 		snprintf(id, RUNS_ID_MAX, "%s", given);
 	else
-		snprintf(id, RUNS_ID_MAX, "engine-%" PRIuFAST64,
+		snprintf(id, RUNS_ID_MAX, "%.64s-%" PRIuFAST64,
+			 engine->standin.name,
 			 atomic_fetch_add(&engine->ids, 1));
 }
 
--- a/standin/service.c
+++ b/standin/service.c
@@ -37,7 +37,8 @@
 
 	pthread_mutex_lock(&service->mutex);
 	if (!id) {
-		snprintf(own, sizeof(own), "service-%" PRIu64, service->id++);
+		snprintf(own, sizeof(own), "%.64s-%" PRIu64,
+			 service->standin.name, service->id++);
 		id = own;
 	}
 	run = runs_find(&service->requests, id, true);
