entry: tell the witnesses on after the caller has its answer

Ruled out: holding the caller's answer back until every witness has been told; that would cost each refusal a step's timeout while one witness is down. Change: ENTRY_CLOSING: the entry stays, unknown to its handle, until its claim has ended, at most one step (400 ms).

--- a/src/entry.c
+++ b/src/entry.c
@@ -114,7 +114,8 @@
 	if (index >= table->high)
 		return NULL;
 	entry = &table->entries[index];
-	if (entry->state == ENTRY_FREE || entry->generation != handle >> 32)
+	if (entry->state == ENTRY_FREE || entry->state == ENTRY_CLOSING ||
+	    entry->generation != handle >> 32)
 		return NULL;
 	return entry;
 }
@@ -130,8 +131,27 @@
 		table->wake = at;
 }
 
+/* True while the claim still has something to tell to a witness. */
+static bool claim_unsettled(const claim_t *claim)
+{
+	return claim && (claim->state == CLAIM_SEALING ||
+			 claim->state == CLAIM_WITHDRAWING ||
+			 claim->state == CLAIM_TELLING);
+}
+
+/*
+ * The caller has its answer, but a witness may have missed the seal or the
+ * outcome. Were it not told again, it would go on holding a claim that never
+ * won, and with another witness gone the key would be closed for the retention.
+ * So the entry stays until its claim has ended, which is one step at most.
+ */
 void entry_free(entry_table_t *table, entry_t *entry)
 {
+	if (claim_unsettled(entry->claim)) {
+		entry->state = ENTRY_CLOSING;
+		entry_wake(table, entry, claim_deadline(entry->claim));
+		return;
+	}
 	free(entry->claim);
 	entry->claim = NULL;
 	entry->state = ENTRY_FREE;
@@ -566,6 +586,10 @@
 	case ENTRY_FOLLOWING:
 		tick_following(table, now, entry);
 		return;
+	case ENTRY_CLOSING:
+		(void)claim_tick(entry->claim, now, table->out);
+		entry_free(table, entry);
+		return;
 	case ENTRY_FREE:
 	case ENTRY_STATES:
 	default:
--- a/src/entry.h
+++ b/src/entry.h
@@ -28,6 +28,7 @@
 	ENTRY_FOLLOWING,
 	ENTRY_ASKING, /* another dispatch's outcome, at the witnesses */
 	ENTRY_SEALING,
+	ENTRY_CLOSING, /* answered; the witnesses are still being told */
 	ENTRY_STATES
 } entry_state_t;
 
--- a/src/entry_reserve.c
+++ b/src/entry_reserve.c
@@ -339,7 +339,9 @@
 			continue;
 		event = claim_receive(entry->claim, now, from, witness,
 				      table->out);
-		if (event)
+		if (entry->state == ENTRY_CLOSING)
+			entry_free(table, entry);
+		else if (event)
 			entry_claim_event(table, now, entry, event);
 	}
 }
