witness: do not send the claimant its own answer back

Cause: each reply to an outcome carried the answer that the question had just brought. Ruled out: dropping the place from replies; others need it to resume. Change: describe() leaves the answer out for the dispatch that holds the claim.

--- a/src/witness.c
+++ b/src/witness.c
@@ -389,7 +389,9 @@
 	}
 }
 
-static void describe(const witness_record_t *record, message_witness_t *reply)
+/* The claimant knows its own answer: only others are sent it. */
+static void describe(const witness_record_t *record,
+		     const message_claim_t *question, message_witness_t *reply)
 {
 	message_place_t *place = &reply->place;
 
@@ -402,9 +404,10 @@
 	place->digest = record->digest;
 	place->done = record->done;
 	place->status = record->status;
+	if (!record->answer_size || holds(record, question->place.request))
+		return;
 	place->answer_size = record->answer_size;
-	if (record->answer_size)
-		memcpy(place->answer, record->answer, record->answer_size);
+	memcpy(place->answer, record->answer, record->answer_size);
 }
 
 /*
@@ -426,7 +429,7 @@
 		reply->answer = apply(witness, now, question);
 	record = *slot(witness, question->key);
 	if (record)
-		describe(record, reply);
+		describe(record, question, reply);
 }
 
 static void drop_views(witness_t *witness, uint32_t keep)
