--- a/bench/engine.c
+++ b/bench/engine.c
@@ -20,6 +20,11 @@
 	pimento_random_init(&engine->random, seed);
 }
 
+double engine_alone(double prompt, double answer)
+{
+	return prompt * ENGINE_PROMPT + answer * (ENGINE_STEP + ENGINE_TOKEN);
+}
+
 double engine_cost(double prompt, double answer)
 {
 	return prompt * ENGINE_PROMPT +
--- a/bench/engine.h
+++ b/bench/engine.h
@@ -80,6 +80,9 @@
 /* Takes a job out wherever it is; harmless if it is not there. */
 void engine_cancel(engine_t *engine, job_t *job);
 
+/* Seconds that an idle ordinary engine takes for an answer. */
+double engine_alone(double prompt, double answer);
+
 /* Seconds of an ordinary engine that a request costs in a full batch. */
 double engine_cost(double prompt, double answer);
 
--- a/bench/report.h
+++ b/bench/report.h
@@ -15,6 +15,8 @@
 	uint64_t seed_first;
 	uint64_t seed_last;
 	uint32_t tiers;
+	const workload_t *load_of;
+	scenario_t kind;
 	world_stats_t stats; /* summed over the seeds */
 } report_row_t;
 
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -85,6 +85,7 @@
 	uint64_t prefix; /* 0 none */
 	request_state_t state;
 	uint32_t attempt; /* of the caller, from 0 */
+	bool hopeless; /* came back too late for the fastest idle endpoint */
 	uint32_t host;
 	uint32_t endpoint;
 	pimento_usec_t dispatched;
--- a/bench/world.h
+++ b/bench/world.h
@@ -14,6 +14,8 @@
 
 #define WORLD_HOSTS_MAX 8
 #define WORLD_LINK (1 * PIMENTO_MSEC)
+#define WORLD_SLOWDOWN 5
+#define WORLD_STRUCK_ENDPOINT 2 /* by slow-down or leaving */
 #define WORLD_DETECT (2 * PIMENTO_SEC) /* until a dead host is known dead */
 
 typedef struct world world_t;
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -15,14 +15,13 @@
 #define ROOM_WAIT (100 * PIMENTO_MSEC) /* for a slot, that needs no room */
 #define PREFILL_SPAN (300 * PIMENTO_MSEC) /* prompts that may queue there */
 /* A prompt may use up so small a part of the slack of answers in progress. */
-#define SLACK_URGENT 2.0
-#define SLACK 1.0
+#define SLACK 2.0
 /*
  * An answer takes so much longer beside prompts that are read meanwhile. If it
  * were granted with less time left, no prompt could be let in beside it, and
  * the engine would make few answers at once, which is the costly way.
  */
-#define SHARING 3.0
+#define SHARING 2.5
 /* Half of a service's answers take longer than the mean. */
 #define MARGIN 1.25
 #define ESTIMATE_PART 10 /* of an estimate, still to come when it is reached */
@@ -135,12 +134,11 @@
 {
 	for (const reservation_t *r = e->flight; r; r = r->older) {
 		pimento_usec_t left = r->item.deadline - now;
-		double factor = r->item.tier < tier ? SLACK_URGENT : SLACK;
 
 		if (!r->item.deadline || r->item.tier > tier)
 			continue;
 		left -= limit_making(&e->limit, tokens_left(r));
-		if (left > 0 && (double)left < (double)reading * factor)
+		if (left > 0 && (double)left < (double)reading * SLACK)
 			return false;
 	}
 	return true;
--- a/src/route.c
+++ b/src/route.c
@@ -25,6 +25,7 @@
 #define MOVED_MAX 4
 #define JITTER 0.05
 #define BEST_FORGET 0.9999
+#define HOPELESS (0.3 * PIMENTO_SEC) /* of the span by the best rates */
 #define QUICK_PART 0.4 /* of the patience that is quick enough */
 #define LENGTHY 1.0 /* seconds of reading that make a prompt a long one */
 #define DIVIDE_SPAN (500 * PIMENTO_MSEC)
@@ -558,9 +559,10 @@
 }
 
 /*
- * True if an idle endpoint could do it within the span it came with. By the
- * best rates, not those of now: a request that is late only because endpoints
- * are busy is one that less urgent work must not outlive.
+ * True if an idle endpoint might do it within the span it came with. By the
+ * best rates, not those of now, and generously, for endpoints that have been
+ * busy all along never showed their best: a request that is late only because
+ * of that is one that less urgent work must not outlive.
  */
 static bool feasible(const route_t *route, pimento_usec_t now,
 		     const route_query_t *query, pimento_usec_t patience)
@@ -582,7 +584,7 @@
 							   best.prefill) +
 				  q.answer_tokens /
 					  larger(e->decode_best, best.decode);
-		if (seconds * PIMENTO_SEC <= (double)patience)
+		if (seconds * HOPELESS <= (double)patience)
 			return true;
 	}
 	return false;
