platform: rubbish is a failure, and a wild revision is forgotten

A platform that answered 200 with rubbish counted as one that answers: the readers that watch came back at once, without end, and such an answer confirmed what a daemon held after a pause. One answer with a revision far ahead made the reader deaf: it went on asking for something newer than that number, and the next configuration never came in force through it.

Ruled out: only slowing the loop down, which leaves the deaf reader and the false confirmation; forgetting refused revisions at once, which would read a refused text of a megabyte at each back-off.

Now an answer without a revision is a failure, a text that was not taken backs off and confirms nothing, and is passed over by one watch only. Readers ask after the revision in force here, so that what came from a peer is not read again.

--- a/io/platform.c
+++ b/io/platform.c
@@ -57,112 +57,160 @@
 }
 
 typedef struct plan {
+	bool hosts;
 	bool watch;
 	pimento_usec_t interval;
+	uint64_t in_force;
 } plan_t;
 
+static uint64_t in_force(const control_t *control, bool hosts)
+{
+	return hosts ? control->host->member.hosts_revision
+		     : control->host->member.revision;
+}
+
 static void run_plan(control_t *control, void *argument)
 {
 	plan_t *plan = argument;
 
 	plan->watch = pimento_host_reader(control->host, &plan->interval);
+	plan->in_force = in_force(control, plan->hosts);
 }
 
+typedef enum outcome {
+	READ_FAILED, /* no proper answer */
+	READ_USELESS, /* a text that was not taken */
+	READ_GOOD, /* a text that is in force now, or nothing newer */
+} outcome_t;
+
 typedef struct reading {
 	bool hosts;
 	uint64_t revision;
-	const char *text;
+	const char *text; /* NULL: nothing newer */
 	size_t length;
 	pimento_usec_t begun;
-	int error;
+	outcome_t outcome;
 } reading_t;
 
+/*
+ * Only a text that is in force confirms what is held. A refused one, or one of
+ * an older revision, would let a daemon that stood still serve under what the
+ * others have left behind.
+ */
 static void run_reading(control_t *control, void *argument)
 {
 	reading_t *reading = argument;
 	pimento_usec_t now = sys_now();
 
-	pimento_host_refreshed(control->host, now, reading->begun);
 	if (reading->text)
-		reading->error = pimento_host_read(
-			control->host, now, reading->hosts, reading->revision,
-			reading->text, reading->length);
+		pimento_host_read(control->host, now, reading->hosts,
+				  reading->revision, reading->text,
+				  reading->length);
+	if (reading->text &&
+	    reading->revision != in_force(control, reading->hosts))
+		return;
+	reading->outcome = READ_GOOD;
+	pimento_host_refreshed(control->host, now, reading->begun);
 }
 
-static void hand_over(platform_reader_t *reader,
-		      const struct _u_response *response, pimento_usec_t begun)
+/*
+ * A text that was not taken is passed over by the next watch, so that its
+ * correction comes at once. Not for longer: a platform that for a moment gave
+ * a revision far ahead would never be listened to again.
+ */
+static outcome_t hand_over(platform_reader_t *reader,
+			   const struct _u_response *response, long status,
+			   pimento_usec_t begun)
 {
 	const char *revision =
 		u_map_get_case(response->map_header, "X-Revision");
-	reading_t reading = { .hosts = reader->hosts, .begun = begun };
-
-	if (response->status == 200 && revision) {
-		reading.revision = strtoull(revision, NULL, 10);
+	reading_t reading = { .hosts = reader->hosts,
+			      .begun = begun,
+			      .outcome = READ_USELESS };
+
+	if (status != 200 && status != 304)
+		return READ_FAILED;
+	if (status == 200) {
+		reading.revision = revision ? strtoull(revision, NULL, 10) : 0;
 		reading.text = response->binary_body;
 		reading.length = response->binary_body_length;
+		if (!reading.revision || !reading.text)
+			return READ_FAILED;
 	}
 	control_call(reader->control, run_reading, &reading);
-	if (reading.revision > reader->revision)
-		reader->revision = reading.revision;
+	reader->passed = reading.outcome == READ_USELESS ? reading.revision : 0;
+	return reading.outcome;
 }
 
-/* One read or watch; false if the platform did not answer properly. */
-static bool read_once(platform_reader_t *reader, bool watch)
+static outcome_t read_once(platform_reader_t *reader, const plan_t *plan)
 {
 	const settings_t *settings = reader->control->settings;
+	uint64_t after = plan->in_force;
 	pimento_usec_t begun = sys_now();
 	struct _u_response response;
 	char url[URL_MAX];
+	outcome_t outcome;
 	long status;
-	bool good;
 
+	if (plan->watch && reader->passed > after)
+		after = reader->passed;
 	snprintf(url, sizeof(url), "http://%s:%u/v1/%s?after=%llu&wait_s=%d",
 		 settings->platform_address, settings->platform_port,
-		 reader->hosts ? "hosts" : "config",
-		 (unsigned long long)reader->revision,
-		 watch ? WATCH_SECONDS : 0);
+		 reader->hosts ? "hosts" : "config", (unsigned long long)after,
+		 plan->watch ? WATCH_SECONDS : 0);
 	ulfius_init_response(&response);
 	reader->control->counters.platform_calls++;
-	status = get(url, READ_TIMEOUT_SECONDS + (watch ? WATCH_SECONDS : 0UL),
+	status = get(url,
+		     READ_TIMEOUT_SECONDS + (plan->watch ? WATCH_SECONDS : 0UL),
 		     &response);
-	good = status == 200 || status == 304;
-	if (good)
-		hand_over(reader, &response, begun);
-	else
+	outcome = hand_over(reader, &response, status, begun);
+	if (outcome == READ_FAILED)
 		reader->control->counters.platform_failures++;
 	ulfius_clean_response(&response);
-	return good;
+	return outcome;
+}
+
+static void note_answer(platform_reader_t *reader, outcome_t outcome)
+{
+	bool failed = outcome == READ_FAILED;
+
+	if (failed != reader->failing)
+		log_line(LOG_LEVEL_WARNING, "platform",
+			 failed ? "does not answer" : "answers again");
+	reader->failing = failed;
+}
+
+/* The span until the next read; failures and useless answers back off. */
+static pimento_usec_t next_rest(platform_reader_t *reader, const plan_t *plan,
+				outcome_t outcome)
+{
+	pimento_usec_t backoff = reader->backoff;
+
+	if (outcome == READ_GOOD) {
+		reader->backoff = BACKOFF_MIN;
+		return plan->watch ? NAP : jitter(plan->interval);
+	}
+	if (outcome == READ_USELESS && !plan->watch)
+		return jitter(plan->interval);
+	reader->backoff = backoff * 2 < BACKOFF_MAX ? backoff * 2 : BACKOFF_MAX;
+	return jitter(backoff);
 }
 
 static void *run_reader(void *data)
 {
 	platform_reader_t *reader = data;
 	control_t *control = reader->control;
-	pimento_usec_t backoff = BACKOFF_MIN;
-	bool failing = false;
 
+	reader->backoff = BACKOFF_MIN;
 	while (!control->stopped) {
-		plan_t plan = { .watch = false, .interval = PIMENTO_SEC };
-		pimento_usec_t begun = sys_now();
-		bool good;
+		plan_t plan = { .hosts = reader->hosts,
+				.interval = PIMENTO_SEC };
+		outcome_t outcome;
 
 		control_call(control, run_plan, &plan);
-		good = read_once(reader, plan.watch);
-		if (good == failing)
-			log_line(LOG_LEVEL_WARNING, "platform",
-				 good ? "answers again" : "does not answer");
-		failing = !good;
-		if (!good) {
-			rest(control, jitter(backoff));
-			backoff = backoff * 2 < BACKOFF_MAX ? backoff * 2
-							    : BACKOFF_MAX;
-			continue;
-		}
-		backoff = BACKOFF_MIN;
-		if (!plan.watch)
-			rest(control, jitter(plan.interval));
-		else if (sys_now() - begun < NAP)
-			rest(control, NAP);
+		outcome = read_once(reader, &plan);
+		note_answer(reader, outcome);
+		rest(control, next_rest(reader, &plan, outcome));
 	}
 	reader->platform->running--;
 	return NULL;
--- a/io/platform.h
+++ b/io/platform.h
@@ -16,7 +16,9 @@
 	struct platform *platform;
 	control_t *control;
 	bool hosts; /* the host list, else the configuration */
-	uint64_t revision; /* newest that the platform gave */
+	uint64_t passed; /* revision that was not taken; 0 none */
+	pimento_usec_t backoff;
+	bool failing;
 	pthread_t thread;
 	bool started;
 } platform_reader_t;
