test: the platform down, silent, stale, flapping, wrong

Real daemons and a platform that misbehaves on command.

A stand-in that is "wild" claims a revision of four thousand million.

--- a/standin/platform.c
+++ b/standin/platform.c
@@ -16,6 +16,7 @@
 
 #define VALUE_MAX ((size_t)1024 * 1024)
 #define WAIT_MAX_S 300
+#define WILD_REVISION "4000000000"
 #define SILENCE_MAX_MS INT64_C(60000)
 
 typedef enum platform_mode {
@@ -24,6 +25,7 @@
 	MODE_ERROR,
 	MODE_STALE, /* serves the revision before the newest */
 	MODE_RUBBISH,
+	MODE_WILD, /* rubbish that claims a revision far ahead */
 	MODES
 } platform_mode_t;
 
@@ -52,8 +54,8 @@
 	bool stopping;
 } platform_t;
 
-static const char *const mode_names[MODES] = { "ok", "silent", "error", "stale",
-					       "rubbish" };
+static const char *const mode_names[MODES] = { "ok",	"silent",  "error",
+					       "stale", "rubbish", "wild" };
 
 static struct timespec deadline_of(int64_t at_ms)
 {
@@ -85,7 +87,8 @@
 		if (value->text && value->revision > after)
 			return true;
 		if (now >= until_ms || platform->mode == MODE_ERROR ||
-		    platform->mode == MODE_RUBBISH)
+		    platform->mode == MODE_RUBBISH ||
+		    platform->mode == MODE_WILD)
 			return false;
 		if (subject->newest.visible_ms > now &&
 		    subject->newest.visible_ms < wake)
@@ -119,6 +122,16 @@
 					value->length);
 }
 
+static void send_rubbish(const platform_t *platform,
+			 struct _u_response *response)
+{
+	if (platform->mode == MODE_WILD)
+		ulfius_add_header_to_response(response, "X-Revision",
+					      WILD_REVISION);
+	ulfius_set_string_body_response(response, 200,
+					"\x01rubbish ]]][ = {\n");
+}
+
 static void answer_read(platform_t *platform, subject_t *subject,
 			struct _u_response *response, uint64_t after,
 			int64_t wait_s)
@@ -132,9 +145,8 @@
 	newer = wait_newer(platform, subject, after, until);
 	if (platform->mode == MODE_ERROR || platform->mode == MODE_SILENT)
 		ulfius_set_string_body_response(response, 503, "unavailable\n");
-	else if (platform->mode == MODE_RUBBISH)
-		ulfius_set_string_body_response(response, 200,
-						"\x01rubbish ]]][ = {\n");
+	else if (platform->mode == MODE_RUBBISH || platform->mode == MODE_WILD)
+		send_rubbish(platform, response);
 	else if (newer)
 		send_value(response, visible(platform, subject));
 	else
