--- a/io/platform.h
+++ b/io/platform.h
@@ -19,7 +19,9 @@
 typedef struct platform_reader {
 	control_t *control;
 	bool hosts; /* the host list, else the configuration */
-	uint64_t revision; /* newest that the platform gave */
+	uint64_t passed; /* revision that was not taken; 0 none */
+	pimento_usec_t backoff;
+	bool failing;
 	platform_thread_t thread;
 } platform_reader_t;
 
