--- a/Makefile
+++ b/Makefile
@@ -175,6 +175,10 @@
 bench-short: all
 	$(B)/bench --short
 
+# What the daemons add to a request, as a ratio in one run.
+latency: all
+	@B=$(B) bench/latency
+
 slopes: all
 	$(B)/slopes
 
@@ -182,4 +186,4 @@
 	rm -rf build
 
 .PHONY: all proto deps format format-check lint purity tests check asan tsan \
-	fuzz fuzzers model demo bench bench-short slopes clean
+	fuzz fuzzers model demo bench bench-short latency slopes clean
