--- a/io/platform.h
+++ b/io/platform.h
@@ -10,24 +10,32 @@
 
 #include "control.h"
 
+typedef struct platform_thread {
+	pthread_t thread;
+	bool started;
+	atomic_bool ended; /* at its end: joining does not wait */
+} platform_thread_t;
+
 typedef struct platform_reader {
 	control_t *control;
 	bool hosts; /* the host list, else the configuration */
 	uint64_t revision; /* newest that the platform gave */
-	pthread_t thread;
-	bool started;
+	platform_thread_t thread;
 } platform_reader_t;
 
 typedef struct platform {
 	control_t *control;
 	platform_reader_t readers[2];
-	pthread_t reports;
-	bool reports_started;
+	platform_thread_t reports;
 } platform_t;
 
 int platform_init(platform_t *platform, control_t *control);
 
-/* Waits for the threads; control->stopped must be set. */
-void platform_finish(platform_t *platform);
+/*
+ * Waits a moment for the threads; control->stopped must be set. Returns false
+ * if one still waits for the platform's answer to a watch. Such a thread holds
+ * nothing, but what it uses may not be freed: the process must simply end.
+ */
+bool platform_finish(platform_t *platform);
 
 #endif
--- a/src/claim.h
+++ b/src/claim.h
@@ -44,14 +44,16 @@
 	CLAIM_TAKING,
 	CLAIM_TAKEN, /* won: the one dispatch is ours */
 	CLAIM_SEALING,
+	CLAIM_WITHDRAWING, /* the event is out; seals go to the last witnesses */
 	CLAIM_TELLING, /* the outcome, to the witnesses */
 	CLAIM_ENDED
 } claim_state_t;
 
 /*
- * What the entry learns from a step. Only CLAIM_GIVEN_UP allows "not run"; it
- * is said of claim->attempt and of those before it. All others that end
- * without a dispatch of ours are "may have run".
+ * What the entry learns from a step. CLAIM_GIVEN_UP allows "not run"; it is
+ * said of claim->attempt and of those before it. But for CLAIM_MISMATCH with a
+ * known outcome, all others that end without a dispatch of ours are "may have
+ * run".
  */
 typedef enum claim_event {
 	CLAIM_NOTHING = 0,
@@ -66,7 +68,12 @@
 	CLAIM_DOUBT, /* "may have run" */
 	CLAIM_NO_QUORUM, /* too few answered a query: seal could not be had */
 	CLAIM_EXPIRED, /* the key is past its retention or from the future */
-	CLAIM_MISMATCH /* the key was used with another body */
+	/*
+	 * The key was used with another body. If claim->held.done, this one
+	 * has not run and will not; else the claim with the other body may not
+	 * have won, and this one may have run through another entry.
+	 */
+	CLAIM_MISMATCH
 } claim_event_t;
 
 typedef struct claim_options {
@@ -96,6 +103,7 @@
 	uint32_t agreed; /* bit per witness: said yes to this step */
 	uint32_t refused; /* bit per witness: abstains or is full */
 	bool expired; /* one refused because of the key's age */
+	bool take_sent; /* a witness may hold the claim for us */
 	uint32_t sealed; /* highest seen */
 	claim_report_t reports[PIMENTO_WITNESSES_MAX];
 	bool held_seen;
@@ -128,6 +136,10 @@
  * CLAIM_DOUBT. In any state before the dispatch; after CLAIM_WON only if the
  * entry never dispatched and never will. After CLAIM_HELD it is the way to
  * learn that the holder never won.
+ *
+ * Go on with claim_receive() and claim_tick() until CLAIM_ENDED, also after the
+ * event: a witness that no seal has reached would go on holding the claim, and
+ * with another witness gone the key would stay closed for the retention.
  */
 void claim_seal(claim_t *claim, pimento_usec_t now, outbox_t *out);
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -114,7 +114,8 @@
 	if (index >= table->high)
 		return NULL;
 	entry = &table->entries[index];
-	if (entry->state == ENTRY_FREE || entry->generation != handle >> 32)
+	if (entry->state == ENTRY_FREE || entry->state == ENTRY_CLOSING ||
+	    entry->generation != handle >> 32)
 		return NULL;
 	return entry;
 }
@@ -130,8 +131,27 @@
 		table->wake = at;
 }
 
+/* True while the claim still has something to tell to a witness. */
+static bool claim_unsettled(const claim_t *claim)
+{
+	return claim && (claim->state == CLAIM_SEALING ||
+			 claim->state == CLAIM_WITHDRAWING ||
+			 claim->state == CLAIM_TELLING);
+}
+
+/*
+ * The caller has its answer, but a witness may have missed the seal or the
+ * outcome. Were it not told again, it would go on holding a claim that never
+ * won, and with another witness gone the key would be closed for the retention.
+ * So the entry stays until its claim has ended, which is one step at most.
+ */
 void entry_free(entry_table_t *table, entry_t *entry)
 {
+	if (claim_unsettled(entry->claim)) {
+		entry->state = ENTRY_CLOSING;
+		entry_wake(table, entry, claim_deadline(entry->claim));
+		return;
+	}
 	free(entry->claim);
 	entry->claim = NULL;
 	entry->state = ENTRY_FREE;
@@ -326,7 +346,7 @@
 {
 	route_failed(table->route, now, entry->endpoint);
 	entry_release(table, entry, RELEASE_UNUSED);
-	if (entry->claim || table->budget < 1) {
+	if (table->budget < 1) {
 		entry_give_up(table, now, entry, PIMENTO_EUNREACHABLE, 0);
 		return;
 	}
@@ -346,13 +366,32 @@
 		      entry->last_token - entry->first_token);
 }
 
+/*
+ * An answer that came as one piece shows no first token. A service's span is
+ * all there is to know of it; an engine's is taken as the making of tokens.
+ */
+static void note_whole(pimento_usec_t now, entry_t *entry,
+		       const pimento_event_t *event)
+{
+	if (entry->first_token || !entry->sent)
+		return;
+	entry->tokens = event->tokens;
+	if (!entry->request.model)
+		entry->first_token = now;
+	else
+		entry->whole = now - entry->sent;
+	entry->last_token = now;
+}
+
 static void on_done(entry_table_t *table, pimento_usec_t now, entry_t *entry,
 		    const pimento_event_t *event)
 {
 	message_place_t place = { 0 };
 
-	if (entry->state == ENTRY_DISPATCHED)
+	if (entry->state == ENTRY_DISPATCHED) {
+		note_whole(now, entry, event);
 		observe(table, now, entry);
+	}
 	entry->tokens = event->tokens;
 	entry_release(table, entry, RELEASE_DONE);
 	if (entry->claim && entry->claim->state == CLAIM_TAKEN) {
@@ -547,6 +586,10 @@
 	case ENTRY_FOLLOWING:
 		tick_following(table, now, entry);
 		return;
+	case ENTRY_CLOSING:
+		(void)claim_tick(entry->claim, now, table->out);
+		entry_free(table, entry);
+		return;
 	case ENTRY_FREE:
 	case ENTRY_STATES:
 	default:
