--- a/bench/slope_table.c
+++ b/bench/slope_table.c
@@ -14,6 +14,7 @@
 #include <string.h>
 
 #define BIG (1U << 20)
+#define WAKE_UPS 20000
 #define ID(i) (((uint64_t)(i) + 1) * 0x9e3779b97f4a7c15ULL)
 
 static double frame(const message_t *message)
@@ -335,6 +336,21 @@
 	memset(&message->u.probe, 0, sizeof(message->u.probe));
 }
 
+/* What the control thread does with its links each time that it wakes up. */
+static void time_links(links_t *links, struct pollfd *fds, uint32_t n)
+{
+	double time = slope_cpu();
+
+	for (uint32_t i = 0; i < WAKE_UPS; i++) {
+		uint32_t used = link_poll(links, fds, 2000);
+
+		poll(fds, used, 0);
+		link_ready(links, PIMENTO_SEC, fds, used);
+	}
+	slope_row("tables", "link, time per wake-up, nothing to read", n,
+		  (slope_cpu() - time) / WAKE_UPS / 1000, "us");
+}
+
 /* Links of one hub to n peers on loopback; half of the memory is the hub's. */
 static void memory_links(uint32_t n)
 {
@@ -366,6 +382,7 @@
 		  (slope_heap() - before) / (2.0 * n), "bytes");
 	slope_row("tables", "link, resident per connection", n,
 		  (slope_resident() - resident) / (2.0 * n), "bytes");
+	time_links(&links[0], fds, n);
 	for (uint32_t i = 0; i <= n; i++)
 		link_finish(&links[i]);
 	free(links);
@@ -376,6 +393,7 @@
 	/* First: later, freed memory would be used again and not be seen. */
 	memory_links(10);
 	memory_links(100);
+	memory_links(400);
 	memory_member(50);
 	memory_member(400);
 	memory_member(1000);
