control, http: a stop waits for readers, and is told to the peers

A daemon asked to stop ended as soon as its endpoints were done. A caller on a slow line who had most of the answer still to read was cut, with exit status 0. And a daemon with nothing in progress ended in the same moment as it told its peers that it leaves, mostly before a probe carried the word: they found out by silence, after seconds in which requests waited in its lines.

Ruled out: a fixed longer wait before the end, which a slower reader outlives; asking the HTTP library for open connections, for idle ones would hold up the stop.

An answer now counts from its head until the library frees it, whole ones too; the stop waits for these up to its limit, and what is cut there is logged and sets the exit status. After the word of leaving the loop runs for one more second. The word is given once, not at each turn of the loop.

--- a/io/control.c
+++ b/io/control.c
@@ -24,6 +24,13 @@
  * balancer goes on sending until it has asked again.
  */
 #define DRAIN_DELAY PIMENTO_SEC
+/*
+ * A daemon that ended at once would be missed by its peers only after seconds
+ * of silence, and requests in its lines would wait for that long. Some rounds
+ * of probes take the word around, and callers who come late hear "not run"
+ * instead of a connection that breaks.
+ */
+#define TELL_DELAY PIMENTO_SEC
 
 static void on_message(link_handler_t *handler, pimento_id_t from,
 		       const message_t *message)
@@ -495,11 +502,17 @@
 	errno = saved;
 }
 
+/* Requests that the end of the process would cut. */
+static uint32_t unfinished(const control_t *control)
+{
+	uint32_t busy = pimento_host_busy(control->host);
+
+	return busy > control->answering ? busy : control->answering;
+}
+
 /* Returns true when the graceful stop is complete or its limit is reached. */
 static bool stopping(control_t *control, pimento_usec_t now)
 {
-	uint32_t busy;
-
 	if (!control->leaving)
 		return false;
 	if (!control->leave_at) {
@@ -512,11 +525,14 @@
 	}
 	if (now < control->leave_at)
 		return false;
-	pimento_host_leave(control->host, now);
-	busy = pimento_host_busy(control->host);
+	if (!control->end_at) {
+		control->end_at = now + TELL_DELAY;
+		pimento_host_leave(control->host, now);
+	}
 	if (now >= control->stop_at)
 		return true;
-	return !busy && !traffic_running();
+	return now >= control->end_at && !unfinished(control) &&
+	       !traffic_running();
 }
 
 static void close_commands(control_t *control)
@@ -570,7 +586,7 @@
 			break;
 	}
 	act_all(control);
-	left = pimento_host_busy(control->host);
+	left = unfinished(control);
 	close_commands(control);
 	cut_calls(control);
 	control->stopped = true;
--- a/io/control.h
+++ b/io/control.h
@@ -45,7 +45,9 @@
 	bool closed; /* no command is run any more */
 	atomic_bool leaving;
 	atomic_bool stopped;
+	atomic_uint answering; /* callers who still read their answers */
 	pimento_usec_t leave_at; /* 0: not asked to leave */
+	pimento_usec_t end_at; /* not before; 0: the peers were not told */
 	pimento_usec_t stop_at;
 	pimento_usec_t next_links;
 	control_counters_t counters;
--- a/io/http.c
+++ b/io/http.c
@@ -390,18 +390,7 @@
 	return status >= 500 ? PIMENTO_MAY_HAVE_RUN : PIMENTO_RAN;
 }
 
-static void answer_whole(struct _u_response *response, call_t *call)
-{
-	ulfius_set_binary_body_response(response, (unsigned)call->status,
-					(const char *)call->buffer,
-					call->buffer_used);
-	if (*call->answer_type)
-		u_map_put(response->map_header, "Content-Type",
-			  call->answer_type);
-	add_identity(response, call, verdict_of(call->status));
-}
-
-/* A streaming caller, until ulfius frees it. */
+/* A caller who reads an answer, until ulfius frees it. */
 typedef struct reader {
 	control_t *control;
 	call_t *call;
@@ -409,6 +398,73 @@
 	bool told; /* the refusal in mid-stream was written */
 } reader_t;
 
+/*
+ * An answer is counted until its last byte was handed to the caller's
+ * connection. Without that, a daemon that is stopped would end while a caller
+ * on a slow line still reads, for the endpoint was done long before.
+ */
+static reader_t *reader_new(control_t *control, call_t *call)
+{
+	reader_t *reader = calloc(1, sizeof(*reader));
+
+	if (!reader)
+		return NULL;
+	reader->control = control;
+	reader->call = call_hold(call);
+	control->answering++;
+	return reader;
+}
+
+static void reader_free(reader_t *reader)
+{
+	reader->control->answering--;
+	call_drop(reader->call);
+	free(reader);
+}
+
+static ssize_t on_read_whole(void *data, uint64_t offset, char *out, size_t max)
+{
+	const reader_t *reader = data;
+	const call_t *call = reader->call;
+	size_t left = call->buffer_used - (size_t)offset;
+	size_t length = left < max ? left : max;
+
+	if (!length)
+		return U_STREAM_END;
+	memcpy(out, call->buffer + offset, length);
+	return (ssize_t)length;
+}
+
+static void on_whole_gone(void *data)
+{
+	reader_free(data);
+}
+
+static void answer_whole(http_t *http, struct _u_response *response,
+			 call_t *call)
+{
+	reader_t *reader = reader_new(http->control, call);
+
+	if (!reader) {
+		http_refuse(response, PIMENTO_ENOMEM, PIMENTO_MAY_HAVE_RUN, 0,
+			    NULL);
+		return;
+	}
+	if (call->buffer_used) {
+		ulfius_set_stream_response(
+			response, (unsigned)call->status, on_read_whole,
+			on_whole_gone, call->buffer_used, STREAM_BLOCK, reader);
+	} else {
+		ulfius_set_empty_body_response(response,
+					       (unsigned)call->status);
+		reader_free(reader);
+	}
+	if (*call->answer_type)
+		u_map_put(response->map_header, "Content-Type",
+			  call->answer_type);
+	add_identity(response, call, verdict_of(call->status));
+}
+
 /*
  * The head was sent long ago, so the verdict of a stream that cannot be
  * completed goes into a last event; the proper end mark is missing.
@@ -454,22 +510,19 @@
 		call_leave(reader->call);
 		control_event(reader->control, reader->call, &event);
 	}
-	call_drop(reader->call);
-	free(reader);
+	reader_free(reader);
 }
 
 static void answer_stream(http_t *http, struct _u_response *response,
 			  call_t *call)
 {
-	reader_t *reader = calloc(1, sizeof(*reader));
+	reader_t *reader = reader_new(http->control, call);
 
 	if (!reader) {
 		http_refuse(response, PIMENTO_ENOMEM, PIMENTO_MAY_HAVE_RUN, 0,
 			    NULL);
 		return;
 	}
-	reader->control = http->control;
-	reader->call = call_hold(call);
 	ulfius_set_stream_response(response, (unsigned)call->status, on_read,
 				   on_reader_gone, U_STREAM_SIZE_UNKNOWN,
 				   STREAM_BLOCK, reader);
@@ -490,7 +543,7 @@
 	else if (in->call->stream)
 		answer_stream(http, response, in->call);
 	else
-		answer_whole(response, in->call);
+		answer_whole(http, response, in->call);
 }
 
 static int finish_intake(http_t *http, intake_t *in, int error,
