host: an endpoint's new process takes work again

Once an endpoint was leaving, every daemon that knew kept its mark for good: a new process under the same name got no work until all daemons had been replaced. The reason was that nobody told the membership which process reported; member_endpoint_live() had no caller, and the marks in the routing and in the owner's lines were only ever set.

Ruled out: taking the mark back as soon as a report says "not leaving", for a late one of the same process would do so too.

An endpoint's load report may name its incarnation (the stand-ins do). Leaving is bound to it; another incarnation is a new process. The marks in routing and lines follow the membership. Without an incarnation the published list decides, as before.

--- a/io/platform.c
+++ b/io/platform.c
@@ -257,6 +257,7 @@
 	uint32_t tokens_left;
 	pimento_usec_t age;
 	bool leaving;
+	uint64_t incarnation; /* 0: the endpoint names none */
 } report_t;
 
 static void run_report(control_t *control, void *argument)
@@ -265,7 +266,8 @@
 
 	pimento_host_report(control->host, sys_now(), report->endpoint,
 			    report->running, report->waiting,
-			    report->tokens_left, report->age, report->leaving);
+			    report->tokens_left, report->age, report->leaving,
+			    report->incarnation);
 }
 
 static uint32_t number(const json_t *body, const char *name)
@@ -296,6 +298,8 @@
 			report.age = number(body, "age_ms") * PIMENTO_MSEC;
 			report.leaving =
 				json_is_true(json_object_get(body, "leaving"));
+			report.incarnation = (uint64_t)json_integer_value(
+				json_object_get(body, "incarnation"));
 			control_call(control, run_report, &report);
 		}
 		json_decref(body);
--- a/pimentoshelf.h
+++ b/pimentoshelf.h
@@ -294,11 +294,15 @@
  */
 void pimento_host_hello(const pimento_host_t *host, struct message *message);
 
-/* An endpoint's own load report, age old when it was received. */
+/*
+ * An endpoint's own load report, age old when it was received. The incarnation
+ * (0: it names none) tells a new process from the one that was leaving.
+ */
 void pimento_host_report(pimento_host_t *host, pimento_usec_t now,
 			 pimento_id_t endpoint, uint32_t running,
 			 uint32_t waiting, uint32_t tokens_left,
-			 pimento_usec_t age, bool leaving);
+			 pimento_usec_t age, bool leaving,
+			 uint64_t incarnation);
 
 /* This host leaves: no new requests, endpoints handed over. One-way. */
 void pimento_host_leave(pimento_host_t *host, pimento_usec_t now);
--- a/src/host.c
+++ b/src/host.c
@@ -166,6 +166,7 @@
 	pimento_id_t owner = member_owner(&host->member, id);
 	bool was_ours = endpoint->owner == host->self;
 	bool is_ours = owner == host->self;
+	bool leaving = member_state(&host->member, id) == HOST_LEAVING;
 
 	endpoint->owner = owner;
 	if (was_ours && !is_ours)
@@ -177,11 +178,11 @@
 		owner_take(&host->owner, now, endpoint->config, endpoint->epoch,
 			   share);
 	}
-	if (member_state(&host->member, id) == HOST_LEAVING) {
-		route_leaving(&host->route, id, true);
-		if (is_ours)
-			owner_leaving(&host->owner, now, id);
-	}
+	route_leaving(&host->route, id, leaving);
+	if (is_ours && leaving)
+		owner_leaving(&host->owner, now, id);
+	if (is_ours && !leaving)
+		owner_returned(&host->owner, now, id);
 }
 
 /* Rendezvous over the hosts in sight; each host does this by itself. */
@@ -516,7 +517,7 @@
 void pimento_host_report(pimento_host_t *host, pimento_usec_t now,
 			 pimento_id_t endpoint, uint32_t running,
 			 uint32_t waiting, uint32_t tokens_left,
-			 pimento_usec_t age, bool leaving)
+			 pimento_usec_t age, bool leaving, uint64_t incarnation)
 {
 	load_report_t report = { .age = age,
 				 .running = running,
@@ -526,11 +527,13 @@
 
 	host->now = now;
 	owner_report(&host->owner, now, endpoint, &report);
-	if (!leaving)
-		return;
-	member_endpoint_leaving(&host->member, now, endpoint, 0);
-	owner_leaving(&host->owner, now, endpoint);
-	route_leaving(&host->route, endpoint, true);
+	if (leaving)
+		member_endpoint_leaving(&host->member, now, endpoint,
+					incarnation);
+	else
+		member_endpoint_live(&host->member, now, endpoint, incarnation);
+	if (host->member.changes != host->changes)
+		assign_owners(host, now);
 }
 
 void pimento_host_leave(pimento_host_t *host, pimento_usec_t now)
--- a/src/owner.c
+++ b/src/owner.c
@@ -609,6 +609,16 @@
 	refuse_all(owner, now, e, PIMENTO_ELEAVING);
 }
 
+void owner_returned(owner_t *owner, pimento_usec_t now, pimento_id_t endpoint)
+{
+	owner_endpoint_t *e = find(owner, endpoint);
+
+	if (!e || !e->leaving)
+		return;
+	e->leaving = false;
+	grant_what_fits(owner, now, e);
+}
+
 void owner_forget(owner_t *owner, pimento_usec_t now, pimento_id_t entry)
 {
 	reservation_table_t *table = &owner->reservations;
--- a/src/owner.h
+++ b/src/owner.h
@@ -106,6 +106,9 @@
 /* The endpoint is leaving: refuse what waits, grant nothing more. */
 void owner_leaving(owner_t *owner, pimento_usec_t now, pimento_id_t endpoint);
 
+/* A new process stands in the place of the endpoint that was leaving. */
+void owner_returned(owner_t *owner, pimento_usec_t now, pimento_id_t endpoint);
+
 /* An entry host is dead: what it had waiting is dropped. */
 void owner_forget(owner_t *owner, pimento_usec_t now, pimento_id_t entry);
 
--- a/standin/batch.c
+++ b/standin/batch.c
@@ -231,6 +231,7 @@
 	memset(batch, 0, sizeof(*batch));
 	batch->options = *options;
 	batch->speed = 1.0;
+	batch->incarnation = standin_draw();
 	pthread_mutex_init(&batch->mutex, NULL);
 	pthread_cond_init(&batch->changed, NULL);
 	runs_init(&batch->runs);
@@ -412,12 +413,13 @@
 	if (leaving && batch->last_start_ms > batch->left_ms)
 		since_left = batch->last_start_ms - batch->left_ms;
 	pthread_mutex_unlock(&batch->mutex);
-	return json_pack("{s:i,s:i,s:I,s:I,s:b,s:I}", "running",
+	return json_pack("{s:i,s:i,s:I,s:I,s:b,s:I,s:I}", "running",
 			 (int)sample.running, "waiting", (int)sample.waiting,
 			 "tokens_left", (json_int_t)sample.tokens_left,
 			 "age_ms", (json_int_t)(now - sample.at_ms), "leaving",
 			 leaving, "started_after_leaving_ms",
-			 (json_int_t)since_left);
+			 (json_int_t)since_left, "incarnation",
+			 (json_int_t)batch->incarnation);
 }
 
 json_t *batch_runs(batch_t *batch)
--- a/standin/batch.h
+++ b/standin/batch.h
@@ -65,6 +65,7 @@
 } batch_sample_t;
 
 typedef struct batch {
+	int64_t incarnation; /* of this process */
 	batch_options_t options;
 	pthread_mutex_t mutex; /* guards everything below */
 	pthread_cond_t changed;
--- a/standin/common.c
+++ b/standin/common.c
@@ -17,6 +17,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/random.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -323,3 +324,14 @@
 	clock_gettime(CLOCK_MONOTONIC, &now);
 	return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
+
+int64_t standin_draw(void)
+{
+	int64_t number = 0;
+
+	while (number <= 0)
+		if (getrandom(&number, sizeof(number), 0) !=
+		    (ssize_t)sizeof(number))
+			abort();
+	return number;
+}
--- a/standin/common.h
+++ b/standin/common.h
@@ -85,4 +85,7 @@
 
 int64_t standin_now_ms(void);
 
+/* A random number above zero, for an incarnation. */
+int64_t standin_draw(void);
+
 #endif
--- a/standin/service.c
+++ b/standin/service.c
@@ -18,6 +18,7 @@
 typedef struct service {
 	standin_t standin;
 	int64_t delay_ms;
+	int64_t incarnation; /* of this process */
 	pthread_mutex_t mutex; /* guards what follows */
 	runs_t requests;
 	runs_t keys;
@@ -134,10 +135,11 @@
 	pthread_mutex_lock(&service->mutex);
 	if (service->leaving && service->last_start_ms > service->left_ms)
 		after = service->last_start_ms - service->left_ms;
-	object = json_pack("{s:i,s:i,s:i,s:i,s:b,s:I}", "running",
+	object = json_pack("{s:i,s:i,s:i,s:i,s:b,s:I,s:I}", "running",
 			   service->running, "waiting", 0, "tokens_left", 0,
 			   "age_ms", 0, "leaving", service->leaving,
-			   "started_after_leaving_ms", (json_int_t)after);
+			   "started_after_leaving_ms", (json_int_t)after,
+			   "incarnation", (json_int_t)service->incarnation);
 	pthread_mutex_unlock(&service->mutex);
 	return standin_json(response, 200, object);
 }
@@ -210,6 +212,7 @@
 			return 2;
 		}
 	standin_signals();
+	service.incarnation = standin_draw();
 	pthread_mutex_init(&service.mutex, NULL);
 	if (standin_init(&service.standin, name, port, is_call) < 0)
 		return EXIT_FAILURE;
