--- a/test/fleet.c
+++ b/test/fleet.c
@@ -327,7 +327,8 @@
 	add(text, "]\n[keys]\nsecret = \"%064d\"\n", 7);
 	add(text, "[log]\nlevel = \"%s\"\n",
 	    fleet->options.log_level ? fleet->options.log_level : "info");
-	add(text, "[limits]\nconnections = 1024\nstop_seconds = 15\n");
+	add(text, "[limits]\nconnections = 1024\nstop_seconds = %d\n",
+	    or_default(fleet->options.stop_seconds, 15));
 }
 
 static int launch_host(fleet_t *fleet, int host)
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -38,6 +38,7 @@
 	int services;
 	int split; /* hosts in the first half; 0: no halves */
 	int service_delay_ms;
+	int stop_seconds; /* 0: 15 */
 	fleet_engine_t engine[FLEET_ENGINES_MAX];
 	const char *log_level; /* NULL: "info" */
 	const char *config_more; /* TOML put at the end; NULL: none */
