test: ports from below the range of outgoing connections

Cause: a daemon failed to start with "Address already in use" once in a full run (endpoint_closes): the port that bind() had offered was taken by a caller's outgoing connection before the daemon started. Ruled out: retrying the start, which would hide a daemon that cannot start. Change: ports from 18300 to 31299, spread by the process number.

--- a/test/process.c
+++ b/test/process.c
@@ -22,6 +22,9 @@
 #include <time.h>
 #include <unistd.h>
 
+#define PORT_FIRST 18300
+#define PORT_COUNT 13000
+#define PORT_STRIDE 67U
 #define POLL_MS 10
 #define LOG_TAIL 2000
 #define TREE_FDS 16
@@ -272,20 +275,39 @@
 	return found;
 }
 
-uint16_t process_free_port(void)
+static bool port_is_free(uint16_t port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t length = sizeof(address);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool free_now;
 
 	if (fd < 0)
-		return 0;
+		return false;
+	address.sin_port = htons(port);
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) < 0 ||
-	    getsockname(fd, (struct sockaddr *)&address, &length) < 0)
-		address.sin_port = 0;
+	free_now = !bind(fd, (struct sockaddr *)&address, sizeof(address));
 	close(fd);
-	return ntohs(address.sin_port);
+	return free_now;
+}
+
+/*
+ * Below the range from which the system takes ports for outgoing connections:
+ * one from that range can be taken by any caller between this look and the
+ * daemon's start, which then fails with "Address already in use". The process
+ * number spreads programs that run at once.
+ */
+uint16_t process_free_port(void)
+{
+	static uint32_t next;
+
+	for (int i = 0; i < PORT_COUNT; i++) {
+		uint32_t at = (uint32_t)getpid() * PORT_STRIDE + next++;
+		uint16_t port = (uint16_t)(PORT_FIRST + at % PORT_COUNT);
+
+		if (port_is_free(port))
+			return port;
+	}
+	return 0;
 }
 
 void process_sleep_ms(int ms)
