test: old revisions must not even flash up

A platform restarted with old revisions: the check looked at moments only. With the rule that revisions only move up taken out on a scratch copy (spread_read without its test, readers asking from 0) hosts flipped to the old revision and back by their peers, and one run of three checks passed. Now the count of switches must not move either: red on that copy, green on the real code.

--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -126,10 +126,12 @@
 	char port[8];
 	const char *args[] = { "--name", "platform-0", "--port", port, NULL };
 	uint64_t revision;
+	int64_t switches;
 
 	start(HOSTS, NULL);
 	publish(IN_FORCE_MS);
 	revision = publish(IN_FORCE_MS);
+	switches = watch_metric(fleet.http_port[0], "config_switches_total");
 	snprintf(port, sizeof(port), "%u", fleet.platform[0].port);
 	process_kill(&fleet.platform[0]);
 	serve_for(1500);
@@ -144,6 +146,9 @@
 		serve_for(500);
 		check_revision(revision);
 	}
+	ck_assert_int_eq(
+		watch_metric(fleet.http_port[0], "config_switches_total"),
+		switches);
 	ck_assert_uint_eq(fleet_publish_config(&fleet, NULL), revision);
 	publish(RETURN_MS);
 	serve_for(200);
