traffic: tokens are told each second, with the time of the last one

Cause: at the target's size control is over its share of a core; a quarter of a request's control was telling tokens each 250 ms (CAPACITY.md). And an answer's rate came out too high: at its end the count was of all tokens, the time that of the last report, up to 250 ms before. Ruled out: leaving the last report out; the rate would rest on less. Change: a report a second, each with the time of its last token, the end too.

--- a/io/traffic.c
+++ b/io/traffic.c
@@ -21,7 +21,7 @@
 #define CANCEL_TIMEOUT_MSEC 3000L
 /* An exchange is given this long beyond the caller's patience. */
 #define EXCHANGE_GRACE_MSEC 10000L
-#define TOKENS_PERIOD (250 * PIMENTO_MSEC)
+#define TOKENS_PERIOD PIMENTO_SEC
 #define URL_MAX 2048
 #define LINE_TYPE_MAX 64
 #define STACK_BYTES ((size_t)256 * 1024)
@@ -47,6 +47,7 @@
 	size_t partial_used;
 	size_t partial_size;
 	pimento_usec_t told;
+	pimento_usec_t last_token; /* when the last whole event came */
 } exchange_t;
 
 static atomic_uint running;
@@ -109,10 +110,12 @@
 	pimento_event_t event = { .kind = PIMENTO_EVENT_TOKENS };
 	pimento_usec_t now = sys_now();
 
+	exchange->last_token = now;
 	if (exchange->told && now - exchange->told < TOKENS_PERIOD)
 		return;
 	exchange->told = now;
 	event.tokens = exchange->call->events;
+	event.last_token = now;
 	control_event(exchange->control, exchange->call, &event);
 }
 
@@ -327,6 +330,7 @@
 
 	event.status = (uint16_t)status;
 	event.tokens = call->events;
+	event.last_token = exchange->last_token;
 	if (!is_stream(exchange)) {
 		event.tokens = call->model ? used_tokens(call) : 0;
 		event.answer = call->buffer;
--- a/pimentoshelf.h
+++ b/pimentoshelf.h
@@ -219,6 +219,7 @@
 typedef struct pimento_event {
 	pimento_event_kind_t kind;
 	uint32_t tokens; /* of the answer so far */
+	pimento_usec_t last_token; /* when it came; 0: with this event */
 	uint16_t status; /* DONE: HTTP status */
 	const uint8_t *answer; /* DONE: whole answer, if small and kept */
 	size_t answer_size;
--- a/src/entry.c
+++ b/src/entry.c
@@ -334,7 +334,7 @@
 
 	if (first)
 		entry->first_token = now;
-	entry->last_token = now;
+	entry->last_token = event->last_token ? event->last_token : now;
 	entry->tokens = event->tokens;
 	if (first)
 		entry_tell_progress(table, now, entry);
@@ -383,29 +383,38 @@
 	entry->last_token = now;
 }
 
-static void on_done(entry_table_t *table, pimento_usec_t now, entry_t *entry,
-		    const pimento_event_t *event)
+/* The witnesses keep how it ended, so that a repeat gets the same answer. */
+static void tell_outcome(entry_table_t *table, pimento_usec_t now,
+			 entry_t *entry, const pimento_event_t *event)
 {
 	message_place_t place = { 0 };
 
+	if (!entry->claim || entry->claim->state != CLAIM_TAKEN)
+		return;
+	place.request = entry->id;
+	place.endpoint = entry->endpoint;
+	place.digest = entry->request.digest;
+	place.done = 1;
+	place.status = event->status;
+	if (event->answer && event->answer_size <= MESSAGE_ANSWER_MAX) {
+		place.answer_size = (uint16_t)event->answer_size;
+		memcpy(place.answer, event->answer, event->answer_size);
+	}
+	claim_done(entry->claim, now, &place, table->out);
+}
+
+static void on_done(entry_table_t *table, pimento_usec_t now, entry_t *entry,
+		    const pimento_event_t *event)
+{
 	if (entry->state == ENTRY_DISPATCHED) {
+		if (entry->first_token && event->tokens > entry->tokens)
+			on_tokens(table, now, entry, event);
 		note_whole(now, entry, event);
 		observe(table, now, entry);
 	}
 	entry->tokens = event->tokens;
 	entry_release(table, entry, RELEASE_DONE);
-	if (entry->claim && entry->claim->state == CLAIM_TAKEN) {
-		place.request = entry->id;
-		place.endpoint = entry->endpoint;
-		place.digest = entry->request.digest;
-		place.done = 1;
-		place.status = event->status;
-		if (event->answer && event->answer_size <= MESSAGE_ANSWER_MAX) {
-			place.answer_size = (uint16_t)event->answer_size;
-			memcpy(place.answer, event->answer, event->answer_size);
-		}
-		claim_done(entry->claim, now, &place, table->out);
-	}
+	tell_outcome(table, now, entry, event);
 	table->counters.done++;
 	end(table, entry);
 }
