owner: give up before the deadline where no rate is known; weights in force

And nothing called owner_configure(), so all accounts weighed the same.

The order holds among owners; inside a full engine it does not and that is the next thing to mend.

--- a/src/host.c
+++ b/src/host.c
@@ -279,6 +279,8 @@
 	error = switch_endpoints(host, now, &box->config);
 	if (!error)
 		error = route_configure(&host->route, now, &box->config);
+	if (!error)
+		error = owner_configure(&host->owner, &box->config);
 	if (error) {
 		pimento_config_drop(&box->config);
 		return error;
--- a/src/owner.c
+++ b/src/owner.c
@@ -16,6 +16,7 @@
 #define RETRY_LEAST (100 * PIMENTO_MSEC)
 #define RETRY_MOST (60 * PIMENTO_SEC)
 #define ENDPOINTS_FIRST 8
+#define GIVE_UP_SPAN (100 * PIMENTO_MSEC) /* for all last visits */
 
 /* Waiting takes longer than it seems: what is more urgent still comes. */
 #define WAIT_MARGIN 1.25
@@ -289,10 +290,18 @@
 	return true;
 }
 
-/* From when on it can no longer finish in time. */
+/*
+ * From when on it can no longer finish in time. At the deadline itself, as with
+ * an endpoint whose speed is not known, its caller would be gone before the
+ * refusal and what is less urgent were settled.
+ */
 static pimento_usec_t latest_start(const reservation_t *r)
 {
-	return r->item.deadline - endpoint_service(r->endpoint, &r->asked);
+	pimento_usec_t service = endpoint_service(r->endpoint, &r->asked);
+
+	if (service < GIVE_UP_SPAN && r->asked.patience > 2 * GIVE_UP_SPAN)
+		service = GIVE_UP_SPAN;
+	return r->item.deadline - service;
 }
 
 static reservation_t *enter(owner_t *owner, pimento_usec_t now,
