--- a/daemon/pimentod.c
+++ b/daemon/pimentod.c
@@ -154,6 +154,7 @@
 	status = load_settings(path, &settings);
 	if (status || only_test)
 		return status;
+	sys_share_heaps();
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT))
 		return EXIT_FAILURE;
 	log_init(settings.name, "pimentod", settings.log_level);
--- a/io/sys.c
+++ b/io/sys.c
@@ -3,11 +3,14 @@
 #include "sys.h"
 
 #include <errno.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
 
+#define HEAPS 2
+
 /*
  * CLOCK_MONOTONIC never goes back and runs on while the process is stopped, so
  * a process that wakes from a pause sees how long it was away.
@@ -38,6 +41,13 @@
 	return value;
 }
 
+void sys_share_heaps(void)
+{
+#ifdef M_ARENA_MAX
+	mallopt(M_ARENA_MAX, HEAPS);
+#endif
+}
+
 char *sys_read_file(const char *path, size_t max, size_t *length)
 {
 	FILE *file = fopen(path, "re");
--- a/io/sys.h
+++ b/io/sys.h
@@ -16,6 +16,12 @@
 /* Never zero; for incarnations, seeds and nonces. */
 uint64_t sys_random(void);
 
+/*
+ * Keeps the C library from giving each of many short-lived threads a heap of
+ * its own; freed memory would stay behind in each of them.
+ */
+void sys_share_heaps(void);
+
 /*
  * Reads a whole file, NUL-terminated, of at most max bytes. The caller frees
  * it. Returns NULL with errno set (EFBIG when it is larger).
