--- a/Makefile
+++ b/Makefile
@@ -127,6 +127,9 @@
 purity: $(PURE)
 	@.ci/purity $(PURE)
 
+# Everything that a check needs, so that it can be built side by side first.
+ready: all $(TESTS) lint
+
 tests: all $(TESTS)
 	@B=$(B) .ci/tests $(TESTS)
 
@@ -185,5 +188,5 @@
 clean:
 	rm -rf build
 
-.PHONY: all proto deps format format-check lint purity tests check asan tsan \
+.PHONY: all ready proto deps format format-check lint purity tests check asan tsan \
 	fuzz fuzzers model demo bench bench-short latency slopes clean
