build: make check and make demo install what they need first

Ruled out: a line in the README, which the issue does not allow for. Conclusion: two commands are all that a newcomer needs.

--- a/Makefile
+++ b/Makefile
@@ -133,7 +133,9 @@
 tests: all $(TESTS)
 	@B=$(B) .ci/tests $(TESTS)
 
-check: format-check lint purity tests bench-short
+# A second make, for on a fresh machine the first one saw no libraries yet.
+check: deps
+	@$(MAKE) -s format-check lint purity tests bench-short
 
 asan:
 	$(MAKE) B=build/asan SAN=address,undefined OPT=-O1 tests
@@ -168,7 +170,8 @@
 model:
 	model/check
 
-demo: deps all
+demo: deps
+	@$(MAKE) -s all
 	@B=$(B) examples/demo
 
 bench: all
