--- a/Makefile
+++ b/Makefile
@@ -12,22 +12,30 @@
 SAN ?=
 CCACHE ?= $(shell command -v ccache 2>/dev/null)
 
+# What pimentoedge needs; the other programs need PKGS beside it.
+EDGE_PKGS = jansson libprotobuf-c libxxhash libsodium
 PKGS = libulfius libmicrohttpd jansson libprotobuf-c libxxhash libsodium libcurl
 OPT ?= -O2
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wformat=2 -Werror
 SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer) \
 	$(if $(FUZZ),-fsanitize=fuzzer-no-link -fno-sanitize-recover=all)
-DEFS = -D_GNU_SOURCE -I. -Isrc -Iio -Itest
+DEFS = -D_GNU_SOURCE -I. -Isrc -Iio -Iplatform -Itest
 CFLAGS_ALL = -std=gnu11 -g $(OPT) $(WARN) $(SANFLAGS) $(DEFS) -pthread \
-	$(shell pkg-config --cflags $(PKGS) check)
+	$(shell pkg-config --cflags $(EDGE_PKGS) 2>/dev/null)
 CXXFLAGS_ALL = -std=c++17 -g $(OPT) -Wall -Wextra -Werror $(SANFLAGS) $(DEFS)
 LDLIBS_ALL = $(SANFLAGS) -pthread $(shell pkg-config --libs $(PKGS)) \
-	-lstdc++ -lm
+	-lev -lhttp_parser -lstdc++ -lm
+EDGE_LIBS = $(SANFLAGS) $(shell pkg-config --libs $(EDGE_PKGS)) \
+	-lev -lhttp_parser -lstdc++ -lm
 
 SRC_C = $(wildcard src/*.c)
 SRC_CC = $(wildcard src/*.cc)
+# The event-driven data path stands alone, without the libraries of the other.
+EDGE_IO_C = $(patsubst %,io/%.c,dispatch gateway head httpc httpd mesh metrics \
+	net outbox pool relay sys trail)
 IO_C = $(wildcard io/*.c)
+PLATFORM_C = $(wildcard platform/*.c)
 CTL_C = $(wildcard daemon/ctl_*.c) daemon/pimentoctl.c
 STANDINS = $(patsubst standin/%.c,$(B)/%,$(wildcard standin/platform.c \
 	standin/engine.c standin/service.c))
@@ -49,7 +57,8 @@
 PURE = $(B)/libpimentoshelf.a
 IOLIB = $(B)/libpimentoio.a
 STANDINLIB = $(B)/libstandin.a
-PROGRAMS = $(B)/pimentod $(B)/pimentoctl $(STANDINS) $(BENCHES)
+EDGELIB = $(B)/libpimentoedge.a
+PROGRAMS = $(B)/pimentod $(B)/pimentoedge $(B)/pimentoctl $(STANDINS) $(BENCHES)
 
 all: $(PROGRAMS)
 
@@ -61,6 +70,10 @@
 	@rm -f $@
 	$(AR) rcs $@ $^
 
+$(EDGELIB): $(call obj,$(EDGE_IO_C) $(PLATFORM_C))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
 $(STANDINLIB): $(call obj,$(STANDIN_SHARED))
 	@rm -f $@
 	$(AR) rcs $@ $^
@@ -68,6 +81,9 @@
 $(B)/pimentod: $(call obj,daemon/pimentod.c) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
+$(B)/pimentoedge: $(call obj,daemon/pimentoedge.c) $(EDGELIB) $(PURE)
+	$(CC) -o $@ $^ $(EDGE_LIBS)
+
 $(B)/pimentoctl: $(call obj,$(CTL_C)) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
@@ -85,8 +101,8 @@
 	@mkdir -p $(@D)
 	$(CCACHE) $(CC) $(CFLAGS_ALL) -MMD -c -o $@ $<
 
-# The generated codec is committed; its warnings are not ours.
-$(B)/obj/src/wire.pb-c.c.o: src/wire.pb-c.c
+# The generated codecs are committed; their warnings are not ours.
+$(B)/obj/src/%.pb-c.c.o: src/%.pb-c.c
 	@mkdir -p $(@D)
 	$(CCACHE) $(CC) $(CFLAGS_ALL) -Wno-error -MMD -c -o $@ $<
 
@@ -99,10 +115,10 @@
 
 # Regenerates the committed codec; the build itself needs no generator.
 proto:
-	cd src && protoc-c --c_out=. wire.proto
+	cd src && protoc-c --c_out=. wire.proto peer.proto
 
-OWN = $(filter-out src/wire.pb-c.c src/wire.pb-c.h,$(wildcard pimentoshelf.h src/*.[ch] \
-	io/*.[ch] daemon/*.[ch] standin/*.[ch] bench/*.[ch] test/*.[ch]))
+OWN = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard pimentoshelf.h src/*.[ch] \
+	io/*.[ch] platform/*.[ch] daemon/*.[ch] standin/*.[ch] bench/*.[ch] test/*.[ch]))
 LINT = $(filter %.c,$(filter-out test/%,$(OWN)))
 
 deps:
--- /dev/null
+++ b/io/dispatch.c
@@ -0,0 +1,367 @@
+/*
+ * A request is committed to an endpoint in the moment between "connected" and
+ * its first byte. Until then nothing has run, and another endpoint may be
+ * tried freely. From then on, only the endpoint's own word "not run" makes the
+ * request free again; without it, a request that may not be repeated is over.
+ */
+
+#include "exchange.h"
+
+#include "sys.h"
+#include "trail.h"
+
+#include <string.h>
+
+/*
+ * A connection takes some milliseconds. A first packet that is lost, or sent to
+ * a host without power, would be sent again after a second; another endpoint
+ * answers sooner.
+ */
+#define CONNECT_MOST (300 * PIMENTO_MSEC)
+
+/*
+ * An endpoint that is silent for so long, in parts of the route's goal, has
+ * stopped: a request that may be repeated goes elsewhere. The caller would get
+ * a late answer, or none.
+ */
+#define SILENT_GOALS 2
+#define SILENT_LEAST (250 * PIMENTO_MSEC)
+/* The same in the middle of a stream, in parts of its longest good pause. */
+#define SILENT_GAPS 4
+
+/* Less time than this is no use to an endpoint. */
+#define TIME_LEAST (10 * PIMENTO_MSEC)
+
+/* Lets go of an endpoint; the connection has been dealt with. */
+static void let_go(exchange_t *x)
+{
+	directory_endpoint_t *endpoint = x->endpoint;
+
+	if (!endpoint)
+		return;
+	endpoint->running--;
+	endpoint->holders--;
+	x->endpoint = NULL;
+	x->conn = NULL;
+}
+
+void dispatch_abandon(exchange_t *x)
+{
+	httpc_t *conn = x->conn;
+
+	if (conn) {
+		pool_over(conn);
+		httpc_close(conn);
+	}
+	let_go(x);
+}
+
+void dispatch_done(exchange_t *x)
+{
+	httpc_t *conn = x->conn;
+
+	if (conn->reusable)
+		pool_rest(conn);
+	else
+		pool_over(conn);
+	let_go(x);
+}
+
+/* Sending. */
+
+static void write_head(exchange_t *x, text_t *text, pimento_usec_t now)
+{
+	httpd_conn_t *caller = x->caller;
+	dialect_send_t send = {
+		.endpoint = x->endpoint->id,
+		.account = x->account ? x->account->name : NULL,
+		.resume_after = x->call.resume_after,
+		.patience = x->call.patience
+				    ? x->arrived + x->call.patience - now
+				    : x->end - now,
+	};
+
+	if (x->events.last_id[0])
+		send.resume_after = x->events.last_id;
+	text_add(text, "%s %s HTTP/1.1\r\n",
+		 http_method_str(caller->parser.method), caller->target.bytes);
+	x->gateway->dialect->write_call(text, &caller->head, &send);
+	if (caller->body.length || head_get(&caller->head, "content-length") ||
+	    head_get(&caller->head, "transfer-encoding"))
+		text_add(text, "Content-Length: %zu\r\n", caller->body.length);
+	text_add(text, "\r\n");
+}
+
+/* The connection is open: commits the request, unless things have changed. */
+static void commit(exchange_t *x)
+{
+	pimento_usec_t now = sys_now();
+	httpc_t *conn = x->conn;
+	text_t head;
+	bool asked;
+
+	if (!directory_takes(x->endpoint, now) ||
+	    x->life != x->endpoint->life) {
+		dispatch_over(x, PIMENTO_NOT_RUN, 0, "endpoint_left");
+		return;
+	}
+	if (now + TIME_LEAST > x->end) {
+		dispatch_over(x, PIMENTO_NOT_RUN, 0, "no_time");
+		return;
+	}
+	x->reused = conn->asked > 0;
+	x->rested = now - conn->since;
+	text_init(&head);
+	write_head(x, &head, now);
+	asked = !text_error(&head) &&
+		httpc_ask(conn, head.bytes, head.length, x->caller->body.bytes,
+			  x->caller->body.length,
+			  x->caller->parser.method == HTTP_HEAD);
+	text_finish(&head);
+	if (!asked) {
+		dispatch_over(x, PIMENTO_NOT_RUN, 0, "connection_dead");
+		return;
+	}
+	x->state = EXCHANGE_SENT;
+	x->sent_at = now;
+	x->event_at = now;
+	x->load = x->endpoint->running + x->endpoint->elsewhere;
+	x->arrivals++;
+	x->runs++;
+	x->gateway->counters.attempts++;
+}
+
+static void on_opened(httpc_t *conn)
+{
+	if (conn->user)
+		commit(conn->user);
+}
+
+/* Takes a place at an endpoint, and a connection there. */
+static void begin(exchange_t *x, directory_endpoint_t *endpoint)
+{
+	gateway_t *gateway = x->gateway;
+	pimento_usec_t now = sys_now();
+
+	waitline_remove(&x->service->line, &x->wait);
+	x->state = EXCHANGE_CONNECTING;
+	x->endpoint = endpoint;
+	x->life = endpoint->life;
+	endpoint->running++;
+	endpoint->holders++;
+	x->conn = pool_take(&gateway->pool, endpoint, !x->repeatable, now);
+	if (!x->conn) {
+		dispatch_over(x, PIMENTO_NOT_RUN, 0, "no_connection");
+		return;
+	}
+	x->conn->user = x;
+	if (x->conn->state == HTTPC_RESTING)
+		commit(x);
+}
+
+/* Placing. */
+
+static placement_verdict_t place(exchange_t *x, pimento_usec_t now,
+				 directory_endpoint_t **endpoint)
+{
+	gateway_t *gateway = x->gateway;
+	placement_request_t request = {
+		.service = x->service->key,
+		.prompt = x->call.prompt,
+		.engine = x->engine,
+		.late = x->wait.late,
+		.datacentre = gateway->datacentre,
+		.tried = x->tried,
+		.tried_count = x->tried_count,
+		.draw = x->draw,
+	};
+
+	return placement_choose(gateway->directory, &request, now, endpoint);
+}
+
+/* The endpoints that were tried may be tried again, if nothing has run. */
+static void no_more_endpoints(exchange_t *x)
+{
+	if (!x->tried_count)
+		return; /* none is listed: they may be back soon */
+	if (x->runs)
+		exchange_fail(x, HTTP_STATUS_BAD_GATEWAY, "endpoints_failed");
+	else
+		exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE,
+				"endpoints_full");
+}
+
+/* One step: returns true if the line has changed. */
+static bool pump_once(gateway_service_t *service, pimento_usec_t now)
+{
+	for (waitline_item_t *item = service->line.first; item;
+	     item = item->next) {
+		exchange_t *x = (exchange_t *)item;
+		directory_endpoint_t *endpoint = NULL;
+		placement_verdict_t verdict = place(x, now, &endpoint);
+
+		if (verdict == PLACEMENT_FOUND) {
+			begin(x, endpoint);
+			return true;
+		}
+		if (verdict == PLACEMENT_NONE && x->tried_count) {
+			no_more_endpoints(x);
+			return true;
+		}
+		if (!x->tried_count)
+			return false; /* those behind it find no place either */
+	}
+	return false;
+}
+
+void dispatch_pump(gateway_t *gateway, gateway_service_t *service)
+{
+	if (gateway->pumping)
+		return; /* the outer call goes on until nothing changes */
+	gateway->pumping = true;
+	while (pump_once(service, sys_now()))
+		;
+	gateway->pumping = false;
+}
+
+/* Failing. */
+
+static void try_again(exchange_t *x)
+{
+	x->state = EXCHANGE_WAITING;
+	x->resuming = x->streaming;
+	events_restart(&x->events);
+	waitline_put(&x->service->line, &x->wait);
+	dispatch_pump(x->gateway, x->service);
+}
+
+/* True if the next attempt is within all limits; takes it from the budget. */
+static bool may_try_again(exchange_t *x, pimento_verdict_t verdict)
+{
+	gateway_t *gateway = x->gateway;
+	pimento_usec_t now = sys_now();
+
+	if (now + TIME_LEAST > x->end || x->tried_count == PLACEMENT_TRIED_MAX)
+		return false;
+	if (verdict != PIMENTO_NOT_RUN &&
+	    (!x->repeatable || x->runs >= x->route->attempts_max))
+		return false;
+	if (x->streaming && (!x->is_events || !x->route->resumable))
+		return false; /* the caller has a part of the answer */
+	if (!x->arrivals)
+		return true; /* nothing reached an endpoint yet */
+	if (!retry_budget_take(&x->service->budget, &gateway->bounds.retry,
+			       roster_hosts(gateway->roster, now), now))
+		return false;
+	gateway->counters.repeats++;
+	return true;
+}
+
+static void give_up(exchange_t *x, int status, const char *why)
+{
+	if (x->first_at && x->streaming)
+		exchange_cut(x, why);
+	else if (!x->runs)
+		exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why);
+	else
+		exchange_fail(x, status ? status : HTTP_STATUS_BAD_GATEWAY,
+			      why);
+}
+
+void dispatch_over(exchange_t *x, pimento_verdict_t verdict, int status,
+		   const char *why)
+{
+	bool arrived = x->state >= EXCHANGE_SENT;
+	bool again;
+
+	if (verdict == PIMENTO_NOT_RUN && arrived)
+		x->runs--;
+	if (x->tried_count < PLACEMENT_TRIED_MAX)
+		x->tried[x->tried_count++] = x->endpoint->key;
+	again = may_try_again(x, verdict);
+	trail(TRAIL_FAILURE, "attempt", again ? "again" : "over",
+	      "id=%s endpoint=%s why=%s verdict=%s status=%d arrivals=%u "
+	      "load=%u ms=%lld reused=%d rested_ms=%lld events=%u",
+	      x->call.id, x->endpoint->id, why, pimento_verdict_name(verdict),
+	      status, x->arrivals, x->load,
+	      (long long)((sys_now() - x->arrived) / PIMENTO_MSEC), x->reused,
+	      (long long)(x->rested / PIMENTO_MSEC), x->events.count);
+	if (!again) {
+		give_up(x, status, why);
+		return;
+	}
+	dispatch_abandon(x);
+	try_again(x);
+}
+
+/* The connection failed, at whatever point. */
+static void on_failed(httpc_t *conn, httpc_failure_t why)
+{
+	static const char *const names[] = { "unreached", "broken", "garbled" };
+	exchange_t *x = conn->user;
+	pimento_verdict_t verdict = PIMENTO_MAY_HAVE_RUN;
+	directory_service_t *service;
+
+	if (!x) {
+		pool_over(conn);
+		return;
+	}
+	service = directory_service(x->gateway->directory, x->service->key);
+	if (why == HTTPC_UNREACHED || x->state == EXCHANGE_CONNECTING) {
+		verdict = PIMENTO_NOT_RUN;
+		pace_unreachable(&x->endpoint->pace, sys_now());
+	} else if (x->reused && why == HTTPC_BROKEN && !conn->status) {
+		pool_stale(conn, x->rested);
+	} else if (service) {
+		pace_failed(&x->endpoint->pace, &service->pace, sys_now());
+	}
+	dispatch_over(x, verdict, 0, names[why]);
+}
+
+static void on_lapsed(httpc_t *conn)
+{
+	pool_over(conn);
+}
+
+/* Silence. */
+
+static bool is_silent(const exchange_t *x, pimento_usec_t now)
+{
+	pimento_usec_t most = x->route->goal * SILENT_GOALS;
+
+	if (x->first_at)
+		most = x->route->gap_goal * SILENT_GAPS;
+	if (most < SILENT_LEAST)
+		most = SILENT_LEAST;
+	return now - x->event_at > most;
+}
+
+bool dispatch_sweep(exchange_t *x, pimento_usec_t now)
+{
+	if (x->state == EXCHANGE_CONNECTING &&
+	    now - x->conn->since > CONNECT_MOST) {
+		pace_unreachable(&x->endpoint->pace, now);
+		dispatch_over(x, PIMENTO_NOT_RUN, 0, "connect_timeout");
+		return true;
+	}
+	if (x->state < EXCHANGE_SENT || !x->repeatable ||
+	    x->runs >= x->route->attempts_max || !is_silent(x, now))
+		return false;
+	if (outbox_waiting(&x->caller->outbox))
+		return false; /* its reader is slow, not the endpoint */
+	dispatch_over(x, PIMENTO_MAY_HAVE_RUN, 0, "silent");
+	return true;
+}
+
+void dispatch_init(gateway_t *gateway)
+{
+	gateway->endpoints = (httpc_ops_t){
+		.opened = on_opened,
+		.head = relay_head,
+		.body = relay_body,
+		.end = relay_end,
+		.failed = on_failed,
+		.lapsed = on_lapsed,
+	};
+	pool_init(&gateway->pool, gateway->loop, &gateway->endpoints);
+}
--- /dev/null
+++ b/io/exchange.h
@@ -0,0 +1,102 @@
+#ifndef EXCHANGE_H
+#define EXCHANGE_H
+
+/*
+ * One request of a caller on its way through the gateway, and the steps that
+ * the gateway's files share. For the gateway's own files only.
+ */
+
+#include "gateway.h"
+
+typedef enum exchange_state {
+	EXCHANGE_WAITING, /* for a place */
+	EXCHANGE_CONNECTING, /* nothing has been sent */
+	EXCHANGE_SENT, /* may run; no answer yet */
+	EXCHANGE_ANSWERING /* the caller has the head of the answer */
+} exchange_state_t;
+
+typedef struct exchange {
+	waitline_item_t wait; /* first: the line hands out items */
+	struct exchange *next;
+	struct exchange *prev;
+	gateway_t *gateway;
+	gateway_service_t *service;
+	httpd_conn_t *caller;
+	catalog_t *catalog; /* held */
+	const catalog_route_t *route;
+	const catalog_account_t *account; /* NULL: none */
+	dialect_call_t call;
+	exchange_state_t state;
+	bool engine;
+	bool repeatable; /* may run more than once */
+	double tokens; /* counted against the allotment */
+	uint64_t draw;
+	pimento_usec_t arrived; /* its first byte */
+	pimento_usec_t spent; /* by earlier attempts of its caller */
+	pimento_usec_t end; /* caller's deadline or route's timeout */
+	bool end_is_timeout;
+	/* The attempt under way. */
+	httpc_t *conn;
+	directory_endpoint_t *endpoint;
+	uint32_t life; /* of the endpoint */
+	bool reused; /* the connection had rested, for */
+	pimento_usec_t rested;
+	pimento_usec_t sent_at;
+	uint32_t load; /* in flight at the endpoint when sent */
+	pimento_usec_t event_at; /* last event */
+	/* All attempts. */
+	pimento_id_t tried[PLACEMENT_TRIED_MAX];
+	uint32_t tried_count;
+	uint32_t arrivals; /* at endpoints */
+	uint32_t runs; /* of those, that may have run */
+	/* The answer. */
+	int status;
+	text_t fields; /* header lines for the caller */
+	text_t body; /* of a plain answer, held until whole */
+	bool streaming; /* the answer is passed on as it comes */
+	bool is_events; /* and split into events */
+	bool resuming; /* the head of this attempt is not passed on */
+	int64_t length; /* stated, or -1 */
+	events_t events;
+	pimento_usec_t first_at; /* of the answer */
+} exchange_t;
+
+/* gateway.c */
+gateway_service_t *gateway_service(gateway_t *gateway, pimento_id_t key);
+uint64_t gateway_draw(gateway_t *gateway);
+
+/*
+ * Each of these ends an exchange and frees it. The first two answer the caller:
+ * "not run, come back", or a failure that promises nothing.
+ */
+void exchange_refuse(exchange_t *exchange, int status, const char *why);
+void exchange_fail(exchange_t *exchange, int status, const char *why);
+/* Its answer is whole; returns the caller, to whom its end is still owed. */
+httpd_conn_t *exchange_served(exchange_t *exchange);
+/* Breaks an answer off that has begun. */
+void exchange_cut(exchange_t *exchange, const char *why);
+/* Answers nobody. */
+void exchange_finish(exchange_t *exchange, gateway_outcome_t outcome,
+		     const char *why);
+
+/* dispatch.c */
+void dispatch_pump(gateway_t *gateway, gateway_service_t *service);
+/* Lets go of the attempt under way; its connection is closed. */
+void dispatch_abandon(exchange_t *exchange);
+/* The attempt failed: tries again or ends the exchange. */
+void dispatch_over(exchange_t *exchange, pimento_verdict_t verdict, int status,
+		   const char *why);
+void dispatch_init(gateway_t *gateway);
+/* Ends an attempt that is overdue; returns true if it did. */
+bool dispatch_sweep(exchange_t *exchange, pimento_usec_t now);
+/* The attempt ended well; its connection rests. */
+void dispatch_done(exchange_t *exchange);
+
+/* relay.c: what the connection to the endpoint tells. */
+bool relay_head(httpc_t *conn);
+void relay_body(httpc_t *conn, const char *bytes, size_t length);
+void relay_end(httpc_t *conn);
+/* The caller has taken all that was written. */
+void relay_written(exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/io/gateway.h
@@ -0,0 +1,137 @@
+#ifndef GATEWAY_H
+#define GATEWAY_H
+
+/*
+ * The data path of an entry host: requests of callers come in, wait for a
+ * place, go to an endpoint and their answers go back. What is decided lies in
+ * the pure library; what the wire looks like lies in the dialect.
+ */
+
+#include "dialect.h"
+#include "httpd.h"
+#include "pool.h"
+
+#include "../src/allotment.h"
+#include "../src/catalog.h"
+#include "../src/events.h"
+#include "../src/mirror.h"
+#include "../src/placement.h"
+#include "../src/retry_budget.h"
+#include "../src/roster.h"
+#include "../src/waitline.h"
+
+/* Operators' bounds that the data path keeps. */
+typedef struct gateway_bounds {
+	pimento_usec_t key_lease; /* a copy older than this honours no key */
+	retry_budget_terms_t retry;
+	pimento_usec_t allotment_window;
+} gateway_bounds_t;
+
+typedef enum gateway_outcome {
+	GATEWAY_SERVED,
+	GATEWAY_PASSED, /* an endpoint's failure, passed on as it was */
+	GATEWAY_REFUSED, /* not run, come back */
+	GATEWAY_OVER_ALLOTMENT,
+	GATEWAY_DENIED, /* no such route, unknown key */
+	GATEWAY_FAILED, /* may have run */
+	GATEWAY_CUT, /* broken off in the middle of the answer */
+	GATEWAY_LEFT, /* the caller left */
+	GATEWAY_OUTCOMES
+} gateway_outcome_t;
+
+/* "served", "passed", ...; never NULL. */
+const char *gateway_outcome_name(gateway_outcome_t outcome);
+
+#define GATEWAY_BUCKETS 16 /* of doubling width from 1 ms */
+
+typedef struct gateway_histogram {
+	uint64_t buckets[GATEWAY_BUCKETS];
+	uint64_t count;
+	double sum_ms;
+} gateway_histogram_t;
+
+typedef struct gateway_counters {
+	uint64_t requests;
+	uint64_t outcomes[GATEWAY_OUTCOMES];
+	uint64_t attempts;
+	uint64_t repeats; /* beyond the first of a request */
+	uint64_t resumed;
+	uint64_t events; /* of streams */
+	gateway_histogram_t first; /* to the answer's first byte */
+	gateway_histogram_t waited; /* for a place */
+} gateway_counters_t;
+
+/* What this host keeps of each service. */
+typedef struct gateway_service {
+	pimento_id_t key;
+	waitline_t line;
+	retry_budget_t budget;
+	double per_second; /* answers, decayed */
+	uint32_t answers; /* since the last tick */
+} gateway_service_t;
+
+/* What this host has learnt of each route, by its name. */
+typedef struct gateway_route {
+	pimento_id_t key;
+	pimento_usec_t patience; /* the longest that callers have shown */
+} gateway_route_t;
+
+typedef struct gateway {
+	httpd_ops_t callers; /* first: the server calls these */
+	httpc_ops_t endpoints;
+	struct ev_loop *loop;
+	httpd_t front;
+	pool_t pool;
+	const dialect_ops_t *dialect;
+	const char *datacentre;
+	gateway_bounds_t bounds;
+	directory_t *directory;
+	roster_t *roster;
+	const mirror_t *mirror;
+	allotment_t allotment;
+	catalog_t *catalog; /* in force; NULL before the first */
+	gateway_service_t **services;
+	uint32_t service_count;
+	gateway_route_t *routes;
+	uint32_t route_count;
+	struct exchange *exchanges;
+	gateway_counters_t counters;
+	uint64_t draws; /* state of the random numbers */
+	bool stopping;
+	pimento_usec_t stop_at; /* when new requests are turned away */
+	bool pumping;
+} gateway_t;
+
+typedef struct gateway_setup {
+	struct ev_loop *loop;
+	net_address_t listen;
+	uint32_t connections_max;
+	const char *datacentre; /* borrowed */
+	const dialect_ops_t *dialect;
+	gateway_bounds_t bounds;
+	directory_t *directory;
+	roster_t *roster;
+	const mirror_t *mirror;
+} gateway_setup_t;
+
+/* Returns 0, or PIMENTO_EIO with errno set. */
+int gateway_init(gateway_t *gateway, const gateway_setup_t *setup);
+void gateway_finish(gateway_t *gateway);
+
+/* A new version is in force; takes over the caller's hold. */
+void gateway_configure(gateway_t *gateway, catalog_t *catalog);
+
+/* True if requests can be served: configuration known, and not too old. */
+bool gateway_able(const gateway_t *gateway, pimento_usec_t now);
+
+/* Ends what is overdue and tries what waits; call some 20 times a second. */
+void gateway_tick(gateway_t *gateway, pimento_usec_t now);
+
+/*
+ * Begins a graceful stop: what comes until turn_away_at is still served, later
+ * requests are told to come back.
+ */
+void gateway_stop(gateway_t *gateway, pimento_usec_t turn_away_at);
+uint32_t gateway_pending(const gateway_t *gateway);
+
+#endif
--- /dev/null
+++ b/io/httpc.c
@@ -0,0 +1,314 @@
+/*
+ * A server may answer before it has read the request, answer twice, or send
+ * bytes behind an answer. None of that may reach another request: a connection
+ * is only used again after a whole answer, to a request that had left whole,
+ * with nothing behind it; and while it rests, any byte ends it.
+ */
+
+#include "httpc.h"
+
+#include "sys.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <unistd.h>
+
+#define READ_BYTES 65536
+
+static char read_buffer[READ_BYTES];
+
+static void conn_free(httpc_t *conn)
+{
+	head_finish(&conn->head);
+	outbox_finish(&conn->outbox);
+	free(conn);
+}
+
+static void stop(httpc_t *conn)
+{
+	conn->dead = true;
+	ev_io_stop(conn->loop, &conn->reading);
+	ev_io_stop(conn->loop, &conn->writing);
+	close(conn->fd);
+}
+
+void httpc_close(httpc_t *conn)
+{
+	if (conn->dead)
+		return;
+	stop(conn);
+	if (!conn->in_call)
+		conn_free(conn);
+}
+
+/* Ends the connection and tells its user. */
+static void fail(httpc_t *conn, httpc_failure_t why)
+{
+	bool rested = conn->state == HTTPC_RESTING;
+
+	if (conn->dead)
+		return;
+	stop(conn);
+	if (rested)
+		conn->ops->lapsed(conn);
+	else
+		conn->ops->failed(conn, why);
+}
+
+static httpc_t *of(http_parser *parser)
+{
+	return parser->data;
+}
+
+static int on_begin(http_parser *parser)
+{
+	httpc_t *conn = of(parser);
+
+	if (conn->ended)
+		return -1; /* bytes behind the answer */
+	head_clear(&conn->head);
+	conn->taking = false;
+	return 0;
+}
+
+static int on_name(http_parser *parser, const char *at, size_t length)
+{
+	head_add_name(&of(parser)->head, at, length);
+	return 0;
+}
+
+static int on_value(http_parser *parser, const char *at, size_t length)
+{
+	head_add_value(&of(parser)->head, at, length);
+	return 0;
+}
+
+static bool is_interim(const http_parser *parser)
+{
+	return parser->status_code / 100 == 1;
+}
+
+/* "timeout=5, max=100" */
+static void read_keep(httpc_t *conn)
+{
+	const char *text = head_get(&conn->head, "keep-alive");
+	const char *at = text ? strcasestr(text, "timeout=") : NULL;
+
+	if (at)
+		conn->keep = strtol(at + 8, NULL, 10) * PIMENTO_SEC;
+}
+
+/* An answer of neither a stated length nor chunks, that may have a body. */
+static bool ends_with_connection(const httpc_t *conn, const http_parser *parser)
+{
+	return !conn->headless &&
+	       parser->status_code != HTTP_STATUS_NO_CONTENT &&
+	       parser->status_code != HTTP_STATUS_NOT_MODIFIED &&
+	       !(parser->flags & F_CHUNKED) &&
+	       parser->content_length == UINT64_MAX;
+}
+
+static int on_head(http_parser *parser)
+{
+	httpc_t *conn = of(parser);
+
+	head_end(&conn->head);
+	if (conn->head.failed)
+		return -1;
+	if (is_interim(parser))
+		return 0;
+	conn->status = (int)parser->status_code;
+	conn->until_close = ends_with_connection(conn, parser);
+	read_keep(conn);
+	conn->taking = conn->ops->head(conn);
+	if (!conn->taking)
+		conn->reusable = false;
+	return conn->headless ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t length)
+{
+	httpc_t *conn = of(parser);
+
+	if (conn->taking && !conn->dead)
+		conn->ops->body(conn, at, length);
+	return 0;
+}
+
+static int on_end(http_parser *parser)
+{
+	httpc_t *conn = of(parser);
+
+	if (is_interim(parser) || !conn->taking)
+		return 0;
+	conn->ended = true;
+	if (!http_should_keep_alive(parser) || outbox_waiting(&conn->outbox))
+		conn->reusable = false;
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_message_begin = on_begin,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_end,
+};
+
+static void rest(httpc_t *conn)
+{
+	conn->state = HTTPC_RESTING;
+	conn->since = sys_now();
+}
+
+/* The answer is whole; its user may send the next request at once. */
+static void finish(httpc_t *conn)
+{
+	if (conn->reusable)
+		rest(conn);
+	else
+		stop(conn);
+	conn->ops->end(conn);
+}
+
+/* Feeds what came; length 0 is the end of the connection. */
+static void take(httpc_t *conn, const char *bytes, size_t length)
+{
+	size_t taken =
+		http_parser_execute(&conn->parser, &callbacks, bytes, length);
+	bool good = HTTP_PARSER_ERRNO(&conn->parser) == HPE_OK;
+
+	if (conn->dead)
+		return;
+	if (conn->ended) {
+		if (!good || taken < length || !length)
+			conn->reusable = false;
+		finish(conn);
+		return;
+	}
+	if (!good)
+		fail(conn, length ? HTTPC_GARBLED : HTTPC_BROKEN);
+	else if (!length)
+		fail(conn, HTTPC_BROKEN);
+}
+
+static void on_readable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	httpc_t *conn = watcher->data;
+	ssize_t got = read(conn->fd, read_buffer, sizeof(read_buffer));
+
+	(void)loop;
+	(void)events;
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	conn->in_call = true;
+	if (conn->state != HTTPC_ASKING || got < 0)
+		fail(conn, HTTPC_BROKEN);
+	else
+		take(conn, read_buffer, (size_t)got);
+	conn->in_call = false;
+	if (conn->dead)
+		conn_free(conn);
+}
+
+static void connected(httpc_t *conn)
+{
+	if (net_error(conn->fd)) {
+		fail(conn, HTTPC_UNREACHED);
+		return;
+	}
+	ev_io_stop(conn->loop, &conn->writing);
+	ev_io_start(conn->loop, &conn->reading);
+	rest(conn);
+	conn->ops->opened(conn);
+}
+
+static void on_writable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	httpc_t *conn = watcher->data;
+	bool connecting = conn->state == HTTPC_CONNECTING;
+
+	(void)events;
+	conn->in_call = true;
+	if (connecting)
+		connected(conn);
+	else if (outbox_flush(&conn->outbox, conn->fd))
+		fail(conn, HTTPC_BROKEN);
+	else if (!outbox_waiting(&conn->outbox))
+		ev_io_stop(loop, &conn->writing);
+	conn->in_call = false;
+	if (conn->dead)
+		conn_free(conn);
+}
+
+httpc_t *httpc_open(struct ev_loop *loop, const net_address_t *address,
+		    const httpc_ops_t *ops)
+{
+	int fd = net_connect(address);
+	httpc_t *conn;
+
+	if (fd < 0)
+		return NULL;
+	conn = calloc(1, sizeof(*conn));
+	if (!conn) {
+		close(fd);
+		return NULL;
+	}
+	conn->loop = loop;
+	conn->ops = ops;
+	conn->fd = fd;
+	conn->since = sys_now();
+	head_init(&conn->head);
+	outbox_init(&conn->outbox);
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	ev_io_init(&conn->reading, on_readable, fd, EV_READ);
+	ev_io_init(&conn->writing, on_writable, fd, EV_WRITE);
+	conn->reading.data = conn;
+	conn->writing.data = conn;
+	ev_io_start(loop, &conn->writing);
+	return conn;
+}
+
+bool httpc_ask(httpc_t *conn, const char *head, size_t head_length,
+	       const char *body, size_t body_length, bool headless)
+{
+	text_t whole;
+	int error;
+
+	text_init(&whole);
+	text_add_bytes(&whole, head, head_length);
+	text_add_bytes(&whole, body, body_length);
+	error = text_error(&whole);
+	if (!error)
+		error = outbox_write(&conn->outbox, conn->fd, whole.bytes,
+				     whole.length);
+	text_finish(&whole);
+	if (error)
+		return false;
+	conn->state = HTTPC_ASKING;
+	conn->since = sys_now();
+	conn->asked++;
+	conn->sent = true;
+	conn->status = 0;
+	conn->ended = false;
+	conn->reusable = true;
+	conn->headless = headless;
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	if (outbox_waiting(&conn->outbox))
+		ev_io_start(conn->loop, &conn->writing);
+	return true;
+}
+
+void httpc_hold(httpc_t *conn, bool hold)
+{
+	if (conn->dead || conn->state == HTTPC_CONNECTING)
+		return;
+	if (hold)
+		ev_io_stop(conn->loop, &conn->reading);
+	else
+		ev_io_start(conn->loop, &conn->reading);
+}
--- /dev/null
+++ b/io/httpd.h
@@ -0,0 +1,118 @@
+#ifndef HTTPD_H
+#define HTTPD_H
+
+/*
+ * An HTTP/1.1 server on the event loop. A request is read whole, bounded by
+ * the limits, and handed to its user, who answers at once or later; until the
+ * answer is complete the server tells when the caller leaves. One request of a
+ * connection is served at a time; what the caller sends ahead waits.
+ */
+
+#include "head.h"
+#include "net.h"
+#include "outbox.h"
+
+#include <http_parser.h>
+
+typedef struct httpd_conn httpd_conn_t;
+
+/* What the server's user does; the first member of the user's own struct. */
+typedef struct httpd_ops {
+	/* A whole request. It stays readable until the answer is complete. */
+	void (*request)(httpd_conn_t *conn);
+	/* The caller left, or the connection broke, before that. */
+	void (*gone)(httpd_conn_t *conn);
+	/* All that waited to be written has left. NULL: not wanted. */
+	void (*written)(httpd_conn_t *conn);
+} httpd_ops_t;
+
+typedef struct httpd_limits {
+	uint32_t head_bytes;
+	uint32_t body_bytes;
+	pimento_usec_t head_timeout; /* from a request's first byte */
+	pimento_usec_t idle_timeout; /* without a byte */
+	uint32_t connections;
+} httpd_limits_t;
+
+typedef struct httpd {
+	const httpd_ops_t *ops;
+	void *user;
+	struct ev_loop *loop;
+	ev_io accepting;
+	httpd_limits_t limits;
+	httpd_conn_t *conns;
+	uint32_t count;
+	bool stopping; /* each answer ends its connection */
+} httpd_t;
+
+typedef enum httpd_state {
+	HTTPD_READING, /* between requests, or in one */
+	HTTPD_WAITING, /* its user owes an answer */
+	HTTPD_ANSWERING, /* the answer has begun */
+	HTTPD_LINGERING /* answered for good; the caller closes first */
+} httpd_state_t;
+
+struct httpd_conn {
+	httpd_t *server;
+	httpd_conn_t *next;
+	httpd_conn_t *prev;
+	int fd;
+	httpd_state_t state;
+	ev_io reading;
+	ev_io writing;
+	http_parser parser;
+	text_t target; /* path and query, NUL-terminated in WAITING */
+	head_t head;
+	text_t body;
+	text_t ahead; /* bytes behind the request */
+	outbox_t outbox;
+	size_t head_bytes;
+	int refusal; /* status of a request that cannot be taken; 0 */
+	bool head_read; /* of the request under way */
+	bool at_rest; /* no byte of the next request has come */
+	bool keep;
+	bool chunked; /* the answer under way */
+	bool in_call; /* its user is being called: do not free */
+	bool dead;
+	uint32_t served; /* requests answered here */
+	pimento_usec_t first_byte; /* of the request */
+	pimento_usec_t last_byte;
+	void *user;
+};
+
+/* Listens. Returns 0, or PIMENTO_EIO with errno set. */
+int httpd_init(httpd_t *server, struct ev_loop *loop,
+	       const net_address_t *address, const httpd_ops_t *ops,
+	       const httpd_limits_t *limits);
+/* Closes everything; users are told of requests that were pending. */
+void httpd_finish(httpd_t *server);
+
+/* Ends what has lasted too long; call several times a second. */
+void httpd_sweep(httpd_t *server, pimento_usec_t now);
+
+/*
+ * From now on each answer ends its connection. Connections at rest stay open,
+ * as a request may be on its way; httpd_close_resting() closes them.
+ */
+void httpd_stop(httpd_t *server);
+void httpd_close_resting(httpd_t *server);
+/* Requests that were read and are not yet answered. */
+uint32_t httpd_pending(const httpd_t *server);
+
+/*
+ * An answer: begin, write as often as needed, end. fields holds whole header
+ * lines. length is the body's, or HTTPD_CHUNKED. None of these fails: a broken
+ * connection is told as gone, later.
+ */
+#define HTTPD_CHUNKED (-1)
+void httpd_begin(httpd_conn_t *conn, int status, const char *fields,
+		 int64_t length);
+void httpd_write(httpd_conn_t *conn, const char *bytes, size_t length);
+void httpd_end(httpd_conn_t *conn);
+/* Breaks an answer off so that it cannot look complete. */
+void httpd_abort(httpd_conn_t *conn);
+/* A whole answer at once. */
+void httpd_answer(httpd_conn_t *conn, int status, const char *fields,
+		  const char *body, size_t length);
+
+#endif
--- /dev/null
+++ b/io/mesh.h
@@ -0,0 +1,63 @@
+#ifndef MESH_H
+#define MESH_H
+
+/*
+ * How entry hosts talk to each other: short notes by datagram several times a
+ * second, and a snapshot of the published records by HTTP when one finds that
+ * another holds newer ones. The protocol is ours; src/peer.proto describes it.
+ */
+
+#include "httpc.h"
+#include "httpd.h"
+
+#include "../src/allotment.h"
+#include "../src/directory.h"
+#include "../src/mirror.h"
+#include "../src/roster.h"
+
+typedef struct mesh {
+	httpd_ops_t peers; /* first: the server calls these */
+	httpc_ops_t snapshots;
+	struct ev_loop *loop;
+	httpd_t server; /* of snapshots and of the metrics page */
+	ev_io datagrams;
+	uint32_t self;
+	uint16_t note_port;
+	uint16_t peer_port;
+	uint64_t incarnation;
+	roster_t *roster;
+	mirror_t *mirror;
+	directory_t *directory;
+	allotment_t *allotment;
+	httpc_t *fetching; /* one snapshot at a time; NULL */
+	text_t fetched;
+	pimento_usec_t behind_since; /* a peer has had newer records; 0 no */
+	uint64_t notes_in; /* counters */
+	uint64_t notes_out;
+	uint64_t snapshots_in;
+	/* Writes the metrics page; context is the caller's. */
+	void (*write_metrics)(void *context, text_t *text);
+	void *metrics_context;
+} mesh_t;
+
+typedef struct mesh_setup {
+	struct ev_loop *loop;
+	net_address_t listen; /* of peers */
+	uint16_t note_port; /* the same on all hosts */
+	roster_t *roster;
+	mirror_t *mirror;
+	directory_t *directory;
+	allotment_t *allotment;
+} mesh_setup_t;
+
+/* Returns 0, or PIMENTO_EIO with errno set. */
+int mesh_init(mesh_t *mesh, const mesh_setup_t *setup);
+void mesh_finish(mesh_t *mesh);
+
+/* "10.1.0.25:8229"; what is no address is passed over. */
+void mesh_add_seed(mesh_t *mesh, const char *text, pimento_usec_t now);
+
+/* Sends notes, and fetches what this host lacks; call ten times a second. */
+void mesh_tick(mesh_t *mesh, pimento_usec_t now);
+
+#endif
--- /dev/null
+++ b/io/metrics.c
@@ -0,0 +1,87 @@
+#include "metrics.h"
+
+#include "trail.h"
+
+static void counter(text_t *text, const char *name, uint64_t value)
+{
+	text_add(text, "# TYPE pimento_%s counter\npimento_%s %llu\n", name,
+		 name, (unsigned long long)value);
+}
+
+static void gauge(text_t *text, const char *name, double value)
+{
+	text_add(text, "# TYPE pimento_%s gauge\npimento_%s %g\n", name, name,
+		 value);
+}
+
+static void outcomes(text_t *text, const gateway_counters_t *counters)
+{
+	text_add(text, "# TYPE pimento_requests_ended_total counter\n");
+	for (int i = 0; i < GATEWAY_OUTCOMES; i++)
+		text_add(text,
+			 "pimento_requests_ended_total{outcome=\"%s\"} %llu\n",
+			 gateway_outcome_name((gateway_outcome_t)i),
+			 (unsigned long long)counters->outcomes[i]);
+}
+
+static void histogram(text_t *text, const char *name,
+		      const gateway_histogram_t *histogram)
+{
+	uint64_t below = 0;
+	double edge = 0.001;
+
+	text_add(text, "# TYPE pimento_%s histogram\n", name);
+	for (int i = 0; i < GATEWAY_BUCKETS - 1; i++) {
+		below += histogram->buckets[i];
+		text_add(text, "pimento_%s_bucket{le=\"%g\"} %llu\n", name,
+			 edge, (unsigned long long)below);
+		edge *= 2;
+	}
+	text_add(text,
+		 "pimento_%s_bucket{le=\"+Inf\"} %llu\n"
+		 "pimento_%s_sum %g\npimento_%s_count %llu\n",
+		 name, (unsigned long long)histogram->count, name,
+		 histogram->sum_ms / 1000, name,
+		 (unsigned long long)histogram->count);
+}
+
+static void services(text_t *text, const gateway_t *gateway, pimento_usec_t now)
+{
+	uint32_t waiting = 0;
+
+	for (uint32_t i = 0; i < gateway->service_count; i++)
+		waiting += gateway->services[i]->line.count;
+	gauge(text, "requests_waiting", waiting);
+	gauge(text, "connections_callers", gateway->front.count);
+	gauge(text, "endpoints", gateway->directory->count);
+	gauge(text, "copy_age_seconds",
+	      (double)mirror_age(gateway->mirror, now) / (double)PIMENTO_SEC);
+	gauge(text, "config_version",
+	      gateway->catalog ? (double)gateway->catalog->version : 0);
+}
+
+void metrics_write(text_t *text, const metrics_sources_t *sources)
+{
+	const gateway_t *gateway = sources->gateway;
+	const gateway_counters_t *counters = &gateway->counters;
+	trail_counts_t lines = trail_counts();
+
+	counter(text, "requests_total", counters->requests);
+	outcomes(text, counters);
+	counter(text, "attempts_total", counters->attempts);
+	counter(text, "repeats_total", counters->repeats);
+	counter(text, "events_total", counters->events);
+	counter(text, "connections_opened_total", gateway->pool.opened);
+	counter(text, "connections_reused_total", gateway->pool.reused);
+	counter(text, "notes_in_total", sources->mesh->notes_in);
+	counter(text, "notes_out_total", sources->mesh->notes_out);
+	counter(text, "snapshots_in_total", sources->mesh->snapshots_in);
+	counter(text, "store_calls_total", sources->store_calls);
+	counter(text, "store_errors_total", sources->store_errors);
+	counter(text, "log_lines_total", lines.written);
+	counter(text, "log_lines_left_out_total", lines.left_out);
+	histogram(text, "first_byte_seconds", &counters->first);
+	histogram(text, "wait_seconds", &counters->waited);
+	services(text, gateway, sources->now);
+	gauge(text, "peers", roster_hosts(gateway->roster, sources->now));
+}
--- /dev/null
+++ b/io/relay.c
@@ -0,0 +1,300 @@
+/*
+ * Answers on their way back. A plain answer is held until it is whole, so that
+ * one that breaks off is never passed on as a success; a stream goes on event
+ * by event. An endpoint may answer with bytes of another request, late or
+ * twice: only an answer that bears the request's id is taken for its answer.
+ */
+
+#include "exchange.h"
+
+#include "sys.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* A plain answer beyond this is passed on as it comes. */
+#define HOLD_MOST (64 * 1024)
+
+/* A caller that does not read stops its endpoint's stream, and nobody else. */
+#define UNREAD_MOST (256 * 1024)
+
+static pace_service_t *pace_of(exchange_t *x)
+{
+	directory_service_t *service =
+		directory_service(x->gateway->directory, x->service->key);
+
+	return service ? &service->pace : NULL;
+}
+
+static void collect_fields(exchange_t *x, const head_t *head)
+{
+	x->fields.length = 0;
+	for (uint32_t i = 0; i < head->count; i++) {
+		const char *name = head_name(head, i);
+
+		if (head_is_hop_by_hop(head, name) ||
+		    strcasecmp(name, "content-length") == 0)
+			continue;
+		text_add(&x->fields, "%s: %s\r\n", name, head_value(head, i));
+	}
+}
+
+static void begin_streaming(exchange_t *x)
+{
+	x->streaming = true;
+	x->state = EXCHANGE_ANSWERING;
+	httpd_begin(x->caller, x->status, text_get(&x->fields),
+		    x->length >= 0 ? x->length : HTTPD_CHUNKED);
+}
+
+static bool is_event_stream(const head_t *head)
+{
+	const char *type = head_get(head, "content-type");
+
+	return type && strncasecmp(type, "text/event-stream", 17) == 0;
+}
+
+/* What an answer means for the request. */
+typedef enum relay_judgement {
+	RELAY_PASS, /* the caller gets it */
+	RELAY_NOT_RUN, /* another endpoint may run the request */
+	RELAY_FULL, /* the same, and this one has no room */
+	RELAY_AGAIN, /* it ran and failed; worth another attempt */
+	RELAY_BAD /* not fit to be passed on */
+} relay_judgement_t;
+
+/* Statuses by which this host would promise its caller "not run". */
+static bool is_promise(int status)
+{
+	return status == HTTP_STATUS_REQUEST_TIMEOUT ||
+	       status == HTTP_STATUS_MISDIRECTED_REQUEST ||
+	       status == HTTP_STATUS_TOO_MANY_REQUESTS ||
+	       status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+}
+
+static relay_judgement_t judge(const exchange_t *x,
+			       const dialect_answer_t *answer, int status)
+{
+	if (status == HTTP_STATUS_MISDIRECTED_REQUEST)
+		return RELAY_NOT_RUN;
+	if (answer->not_run)
+		return RELAY_FULL;
+	if (is_promise(status))
+		return RELAY_BAD; /* it may have run: the promise is false */
+	if (status / 100 == 2 && (!answer->sealed || answer->encoded))
+		return RELAY_BAD;
+	if (x->resuming && status != HTTP_STATUS_OK)
+		return RELAY_BAD;
+	if (status / 100 == 5 && x->repeatable)
+		return RELAY_AGAIN;
+	return RELAY_PASS;
+}
+
+static void take_head(exchange_t *x, const httpc_t *conn)
+{
+	const http_parser *parser = &conn->parser;
+
+	x->is_events = is_event_stream(&conn->head);
+	if (x->resuming)
+		return;
+	x->status = conn->status;
+	x->length = -1;
+	if (!conn->headless && !conn->until_close &&
+	    parser->content_length != UINT64_MAX &&
+	    !(parser->flags & F_CHUNKED))
+		x->length = (int64_t)parser->content_length;
+	x->body.length = 0;
+	collect_fields(x, &conn->head);
+}
+
+static void pass_head(exchange_t *x, httpc_t *conn)
+{
+	take_head(x, conn);
+	if (x->is_events && x->status / 100 == 2) {
+		if (!x->streaming)
+			begin_streaming(x);
+		x->state = EXCHANGE_ANSWERING;
+	}
+}
+
+static void not_run(exchange_t *x, bool full, int status)
+{
+	if (full)
+		pace_full(&x->endpoint->pace, sys_now());
+	else
+		pace_unreachable(&x->endpoint->pace, sys_now());
+	dispatch_over(x, PIMENTO_NOT_RUN, status,
+		      full ? "endpoint_full" : "other_endpoint");
+}
+
+bool relay_head(httpc_t *conn)
+{
+	exchange_t *x = conn->user;
+	pace_service_t *service;
+	dialect_answer_t answer = { 0 };
+
+	if (!x)
+		return false;
+	x->gateway->dialect->read_answer(&conn->head, x->call.id, &answer);
+	if (!answer.mine && !answer.not_run &&
+	    conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
+		return false;
+	service = pace_of(x);
+	switch (judge(x, &answer, conn->status)) {
+	case RELAY_NOT_RUN:
+		not_run(x, false, conn->status);
+		return true;
+	case RELAY_FULL:
+		not_run(x, true, conn->status);
+		return true;
+	case RELAY_BAD:
+		if (service)
+			pace_failed(&x->endpoint->pace, service, sys_now());
+		dispatch_over(x, PIMENTO_MAY_HAVE_RUN, 0, "unfit_answer");
+		return true;
+	case RELAY_AGAIN:
+		if (service)
+			pace_failed(&x->endpoint->pace, service, sys_now());
+		if (x->runs < x->route->attempts_max) {
+			dispatch_over(x, PIMENTO_RAN, conn->status,
+				      "endpoint_failed");
+			return true;
+		}
+		break;
+	case RELAY_PASS:
+		if (service && conn->status / 100 == 5)
+			pace_failed(&x->endpoint->pace, service, sys_now());
+		break;
+	}
+	pass_head(x, conn);
+	return true;
+}
+
+/* The first bytes of an answer that counts. */
+static void learn_first(exchange_t *x, pimento_usec_t now)
+{
+	pace_service_t *service = pace_of(x);
+
+	if (!x->first_at)
+		x->first_at = now;
+	if (!service || x->status / 100 != 2)
+		return;
+	pace_answered(&x->endpoint->pace, service);
+	/* Behind a full batch the span would tell of the queue instead. */
+	if (x->load <= x->endpoint->slots)
+		pace_first(&x->endpoint->pace, service, now - x->sent_at,
+			   x->call.prompt);
+}
+
+static void learn_gap(exchange_t *x, uint32_t events, pimento_usec_t now)
+{
+	pace_service_t *service = pace_of(x);
+
+	if (service && events)
+		pace_gap(&x->endpoint->pace, service,
+			 (now - x->event_at) / events);
+}
+
+static void pass_events(exchange_t *x, const char *bytes, size_t length)
+{
+	uint32_t before = x->events.count;
+	int64_t whole = events_take(&x->events, bytes, length);
+	pimento_usec_t now = sys_now();
+
+	if (whole < 0) {
+		exchange_cut(x, "event_too_big");
+		return;
+	}
+	if (!whole)
+		return;
+	x->gateway->counters.events += x->events.count - before;
+	if (x->event_at == x->sent_at)
+		learn_first(x, now);
+	else
+		learn_gap(x, x->events.count - before, now);
+	x->event_at = now;
+	httpd_write(x->caller, x->events.partial.bytes, (size_t)whole);
+	events_drop(&x->events, (size_t)whole);
+	if (outbox_waiting(&x->caller->outbox) > UNREAD_MOST)
+		httpc_hold(x->conn, true);
+}
+
+void relay_body(httpc_t *conn, const char *bytes, size_t length)
+{
+	exchange_t *x = conn->user;
+
+	if (!x)
+		return;
+	if (x->is_events && x->streaming) {
+		pass_events(x, bytes, length);
+		return;
+	}
+	x->event_at = sys_now();
+	if (x->streaming) {
+		httpd_write(x->caller, bytes, length);
+		if (outbox_waiting(&x->caller->outbox) > UNREAD_MOST)
+			httpc_hold(conn, true);
+		return;
+	}
+	text_add_bytes(&x->body, bytes, length);
+	if (x->body.length > HOLD_MOST) {
+		learn_first(x, sys_now());
+		begin_streaming(x);
+		httpd_write(x->caller, x->body.bytes, x->body.length);
+		x->body.length = 0;
+	}
+}
+
+static void end_stream(exchange_t *x)
+{
+	httpd_conn_t *caller;
+
+	if (x->is_events && x->events.partial.length) {
+		/* it ended in the middle of an event: it is not whole */
+		dispatch_over(x, PIMENTO_RAN, 0, "stream_torn");
+		return;
+	}
+	dispatch_done(x);
+	caller = exchange_served(x);
+	httpd_end(caller);
+}
+
+static void end_plain(exchange_t *x)
+{
+	text_t fields = x->fields;
+	text_t body = x->body;
+	int status = x->status;
+	httpd_conn_t *caller;
+
+	learn_first(x, sys_now());
+	text_init(&x->fields);
+	text_init(&x->body);
+	dispatch_done(x);
+	caller = exchange_served(x);
+	httpd_answer(caller, status, text_get(&fields), body.bytes,
+		     body.length);
+	text_finish(&fields);
+	text_finish(&body);
+}
+
+void relay_end(httpc_t *conn)
+{
+	exchange_t *x = conn->user;
+
+	if (!x) {
+		pool_over(conn);
+		return;
+	}
+	if (text_error(&x->body) || text_error(&x->fields))
+		dispatch_over(x, PIMENTO_RAN, 0, "memory");
+	else if (x->streaming)
+		end_stream(x);
+	else
+		end_plain(x);
+}
+
+void relay_written(exchange_t *x)
+{
+	if (x->conn)
+		httpc_hold(x->conn, false);
+}
--- a/io/sys.c
+++ b/io/sys.c
@@ -12,14 +12,14 @@
 #define HEAPS 2
 
 /*
- * CLOCK_MONOTONIC never goes back and runs on while the process is stopped, so
- * a process that wakes from a pause sees how long it was away.
+ * CLOCK_BOOTTIME never goes back and counts the time that the machine was
+ * suspended, unlike CLOCK_MONOTONIC: what wakes up sees how long it was away.
  */
 pimento_usec_t sys_now(void)
 {
 	struct timespec ts;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (pimento_usec_t)ts.tv_sec * PIMENTO_SEC + ts.tv_nsec / 1000;
 }
 
--- /dev/null
+++ b/src/edge_settings.c
@@ -0,0 +1,166 @@
+#include "edge_settings.h"
+
+#include "fields.h"
+
+#include <string.h>
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+#define AT(member) offsetof(edge_settings_t, member)
+#define TEXT(key, member)                                                   \
+	{                                                                   \
+		key, FIELD_TEXT, true, AT(member), 1, EDGE_ADDRESS_MAX - 1, \
+			NULL                                                \
+	}
+
+/* Fractions too: the platform states some of its bounds as such. */
+#define NUMBER(key, member, min)                                              \
+	{                                                                     \
+		key, FIELD_FRACTION, false, AT(member), min, NUMBER_MAX, NULL \
+	}
+#define NUMBER_MAX 1000000000
+
+/* Values where the platform states none. */
+#define MEMORY_MB_DEFAULT 256
+#define DESCRIPTORS_DEFAULT 1024
+#define STOP_SECONDS_DEFAULT 8
+#define REVOKE_MS_DEFAULT 5000
+#define WINDOW_S_DEFAULT 10
+
+static const field_t top_fields[] = {
+	{ "host", FIELD_TABLE, true, 0, 0, 0, NULL },
+	{ "listen", FIELD_TABLE, true, 0, 0, 0, NULL },
+	{ "peers", FIELD_TABLE, false, 0, 0, 0, NULL },
+	{ "store", FIELD_TABLE, true, 0, 0, 0, NULL },
+	{ "limits", FIELD_TABLE, false, 0, 0, 0, NULL },
+	{ "bounds", FIELD_TABLE, false, 0, 0, 0, NULL },
+};
+
+static const field_t host_fields[] = {
+	{ "name", FIELD_TEXT, true, AT(name), 1, PIMENTO_NAME_MAX - 1, NULL },
+	{ "datacentre", FIELD_TEXT, true, AT(datacentre), 1,
+	  PIMENTO_NAME_MAX - 1, NULL },
+	{ "address", FIELD_ADDRESS, true, AT(address), 0, 0, NULL },
+};
+
+static const field_t listen_fields[] = {
+	TEXT("callers", callers),
+	TEXT("health", health),
+	TEXT("peers", peers),
+	{ "gossip_port", FIELD_U16, true, AT(gossip_port), 1, UINT16_MAX,
+	  NULL },
+};
+
+static const field_t peers_fields[] = {
+	{ "seeds", FIELD_STRINGS, false, 0, 0, 0, NULL },
+};
+
+static const field_t store_fields[] = {
+	TEXT("address", store),
+};
+
+static const field_t limits_fields[] = {
+	NUMBER("memory_mb", memory_mb, 1),
+	NUMBER("descriptors", descriptors, 64),
+	NUMBER("stop_seconds", stop_seconds, 1),
+};
+
+static const field_t bounds_fields[] = {
+	NUMBER("key_revoke_ms", key_revoke_ms, 1),
+	NUMBER("retry_ratio", retry_ratio, 0),
+	NUMBER("retry_slack", retry_slack, 0),
+	NUMBER("retry_window_s", retry_window_s, 1),
+	NUMBER("allotment_window_s", allotment_window_s, 1),
+};
+
+static const struct {
+	const char *key;
+	const field_t *fields;
+	size_t count;
+} tables[] = {
+	{ "host", host_fields, COUNT(host_fields) },
+	{ "listen", listen_fields, COUNT(listen_fields) },
+	{ "peers", peers_fields, COUNT(peers_fields) },
+	{ "store", store_fields, COUNT(store_fields) },
+	{ "limits", limits_fields, COUNT(limits_fields) },
+	{ "bounds", bounds_fields, COUNT(bounds_fields) },
+};
+
+static void check_address(const fields_source_t *source,
+			  const toml_node_t *root, const char *table,
+			  const char *key, const char *text)
+{
+	const toml_node_t *node = toml_get(toml_get(root, table), key);
+	char address[64];
+	uint16_t port;
+
+	if (*text && fields_address_port(text, address, &port))
+		problems_add(source->problems, source->file, toml_line(node),
+			     key, "%s is not an address and a port", text);
+}
+
+static void read_seeds(const fields_source_t *source, const toml_node_t *root,
+		       edge_settings_t *settings)
+{
+	const toml_node_t *seeds = toml_get(toml_get(root, "peers"), "seeds");
+
+	for (size_t i = 0; i < toml_count(seeds); i++) {
+		const char *text = "";
+		size_t length = 0;
+		char *seed;
+
+		if (settings->seed_count == EDGE_SEEDS_MAX)
+			return;
+		if (!toml_string(toml_at(seeds, i), &text, &length) ||
+		    length >= EDGE_ADDRESS_MAX) {
+			problems_add(source->problems, source->file,
+				     toml_line(seeds), "peers.seeds",
+				     "a seed is not an address and a port");
+			return;
+		}
+		seed = settings->seeds[settings->seed_count++];
+		memcpy(seed, text, length);
+		seed[length] = '\0';
+		check_address(source, root, "peers", "seeds", seed);
+	}
+}
+
+int edge_settings_parse(edge_settings_t *settings, const char *text,
+			size_t length, const char *file, problems_t *problems)
+{
+	const fields_source_t source = { file, problems };
+	uint32_t before = problems->count;
+	toml_document_t document;
+	int error;
+
+	*settings = (edge_settings_t){
+		.memory_mb = MEMORY_MB_DEFAULT,
+		.descriptors = DESCRIPTORS_DEFAULT,
+		.stop_seconds = STOP_SECONDS_DEFAULT,
+		.key_revoke_ms = REVOKE_MS_DEFAULT,
+		.retry_window_s = WINDOW_S_DEFAULT,
+		.allotment_window_s = WINDOW_S_DEFAULT,
+	};
+	error = toml_init(&document, text, length);
+	if (error) {
+		problems_add(problems, file, document.error_line, "", "%s",
+			     document.error);
+		return error;
+	}
+	fields_read(&source, document.root, "", top_fields, COUNT(top_fields),
+		    settings);
+	for (size_t i = 0; i < COUNT(tables); i++)
+		fields_read(&source, toml_get(document.root, tables[i].key),
+			    tables[i].key, tables[i].fields, tables[i].count,
+			    settings);
+	read_seeds(&source, document.root, settings);
+	check_address(&source, document.root, "listen", "callers",
+		      settings->callers);
+	check_address(&source, document.root, "listen", "health",
+		      settings->health);
+	check_address(&source, document.root, "listen", "peers",
+		      settings->peers);
+	check_address(&source, document.root, "store", "address",
+		      settings->store);
+	toml_finish(&document);
+	return problems->count > before ? PIMENTO_EPARSE : 0;
+}
--- a/src/fields.c
+++ b/src/fields.c
@@ -195,6 +195,22 @@
 	return NULL;
 }
 
+static const char *read_fraction(const field_t *field, const toml_node_t *node,
+				 double *to, char *reason, size_t size)
+{
+	double value;
+
+	if (!toml_fraction(node, &value))
+		return "must be a number";
+	if (!(value >= (double)field->min && value <= (double)field->max)) {
+		snprintf(reason, size, "must lie between %lld and %lld",
+			 (long long)field->min, (long long)field->max);
+		return reason;
+	}
+	*to = value;
+	return NULL;
+}
+
 static const struct {
 	const char *unit;
 	pimento_usec_t usec;
@@ -285,6 +301,8 @@
 		return read_hex32(node, to);
 	case FIELD_BOOL:
 		return read_bool(node, to);
+	case FIELD_FRACTION:
+		return read_fraction(field, node, to, reason, size);
 	case FIELD_SPAN:
 		return read_span(field, node, to, reason, size);
 	case FIELD_WORD:
--- a/src/fields.h
+++ b/src/fields.h
@@ -20,6 +20,7 @@
 	FIELD_U8, /* numbers lie in [min, max] */
 	FIELD_U16,
 	FIELD_U32,
+	FIELD_FRACTION, /* double */
 	FIELD_MSEC, /* pimento_usec_t from milliseconds */
 	FIELD_SEC, /* pimento_usec_t from seconds */
 	FIELD_SPAN, /* pimento_usec_t from "20s", "5min", "2h", "1d" */
--- /dev/null
+++ b/src/mirror.c
@@ -0,0 +1,137 @@
+/*
+ * Removed records stay as tombstones, because an older put for the same key
+ * may still arrive from a peer; a day has a few thousand changes at most, and a
+ * tombstone is a key and a number.
+ */
+
+#include "mirror.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void mirror_init(mirror_t *mirror,
+		 void (*changed)(void *context, const mirror_record_t *record),
+		 void *context)
+{
+	*mirror = (mirror_t){ .changed = changed,
+			      .context = context,
+			      .fresh = MIRROR_NEVER };
+}
+
+void mirror_finish(mirror_t *mirror)
+{
+	for (uint32_t i = 0; i < mirror->count; i++) {
+		free(mirror->records[i].key);
+		free(mirror->records[i].value);
+	}
+	free(mirror->records);
+}
+
+/* The first record whose key is not less. */
+static uint32_t place(const mirror_t *mirror, const char *key)
+{
+	uint32_t low = 0;
+	uint32_t high = mirror->count;
+
+	while (low < high) {
+		uint32_t middle = low + (high - low) / 2;
+
+		if (strcmp(mirror->records[middle].key, key) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static mirror_record_t *insert(mirror_t *mirror, uint32_t at, const char *key)
+{
+	mirror_record_t *record;
+	char *copy = strdup(key);
+
+	if (!copy)
+		return NULL;
+	if (mirror->count == mirror->size) {
+		uint32_t size = mirror->size ? mirror->size * 2 : 32;
+
+		record = realloc(mirror->records, size * sizeof(*record));
+		if (!record) {
+			free(copy);
+			return NULL;
+		}
+		mirror->records = record;
+		mirror->size = size;
+	}
+	record = &mirror->records[at];
+	memmove(record + 1, record, (mirror->count - at) * sizeof(*record));
+	mirror->count++;
+	*record = (mirror_record_t){ .key = copy };
+	return record;
+}
+
+int mirror_put(mirror_t *mirror, const char *key, const char *value,
+	       size_t length, uint64_t revision)
+{
+	uint32_t at = place(mirror, key);
+	mirror_record_t *record = &mirror->records[at];
+	char *copy = NULL;
+
+	if (at == mirror->count || strcmp(record->key, key)) {
+		record = insert(mirror, at, key);
+		if (!record)
+			return PIMENTO_ENOMEM;
+	}
+	record->seen = value != NULL;
+	if (revision <= record->revision)
+		return 0;
+	if (value) {
+		copy = malloc(length + 1);
+		if (!copy)
+			return PIMENTO_ENOMEM;
+		memcpy(copy, value, length);
+		copy[length] = '\0';
+	}
+	free(record->value);
+	record->value = copy;
+	record->length = value ? length : 0;
+	record->revision = revision;
+	if (mirror->revision < revision)
+		mirror->revision = revision;
+	mirror->changed(mirror->context, record);
+	return 0;
+}
+
+void mirror_list_begin(mirror_t *mirror)
+{
+	for (uint32_t i = 0; i < mirror->count; i++)
+		mirror->records[i].seen = false;
+}
+
+int mirror_list_end(mirror_t *mirror, uint64_t revision)
+{
+	for (uint32_t i = 0; i < mirror->count; i++) {
+		mirror_record_t *record = &mirror->records[i];
+		int error;
+
+		if (record->seen || !record->value ||
+		    record->revision > revision)
+			continue;
+		error = mirror_put(mirror, record->key, NULL, 0, revision);
+		if (error)
+			return error;
+	}
+	return 0;
+}
+
+void mirror_confirm(mirror_t *mirror, uint64_t revision, pimento_usec_t start)
+{
+	if (mirror->revision >= revision && mirror->fresh < start)
+		mirror->fresh = start;
+}
+
+pimento_usec_t mirror_age(const mirror_t *mirror, pimento_usec_t now)
+{
+	if (mirror->fresh == MIRROR_NEVER)
+		return PIMENTO_NEVER;
+	return now - mirror->fresh;
+}
--- /dev/null
+++ b/src/mirror.h
@@ -0,0 +1,61 @@
+#ifndef MIRROR_H
+#define MIRROR_H
+
+/*
+ * This host's copy of what the platform publishes: records by key, each with
+ * the revision of its last change. It is fed from the platform's store or from
+ * a peer's snapshot, in any mixture: per key a newer revision wins and an
+ * older one changes nothing, so that a stale read or a late message can never
+ * bring back what was replaced.
+ *
+ * It also keeps the freshness of the copy: the start of the latest read that
+ * is known to have seen everything up to the copy's revision.
+ */
+
+#include "../pimentoshelf.h"
+
+typedef struct mirror_record {
+	char *key;
+	char *value; /* NUL-terminated; NULL once removed */
+	size_t length;
+	uint64_t revision;
+	bool seen; /* during a full listing */
+} mirror_record_t;
+
+typedef struct mirror {
+	/* Told of each change; value is NULL when the record was removed. */
+	void (*changed)(void *context, const mirror_record_t *record);
+	void *context;
+	mirror_record_t *records; /* sorted by key, removed ones included */
+	uint32_t count;
+	uint32_t size;
+	uint64_t revision; /* of the newest change that the copy holds */
+	pimento_usec_t fresh; /* see above; MIRROR_NEVER before the first */
+} mirror_t;
+
+#define MIRROR_NEVER INT64_MIN
+
+void mirror_init(mirror_t *mirror,
+		 void (*changed)(void *context, const mirror_record_t *record),
+		 void *context);
+void mirror_finish(mirror_t *mirror);
+
+/* One change; value NULL removes. Returns 0 or PIMENTO_ENOMEM. */
+int mirror_put(mirror_t *mirror, const char *key, const char *value,
+	       size_t length, uint64_t revision);
+
+/*
+ * A full listing: between begin and end, each record listed is put; what was
+ * not listed and is not newer than revision is then removed. An end without a
+ * begin removes nothing.
+ */
+void mirror_list_begin(mirror_t *mirror);
+int mirror_list_end(mirror_t *mirror, uint64_t revision);
+
+/* A read that began at start saw everything up to revision. */
+void mirror_confirm(mirror_t *mirror, uint64_t revision, pimento_usec_t start);
+
+/* Age of the copy; PIMENTO_NEVER before the first read. */
+pimento_usec_t mirror_age(const mirror_t *mirror, pimento_usec_t now);
+
+#endif
--- /dev/null
+++ b/src/pace.c
@@ -0,0 +1,132 @@
+/*
+ * Streams give many samples of the pause between events, and that pause grows
+ * with an endpoint's slowness and nothing else that one can choose; so it is
+ * the measure by which endpoints of a service are compared. The span to the
+ * first event is fitted as a line in the prompt's length for the service as a
+ * whole, scaled by each endpoint's slowness: one endpoint alone sees too few
+ * long prompts to tell its own line.
+ */
+
+#include "pace.h"
+
+#include <math.h>
+
+/* Weight of a new sample: events come by the hundred, answers one by one. */
+#define GAP_WEIGHT 0.02
+#define SERVICE_GAP_WEIGHT 0.002
+#define FIRST_WEIGHT 0.1
+#define FAILING_WEIGHT 0.08
+#define SERVICE_FAILING_WEIGHT 0.02
+#define LINE_DECAY 0.995
+
+/* Samples before the fitted line is used. */
+#define LINE_SAMPLES 12.0
+
+/* Slowness beyond these is a disturbance, not a kind of hardware. */
+#define SLOWNESS_LEAST 0.2
+#define SLOWNESS_MOST 12.0
+
+/* An endpoint that is not reached is tried again after this, doubling. */
+#define SHUN_FIRST (300 * PIMENTO_MSEC)
+#define SHUN_MOST (2 * PIMENTO_SEC)
+/* A full endpoint frees places within about an answer's time. */
+#define SHUN_FULL (60 * PIMENTO_MSEC)
+
+/*
+ * An endpoint that fails this much more often than its service is given no
+ * work for a while: it answers at once and would otherwise look the least
+ * loaded and draw in more and more requests to fail.
+ */
+#define FAILING_EXCESS 0.3
+#define SHUN_FAILING (700 * PIMENTO_MSEC)
+
+void pace_init(pace_t *pace)
+{
+	*pace = (pace_t){ 0 };
+}
+
+static void blend(double *mean, double sample, double weight)
+{
+	*mean = *mean > 0 ? *mean + weight * (sample - *mean) : sample;
+}
+
+void pace_gap(pace_t *pace, pace_service_t *service, pimento_usec_t gap)
+{
+	blend(&pace->gap, (double)gap, GAP_WEIGHT);
+	blend(&service->gap, (double)gap, SERVICE_GAP_WEIGHT);
+}
+
+double pace_slowness(const pace_t *pace, const pace_service_t *service)
+{
+	double slowness = 1;
+
+	if (pace->gap > 0 && service->gap > 0)
+		slowness = pace->gap / service->gap;
+	return fmin(fmax(slowness, SLOWNESS_LEAST), SLOWNESS_MOST);
+}
+
+void pace_first(pace_t *pace, pace_service_t *service, pimento_usec_t span,
+		uint32_t prompt)
+{
+	double x = (double)prompt;
+	double y = (double)span / pace_slowness(pace, service);
+
+	blend(&pace->first, (double)span, FIRST_WEIGHT);
+	service->weight = service->weight * LINE_DECAY + 1;
+	service->x = service->x * LINE_DECAY + x;
+	service->y = service->y * LINE_DECAY + y;
+	service->xx = service->xx * LINE_DECAY + x * x;
+	service->xy = service->xy * LINE_DECAY + x * y;
+}
+
+void pace_answered(pace_t *pace, pace_service_t *service)
+{
+	pace->failures = 0;
+	pace->shunned_until = 0;
+	pace->failing *= 1 - FAILING_WEIGHT;
+	service->failing *= 1 - SERVICE_FAILING_WEIGHT;
+}
+
+void pace_failed(pace_t *pace, pace_service_t *service, pimento_usec_t now)
+{
+	pace->failing += FAILING_WEIGHT * (1 - pace->failing);
+	service->failing += SERVICE_FAILING_WEIGHT * (1 - service->failing);
+	if (pace->failing > service->failing + FAILING_EXCESS)
+		pace->shunned_until = now + SHUN_FAILING;
+}
+
+void pace_unreachable(pace_t *pace, pimento_usec_t now)
+{
+	pimento_usec_t span = SHUN_FIRST;
+
+	for (uint32_t i = 0; i < pace->failures && span < SHUN_MOST; i++)
+		span *= 2;
+	pace->failures++;
+	pace->shunned_until = now + (span < SHUN_MOST ? span : SHUN_MOST);
+}
+
+void pace_full(pace_t *pace, pimento_usec_t now)
+{
+	if (pace->shunned_until < now + SHUN_FULL)
+		pace->shunned_until = now + SHUN_FULL;
+}
+
+double pace_expect(const pace_t *pace, const pace_service_t *service,
+		   uint32_t prompt)
+{
+	double slowness = pace_slowness(pace, service);
+	double mean = service->weight > 0 ? service->y / service->weight : 0;
+	double spread;
+	double slope;
+
+	if (service->weight < LINE_SAMPLES)
+		return slowness * mean;
+	spread = service->xx - service->x * service->x / service->weight;
+	if (spread < 1)
+		return slowness * mean;
+	slope = (service->xy - service->x * service->y / service->weight) /
+		spread;
+	slope = fmax(slope, 0);
+	mean += slope * ((double)prompt - service->x / service->weight);
+	return slowness * fmax(mean, 0);
+}
--- /dev/null
+++ b/src/pace.h
@@ -0,0 +1,51 @@
+#ifndef PACE_H
+#define PACE_H
+
+/*
+ * What is learnt of one endpoint from its answers: how long it takes to the
+ * first event and between events, how often it fails, and whether it is to be
+ * left alone for a while. Nothing here is configured; an endpoint starts as an
+ * average one of its service.
+ */
+
+#include "../pimentoshelf.h"
+
+typedef struct pace {
+	double gap; /* microseconds between events of one stream; 0 unknown */
+	double first; /* microseconds to the answer; 0 unknown */
+	double failing; /* share of requests that failed, decayed */
+	uint32_t failures; /* in a row without an answer */
+	pimento_usec_t shunned_until; /* no new work before that */
+} pace_t;
+
+/* Of a whole service, to judge and to predict its endpoints by. */
+typedef struct pace_service {
+	double gap; /* mean of what its streams show */
+	double failing;
+	/* Decayed sums of the line first = base + read * prompt, with times
+	 * divided by the endpoint's slowness. */
+	double weight, x, y, xx, xy;
+} pace_service_t;
+
+void pace_init(pace_t *pace);
+
+/* An event came gap after the one before. */
+void pace_gap(pace_t *pace, pace_service_t *service, pimento_usec_t gap);
+/* The answer began after span, for a prompt of so many tokens. */
+void pace_first(pace_t *pace, pace_service_t *service, pimento_usec_t span,
+		uint32_t prompt);
+void pace_answered(pace_t *pace, pace_service_t *service);
+/* A request failed although the endpoint had answered: it may be faulty. */
+void pace_failed(pace_t *pace, pace_service_t *service, pimento_usec_t now);
+/* Nothing was reached or came back at all. */
+void pace_unreachable(pace_t *pace, pimento_usec_t now);
+/* It said that it is full. */
+void pace_full(pace_t *pace, pimento_usec_t now);
+
+/* How much slower than its service's mean; 1 unknown. */
+double pace_slowness(const pace_t *pace, const pace_service_t *service);
+/* Expected span to the first event when nothing waits there. */
+double pace_expect(const pace_t *pace, const pace_service_t *service,
+		   uint32_t prompt);
+
+#endif
--- /dev/null
+++ b/src/placement.c
@@ -0,0 +1,154 @@
+/*
+ * Engines admit in order of arrival and know no urgency, so what is sent to a
+ * full one waits behind everything. Requests are therefore kept back here while
+ * no endpoint has a free place: a later, more urgent one can still overtake.
+ * The count of what is in flight elsewhere is as old as the last note of each
+ * peer; hosts that see the same free place would all take it, and a small
+ * random part in the cost spreads them.
+ */
+
+#include "placement.h"
+
+#include <math.h>
+
+/*
+ * Requests beyond its slots that an engine may have: while a place that has
+ * just become free is known only to the host whose answer ended, the others
+ * learn of it a note later (100 ms), and the engine would idle meanwhile.
+ */
+#define ENGINE_BEYOND 1
+
+/* A plain service queues a few; its answers take some 10 ms each. */
+#define PLAIN_BEYOND 4
+
+/*
+ * Late answers only take what is left below this part of the slots. Without
+ * it they would hold places for whole streams that requests which can still
+ * be on time want a moment later.
+ */
+#define LATE_PART 0.7
+
+/* Cost of a full batch against an empty one, in parts of the first event. */
+#define LOAD_COST 0.8
+/* Random part of the cost. */
+#define SPREAD 0.15
+/* An endpoint elsewhere: a link of a millisecond, and bytes are priced. */
+#define FAR_COST 0.05
+/* Failing endpoints look quick; a failure costs the whole request. */
+#define FAILING_COST 6.0
+/* Used when no answer has been seen: microseconds to a first answer. */
+#define UNKNOWN_FIRST 50000.0
+
+static uint32_t places(const directory_endpoint_t *endpoint,
+		       const placement_request_t *request)
+{
+	if (request->late)
+		return (uint32_t)(endpoint->slots * LATE_PART);
+	if (request->engine)
+		return endpoint->slots + ENGINE_BEYOND;
+	return endpoint->slots + PLAIN_BEYOND;
+}
+
+static uint32_t in_flight(const directory_endpoint_t *endpoint)
+{
+	return endpoint->running + endpoint->elsewhere;
+}
+
+static bool was_tried(const placement_request_t *request, pimento_id_t key)
+{
+	for (uint32_t i = 0; i < request->tried_count; i++)
+		if (request->tried[i] == key)
+			return true;
+	return false;
+}
+
+static bool same_text(const char *a, const char *b)
+{
+	while (*a && *a == *b) {
+		a++;
+		b++;
+	}
+	return *a == *b;
+}
+
+/* A number in [0, 1) that differs by request and endpoint. */
+static double chance(uint64_t draw, pimento_id_t key)
+{
+	uint64_t mixed = (draw ^ key) * 0x9e3779b97f4a7c15u;
+
+	return (double)(mixed >> 40) / (double)(1u << 24);
+}
+
+static double cost(const directory_endpoint_t *endpoint,
+		   const directory_service_t *service,
+		   const placement_request_t *request)
+{
+	double load = (double)in_flight(endpoint) /
+		      (double)(endpoint->slots ? endpoint->slots : 1);
+	double first =
+		pace_expect(&endpoint->pace, &service->pace, request->prompt);
+
+	if (!request->engine && endpoint->pace.first > 0)
+		first = endpoint->pace.first;
+	if (first <= 0)
+		first = UNKNOWN_FIRST;
+	first *= 1 + LOAD_COST * load;
+	first *= 1 + FAILING_COST * endpoint->pace.failing;
+	first *= 1 + SPREAD * chance(request->draw, endpoint->key);
+	if (!same_text(endpoint->datacentre, request->datacentre))
+		first *= 1 + FAR_COST;
+	return first;
+}
+
+placement_verdict_t placement_choose(directory_t *directory,
+				     const placement_request_t *request,
+				     pimento_usec_t now,
+				     directory_endpoint_t **endpoint)
+{
+	directory_service_t *service =
+		directory_service(directory, request->service);
+	placement_verdict_t verdict = PLACEMENT_NONE;
+	bool best_shunned = true;
+	double best = INFINITY;
+
+	if (!service)
+		return PLACEMENT_NONE;
+	for (uint32_t i = 0; i < directory->count; i++) {
+		directory_endpoint_t *e = directory->endpoints[i];
+		bool shunned = e->pace.shunned_until > now;
+		double c;
+
+		if (e->service != request->service ||
+		    !directory_takes(e, now) || was_tried(request, e->key))
+			continue;
+		if (verdict == PLACEMENT_NONE)
+			verdict = PLACEMENT_FULL;
+		if (in_flight(e) >= places(e, request) ||
+		    (shunned && !best_shunned))
+			continue;
+		c = cost(e, service, request);
+		if (c < best || (best_shunned && !shunned)) {
+			best = c;
+			best_shunned = shunned;
+			*endpoint = e;
+			verdict = PLACEMENT_FOUND;
+		}
+	}
+	return verdict;
+}
+
+placement_room_t placement_room(const directory_t *directory,
+				pimento_id_t service, pimento_usec_t now)
+{
+	placement_room_t room = { 0, 0 };
+
+	for (uint32_t i = 0; i < directory->count; i++) {
+		const directory_endpoint_t *e = directory->endpoints[i];
+
+		if (e->service != service || !directory_takes(e, now))
+			continue;
+		room.places += e->slots;
+		room.taken += in_flight(e);
+	}
+	return room;
+}
--- /dev/null
+++ b/src/placement.h
@@ -0,0 +1,49 @@
+#ifndef PLACEMENT_H
+#define PLACEMENT_H
+
+/*
+ * Chooses the endpoint for a request: of those with a free place, the one that
+ * is expected to answer first.
+ */
+
+#include "directory.h"
+
+#define PLACEMENT_TRIED_MAX 8
+
+typedef struct placement_request {
+	pimento_id_t service;
+	uint32_t prompt; /* tokens */
+	bool engine; /* a stream from a model engine */
+	bool late; /* cannot be on time any more */
+	const char *datacentre; /* of this host; nearer endpoints are cheaper */
+	const pimento_id_t *tried; /* endpoints that had this request */
+	uint32_t tried_count;
+	uint64_t draw; /* random, to spread hosts that see the same */
+} placement_request_t;
+
+/* Why there is no endpoint. */
+typedef enum placement_verdict {
+	PLACEMENT_FOUND,
+	PLACEMENT_FULL, /* some exist, but have no free place */
+	PLACEMENT_NONE /* none is listed, or each was tried */
+} placement_verdict_t;
+
+/*
+ * Sets endpoint if PLACEMENT_FOUND. Endpoints that are shunned are used when
+ * no other one is left, since they may work again.
+ */
+placement_verdict_t placement_choose(directory_t *directory,
+				     const placement_request_t *request,
+				     pimento_usec_t now,
+				     directory_endpoint_t **endpoint);
+
+/* Places of a service: taken counts requests in flight anywhere. */
+typedef struct placement_room {
+	uint32_t places;
+	uint32_t taken;
+} placement_room_t;
+
+placement_room_t placement_room(const directory_t *directory,
+				pimento_id_t service, pimento_usec_t now);
+
+#endif
--- /dev/null
+++ b/src/roster.h
@@ -0,0 +1,110 @@
+#ifndef ROSTER_H
+#define ROSTER_H
+
+/*
+ * The entry hosts that this one hears, and what each last said. Hosts find
+ * each other through seeds and pass on whom they hear; nothing is published.
+ * A roster is advice: nothing here gives leave to run anything.
+ */
+
+#include "../pimentoshelf.h"
+
+/* A note has room for this many; more would not fit one datagram. */
+#define ROSTER_LOADS_MAX 64
+#define ROSTER_USES_MAX 24
+#define ROSTER_MEMBERS_MAX 12
+/* Bytes of an encoded note, below the least MTU in use. */
+#define ROSTER_NOTE_BYTES 1400
+
+typedef struct roster_load {
+	uint32_t endpoint; /* low half of its key */
+	uint32_t running;
+} roster_load_t;
+
+typedef struct roster_use {
+	uint32_t account; /* low half of its key */
+	double tokens;
+} roster_use_t;
+
+typedef struct roster_note {
+	uint32_t address; /* IPv4, host byte order */
+	uint64_t incarnation;
+	pimento_usec_t stamp; /* sender's clock */
+	pimento_usec_t echo; /* of the receiver's last stamp; 0 none */
+	pimento_usec_t age; /* of the sender's copy; PIMENTO_NEVER */
+	uint64_t revision; /* of the sender's copy */
+	uint32_t load_count;
+	uint32_t use_count;
+	uint32_t member_count;
+	roster_load_t loads[ROSTER_LOADS_MAX];
+	roster_use_t uses[ROSTER_USES_MAX];
+	uint32_t members[ROSTER_MEMBERS_MAX];
+} roster_note_t;
+
+typedef struct roster_peer {
+	uint32_t address;
+	uint64_t incarnation;
+	bool heard; /* ever; a seed may not have been */
+	bool seed;
+	pimento_usec_t heard_at;
+	pimento_usec_t added_at;
+	pimento_usec_t their_stamp; /* to echo */
+	uint64_t revision;
+	uint32_t load_count;
+	uint32_t use_count;
+	roster_load_t loads[ROSTER_LOADS_MAX];
+	roster_use_t uses[ROSTER_USES_MAX];
+} roster_peer_t;
+
+typedef struct roster {
+	uint32_t self;
+	roster_peer_t **peers;
+	uint32_t count;
+	uint32_t turn; /* of those to be written to */
+	uint32_t member_turn; /* of those to be passed on */
+} roster_t;
+
+void roster_init(roster_t *roster, uint32_t self);
+void roster_finish(roster_t *roster);
+
+/* Adds a host that might exist. Returns 0 or PIMENTO_ENOMEM. */
+int roster_add(roster_t *roster, uint32_t address, bool seed,
+	       pimento_usec_t now);
+
+/*
+ * Takes a note. Sets fresh to the time, on this host's clock, since which the
+ * sender's copy was surely confirmed, or to INT64_MIN. Returns the peer; NULL
+ * for a note that is old, from this host itself, or without memory.
+ */
+roster_peer_t *roster_receive(roster_t *roster, const roster_note_t *note,
+			      pimento_usec_t now, pimento_usec_t *fresh);
+
+/* The next peers in turn; at most most. Returns how many. */
+uint32_t roster_targets(roster_t *roster, pimento_usec_t now, uint32_t most,
+			roster_peer_t **targets);
+
+/* Fills the members of a note, each time others. */
+void roster_members(roster_t *roster, pimento_usec_t now, roster_note_t *note);
+
+/* Hosts that share limits, this one included: heard of within a minute. */
+uint32_t roster_hosts(const roster_t *roster, pimento_usec_t now);
+
+/* True if the peer has been heard lately enough to believe its counts. */
+bool roster_believed(const roster_peer_t *peer, pimento_usec_t now);
+
+/* Requests that believed peers have in flight at an endpoint. */
+uint32_t roster_running(const roster_t *roster, pimento_id_t endpoint,
+			pimento_usec_t now);
+
+/*
+ * Tokens that peers admitted for an account; a peer that is silent counts as
+ * having used an even share of limit, since it may be serving behind a cut.
+ */
+double roster_used(const roster_t *roster, pimento_id_t account, double limit,
+		   pimento_usec_t now);
+
+/* Encoding of a note: returns its bytes, or a negative error. */
+int roster_pack(const roster_note_t *note, uint8_t *bytes, size_t size);
+int roster_unpack(roster_note_t *note, const uint8_t *bytes, size_t length);
+
+#endif
--- a/src/toml.cc
+++ b/src/toml.cc
@@ -184,6 +184,16 @@
 	return true;
 }
 
+extern "C" bool toml_fraction(const toml_node_t *node, double *number)
+{
+	const auto value = node ? node_of(node)->value<double>() : std::nullopt;
+
+	if (!value || !node_of(node)->is_number())
+		return false;
+	*number = *value;
+	return true;
+}
+
 extern "C" size_t toml_count(const toml_node_t *array)
 {
 	const auto *value = array ? node_of(array)->as_array() : nullptr;
--- a/src/toml.h
+++ b/src/toml.h
@@ -51,6 +51,8 @@
 bool toml_string(const toml_node_t *node, const char **text, size_t *length);
 bool toml_integer(const toml_node_t *node, int64_t *value);
 bool toml_boolean(const toml_node_t *node, bool *value);
+/* A whole number or a fraction. */
+bool toml_fraction(const toml_node_t *node, double *value);
 
 /* Elements of an array; 0 and NULL for other types. */
 size_t toml_count(const toml_node_t *array);
--- /dev/null
+++ b/src/waitline.c
@@ -0,0 +1,110 @@
+/*
+ * In an overload the line would grow without end, and in a line that is served
+ * in order everybody would be answered just too late. So a request that cannot
+ * be on time any more goes behind all that can, and leaves the line with a true
+ * "not run" while its caller still has time to come back.
+ */
+
+#include "waitline.h"
+
+/*
+ * A late request may wait this part of the time that its caller had left when
+ * it came: long enough to outlast a burst of a few seconds, short enough to
+ * leave the caller most of the time for another attempt.
+ */
+#define LATE_WAIT_PART 0.2
+
+/* Bounds and spread of the time that a caller is told to stay away. */
+#define COME_BACK_LEAST (200 * PIMENTO_MSEC)
+#define COME_BACK_MOST (3 * PIMENTO_SEC)
+
+static bool goes_before(const waitline_item_t *a, const waitline_item_t *b)
+{
+	if (a->late != b->late)
+		return b->late;
+	if (a->rank != b->rank)
+		return a->rank < b->rank;
+	return a->arrived < b->arrived;
+}
+
+void waitline_put(waitline_t *line, waitline_item_t *item)
+{
+	waitline_item_t *before = line->last;
+
+	while (before && goes_before(item, before))
+		before = before->prev;
+	item->prev = before;
+	item->next = before ? before->next : line->first;
+	if (item->next)
+		item->next->prev = item;
+	else
+		line->last = item;
+	if (before)
+		before->next = item;
+	else
+		line->first = item;
+	line->count++;
+}
+
+void waitline_remove(waitline_t *line, waitline_item_t *item)
+{
+	if (item->prev)
+		item->prev->next = item->next;
+	else
+		line->first = item->next;
+	if (item->next)
+		item->next->prev = item->prev;
+	else
+		line->last = item->prev;
+	item->next = NULL;
+	item->prev = NULL;
+	line->count--;
+}
+
+waitline_item_t *waitline_expired(waitline_t *line, pimento_usec_t now)
+{
+	waitline_item_t *item = line->first;
+
+	while (item) {
+		waitline_item_t *next = item->next;
+
+		if (now >= item->give_up_at)
+			return item;
+		if (!item->late && now >= item->late_at) {
+			waitline_remove(line, item);
+			item->late = true;
+			waitline_put(line, item);
+		}
+		item = next;
+	}
+	return NULL;
+}
+
+void waitline_set_times(waitline_item_t *item, const waitline_terms_t *terms)
+{
+	pimento_usec_t left = terms->end - terms->arrived;
+	pimento_usec_t wait = (pimento_usec_t)((double)left * LATE_WAIT_PART);
+
+	item->arrived = terms->arrived;
+	item->late_at =
+		terms->arrived - terms->spent + terms->goal - terms->expect;
+	item->late = item->late_at <= terms->arrived;
+	item->give_up_at = terms->arrived + wait;
+	if (item->give_up_at < item->late_at)
+		item->give_up_at = item->late_at;
+	if (item->give_up_at > terms->end)
+		item->give_up_at = terms->end;
+}
+
+pimento_usec_t waitline_come_back(uint32_t backlog, double per_second,
+				  uint64_t draw)
+{
+	double seconds = ((double)backlog + 1) / (per_second + 1);
+	pimento_usec_t wait = (pimento_usec_t)(seconds * (double)PIMENTO_SEC);
+
+	if (wait < COME_BACK_LEAST)
+		wait = COME_BACK_LEAST;
+	if (wait > COME_BACK_MOST)
+		wait = COME_BACK_MOST;
+	return wait / 2 + (pimento_usec_t)(draw % (uint64_t)wait);
+}
--- /dev/null
+++ b/src/waitline.h
@@ -0,0 +1,57 @@
+#ifndef WAITLINE_H
+#define WAITLINE_H
+
+/*
+ * Requests that wait at this host for a free place at an endpoint of one
+ * service, and the decision which of them goes next, which is late, and which
+ * is turned away. The order is: what can still be on time before what cannot,
+ * then the more urgent, then the one that came first.
+ */
+
+#include "../pimentoshelf.h"
+
+typedef struct waitline_item {
+	struct waitline_item *next;
+	struct waitline_item *prev;
+	uint64_t rank; /* urgency: less is more urgent */
+	pimento_usec_t arrived;
+	pimento_usec_t late_at; /* past that it cannot be on time any more */
+	pimento_usec_t give_up_at; /* past that it is turned away */
+	bool late;
+} waitline_item_t;
+
+typedef struct waitline {
+	waitline_item_t *first;
+	waitline_item_t *last;
+	uint32_t count;
+} waitline_t;
+
+void waitline_put(waitline_t *line, waitline_item_t *item);
+void waitline_remove(waitline_t *line, waitline_item_t *item);
+
+/*
+ * Marks items as late and moves them behind. Returns one that is to be turned
+ * away, NULL if there is none; call until it returns NULL.
+ */
+waitline_item_t *waitline_expired(waitline_t *line, pimento_usec_t now);
+
+/* What a request may spend, to set the two times of its item. */
+typedef struct waitline_terms {
+	pimento_usec_t arrived;
+	pimento_usec_t spent; /* by the caller before, in earlier attempts */
+	pimento_usec_t goal; /* from the first attempt to the answer */
+	pimento_usec_t expect; /* from a free place to the answer */
+	pimento_usec_t end; /* caller's deadline or route's timeout */
+} waitline_terms_t;
+
+void waitline_set_times(waitline_item_t *item, const waitline_terms_t *terms);
+
+/*
+ * How long a caller that is turned away should stay away. backlog is the number
+ * that wait here, per_second how many the service answers for this host, draw a
+ * random number that spreads the callers.
+ */
+pimento_usec_t waitline_come_back(uint32_t backlog, double per_second,
+				  uint64_t draw);
+
+#endif
