--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -7,439 +7,587 @@
 #endif
 
 #include "peer.pb-c.h"
-void peer__load__init(Peer__Load *message)
+void   peer__load__init
+                     (Peer__Load         *message)
 {
-	static const Peer__Load init_value = PEER__LOAD__INIT;
-	*message = init_value;
+  static const Peer__Load init_value = PEER__LOAD__INIT;
+  *message = init_value;
 }
-size_t peer__load__get_packed_size(const Peer__Load *message)
+size_t peer__load__get_packed_size
+                     (const Peer__Load *message)
 {
-	assert(message->base.descriptor == &peer__load__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__load__pack(const Peer__Load *message, uint8_t *out)
+size_t peer__load__pack
+                     (const Peer__Load *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__load__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__load__pack_to_buffer(const Peer__Load *message,
-				  ProtobufCBuffer *buffer)
+size_t peer__load__pack_to_buffer
+                     (const Peer__Load *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__load__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Load *peer__load__unpack(ProtobufCAllocator *allocator, size_t len,
-			       const uint8_t *data)
+Peer__Load *
+       peer__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Load *)protobuf_c_message_unpack(&peer__load__descriptor,
-						       allocator, len, data);
+  return (Peer__Load *)
+     protobuf_c_message_unpack (&peer__load__descriptor,
+                                allocator, len, data);
 }
-void peer__load__free_unpacked(Peer__Load *message,
-			       ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__load__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+void   peer__load__free_unpacked
+                     (Peer__Load *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__use__init(Peer__Use *message)
+void   peer__use__init
+                     (Peer__Use         *message)
 {
-	static const Peer__Use init_value = PEER__USE__INIT;
-	*message = init_value;
+  static const Peer__Use init_value = PEER__USE__INIT;
+  *message = init_value;
 }
-size_t peer__use__get_packed_size(const Peer__Use *message)
+size_t peer__use__get_packed_size
+                     (const Peer__Use *message)
 {
-	assert(message->base.descriptor == &peer__use__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__use__pack(const Peer__Use *message, uint8_t *out)
+size_t peer__use__pack
+                     (const Peer__Use *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__use__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__use__pack_to_buffer(const Peer__Use *message,
-				 ProtobufCBuffer *buffer)
+size_t peer__use__pack_to_buffer
+                     (const Peer__Use *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__use__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Use *peer__use__unpack(ProtobufCAllocator *allocator, size_t len,
-			     const uint8_t *data)
+Peer__Use *
+       peer__use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Use *)protobuf_c_message_unpack(&peer__use__descriptor,
-						      allocator, len, data);
+  return (Peer__Use *)
+     protobuf_c_message_unpack (&peer__use__descriptor,
+                                allocator, len, data);
 }
-void peer__use__free_unpacked(Peer__Use *message, ProtobufCAllocator *allocator)
+void   peer__use__free_unpacked
+                     (Peer__Use *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__use__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__note__init(Peer__Note *message)
+void   peer__note__init
+                     (Peer__Note         *message)
 {
-	static const Peer__Note init_value = PEER__NOTE__INIT;
-	*message = init_value;
+  static const Peer__Note init_value = PEER__NOTE__INIT;
+  *message = init_value;
 }
-size_t peer__note__get_packed_size(const Peer__Note *message)
+size_t peer__note__get_packed_size
+                     (const Peer__Note *message)
 {
-	assert(message->base.descriptor == &peer__note__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__note__pack(const Peer__Note *message, uint8_t *out)
+size_t peer__note__pack
+                     (const Peer__Note *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__note__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__note__pack_to_buffer(const Peer__Note *message,
-				  ProtobufCBuffer *buffer)
+size_t peer__note__pack_to_buffer
+                     (const Peer__Note *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__note__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Note *peer__note__unpack(ProtobufCAllocator *allocator, size_t len,
-			       const uint8_t *data)
+Peer__Note *
+       peer__note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Note *)protobuf_c_message_unpack(&peer__note__descriptor,
-						       allocator, len, data);
+  return (Peer__Note *)
+     protobuf_c_message_unpack (&peer__note__descriptor,
+                                allocator, len, data);
 }
-void peer__note__free_unpacked(Peer__Note *message,
-			       ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__note__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+void   peer__note__free_unpacked
+                     (Peer__Note *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__record__init(Peer__Record *message)
+void   peer__record__init
+                     (Peer__Record         *message)
 {
-	static const Peer__Record init_value = PEER__RECORD__INIT;
-	*message = init_value;
+  static const Peer__Record init_value = PEER__RECORD__INIT;
+  *message = init_value;
 }
-size_t peer__record__get_packed_size(const Peer__Record *message)
+size_t peer__record__get_packed_size
+                     (const Peer__Record *message)
 {
-	assert(message->base.descriptor == &peer__record__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__record__pack(const Peer__Record *message, uint8_t *out)
+size_t peer__record__pack
+                     (const Peer__Record *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__record__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__record__pack_to_buffer(const Peer__Record *message,
-				    ProtobufCBuffer *buffer)
+size_t peer__record__pack_to_buffer
+                     (const Peer__Record *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__record__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Record *peer__record__unpack(ProtobufCAllocator *allocator, size_t len,
-				   const uint8_t *data)
+Peer__Record *
+       peer__record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Record *)protobuf_c_message_unpack(
-		&peer__record__descriptor, allocator, len, data);
+  return (Peer__Record *)
+     protobuf_c_message_unpack (&peer__record__descriptor,
+                                allocator, len, data);
 }
-void peer__record__free_unpacked(Peer__Record *message,
-				 ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__record__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+void   peer__record__free_unpacked
+                     (Peer__Record *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void peer__snapshot__init(Peer__Snapshot *message)
+void   peer__snapshot__init
+                     (Peer__Snapshot         *message)
 {
-	static const Peer__Snapshot init_value = PEER__SNAPSHOT__INIT;
-	*message = init_value;
+  static const Peer__Snapshot init_value = PEER__SNAPSHOT__INIT;
+  *message = init_value;
 }
-size_t peer__snapshot__get_packed_size(const Peer__Snapshot *message)
+size_t peer__snapshot__get_packed_size
+                     (const Peer__Snapshot *message)
 {
-	assert(message->base.descriptor == &peer__snapshot__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &peer__snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__snapshot__pack(const Peer__Snapshot *message, uint8_t *out)
+size_t peer__snapshot__pack
+                     (const Peer__Snapshot *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &peer__snapshot__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &peer__snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__snapshot__pack_to_buffer(const Peer__Snapshot *message,
-				      ProtobufCBuffer *buffer)
+size_t peer__snapshot__pack_to_buffer
+                     (const Peer__Snapshot *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &peer__snapshot__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &peer__snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Snapshot *peer__snapshot__unpack(ProtobufCAllocator *allocator,
-				       size_t len, const uint8_t *data)
+Peer__Snapshot *
+       peer__snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Peer__Snapshot *)protobuf_c_message_unpack(
-		&peer__snapshot__descriptor, allocator, len, data);
+  return (Peer__Snapshot *)
+     protobuf_c_message_unpack (&peer__snapshot__descriptor,
+                                allocator, len, data);
 }
-void peer__snapshot__free_unpacked(Peer__Snapshot *message,
-				   ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &peer__snapshot__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+void   peer__snapshot__free_unpacked
+                     (Peer__Snapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[2] = {
-	{
-		"endpoint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Load, endpoint), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"running", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Load, running), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[2] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
-	0, /* field[0] = endpoint */
-	1, /* field[1] = running */
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = running */
+};
+static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange peer__load__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 2 } };
-const ProtobufCMessageDescriptor peer__load__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Load",
-	"Load",
-	"Peer__Load",
-	"peer",
-	sizeof(Peer__Load),
-	2,
-	peer__load__field_descriptors,
-	peer__load__field_indices_by_name,
-	1,
-	peer__load__number_ranges,
-	(ProtobufCMessageInit)peer__load__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor peer__load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Load",
+  "Load",
+  "Peer__Load",
+  "peer",
+  sizeof(Peer__Load),
+  2,
+  peer__load__field_descriptors,
+  peer__load__field_indices_by_name,
+  1,  peer__load__number_ranges,
+  (ProtobufCMessageInit) peer__load__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__use__field_descriptors[2] = {
-	{
-		"account", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Use, account), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"tokens", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Use, tokens), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor peer__use__field_descriptors[2] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Use, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Use, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__use__field_indices_by_name[] = {
-	0, /* field[0] = account */
-	1, /* field[1] = tokens */
+  0,   /* field[0] = account */
+  1,   /* field[1] = tokens */
 };
-static const ProtobufCIntRange peer__use__number_ranges[1 + 1] = { { 1, 0 },
-								   { 0, 2 } };
-const ProtobufCMessageDescriptor peer__use__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Use",
-	"Use",
-	"Peer__Use",
-	"peer",
-	sizeof(Peer__Use),
-	2,
-	peer__use__field_descriptors,
-	peer__use__field_indices_by_name,
-	1,
-	peer__use__number_ranges,
-	(ProtobufCMessageInit)peer__use__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange peer__use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCFieldDescriptor peer__note__field_descriptors[9] = {
-	{
-		"address", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-		0, /* quantifier_offset */
-		offsetof(Peer__Note, address), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 2, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(Peer__Note, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"stamp", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Note, stamp), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"echo", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Note, echo), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"fresh_age_ms", 5, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(Peer__Note, fresh_age_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"revision", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Note, revision), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"loads", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Peer__Note, n_loads), offsetof(Peer__Note, loads),
-		&peer__load__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"uses", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Peer__Note, n_uses), offsetof(Peer__Note, uses),
-		&peer__use__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"members", 9, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_FIXED32, offsetof(Peer__Note, n_members),
-		offsetof(Peer__Note, members), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor peer__use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Use",
+  "Use",
+  "Peer__Use",
+  "peer",
+  sizeof(Peer__Use),
+  2,
+  peer__use__field_descriptors,
+  peer__use__field_indices_by_name,
+  1,  peer__use__number_ranges,
+  (ProtobufCMessageInit) peer__use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__note__field_descriptors[9] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, stamp),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fresh_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, fresh_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Note, n_loads),
+    offsetof(Peer__Note, loads),
+    &peer__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uses",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Note, n_uses),
+    offsetof(Peer__Note, uses),
+    &peer__use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Peer__Note, n_members),
+    offsetof(Peer__Note, members),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__note__field_indices_by_name[] = {
-	0, /* field[0] = address */
-	3, /* field[3] = echo */
-	4, /* field[4] = fresh_age_ms */
-	1, /* field[1] = incarnation */
-	6, /* field[6] = loads */
-	8, /* field[8] = members */
-	5, /* field[5] = revision */
-	2, /* field[2] = stamp */
-	7, /* field[7] = uses */
+  0,   /* field[0] = address */
+  3,   /* field[3] = echo */
+  4,   /* field[4] = fresh_age_ms */
+  1,   /* field[1] = incarnation */
+  6,   /* field[6] = loads */
+  8,   /* field[8] = members */
+  5,   /* field[5] = revision */
+  2,   /* field[2] = stamp */
+  7,   /* field[7] = uses */
+};
+static const ProtobufCIntRange peer__note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
 };
-static const ProtobufCIntRange peer__note__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 9 } };
-const ProtobufCMessageDescriptor peer__note__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Note",
-	"Note",
-	"Peer__Note",
-	"peer",
-	sizeof(Peer__Note),
-	9,
-	peer__note__field_descriptors,
-	peer__note__field_indices_by_name,
-	1,
-	peer__note__number_ranges,
-	(ProtobufCMessageInit)peer__note__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor peer__note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Note",
+  "Note",
+  "Peer__Note",
+  "peer",
+  sizeof(Peer__Note),
+  9,
+  peer__note__field_descriptors,
+  peer__note__field_indices_by_name,
+  1,  peer__note__number_ranges,
+  (ProtobufCMessageInit) peer__note__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__record__field_descriptors[3] = {
-	{
-		"key", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Peer__Record, key), NULL, &protobuf_c_empty_string,
-		0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"value", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0, /* quantifier_offset */
-		offsetof(Peer__Record, value), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"revision", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Record, revision), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+static const ProtobufCFieldDescriptor peer__record__field_descriptors[3] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Record, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Record, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Record, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__record__field_indices_by_name[] = {
-	0, /* field[0] = key */
-	2, /* field[2] = revision */
-	1, /* field[1] = value */
+  0,   /* field[0] = key */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = value */
 };
-static const ProtobufCIntRange peer__record__number_ranges[1 + 1] = { { 1, 0 },
-								      { 0,
-									3 } };
-const ProtobufCMessageDescriptor peer__record__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Record",
-	"Record",
-	"Peer__Record",
-	"peer",
-	sizeof(Peer__Record),
-	3,
-	peer__record__field_descriptors,
-	peer__record__field_indices_by_name,
-	1,
-	peer__record__number_ranges,
-	(ProtobufCMessageInit)peer__record__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+static const ProtobufCIntRange peer__record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
 };
-static const ProtobufCFieldDescriptor peer__snapshot__field_descriptors[2] = {
-	{
-		"revision", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(Peer__Snapshot, revision), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"records", 2, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(Peer__Snapshot, n_records),
-		offsetof(Peer__Snapshot, records), &peer__record__descriptor,
-		NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor peer__record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Record",
+  "Record",
+  "Peer__Record",
+  "peer",
+  sizeof(Peer__Record),
+  3,
+  peer__record__field_descriptors,
+  peer__record__field_indices_by_name,
+  1,  peer__record__number_ranges,
+  (ProtobufCMessageInit) peer__record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__snapshot__field_descriptors[2] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Snapshot, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Snapshot, n_records),
+    offsetof(Peer__Snapshot, records),
+    &peer__record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__snapshot__field_indices_by_name[] = {
-	1, /* field[1] = records */
-	0, /* field[0] = revision */
+  1,   /* field[1] = records */
+  0,   /* field[0] = revision */
 };
-static const ProtobufCIntRange peer__snapshot__number_ranges[1 + 1] = {
-	{ 1, 0 },
-	{ 0, 2 }
+static const ProtobufCIntRange peer__snapshot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor peer__snapshot__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"peer.Snapshot",
-	"Snapshot",
-	"Peer__Snapshot",
-	"peer",
-	sizeof(Peer__Snapshot),
-	2,
-	peer__snapshot__field_descriptors,
-	peer__snapshot__field_indices_by_name,
-	1,
-	peer__snapshot__number_ranges,
-	(ProtobufCMessageInit)peer__snapshot__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+const ProtobufCMessageDescriptor peer__snapshot__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Snapshot",
+  "Snapshot",
+  "Peer__Snapshot",
+  "peer",
+  sizeof(Peer__Snapshot),
+  2,
+  peer__snapshot__field_descriptors,
+  peer__snapshot__field_indices_by_name,
+  1,  peer__snapshot__number_ranges,
+  (ProtobufCMessageInit) peer__snapshot__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
