allotment: a bucket over all hosts in place of a sliding window

Change: a bucket that drains at the rate and holds the burst, so that no start of a window can hold more than rate x time + burst; views are merged from what peers admitted since their start, projected between their words; a host that knows nothing starts half full.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -133,7 +133,7 @@
 		.retry = { .window = seconds(settings->retry_window_s),
 			   .ratio = settings->retry_ratio,
 			   .slack = settings->retry_slack },
-		.allotment_window = seconds(settings->allotment_window_s),
+		
 	};
 }
 
@@ -337,6 +337,7 @@
 		.datacentre = edge->settings.datacentre,
 		.dialect = &platform_dialect,
 		.bounds = bounds_of(&edge->settings),
+		.first_start = edge->settings.first_start,
 		.directory = &edge->directory,
 		.roster = &edge->roster,
 		.mirror = &edge->feed.mirror,
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -200,7 +200,7 @@
 
 	if (x->account)
 		allotment_refund(&gateway->allotment, x->account->key,
-				 x->tokens, sys_now());
+				 x->tokens);
 	answer_come_back(gateway, part(x, status, GATEWAY_REFUSED, why), status,
 			 wait);
 }
@@ -400,7 +400,7 @@
 	allotment_rate_t rate = { .per_second = x->account->tokens_per_second,
 				  .burst = x->account->burst };
 	pimento_usec_t wait =
-		allotment_wait(&gateway->allotment, rate, x->tokens);
+		allotment_wait(&gateway->allotment, x->account->key, rate, x->tokens);
 	httpd_conn_t *caller;
 
 	x->service = NULL; /* it never waited */
@@ -568,7 +568,7 @@
 	dispatch_pump(gateway, service);
 }
 
-/* What peers said of their load and use, added up once a tick. */
+/* What peers said of their load, added up once a tick. */
 static void add_up_peers(gateway_t *gateway, pimento_usec_t now)
 {
 	for (uint32_t i = 0; i < gateway->directory->count; i++) {
@@ -577,19 +577,6 @@
 		e->elsewhere = roster_running(gateway->roster, e->key, now);
 		pool_sweep(e, now);
 	}
-	for (uint32_t i = 0;
-	     gateway->catalog && i < gateway->catalog->account_count; i++) {
-		const catalog_account_t *a = &gateway->catalog->accounts[i];
-		allotment_use_t *use =
-			allotment_use(&gateway->allotment, a->key);
-		double window =
-			(double)gateway->allotment.window / (double)PIMENTO_SEC;
-
-		if (use)
-			use->elsewhere = roster_used(
-				gateway->roster, a->key,
-				a->tokens_per_second * window + a->burst, now);
-	}
 }
 
 void gateway_tick(gateway_t *gateway, pimento_usec_t now)
@@ -642,7 +629,7 @@
 	gateway->roster = setup->roster;
 	gateway->mirror = setup->mirror;
 	gateway->draws = sys_random();
-	allotment_init(&gateway->allotment, setup->bounds.allotment_window);
+	allotment_init(&gateway->allotment, setup->first_start);
 	dispatch_init(gateway);
 	error = httpd_init(&gateway->front, setup->loop, &setup->listen,
 			   &gateway->callers, &limits);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -24,7 +24,6 @@
 typedef struct gateway_bounds {
 	pimento_usec_t key_lease; /* a copy older than this honours no key */
 	retry_budget_terms_t retry;
-	pimento_usec_t allotment_window;
 } gateway_bounds_t;
 
 typedef enum gateway_outcome {
@@ -109,6 +108,7 @@
 	const char *datacentre; /* borrowed */
 	const dialect_ops_t *dialect;
 	gateway_bounds_t bounds;
+	bool first_start; /* of the whole system */
 	directory_t *directory;
 	roster_t *roster;
 	const mirror_t *mirror;
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -20,6 +20,7 @@
 
 /* Peers written to in one tick: 80 notes a second at ten ticks. */
 #define MESH_TARGETS 8
+#define TICK (100 * PIMENTO_MSEC)
 /* Notes read in one turn of the loop. */
 #define NOTES_AT_ONCE 64
 /*
@@ -49,21 +50,6 @@
 	}
 }
 
-static void add_uses(const mesh_t *mesh, roster_note_t *note,
-		     pimento_usec_t now)
-{
-	allotment_t *allotment = mesh->allotment;
-
-	for (uint32_t i = 0; i < allotment->count; i++) {
-		allotment_use_t *use = &allotment->uses[i];
-		roster_use_t said = { (uint32_t)use->account,
-				      allotment_own(allotment, use, now) };
-
-		if (said.tokens > 0 && note->use_count < ROSTER_USES_MAX)
-			note->uses[note->use_count++] = said;
-	}
-}
-
 static void send_note(mesh_t *mesh, roster_note_t *note, roster_peer_t *peer)
 {
 	net_address_t to = { peer->address, mesh->note_port };
@@ -93,7 +79,8 @@
 	uint32_t count;
 
 	add_loads(mesh, &note);
-	add_uses(mesh, &note, now);
+	note.use_count =
+		allotment_say(mesh->allotment, note.uses, ROSTER_USES_MAX);
 	roster_members(mesh->roster, now, &note);
 	count = roster_targets(mesh->roster, now, MESH_TARGETS, targets);
 	for (uint32_t i = 0; i < count; i++)
@@ -105,16 +92,18 @@
 	pimento_usec_t now = sys_now();
 	pimento_usec_t fresh;
 	roster_note_t note;
-	roster_peer_t *peer;
-	bool known;
 
 	if (roster_unpack(&note, bytes, length))
 		return;
 	mesh->notes_in++;
-	peer = roster_receive(mesh->roster, &note, now, &fresh);
-	known = peer != NULL;
-	if (known && fresh != INT64_MIN)
+	if (!roster_receive(mesh->roster, &note, now, &fresh))
+		return;
+	if (fresh != INT64_MIN)
 		mirror_confirm(mesh->mirror, note.revision, fresh);
+	for (uint32_t i = 0; i < note.use_count; i++)
+		if (allotment_hear(mesh->allotment, note.address,
+				   note.incarnation, &note.uses[i], now))
+			return; /* no memory; the next note says it again */
 }
 
 static void on_datagram(struct ev_loop *loop, ev_io *watcher, int events)
@@ -359,6 +348,8 @@
 
 void mesh_tick(mesh_t *mesh, pimento_usec_t now)
 {
+	mesh->allotment->hear_every =
+		TICK * (1 + mesh->roster->count / MESH_TARGETS);
 	send_notes(mesh, now);
 	catch_up(mesh, now);
 	httpd_sweep(&mesh->server, now);
--- a/src/allotment.c
+++ b/src/allotment.c
@@ -1,110 +1,253 @@
 /*
- * The limit over a window is rate * window + burst. Notes of peers are 100 ms
- * old or more, so a sudden surge that comes in at all hosts at once can pass
- * the limit by what arrives within that time; the operator's tolerance (a
- * quarter of the limit) holds several times as much. Refusing earlier would
- * turn away what an account is owed.
+ * A view of a bucket is late by as long as a peer's word takes. What a peer
+ * admits meanwhile is projected from what it admitted lately: in a surge that
+ * comes in at all hosts at once, the sum would else pass the limit by the surge
+ * times that delay. A peer that has fallen silent may serve on behind a cut;
+ * its even share of the rate is then left to it.
+ *
+ * A host that restarts knows nothing. It takes over the fullest view that a
+ * peer states; while there is none, because all were killed together, it
+ * starts half full. The operator's tolerance over a window, a quarter of rate
+ * times window plus burst, holds what is used twice then.
  */
 
 #include "allotment.h"
 
 #include <stdlib.h>
 
-void allotment_init(allotment_t *allotment, pimento_usec_t window)
+/* Room beside the burst, in seconds of the rate, for views that are late. */
+#define ROOM_SECONDS 0.5
+/* Part of the burst that counts as used when nothing is known. */
+#define UNKNOWN_PART 0.5
+/* A peer's admissions are projected for at most this. */
+#define PROJECT_MOST (2 * PIMENTO_SEC)
+/* Silent for so many times the usual, at least: a peer may be cut off. */
+#define SILENT_TIMES 4
+#define SILENT_LEAST (1 * PIMENTO_SEC)
+/* Longer than this it is gone, not cut off. */
+#define GONE (20 * PIMENTO_SEC)
+/* Weight of a new sample of a peer's rate. */
+#define RATE_WEIGHT 0.5
+
+void allotment_init(allotment_t *allotment, bool first_start)
 {
-	*allotment = (allotment_t){ .window = window };
+	*allotment = (allotment_t){ .first_start = first_start };
 }
 
 void allotment_finish(allotment_t *allotment)
 {
+	for (uint32_t i = 0; i < allotment->count; i++)
+		free(allotment->uses[i].peers);
 	free(allotment->uses);
 }
 
-allotment_use_t *allotment_use(allotment_t *allotment, pimento_id_t account)
+static allotment_use_t *find(const allotment_t *allotment, uint32_t account)
 {
-	allotment_use_t *grown;
-
 	for (uint32_t i = 0; i < allotment->count; i++)
-		if (allotment->uses[i].account == account)
+		if ((uint32_t)allotment->uses[i].account == account)
 			return &allotment->uses[i];
-	grown = realloc(allotment->uses,
-			(allotment->count + 1) * sizeof(*grown));
-	if (!grown)
+	return NULL;
+}
+
+static allotment_use_t *use_of(allotment_t *allotment, pimento_id_t account)
+{
+	allotment_use_t *use = find(allotment, (uint32_t)account);
+
+	if (use)
+		return use;
+	use = realloc(allotment->uses, (allotment->count + 1) * sizeof(*use));
+	if (!use)
 		return NULL;
-	allotment->uses = grown;
-	grown += allotment->count++;
-	*grown = (allotment_use_t){ .account = account };
-	return grown;
+	allotment->uses = use;
+	use += allotment->count++;
+	*use = (allotment_use_t){ .account = account };
+	return use;
 }
 
-/* Empties the parts that the window has moved past. */
-static void advance(const allotment_t *allotment, allotment_use_t *use,
-		    pimento_usec_t now)
+static pimento_usec_t silent_after(const allotment_t *allotment)
 {
-	int64_t part = now / (allotment->window / ALLOTMENT_PARTS);
-	int64_t steps = part - use->part;
+	pimento_usec_t span = allotment->hear_every * SILENT_TIMES;
 
-	if (steps > ALLOTMENT_PARTS)
-		steps = ALLOTMENT_PARTS;
-	for (int64_t i = 0; i < steps; i++)
-		use->parts[(part - i) % ALLOTMENT_PARTS] = 0;
-	use->part = part;
+	return span > SILENT_LEAST ? span : SILENT_LEAST;
 }
 
-double allotment_own(const allotment_t *allotment, allotment_use_t *use,
-		     pimento_usec_t now)
+/* Part of the rate that is left to hosts that can hear each other. */
+static double heard_part(const allotment_t *allotment,
+			 const allotment_use_t *use, pimento_usec_t now)
 {
-	double sum = 0;
+	double heard = 1; /* this host */
+	double silent = 0;
+
+	for (uint32_t i = 0; i < use->peer_count; i++) {
+		pimento_usec_t age = now - use->peers[i].heard_at;
+
+		if (age < silent_after(allotment))
+			heard++;
+		else if (age < GONE)
+			silent++;
+	}
+	return heard / (heard + silent);
+}
 
-	advance(allotment, use, now);
-	for (uint32_t i = 0; i < ALLOTMENT_PARTS; i++)
-		sum += use->parts[i];
-	return sum;
+static double room(allotment_rate_t rate)
+{
+	return rate.burst + rate.per_second * ROOM_SECONDS;
+}
+
+static void begin(const allotment_t *allotment, allotment_use_t *use,
+		  allotment_rate_t rate, pimento_usec_t now)
+{
+	if (!allotment->first_start && use->level < room(rate) * UNKNOWN_PART)
+		use->level = room(rate) * UNKNOWN_PART;
+	use->begun = true;
+	use->settled = now;
+}
+
+static void drain(const allotment_t *allotment, allotment_use_t *use,
+		  allotment_rate_t rate, pimento_usec_t now)
+{
+	double passed = (double)(now - use->settled) / (double)PIMENTO_SEC;
+
+	if (!use->begun) {
+		begin(allotment, use, rate, now);
+		return;
+	}
+	use->settled = now;
+	use->level -= passed * rate.per_second *
+		      heard_part(allotment, use, now);
+	if (use->level < 0)
+		use->level = 0;
 }
 
-static double limit(const allotment_t *allotment, allotment_rate_t rate)
+/* What peers have probably admitted since they last spoke. */
+static double projected(const allotment_use_t *use, pimento_usec_t now)
 {
-	return rate.per_second * (double)allotment->window /
-		       (double)PIMENTO_SEC +
-	       rate.burst;
+	double sum = 0;
+
+	for (uint32_t i = 0; i < use->peer_count; i++) {
+		const allotment_peer_t *peer = &use->peers[i];
+		pimento_usec_t age = now - peer->heard_at;
+
+		if (age > PROJECT_MOST)
+			continue; /* its share of the rate is left to it */
+		sum += peer->per_second * (double)age / (double)PIMENTO_SEC;
+	}
+	return sum;
 }
 
 int allotment_admit(allotment_t *allotment, pimento_id_t account,
 		    allotment_rate_t rate, double tokens, pimento_usec_t now)
 {
-	allotment_use_t *use = allotment_use(allotment, account);
-	double used;
+	allotment_use_t *use = use_of(allotment, account);
+	double level;
 
 	if (!use)
 		return PIMENTO_ENOMEM;
-	used = allotment_own(allotment, use, now) + use->elsewhere;
-	if (rate.per_second > 0 && used + tokens > limit(allotment, rate))
+	drain(allotment, use, rate, now);
+	level = use->level + projected(use, now);
+	/* one that is larger than the whole bucket waits for an empty one */
+	if (rate.per_second > 0 && level > 0 && level + tokens > room(rate))
 		return PIMENTO_EFULL;
-	use->parts[use->part % ALLOTMENT_PARTS] += tokens;
+	use->level += tokens;
+	use->admitted += tokens;
 	return 0;
 }
 
 void allotment_refund(allotment_t *allotment, pimento_id_t account,
-		      double tokens, pimento_usec_t now)
+		      double tokens)
 {
-	allotment_use_t *use = allotment_use(allotment, account);
-	double *part;
+	allotment_use_t *use = find(allotment, (uint32_t)account);
 
 	if (!use)
 		return;
-	advance(allotment, use, now);
-	part = &use->parts[use->part % ALLOTMENT_PARTS];
-	*part = *part > tokens ? *part - tokens : 0;
+	use->admitted -= tokens;
+	use->level = use->level > tokens ? use->level - tokens : 0;
 }
 
 pimento_usec_t allotment_wait(const allotment_t *allotment,
-			      allotment_rate_t rate, double tokens)
+			      pimento_id_t account, allotment_rate_t rate,
+			      double tokens)
+{
+	const allotment_use_t *use = find(allotment, (uint32_t)account);
+	double over = (use ? use->level : 0) + tokens - room(rate);
+	double seconds = 0;
+
+	if (over > 0 && rate.per_second > 0)
+		seconds = over / rate.per_second;
+	return (pimento_usec_t)(seconds * (double)PIMENTO_SEC);
+}
+
+static allotment_peer_t *peer_of(allotment_use_t *use, uint32_t address)
+{
+	allotment_peer_t *peer;
+
+	for (uint32_t i = 0; i < use->peer_count; i++)
+		if (use->peers[i].address == address)
+			return &use->peers[i];
+	peer = realloc(use->peers, (use->peer_count + 1) * sizeof(*peer));
+	if (!peer)
+		return NULL;
+	use->peers = peer;
+	peer += use->peer_count++;
+	*peer = (allotment_peer_t){ .address = address };
+	return peer;
+}
+
+/* Tokens that a peer admitted since its last word. */
+static double news_of(allotment_use_t *use, const allotment_peer_t *peer,
+		      uint64_t incarnation, const allotment_word_t *word)
+{
+	if (!peer->incarnation) {
+		/* never heard: what it knows may be more than we do */
+		if (use->level < word->level)
+			use->level = word->level;
+		return 0;
+	}
+	if (peer->incarnation != incarnation)
+		return word->admitted; /* since its restart */
+	return word->admitted - peer->admitted;
+}
+
+int allotment_hear(allotment_t *allotment, uint32_t address,
+		   uint64_t incarnation, const allotment_word_t *word,
+		   pimento_usec_t now)
 {
-	pimento_usec_t part = allotment->window / ALLOTMENT_PARTS;
-	double seconds = tokens / (rate.per_second > 0 ? rate.per_second : 1);
-	pimento_usec_t wait = (pimento_usec_t)(seconds * (double)PIMENTO_SEC);
+	allotment_use_t *use = use_of(allotment, word->account);
+	allotment_peer_t *peer = use ? peer_of(use, address) : NULL;
+	double news;
+	double passed;
 
-	if (wait < part)
-		return part;
-	return wait < allotment->window ? wait : allotment->window;
+	if (!peer)
+		return PIMENTO_ENOMEM;
+	news = news_of(use, peer, incarnation, word);
+	passed = (double)(now - peer->heard_at) / (double)PIMENTO_SEC;
+	if (peer->incarnation && passed > 0)
+		peer->per_second +=
+			RATE_WEIGHT * (news / passed - peer->per_second);
+	if (peer->per_second < 0)
+		peer->per_second = 0;
+	peer->incarnation = incarnation;
+	peer->admitted = word->admitted;
+	peer->heard_at = now;
+	use->level += news;
+	if (use->level < 0)
+		use->level = 0;
+	return 0;
+}
+
+uint32_t allotment_say(const allotment_t *allotment, allotment_word_t *words,
+		       uint32_t max)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < allotment->count && count < max; i++) {
+		const allotment_use_t *use = &allotment->uses[i];
+
+		words[count++] = (allotment_word_t){
+			.account = (uint32_t)use->account,
+			.admitted = use->admitted,
+			.level = use->level,
+		};
+	}
+	return count;
 }
--- a/src/allotment.h
+++ b/src/allotment.h
@@ -2,47 +2,55 @@
 #define ALLOTMENT_H
 
 /*
- * What a client account may use over all entry hosts together, in a sliding
- * window. Each host counts exactly what it admits itself and hears from its
- * peers what they admitted.
+ * What a client account may use over all entry hosts together: a bucket that
+ * drains at the account's rate and holds its burst. Each host keeps its own
+ * view of every bucket; it fills it with what it admits itself, and with what
+ * its peers say that they admitted.
  */
 
 #include "../pimentoshelf.h"
 
-/*
- * The window is counted in this many parts. The part under way is included, so
- * that the span covered is between 15 and 16 sixteenths of the window.
- */
-#define ALLOTMENT_PARTS 16
+/* What a host says of an account, in its notes. */
+typedef struct allotment_word {
+	uint32_t account; /* low half of its key */
+	double admitted; /* tokens since the host's start */
+	double level; /* of the bucket, as the host sees it */
+} allotment_word_t;
+
+/* A peer and what it last said of one account. */
+typedef struct allotment_peer {
+	uint32_t address;
+	uint64_t incarnation;
+	double admitted;
+	double per_second; /* lately */
+	pimento_usec_t heard_at;
+} allotment_peer_t;
 
 typedef struct allotment_use {
 	pimento_id_t account;
-	double parts[ALLOTMENT_PARTS];
-	int64_t part; /* number of the part under way */
-	double elsewhere; /* admitted by peers within the window */
+	double admitted; /* tokens, by this host since its start */
+	double level; /* tokens in the bucket */
+	bool begun; /* level holds; before that nothing is known */
+	pimento_usec_t settled; /* when level was last drained */
+	allotment_peer_t *peers;
+	uint32_t peer_count;
 } allotment_use_t;
 
 typedef struct allotment {
-	pimento_usec_t window;
+	bool first_start; /* nothing can have been used before this host */
+	pimento_usec_t hear_every; /* how often a peer is usually heard */
 	allotment_use_t *uses;
 	uint32_t count;
 } allotment_t;
 
-void allotment_init(allotment_t *allotment, pimento_usec_t window);
-void allotment_finish(allotment_t *allotment);
-
-/* The use of an account; NULL without memory. */
-allotment_use_t *allotment_use(allotment_t *allotment, pimento_id_t account);
-
-/* Tokens that this host admitted within the window. */
-double allotment_own(const allotment_t *allotment, allotment_use_t *use,
-		     pimento_usec_t now);
-
 typedef struct allotment_rate {
 	double per_second; /* tokens; 0 no limit */
 	double burst;
 } allotment_rate_t;
 
+void allotment_init(allotment_t *allotment, bool first_start);
+void allotment_finish(allotment_t *allotment);
+
 /*
  * Admits tokens if they fit, and counts them. Returns 0, PIMENTO_EFULL if the
  * account is over its allotment, or PIMENTO_ENOMEM.
@@ -52,10 +60,20 @@
 
 /* The request was turned away after all and has not run. */
 void allotment_refund(allotment_t *allotment, pimento_id_t account,
-		      double tokens, pimento_usec_t now);
+		      double tokens);
 
 /* When room for tokens may be there again; for a caller told to come back. */
 pimento_usec_t allotment_wait(const allotment_t *allotment,
-			      allotment_rate_t rate, double tokens);
+			      pimento_id_t account, allotment_rate_t rate,
+			      double tokens);
+
+/* Takes a peer's word. Returns 0 or PIMENTO_ENOMEM. */
+int allotment_hear(allotment_t *allotment, uint32_t address,
+		   uint64_t incarnation, const allotment_word_t *word,
+		   pimento_usec_t now);
+
+/* This host's words, at most max; returns how many. */
+uint32_t allotment_say(const allotment_t *allotment, allotment_word_t *words,
+		       uint32_t max);
 
 #endif
--- a/src/edge_settings.h
+++ b/src/edge_settings.h
@@ -6,13 +6,12 @@
  * file from the template deploy/settings.toml.in at each start and at each
  * change; keys that are not known here are refused, since the template is ours.
  *
- *	[host]    name, datacentre, address
+ *	[host]    name, datacentre, address, first_start
  *	[listen]  callers, health, peers ("address:port"), gossip_port
  *	[peers]   seeds = ["10.1.0.25:8229", ...]
  *	[store]   address ("address:port")
  *	[limits]  memory_mb, descriptors, stop_seconds
- *	[bounds]  key_revoke_ms, retry_ratio, retry_slack, retry_window_s,
- *	          allotment_window_s
+ *	[bounds]  key_revoke_ms, retry_ratio, retry_slack, retry_window_s
  */
 
 #include "config.h"
@@ -24,6 +23,7 @@
 	char name[PIMENTO_NAME_MAX];
 	char datacentre[PIMENTO_NAME_MAX];
 	char address[64];
+	bool first_start; /* the whole system starts for the first time */
 	char callers[EDGE_ADDRESS_MAX];
 	char health[EDGE_ADDRESS_MAX];
 	char peers[EDGE_ADDRESS_MAX];
@@ -38,7 +38,6 @@
 	double retry_ratio; /* repeats for each request */
 	double retry_slack; /* repeats of all hosts in a window */
 	double retry_window_s;
-	double allotment_window_s;
 } edge_settings_t;
 
 /* Every mistake goes to problems. Returns 0 or PIMENTO_EPARSE. */
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -283,7 +283,7 @@
   (ProtobufCMessageInit) peer__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__use__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__use__field_descriptors[3] =
 {
   {
     "account",
@@ -298,12 +298,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tokens",
+    "admitted",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Use, tokens),
+    offsetof(Peer__Use, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Use, level),
     NULL,
     NULL,
     0,             /* flags */
@@ -312,12 +324,13 @@
 };
 static const unsigned peer__use__field_indices_by_name[] = {
   0,   /* field[0] = account */
-  1,   /* field[1] = tokens */
+  1,   /* field[1] = admitted */
+  2,   /* field[2] = level */
 };
 static const ProtobufCIntRange peer__use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__use__descriptor =
 {
@@ -327,7 +340,7 @@
   "Peer__Use",
   "peer",
   sizeof(Peer__Use),
-  2,
+  3,
   peer__use__field_descriptors,
   peer__use__field_indices_by_name,
   1,  peer__use__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -52,13 +52,17 @@
    */
   uint32_t account;
   /*
-   * admitted by the sender within the window
+   * tokens, by the sender since its start
    */
-  uint64_t tokens;
+  uint64_t admitted;
+  /*
+   * of the account's bucket, as the sender sees it
+   */
+  uint64_t level;
 };
 #define PEER__USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__use__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Peer__Note
--- a/src/roster.c
+++ b/src/roster.c
@@ -77,9 +77,7 @@
 static void take_counts(roster_peer_t *peer, const roster_note_t *note)
 {
 	peer->load_count = note->load_count;
-	peer->use_count = note->use_count;
 	memcpy(peer->loads, note->loads, sizeof(peer->loads));
-	memcpy(peer->uses, note->uses, sizeof(peer->uses));
 	peer->revision = note->revision;
 }
 
@@ -200,28 +198,3 @@
 	}
 	return running;
 }
-
-static double used_by(const roster_peer_t *peer, pimento_id_t account)
-{
-	for (uint32_t i = 0; i < peer->use_count; i++)
-		if (peer->uses[i].account == (uint32_t)account)
-			return peer->uses[i].tokens;
-	return 0;
-}
-
-double roster_used(const roster_t *roster, pimento_id_t account, double limit,
-		   pimento_usec_t now)
-{
-	double share = limit / (double)roster_hosts(roster, now);
-	double used = 0;
-
-	for (uint32_t i = 0; i < roster->count; i++) {
-		const roster_peer_t *peer = roster->peers[i];
-
-		if (roster_believed(peer, now))
-			used += used_by(peer, account);
-		else if (peer->heard && now - peer->heard_at < FORGOTTEN)
-			used += share;
-	}
-	return used;
-}
--- a/src/roster.h
+++ b/src/roster.h
@@ -7,7 +7,7 @@
  * A roster is advice: nothing here gives leave to run anything.
  */
 
-#include "../pimentoshelf.h"
+#include "allotment.h"
 
 /* A note has room for this many; more would not fit one datagram. */
 #define ROSTER_LOADS_MAX 64
@@ -21,11 +21,6 @@
 	uint32_t running;
 } roster_load_t;
 
-typedef struct roster_use {
-	uint32_t account; /* low half of its key */
-	double tokens;
-} roster_use_t;
-
 typedef struct roster_note {
 	uint32_t address; /* IPv4, host byte order */
 	uint64_t incarnation;
@@ -37,7 +32,7 @@
 	uint32_t use_count;
 	uint32_t member_count;
 	roster_load_t loads[ROSTER_LOADS_MAX];
-	roster_use_t uses[ROSTER_USES_MAX];
+	allotment_word_t uses[ROSTER_USES_MAX];
 	uint32_t members[ROSTER_MEMBERS_MAX];
 } roster_note_t;
 
@@ -51,9 +46,7 @@
 	pimento_usec_t their_stamp; /* to echo */
 	uint64_t revision;
 	uint32_t load_count;
-	uint32_t use_count;
 	roster_load_t loads[ROSTER_LOADS_MAX];
-	roster_use_t uses[ROSTER_USES_MAX];
 } roster_peer_t;
 
 typedef struct roster {
@@ -96,13 +89,6 @@
 uint32_t roster_running(const roster_t *roster, pimento_id_t endpoint,
 			pimento_usec_t now);
 
-/*
- * Tokens that peers admitted for an account; a peer that is silent counts as
- * having used an even share of limit, since it may be serving behind a cut.
- */
-double roster_used(const roster_t *roster, pimento_id_t account, double limit,
-		   pimento_usec_t now);
-
 /* Encoding of a note: returns its bytes, or a negative error. */
 int roster_pack(const roster_note_t *note, uint8_t *bytes, size_t size);
 int roster_unpack(roster_note_t *note, const uint8_t *bytes, size_t length);
--- a/src/roster_note.c
+++ b/src/roster_note.c
@@ -25,6 +25,11 @@
 	return (uint32_t)(age / PIMENTO_MSEC) + 1; /* never younger */
 }
 
+static uint64_t whole(double tokens)
+{
+	return tokens > 0 ? (uint64_t)tokens : 0;
+}
+
 static void point(Peer__Note *message, const roster_note_t *note,
 		  packed_t *packed)
 {
@@ -37,7 +42,8 @@
 	for (uint32_t i = 0; i < note->use_count; i++) {
 		peer__use__init(&packed->uses[i]);
 		packed->uses[i].account = note->uses[i].account;
-		packed->uses[i].tokens = (uint64_t)note->uses[i].tokens;
+		packed->uses[i].admitted = whole(note->uses[i].admitted);
+		packed->uses[i].level = whole(note->uses[i].level);
 		packed->use_pointers[i] = &packed->uses[i];
 	}
 	message->n_loads = note->load_count;
@@ -91,7 +97,8 @@
 	}
 	for (uint32_t i = 0; i < note->use_count; i++) {
 		note->uses[i].account = message->uses[i]->account;
-		note->uses[i].tokens = (double)message->uses[i]->tokens;
+		note->uses[i].admitted = (double)message->uses[i]->admitted;
+		note->uses[i].level = (double)message->uses[i]->level;
 	}
 	for (uint32_t i = 0; i < note->member_count; i++)
 		note->members[i] = message->members[i];
