gateway: a spread of patience is no sign of a repeat; shunned is no overflow

Cause: callers of a route start with patience that differs by a sixth; the difference was taken for time spent in earlier attempts, so that most requests counted as late and were held to seven tenths of the slots. A failure before the first event of a stream whose head had gone out wrote a second head into the answer.

Ruled out: slow engines (without a wait the first event was on time).

Change: only a clear lack of patience counts as spent; a shunned endpoint is tried alone and only when all are; an answer that has begun is cut.

--- a/io/dialect.h
+++ b/io/dialect.h
@@ -17,6 +17,7 @@
 	bool sized; /* the two below were stated */
 	uint32_t prompt; /* tokens */
 	uint32_t answer; /* tokens, at most */
+	uint32_t expected; /* tokens of the answer, as the caller guesses; 0 */
 	pimento_usec_t patience; /* left to the caller; 0 not stated */
 } dialect_call_t;
 
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -259,9 +259,7 @@
 
 static void give_up(exchange_t *x, int status, const char *why)
 {
-	if (x->first_at && x->streaming)
-		exchange_cut(x, why);
-	else if (!x->runs)
+	if (!x->runs)
 		exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why);
 	else
 		exchange_fail(x, status ? status : HTTP_STATUS_BAD_GATEWAY,
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -44,6 +44,7 @@
 	pimento_usec_t sent_at;
 	uint32_t load; /* in flight at the endpoint when sent */
 	pimento_usec_t event_at; /* last event */
+	pimento_usec_t pause_most; /* the longest between two events */
 	/* All attempts. */
 	pimento_id_t tried[PLACEMENT_TRIED_MAX];
 	uint32_t tried_count;
@@ -67,7 +68,8 @@
 
 /*
  * Each of these ends an exchange and frees it. The first two answer the caller:
- * "not run, come back", or a failure that promises nothing.
+ * "not run, come back", or a failure that promises nothing; if the head of an
+ * endpoint's answer has already gone out, they break that answer off.
  */
 void exchange_refuse(exchange_t *exchange, int status, const char *why);
 void exchange_fail(exchange_t *exchange, int status, const char *why);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -24,6 +24,13 @@
 #define HEAD_TIMEOUT_DEFAULT (5 * PIMENTO_SEC)
 #define IDLE_TIMEOUT_DEFAULT (60 * PIMENTO_SEC)
 
+/*
+ * Callers of one route differ in their patience by about a sixth. Less than
+ * this part of the most that was seen shows that some was spent before, in an
+ * earlier attempt.
+ */
+#define PATIENCE_USUAL 0.8
+
 /* A caller told to come back while this host itself is not able. */
 #define COME_BACK_SOON (300 * PIMENTO_MSEC)
 
@@ -46,7 +53,7 @@
 		if (gateway->services[i]->key == key)
 			return gateway->services[i];
 	grown = realloc(gateway->services,
-			(gateway->service_count + 1) * sizeof(service));
+			(gateway->service_count + 1) * sizeof(*grown));
 	if (!grown)
 		return NULL;
 	gateway->services = grown;
@@ -116,14 +123,18 @@
 	      gateway_outcome_name(outcome),
 	      "id=%s route=%s account=%s status=%d why=%s ms=%lld "
 	      "first_ms=%lld waited_ms=%lld left_ms=%lld late=%d attempts=%u "
-	      "endpoint=%s load=%u waiting=%u config=%llu copy_age_ms=%lld",
+	      "endpoint=%s load=%u waiting=%u prompt=%u expected=%u events=%u "
+	      "pause_ms=%lld "
+	      "config=%llu copy_age_ms=%lld",
 	      x->call.id, x->route->name, x->account ? x->account->name : "-",
 	      x->status, why, (long long)msec(now - x->arrived),
 	      x->first_at ? (long long)msec(x->first_at - x->arrived) : -1,
 	      x->sent_at ? (long long)msec(x->sent_at - x->arrived) : -1,
 	      (long long)msec(x->end - now), x->wait.late, x->arrivals,
 	      x->endpoint ? x->endpoint->id : "-", x->load,
-	      x->service ? x->service->line.count : 0,
+	      x->service ? x->service->line.count : 0, x->call.prompt,
+	      x->call.expected, x->events.count,
+	      (long long)msec(x->pause_most),
 	      (unsigned long long)x->catalog->version,
 	      (long long)msec(mirror_age(x->gateway->mirror, now)));
 }
@@ -198,6 +209,10 @@
 		x->service ? x->service->line.count : 0,
 		x->service ? x->service->per_second : 0, gateway_draw(gateway));
 
+	if (x->streaming) {
+		exchange_cut(x, why);
+		return;
+	}
 	if (x->account)
 		allotment_refund(&gateway->allotment, x->account->key,
 				 x->tokens);
@@ -207,7 +222,11 @@
 
 void exchange_fail(exchange_t *x, int status, const char *why)
 {
-	httpd_answer(part(x, status, GATEWAY_FAILED, why), status, "", "", 0);
+	if (x->streaming)
+		exchange_cut(x, why);
+	else
+		httpd_answer(part(x, status, GATEWAY_FAILED, why), status, "",
+			     "", 0);
 }
 
 httpd_conn_t *exchange_served(exchange_t *x)
@@ -309,16 +328,18 @@
 		httpd_answer(caller, judgement->status, "", "", 0);
 }
 
-/* What the caller has already spent: the most patience seen less this one. */
+/* What the caller has surely spent before, in earlier attempts. */
 static pimento_usec_t spent_before(gateway_t *gateway, const exchange_t *x)
 {
 	gateway_route_t *learnt = learnt_of(gateway, x->route->key);
+	pimento_usec_t usual;
 
 	if (!learnt || !x->call.patience)
 		return 0;
 	if (learnt->patience < x->call.patience)
 		learnt->patience = x->call.patience;
-	return learnt->patience - x->call.patience;
+	usual = (pimento_usec_t)((double)learnt->patience * PATIENCE_USUAL);
+	return usual > x->call.patience ? usual - x->call.patience : 0;
 }
 
 static void set_ends(exchange_t *x)
@@ -399,8 +420,8 @@
 	gateway_t *gateway = x->gateway;
 	allotment_rate_t rate = { .per_second = x->account->tokens_per_second,
 				  .burst = x->account->burst };
-	pimento_usec_t wait =
-		allotment_wait(&gateway->allotment, x->account->key, rate, x->tokens);
+	pimento_usec_t wait = allotment_wait(&gateway->allotment,
+					     x->account->key, rate, x->tokens);
 	httpd_conn_t *caller;
 
 	x->service = NULL; /* it never waited */
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -30,7 +30,7 @@
 #define BEHIND_MOST (150 * PIMENTO_MSEC)
 #define FETCH_MOST (700 * PIMENTO_MSEC)
 /* A snapshot: the largest value of the store, and some. */
-#define SNAPSHOT_BYTES_MAX (16 * 1024 * 1024)
+#define SNAPSHOT_BYTES_MAX ((size_t)16 * 1024 * 1024)
 
 #define SNAPSHOT_PATH "/snapshot"
 #define METRICS_PATH "/metrics"
@@ -129,7 +129,8 @@
 {
 	Peer__Snapshot message = PEER__SNAPSHOT__INIT;
 	Peer__Record *records = calloc(mirror->count + 1, sizeof(*records));
-	Peer__Record **pointers = calloc(mirror->count + 1, sizeof(*pointers));
+	Peer__Record **pointers =
+		calloc(mirror->count + 1, sizeof(Peer__Record *));
 	size_t length = 0;
 
 	message.revision = mirror->revision;
--- a/io/relay.c
+++ b/io/relay.c
@@ -13,10 +13,10 @@
 #include <strings.h>
 
 /* A plain answer beyond this is passed on as it comes. */
-#define HOLD_MOST (64 * 1024)
+#define HOLD_MOST ((size_t)64 * 1024)
 
 /* A caller that does not read stops its endpoint's stream, and nobody else. */
-#define UNREAD_MOST (256 * 1024)
+#define UNREAD_MOST ((size_t)256 * 1024)
 
 static pace_service_t *pace_of(exchange_t *x)
 {
@@ -190,6 +190,8 @@
 {
 	pace_service_t *service = pace_of(x);
 
+	if (x->pause_most < now - x->event_at)
+		x->pause_most = now - x->event_at;
 	if (service && events)
 		pace_gap(&x->endpoint->pace, service,
 			 (now - x->event_at) / events);
--- a/src/allotment.c
+++ b/src/allotment.c
@@ -113,8 +113,8 @@
 		return;
 	}
 	use->settled = now;
-	use->level -= passed * rate.per_second *
-		      heard_part(allotment, use, now);
+	use->level -=
+		passed * rate.per_second * heard_part(allotment, use, now);
 	if (use->level < 0)
 		use->level = 0;
 }
--- a/src/directory.c
+++ b/src/directory.c
@@ -42,7 +42,7 @@
 		if (directory->services[i]->key == key)
 			return directory->services[i];
 	grown = realloc(directory->services,
-			(directory->service_count + 1) * sizeof(service));
+			(directory->service_count + 1) * sizeof(*grown));
 	if (!grown)
 		return NULL;
 	directory->services = grown;
@@ -61,7 +61,7 @@
 
 	if (directory->count == directory->size) {
 		directory_endpoint_t **grown =
-			realloc(directory->endpoints, size * sizeof(endpoint));
+			realloc(directory->endpoints, size * sizeof(*grown));
 
 		if (!grown)
 			return NULL;
@@ -106,7 +106,7 @@
 		return NULL;
 	if (known &&
 	    (endpoint->born != record->born || endpoint->port != record->port ||
-	     strcmp(endpoint->address, record->address))) {
+	     strcmp(endpoint->address, record->address) != 0)) {
 		pace_init(&endpoint->pace);
 		endpoint->life++;
 	}
--- a/src/events.c
+++ b/src/events.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /* An engine's event is some tokens long; this is a guard, not a limit. */
-#define EVENT_BYTES_MAX (1024 * 1024)
+#define EVENT_BYTES_MAX ((size_t)1024 * 1024)
 
 void events_init(events_t *events)
 {
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -76,7 +76,7 @@
 	mirror_record_t *record = &mirror->records[at];
 	char *copy = NULL;
 
-	if (at == mirror->count || strcmp(record->key, key)) {
+	if (at == mirror->count || strcmp(record->key, key) != 0) {
 		record = insert(mirror, at, key);
 		if (!record)
 			return PIMENTO_ENOMEM;
--- a/src/placement.c
+++ b/src/placement.c
@@ -108,7 +108,8 @@
 	directory_service_t *service =
 		directory_service(directory, request->service);
 	placement_verdict_t verdict = PLACEMENT_NONE;
-	bool best_shunned = true;
+	directory_endpoint_t *trial = NULL; /* shunned, with nothing to do */
+	bool others = false; /* that are not shunned */
 	double best = INFINITY;
 
 	if (!service)
@@ -123,17 +124,25 @@
 			continue;
 		if (verdict == PLACEMENT_NONE)
 			verdict = PLACEMENT_FULL;
-		if (in_flight(e) >= places(e, request) ||
-		    (shunned && !best_shunned))
+		if (shunned) {
+			if (e->running == 0)
+				trial = e;
+			continue;
+		}
+		others = true;
+		if (in_flight(e) >= places(e, request))
 			continue;
 		c = cost(e, service, request);
-		if (c < best || (best_shunned && !shunned)) {
+		if (c < best) {
 			best = c;
-			best_shunned = shunned;
 			*endpoint = e;
 			verdict = PLACEMENT_FOUND;
 		}
 	}
+	if (!others && trial) {
+		*endpoint = trial;
+		verdict = PLACEMENT_FOUND;
+	}
 	return verdict;
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -29,8 +29,8 @@
 } placement_verdict_t;
 
 /*
- * Sets endpoint if PLACEMENT_FOUND. Endpoints that are shunned are used when
- * no other one is left, since they may work again.
+ * Sets endpoint if PLACEMENT_FOUND. An endpoint that is shunned is used only
+ * when all are, since it may work again, and for one request at a time.
  */
 placement_verdict_t placement_choose(directory_t *directory,
 				     const placement_request_t *request,
--- a/src/roster.c
+++ b/src/roster.c
@@ -46,7 +46,7 @@
 	roster_peer_t **grown;
 	roster_peer_t *peer;
 
-	grown = realloc(roster->peers, (roster->count + 1) * sizeof(peer));
+	grown = realloc(roster->peers, (roster->count + 1) * sizeof(*grown));
 	if (!grown)
 		return NULL;
 	roster->peers = grown;
