placement: prompts ahead, answers that can finish, waits that end in time

Ruled out: failures of engines (the cut streams ran to the last moment).

Change: an endpoint is given a stream only if it is expected to finish in time, where another one can; tokens of prompts that wait to be read are told in notes and count in the expected first event; a wait ends before callers leave a silent stream; a request that may be repeated goes back to an endpoint that failed it when there is no other.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -32,6 +32,12 @@
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
 
+void dispatch_read(exchange_t *x)
+{
+	x->endpoint->reading -= x->reading;
+	x->reading = 0;
+}
+
 /* Lets go of an endpoint; the connection has been dealt with. */
 static void let_go(exchange_t *x)
 {
@@ -39,6 +45,7 @@
 
 	if (!endpoint)
 		return;
+	dispatch_read(x);
 	endpoint->running--;
 	endpoint->holders--;
 	x->endpoint = NULL;
@@ -147,6 +154,9 @@
 	x->state = EXCHANGE_CONNECTING;
 	x->endpoint = endpoint;
 	x->life = endpoint->life;
+	x->ahead = endpoint->reading + endpoint->reading_elsewhere;
+	x->reading = x->call.prompt;
+	endpoint->reading += x->reading;
 	endpoint->running++;
 	endpoint->holders++;
 	x->conn = pool_take(&gateway->pool, endpoint, !x->repeatable, now);
@@ -168,6 +178,9 @@
 	placement_request_t request = {
 		.service = x->service->key,
 		.prompt = x->call.prompt,
+		.answer = x->call.expected,
+		.left = x->end - now,
+		.gap_goal = x->route->gap_goal,
 		.engine = x->engine,
 		.late = x->wait.late,
 		.datacentre = gateway->datacentre,
@@ -182,8 +195,12 @@
 /* The endpoints that were tried may be tried again, if nothing has run. */
 static void no_more_endpoints(exchange_t *x)
 {
-	if (!x->tried_count)
-		return; /* none is listed: they may be back soon */
+	if (x->runs && !x->tried_all) {
+		/* it may be repeated, and only those that failed are left */
+		x->tried_all = true;
+		x->tried_count = 0;
+		return;
+	}
 	if (x->runs)
 		exchange_fail(x, HTTP_STATUS_BAD_GATEWAY, "endpoints_failed");
 	else
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -43,11 +43,14 @@
 	pimento_usec_t rested;
 	pimento_usec_t sent_at;
 	uint32_t load; /* in flight at the endpoint when sent */
+	uint32_t ahead; /* tokens of prompts that were to be read before */
+	uint32_t reading; /* of its own prompt, until the answer begins */
 	pimento_usec_t event_at; /* last event */
 	pimento_usec_t pause_most; /* the longest between two events */
 	/* All attempts. */
 	pimento_id_t tried[PLACEMENT_TRIED_MAX];
 	uint32_t tried_count;
+	bool tried_all; /* once, and began anew */
 	uint32_t arrivals; /* at endpoints */
 	uint32_t runs; /* of those, that may have run */
 	/* The answer. */
@@ -88,6 +91,8 @@
 /* The attempt failed: tries again or ends the exchange. */
 void dispatch_over(exchange_t *exchange, pimento_verdict_t verdict, int status,
 		   const char *why);
+/* The endpoint has read the prompt: its answer has begun. */
+void dispatch_read(exchange_t *exchange);
 void dispatch_init(gateway_t *gateway);
 /* Ends an attempt that is overdue; returns true if it did. */
 bool dispatch_sweep(exchange_t *exchange, pimento_usec_t now);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -372,6 +372,7 @@
 		.arrived = x->arrived,
 		.spent = x->spent,
 		.goal = x->route->goal,
+		.gap_goal = x->route->gap_goal,
 		.end = x->end,
 	};
 
@@ -595,7 +596,10 @@
 	for (uint32_t i = 0; i < gateway->directory->count; i++) {
 		directory_endpoint_t *e = gateway->directory->endpoints[i];
 
-		e->elsewhere = roster_running(gateway->roster, e->key, now);
+		roster_load_t load = roster_load(gateway->roster, e->key, now);
+
+		e->elsewhere = load.running;
+		e->reading_elsewhere = load.reading;
 		pool_sweep(e, now);
 	}
 }
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -43,7 +43,8 @@
 
 	for (uint32_t i = 0; i < directory->count; i++) {
 		const directory_endpoint_t *e = directory->endpoints[i];
-		roster_load_t load = { (uint32_t)e->key, e->running };
+		roster_load_t load = { (uint32_t)e->key, e->running,
+				       e->reading };
 
 		if (e->running && note->load_count < ROSTER_LOADS_MAX)
 			note->loads[note->load_count++] = load;
--- a/io/relay.c
+++ b/io/relay.c
@@ -177,13 +177,14 @@
 
 	if (!x->first_at)
 		x->first_at = now;
+	dispatch_read(x);
 	if (!service || x->status / 100 != 2)
 		return;
 	pace_answered(&x->endpoint->pace, service);
 	/* Behind a full batch the span would tell of the queue instead. */
 	if (x->load <= x->endpoint->slots)
 		pace_first(&x->endpoint->pace, service, now - x->sent_at,
-			   x->call.prompt);
+			   x->call.prompt + x->ahead);
 }
 
 static void learn_gap(exchange_t *x, uint32_t events, pimento_usec_t now)
@@ -247,6 +248,14 @@
 	}
 }
 
+static void learn_length(exchange_t *x)
+{
+	pace_service_t *service = pace_of(x);
+
+	if (service && x->is_events && x->call.expected)
+		pace_length(service, x->call.expected, x->events.count);
+}
+
 static void end_stream(exchange_t *x)
 {
 	httpd_conn_t *caller;
@@ -256,6 +265,7 @@
 		dispatch_over(x, PIMENTO_RAN, 0, "stream_torn");
 		return;
 	}
+	learn_length(x);
 	dispatch_done(x);
 	caller = exchange_served(x);
 	httpd_end(caller);
--- a/src/directory.h
+++ b/src/directory.h
@@ -25,7 +25,9 @@
 	pimento_usec_t gone_at; /* not listed any more: leaves then; 0 no */
 	uint32_t holders; /* requests and connections that point here */
 	uint32_t running; /* requests in flight from this host */
-	uint32_t elsewhere; /* the same, of all peers, as they last said */
+	uint32_t reading; /* tokens of prompts that are not answered yet */
+	uint32_t elsewhere; /* both, of all peers, as they last said */
+	uint32_t reading_elsewhere;
 	pace_t pace;
 	void *connections; /* of the I/O layer, which alone looks at it */
 } directory_endpoint_t;
--- a/src/pace.c
+++ b/src/pace.c
@@ -17,6 +17,7 @@
 #define FIRST_WEIGHT 0.1
 #define FAILING_WEIGHT 0.08
 #define SERVICE_FAILING_WEIGHT 0.02
+#define LENGTH_WEIGHT 0.02
 #define LINE_DECAY 0.995
 
 /* Samples before the fitted line is used. */
@@ -79,6 +80,24 @@
 	service->xy = service->xy * LINE_DECAY + x * y;
 }
 
+void pace_length(pace_service_t *service, uint32_t expected, uint32_t events)
+{
+	blend(&service->events_per_token, (double)events / (double)expected,
+	      LENGTH_WEIGHT);
+}
+
+double pace_gap_expect(const pace_t *pace, const pace_service_t *service)
+{
+	return pace->gap > 0 ? pace->gap : service->gap;
+}
+
+double pace_rest_expect(const pace_t *pace, const pace_service_t *service,
+			uint32_t expected)
+{
+	return (double)expected * service->events_per_token *
+	       pace_gap_expect(pace, service);
+}
+
 void pace_answered(pace_t *pace, pace_service_t *service)
 {
 	pace->failures = 0;
--- a/src/pace.h
+++ b/src/pace.h
@@ -22,6 +22,7 @@
 typedef struct pace_service {
 	double gap; /* mean of what its streams show */
 	double failing;
+	double events_per_token; /* of what callers expect; 0 unknown */
 	/* Decayed sums of the line first = base + read * prompt, with times
 	 * divided by the endpoint's slowness. */
 	double weight, x, y, xx, xy;
@@ -31,9 +32,14 @@
 
 /* An event came gap after the one before. */
 void pace_gap(pace_t *pace, pace_service_t *service, pimento_usec_t gap);
-/* The answer began after span, for a prompt of so many tokens. */
+/*
+ * The answer began after span; prompt counts its tokens and those of prompts
+ * that were to be read before.
+ */
 void pace_first(pace_t *pace, pace_service_t *service, pimento_usec_t span,
 		uint32_t prompt);
+/* A stream of which so many tokens were expected ended after some events. */
+void pace_length(pace_service_t *service, uint32_t expected, uint32_t events);
 void pace_answered(pace_t *pace, pace_service_t *service);
 /* A request failed although the endpoint had answered: it may be faulty. */
 void pace_failed(pace_t *pace, pace_service_t *service, pimento_usec_t now);
@@ -48,4 +54,10 @@
 double pace_expect(const pace_t *pace, const pace_service_t *service,
 		   uint32_t prompt);
 
+/* Expected span between events there. */
+double pace_gap_expect(const pace_t *pace, const pace_service_t *service);
+/* Expected span from the first event to the last; 0 unknown. */
+double pace_rest_expect(const pace_t *pace, const pace_service_t *service,
+			uint32_t expected);
+
 #endif
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -232,7 +232,7 @@
   assert(message->base.descriptor == &peer__snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer__load__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__load__field_descriptors[3] =
 {
   {
     "endpoint",
@@ -258,15 +258,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reading",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Load, reading),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__load__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
+  2,   /* field[2] = reading */
   1,   /* field[1] = running */
 };
 static const ProtobufCIntRange peer__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__load__descriptor =
 {
@@ -276,7 +289,7 @@
   "Peer__Load",
   "peer",
   sizeof(Peer__Load),
-  2,
+  3,
   peer__load__field_descriptors,
   peer__load__field_indices_by_name,
   1,  peer__load__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -38,10 +38,14 @@
    * requests in flight there from the sender
    */
   uint32_t running;
+  /*
+   * tokens of their prompts that are not answered yet
+   */
+  uint32_t reading;
 };
 #define PEER__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__load__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Peer__Use
--- a/src/placement.c
+++ b/src/placement.c
@@ -36,6 +36,13 @@
 #define FAR_COST 0.05
 /* Failing endpoints look quick; a failure costs the whole request. */
 #define FAILING_COST 6.0
+/*
+ * Callers' guesses of an answer's length are right in the middle and often far
+ * off; a margin would shut slow endpoints out for the many that are shorter.
+ */
+#define FINISH_MARGIN 1.0
+/* A mean pause this much below the goal leaves room for prompts in between. */
+#define GAP_MARGIN 1.3
 /* Used when no answer has been seen: microseconds to a first answer. */
 #define UNKNOWN_FIRST 50000.0
 
@@ -79,19 +86,49 @@
 	return (double)(mixed >> 40) / (double)(1u << 24);
 }
 
+/* Span to the first event, as the endpoint's pace and queue let expect. */
+static double expect_first(const directory_endpoint_t *endpoint,
+			   const directory_service_t *service,
+			   const placement_request_t *request)
+{
+	uint32_t ahead = endpoint->reading + endpoint->reading_elsewhere;
+	double first = pace_expect(&endpoint->pace, &service->pace,
+				   request->prompt + ahead);
+
+	if (!request->engine && endpoint->pace.first > 0)
+		first = endpoint->pace.first;
+	return first > 0 ? first : UNKNOWN_FIRST;
+}
+
+/*
+ * True if a stream can be whole before its caller leaves, with pauses that are
+ * short enough. A long answer on slow hardware holds a place for seconds and
+ * is cut at the caller's deadline: the work is lost, and the place with it.
+ */
+static bool can_finish(const directory_endpoint_t *endpoint,
+		       const directory_service_t *service,
+		       const placement_request_t *request)
+{
+	double gap = pace_gap_expect(&endpoint->pace, &service->pace);
+	double span = expect_first(endpoint, service, request) +
+		      pace_rest_expect(&endpoint->pace, &service->pace,
+				       request->answer);
+
+	if (!request->engine)
+		return true;
+	if (request->gap_goal && gap * GAP_MARGIN > (double)request->gap_goal)
+		return false;
+	return span * FINISH_MARGIN < (double)request->left;
+}
+
 static double cost(const directory_endpoint_t *endpoint,
 		   const directory_service_t *service,
 		   const placement_request_t *request)
 {
 	double load = (double)in_flight(endpoint) /
 		      (double)(endpoint->slots ? endpoint->slots : 1);
-	double first =
-		pace_expect(&endpoint->pace, &service->pace, request->prompt);
+	double first = expect_first(endpoint, service, request);
 
-	if (!request->engine && endpoint->pace.first > 0)
-		first = endpoint->pace.first;
-	if (first <= 0)
-		first = UNKNOWN_FIRST;
 	first *= 1 + LOAD_COST * load;
 	first *= 1 + FAILING_COST * endpoint->pace.failing;
 	first *= 1 + SPREAD * chance(request->draw, endpoint->key);
@@ -100,6 +137,47 @@
 	return first;
 }
 
+/* What a walk over the endpoints finds. */
+typedef struct choice {
+	directory_endpoint_t *best;
+	double cost;
+	directory_endpoint_t *trial; /* shunned, with nothing to do */
+	bool any; /* that was not tried */
+	bool sound; /* that is not shunned */
+	bool able; /* a sound one that can finish, full or not */
+} choice_t;
+
+static void consider(choice_t *choice, directory_endpoint_t *endpoint,
+		     const directory_service_t *service,
+		     const placement_request_t *request, pimento_usec_t now)
+{
+	bool able;
+	double c;
+
+	choice->any = true;
+	if (endpoint->pace.shunned_until > now) {
+		if (endpoint->running == 0)
+			choice->trial = endpoint;
+		return;
+	}
+	choice->sound = true;
+	able = can_finish(endpoint, service, request);
+	if (able && !choice->able) {
+		/* those seen so far cannot: they are no choice any more */
+		choice->able = true;
+		choice->best = NULL;
+		choice->cost = INFINITY;
+	}
+	if (able != choice->able ||
+	    in_flight(endpoint) >= places(endpoint, request))
+		return;
+	c = cost(endpoint, service, request);
+	if (c < choice->cost) {
+		choice->cost = c;
+		choice->best = endpoint;
+	}
+}
+
 placement_verdict_t placement_choose(directory_t *directory,
 				     const placement_request_t *request,
 				     pimento_usec_t now,
@@ -107,43 +185,19 @@
 {
 	directory_service_t *service =
 		directory_service(directory, request->service);
-	placement_verdict_t verdict = PLACEMENT_NONE;
-	directory_endpoint_t *trial = NULL; /* shunned, with nothing to do */
-	bool others = false; /* that are not shunned */
-	double best = INFINITY;
+	choice_t choice = { .cost = INFINITY };
 
-	if (!service)
-		return PLACEMENT_NONE;
-	for (uint32_t i = 0; i < directory->count; i++) {
+	for (uint32_t i = 0; service && i < directory->count; i++) {
 		directory_endpoint_t *e = directory->endpoints[i];
-		bool shunned = e->pace.shunned_until > now;
-		double c;
 
-		if (e->service != request->service ||
-		    !directory_takes(e, now) || was_tried(request, e->key))
-			continue;
-		if (verdict == PLACEMENT_NONE)
-			verdict = PLACEMENT_FULL;
-		if (shunned) {
-			if (e->running == 0)
-				trial = e;
-			continue;
-		}
-		others = true;
-		if (in_flight(e) >= places(e, request))
-			continue;
-		c = cost(e, service, request);
-		if (c < best) {
-			best = c;
-			*endpoint = e;
-			verdict = PLACEMENT_FOUND;
-		}
-	}
-	if (!others && trial) {
-		*endpoint = trial;
-		verdict = PLACEMENT_FOUND;
+		if (e->service == request->service &&
+		    directory_takes(e, now) && !was_tried(request, e->key))
+			consider(&choice, e, service, request, now);
 	}
-	return verdict;
+	*endpoint = choice.sound ? choice.best : choice.trial;
+	if (*endpoint)
+		return PLACEMENT_FOUND;
+	return choice.any ? PLACEMENT_FULL : PLACEMENT_NONE;
 }
 
 placement_room_t placement_room(const directory_t *directory,
--- a/src/placement.h
+++ b/src/placement.h
@@ -13,6 +13,9 @@
 typedef struct placement_request {
 	pimento_id_t service;
 	uint32_t prompt; /* tokens */
+	uint32_t answer; /* tokens, as the caller expects; 0 unknown */
+	pimento_usec_t left; /* until the caller or the route gives up */
+	pimento_usec_t gap_goal; /* longest good pause of a stream; 0 any */
 	bool engine; /* a stream from a model engine */
 	bool late; /* cannot be on time any more */
 	const char *datacentre; /* of this host; nearer endpoints are cheaper */
--- a/src/roster.c
+++ b/src/roster.c
@@ -182,19 +182,22 @@
 	return peer->heard && now - peer->heard_at < BELIEVED;
 }
 
-uint32_t roster_running(const roster_t *roster, pimento_id_t endpoint,
-			pimento_usec_t now)
+roster_load_t roster_load(const roster_t *roster, pimento_id_t endpoint,
+			  pimento_usec_t now)
 {
-	uint32_t running = 0;
+	roster_load_t sum = { .endpoint = (uint32_t)endpoint };
 
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const roster_peer_t *peer = roster->peers[i];
 
 		if (!roster_believed(peer, now))
 			continue;
-		for (uint32_t j = 0; j < peer->load_count; j++)
-			if (peer->loads[j].endpoint == (uint32_t)endpoint)
-				running += peer->loads[j].running;
+		for (uint32_t j = 0; j < peer->load_count; j++) {
+			if (peer->loads[j].endpoint != sum.endpoint)
+				continue;
+			sum.running += peer->loads[j].running;
+			sum.reading += peer->loads[j].reading;
+		}
 	}
-	return running;
+	return sum;
 }
--- a/src/roster.h
+++ b/src/roster.h
@@ -19,6 +19,7 @@
 typedef struct roster_load {
 	uint32_t endpoint; /* low half of its key */
 	uint32_t running;
+	uint32_t reading; /* tokens of prompts without an answer yet */
 } roster_load_t;
 
 typedef struct roster_note {
@@ -85,9 +86,9 @@
 /* True if the peer has been heard lately enough to believe its counts. */
 bool roster_believed(const roster_peer_t *peer, pimento_usec_t now);
 
-/* Requests that believed peers have in flight at an endpoint. */
-uint32_t roster_running(const roster_t *roster, pimento_id_t endpoint,
-			pimento_usec_t now);
+/* What believed peers have in flight at an endpoint, added up. */
+roster_load_t roster_load(const roster_t *roster, pimento_id_t endpoint,
+			  pimento_usec_t now);
 
 /* Encoding of a note: returns its bytes, or a negative error. */
 int roster_pack(const roster_note_t *note, uint8_t *bytes, size_t size);
--- a/src/roster_note.c
+++ b/src/roster_note.c
@@ -37,6 +37,7 @@
 		peer__load__init(&packed->loads[i]);
 		packed->loads[i].endpoint = note->loads[i].endpoint;
 		packed->loads[i].running = note->loads[i].running;
+		packed->loads[i].reading = note->loads[i].reading;
 		packed->load_pointers[i] = &packed->loads[i];
 	}
 	for (uint32_t i = 0; i < note->use_count; i++) {
@@ -94,6 +95,7 @@
 	for (uint32_t i = 0; i < note->load_count; i++) {
 		note->loads[i].endpoint = message->loads[i]->endpoint;
 		note->loads[i].running = message->loads[i]->running;
+		note->loads[i].reading = message->loads[i]->reading;
 	}
 	for (uint32_t i = 0; i < note->use_count; i++) {
 		note->uses[i].account = message->uses[i]->account;
--- a/src/waitline.c
+++ b/src/waitline.c
@@ -14,6 +14,16 @@
  */
 #define LATE_WAIT_PART 0.2
 
+/*
+ * Callers leave a stream that is silent for the longest of these, before its
+ * first event too; a request that waits longer is held in vain. The part keeps
+ * clear of that bound.
+ */
+#define SILENCE_LEAST (2 * PIMENTO_SEC)
+#define SILENCE_GOALS 4
+#define SILENCE_GAPS 8
+#define SILENCE_PART 0.8
+
 /* Bounds and spread of the time that a caller is told to stay away. */
 #define COME_BACK_LEAST (200 * PIMENTO_MSEC)
 #define COME_BACK_MOST (3 * PIMENTO_SEC)
@@ -80,10 +90,26 @@
 	return NULL;
 }
 
+/* How long a caller stays with a stream that shows nothing. */
+static pimento_usec_t longest_silence(const waitline_terms_t *terms)
+{
+	pimento_usec_t span = SILENCE_LEAST;
+
+	if (span < terms->goal * SILENCE_GOALS)
+		span = terms->goal * SILENCE_GOALS;
+	if (span < terms->gap_goal * SILENCE_GAPS)
+		span = terms->gap_goal * SILENCE_GAPS;
+	return (pimento_usec_t)((double)span * SILENCE_PART);
+}
+
 void waitline_set_times(waitline_item_t *item, const waitline_terms_t *terms)
 {
 	pimento_usec_t left = terms->end - terms->arrived;
 	pimento_usec_t wait = (pimento_usec_t)((double)left * LATE_WAIT_PART);
+	pimento_usec_t silence = longest_silence(terms) - terms->expect;
+
+	if (terms->gap_goal && wait > silence)
+		wait = silence;
 
 	item->arrived = terms->arrived;
 	item->late_at =
--- a/src/waitline.h
+++ b/src/waitline.h
@@ -41,6 +41,7 @@
 	pimento_usec_t spent; /* by the caller before, in earlier attempts */
 	pimento_usec_t goal; /* from the first attempt to the answer */
 	pimento_usec_t expect; /* from a free place to the answer */
+	pimento_usec_t gap_goal; /* of a stream; 0: no stream */
 	pimento_usec_t end; /* caller's deadline or route's timeout */
 } waitline_terms_t;
 
