allotment: a window's worth in a bucket

Ruled out: more room for late views (their overshoot drains by itself).

Change: half of the burst drains with the rate, three quarters may come at once; a host that knows nothing starts three quarters full.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -133,6 +133,7 @@
 		.retry = { .window = seconds(settings->retry_window_s),
 			   .ratio = settings->retry_ratio,
 			   .slack = settings->retry_slack },
+		.allotment_window = seconds(settings->allotment_window_s),
 
 	};
 }
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -425,6 +425,11 @@
 					     x->account->key, rate, x->tokens);
 	httpd_conn_t *caller;
 
+	trail(TRAIL_FAILURE, "allotment", "over",
+	      "id=%s account=%s tokens=%.0f rate=%.0f burst=%.0f level=%.0f",
+	      x->call.id, x->account->name, x->tokens, rate.per_second,
+	      rate.burst,
+	      allotment_level(&gateway->allotment, x->account->key));
 	x->service = NULL; /* it never waited */
 	caller = part(x, status, GATEWAY_OVER_ALLOTMENT, "allotment");
 	answer_come_back(gateway, caller, status, wait);
@@ -654,7 +659,8 @@
 	gateway->roster = setup->roster;
 	gateway->mirror = setup->mirror;
 	gateway->draws = sys_random();
-	allotment_init(&gateway->allotment, setup->first_start);
+	allotment_init(&gateway->allotment, setup->bounds.allotment_window,
+		       setup->first_start);
 	dispatch_init(gateway);
 	error = httpd_init(&gateway->front, setup->loop, &setup->listen,
 			   &gateway->callers, &limits);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -24,6 +24,7 @@
 typedef struct gateway_bounds {
 	pimento_usec_t key_lease; /* a copy older than this honours no key */
 	retry_budget_terms_t retry;
+	pimento_usec_t allotment_window;
 } gateway_bounds_t;
 
 typedef enum gateway_outcome {
--- a/src/allotment.c
+++ b/src/allotment.c
@@ -1,4 +1,10 @@
 /*
+ * A bucket that drains at rate + part * burst / window and holds the rest of
+ * the burst lets through, in any window, rate * window + burst: as much as the
+ * operator states, for any part. A larger part gives an account that asks for
+ * more than its rate all the time more of what it is owed, a smaller one is
+ * kinder to sudden bursts.
+ *
  * A view of a bucket is late by as long as a peer's word takes. What a peer
  * admits meanwhile is projected from what it admitted lately: in a surge that
  * comes in at all hosts at once, the sum would else pass the limit by the surge
@@ -7,8 +13,8 @@
  *
  * A host that restarts knows nothing. It takes over the fullest view that a
  * peer states; while there is none, because all were killed together, it
- * starts half full. The operator's tolerance over a window, a quarter of rate
- * times window plus burst, holds what is used twice then.
+ * starts three quarters full. The operator's tolerance over a window, a quarter
+ * of rate times window plus burst, holds what is used twice then.
  */
 
 #include "allotment.h"
@@ -17,8 +23,12 @@
 
 /* Room beside the burst, in seconds of the rate, for views that are late. */
 #define ROOM_SECONDS 0.5
+/* Part of the burst that drains with the rate, and part that may come at once;
+ * together a little more than the whole, at the expense of the tolerance. */
+#define DRAIN_PART 0.5
+#define BURST_PART 0.75
 /* Part of the burst that counts as used when nothing is known. */
-#define UNKNOWN_PART 0.5
+#define UNKNOWN_PART 0.75
 /* A peer's admissions are projected for at most this. */
 #define PROJECT_MOST (2 * PIMENTO_SEC)
 /* Silent for so many times the usual, at least: a peer may be cut off. */
@@ -29,9 +39,11 @@
 /* Weight of a new sample of a peer's rate. */
 #define RATE_WEIGHT 0.5
 
-void allotment_init(allotment_t *allotment, bool first_start)
+void allotment_init(allotment_t *allotment, pimento_usec_t window,
+		    bool first_start)
 {
-	*allotment = (allotment_t){ .first_start = first_start };
+	*allotment = (allotment_t){ .first_start = first_start,
+				    .window = window };
 }
 
 void allotment_finish(allotment_t *allotment)
@@ -91,7 +103,15 @@
 
 static double room(allotment_rate_t rate)
 {
-	return rate.burst + rate.per_second * ROOM_SECONDS;
+	return rate.burst * BURST_PART + rate.per_second * ROOM_SECONDS;
+}
+
+/* Tokens a second that drain. */
+static double draining(const allotment_t *allotment, allotment_rate_t rate)
+{
+	double window = (double)allotment->window / (double)PIMENTO_SEC;
+
+	return rate.per_second + rate.burst * DRAIN_PART / window;
 }
 
 static void begin(const allotment_t *allotment, allotment_use_t *use,
@@ -113,8 +133,8 @@
 		return;
 	}
 	use->settled = now;
-	use->level -=
-		passed * rate.per_second * heard_part(allotment, use, now);
+		use->level -= passed * draining(allotment, rate) *
+		      heard_part(allotment, use, now);
 	if (use->level < 0)
 		use->level = 0;
 }
@@ -173,10 +193,17 @@
 	double seconds = 0;
 
 	if (over > 0 && rate.per_second > 0)
-		seconds = over / rate.per_second;
+		seconds = over / draining(allotment, rate);
 	return (pimento_usec_t)(seconds * (double)PIMENTO_SEC);
 }
 
+double allotment_level(const allotment_t *allotment, pimento_id_t account)
+{
+	const allotment_use_t *use = find(allotment, (uint32_t)account);
+
+	return use ? use->level : 0;
+}
+
 static allotment_peer_t *peer_of(allotment_use_t *use, uint32_t address)
 {
 	allotment_peer_t *peer;
--- a/src/allotment.h
+++ b/src/allotment.h
@@ -2,8 +2,9 @@
 #define ALLOTMENT_H
 
 /*
- * What a client account may use over all entry hosts together: a bucket that
- * drains at the account's rate and holds its burst. Each host keeps its own
+ * What a client account may use over all entry hosts together: in any window,
+ * its rate times the window and its burst. It is kept as a bucket, which needs
+ * no memory of single requests. Each host keeps its own
  * view of every bucket; it fills it with what it admits itself, and with what
  * its peers say that they admitted.
  */
@@ -38,6 +39,7 @@
 
 typedef struct allotment {
 	bool first_start; /* nothing can have been used before this host */
+	pimento_usec_t window; /* that the operator counts in */
 	pimento_usec_t hear_every; /* how often a peer is usually heard */
 	allotment_use_t *uses;
 	uint32_t count;
@@ -48,7 +50,8 @@
 	double burst;
 } allotment_rate_t;
 
-void allotment_init(allotment_t *allotment, bool first_start);
+void allotment_init(allotment_t *allotment, pimento_usec_t window,
+		    bool first_start);
 void allotment_finish(allotment_t *allotment);
 
 /*
@@ -67,6 +70,9 @@
 			      pimento_id_t account, allotment_rate_t rate,
 			      double tokens);
 
+/* Tokens in an account's bucket, as this host last saw it. */
+double allotment_level(const allotment_t *allotment, pimento_id_t account);
+
 /* Takes a peer's word. Returns 0 or PIMENTO_ENOMEM. */
 int allotment_hear(allotment_t *allotment, uint32_t address,
 		   uint64_t incarnation, const allotment_word_t *word,
--- a/src/edge_settings.h
+++ b/src/edge_settings.h
@@ -11,7 +11,8 @@
  *	[peers]   seeds = ["10.1.0.25:8229", ...]
  *	[store]   address ("address:port")
  *	[limits]  memory_mb, descriptors, stop_seconds
- *	[bounds]  key_revoke_ms, retry_ratio, retry_slack, retry_window_s
+ *	[bounds]  key_revoke_ms, retry_ratio, retry_slack, retry_window_s,
+ *	          allotment_window_s
  */
 
 #include "config.h"
@@ -38,6 +39,7 @@
 	double retry_ratio; /* repeats for each request */
 	double retry_slack; /* repeats of all hosts in a window */
 	double retry_window_s;
+	double allotment_window_s;
 } edge_settings_t;
 
 /* Every mistake goes to problems. Returns 0 or PIMENTO_EPARSE. */
