--- a/Makefile
+++ b/Makefile
@@ -33,14 +33,13 @@
 SRC_CC = $(wildcard src/*.cc)
 # The event-driven data path stands alone, without the libraries of the other.
 EDGE_IO_C = $(patsubst %,io/%.c,dispatch gateway head httpc httpd mesh metrics \
-	net outbox pool relay sys trail)
+	net sendbuf pool relay sys trail)
 IO_C = $(wildcard io/*.c)
 PLATFORM_C = $(wildcard platform/*.c)
 CTL_C = $(wildcard daemon/ctl_*.c) daemon/pimentoctl.c
-STANDINS = $(patsubst standin/%.c,$(B)/%,$(wildcard standin/platform.c \
-	standin/engine.c standin/service.c))
-STANDIN_SHARED = $(filter-out standin/platform.c standin/engine.c \
-	standin/service.c,$(wildcard standin/*.c))
+STANDIN_C = $(patsubst %,standin/%.c,platform engine service store worker)
+STANDINS = $(patsubst standin/%.c,$(B)/%,$(STANDIN_C))
+STANDIN_SHARED = $(filter-out $(STANDIN_C),$(wildcard standin/*.c))
 BENCHES = $(patsubst bench/%.c,$(B)/%,$(wildcard bench/bench.c bench/slopes.c \
 	bench/load.c))
 BENCH_SHARED = $(filter-out bench/bench.c bench/slopes.c bench/load.c,\
@@ -58,6 +57,7 @@
 IOLIB = $(B)/libpimentoio.a
 STANDINLIB = $(B)/libstandin.a
 EDGELIB = $(B)/libpimentoedge.a
+PLATFORMLIB = $(B)/libpimentoplatform.a
 PROGRAMS = $(B)/pimentod $(B)/pimentoedge $(B)/pimentoctl $(STANDINS) $(BENCHES)
 
 all: $(PROGRAMS)
@@ -70,7 +70,11 @@
 	@rm -f $@
 	$(AR) rcs $@ $^
 
-$(EDGELIB): $(call obj,$(EDGE_IO_C) $(PLATFORM_C))
+$(EDGELIB): $(call obj,$(EDGE_IO_C))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(PLATFORMLIB): $(call obj,$(PLATFORM_C))
 	@rm -f $@
 	$(AR) rcs $@ $^
 
@@ -81,7 +85,7 @@
 $(B)/pimentod: $(call obj,daemon/pimentod.c) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(B)/pimentoedge: $(call obj,daemon/pimentoedge.c) $(EDGELIB) $(PURE)
+$(B)/pimentoedge: $(call obj,daemon/pimentoedge.c) $(PLATFORMLIB) $(EDGELIB) $(PURE)
 	$(CC) -o $@ $^ $(EDGE_LIBS)
 
 $(B)/pimentoctl: $(call obj,$(CTL_C)) $(IOLIB) $(PURE)
@@ -93,22 +97,22 @@
 $(BENCHES): $(B)/%: $(B)/obj/bench/%.c.o $(call obj,$(BENCH_SHARED) $(GOSSIP)) $(STANDINLIB) $(IOLIB) $(PURE)
 	$(CC) -o $@ $^ $(LDLIBS_ALL)
 
-$(TESTS): $(B)/test/%: $(B)/obj/test/%.c.o $(call obj,$(TEST_SHARED)) $(STANDINLIB) $(IOLIB) $(PURE)
+$(TESTS): $(B)/test/%: $(B)/obj/test/%.c.o $(call obj,$(TEST_SHARED)) $(STANDINLIB) $(PLATFORMLIB) $(IOLIB) $(PURE)
 	@mkdir -p $(@D)
 	$(CC) -o $@ $^ $(LDLIBS_ALL) $(shell pkg-config --libs check)
 
 $(B)/obj/%.c.o: %.c
 	@mkdir -p $(@D)
-	$(CCACHE) $(CC) $(CFLAGS_ALL) -MMD -c -o $@ $<
+	$(CCACHE) $(CC) $(CFLAGS_ALL) -MMD -MP -c -o $@ $<
 
 # The generated codecs are committed; their warnings are not ours.
 $(B)/obj/src/%.pb-c.c.o: src/%.pb-c.c
 	@mkdir -p $(@D)
-	$(CCACHE) $(CC) $(CFLAGS_ALL) -Wno-error -MMD -c -o $@ $<
+	$(CCACHE) $(CC) $(CFLAGS_ALL) -Wno-error -MMD -MP -c -o $@ $<
 
 $(B)/obj/%.cc.o: %.cc
 	@mkdir -p $(@D)
-	$(CCACHE) $(CXX) $(CXXFLAGS_ALL) -MMD -c -o $@ $<
+	$(CCACHE) $(CXX) $(CXXFLAGS_ALL) -MMD -MP -c -o $@ $<
 
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -362,7 +362,7 @@
 	if (x->state < EXCHANGE_SENT || !x->repeatable ||
 	    x->runs >= x->route->attempts_max || !is_silent(x, now))
 		return false;
-	if (outbox_waiting(&x->caller->outbox))
+	if (sendbuf_waiting(&x->caller->sendbuf))
 		return false; /* its reader is slow, not the endpoint */
 	dispatch_over(x, PIMENTO_MAY_HAVE_RUN, 0, "silent");
 	return true;
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -133,8 +133,7 @@
 	      (long long)msec(x->end - now), x->wait.late, x->arrivals,
 	      x->endpoint ? x->endpoint->id : "-", x->load,
 	      x->service ? x->service->line.count : 0, x->call.prompt,
-	      x->call.expected, x->events.count,
-	      (long long)msec(x->pause_most),
+	      x->call.expected, x->events.count, (long long)msec(x->pause_most),
 	      (unsigned long long)x->catalog->version,
 	      (long long)msec(mirror_age(x->gateway->mirror, now)));
 }
--- a/io/head.c
+++ b/io/head.c
@@ -5,6 +5,7 @@
 
 #include "head.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -100,6 +101,26 @@
 		head->failed = true;
 }
 
+static bool is_token(const char *name)
+{
+	static const char others[] = "!#$%&'*+-.^_`|~";
+
+	if (!*name)
+		return false;
+	for (; *name; name++)
+		if (!isalnum((unsigned char)*name) && !strchr(others, *name))
+			return false;
+	return true;
+}
+
+bool head_is_sound(const head_t *head)
+{
+	for (uint32_t i = 0; i < head->count; i++)
+		if (!is_token(head_name(head, i)))
+			return false;
+	return true;
+}
+
 const char *head_name(const head_t *head, uint32_t index)
 {
 	return head->text.bytes + head->fields[index].name;
--- a/io/head.h
+++ b/io/head.h
@@ -33,6 +33,12 @@
 /* After the last piece. */
 void head_end(head_t *head);
 
+/*
+ * True if every name is a token as HTTP defines it. The parser lets a space
+ * before the colon pass; another server might read such a field as another one.
+ */
+bool head_is_sound(const head_t *head);
+
 const char *head_name(const head_t *head, uint32_t index);
 const char *head_value(const head_t *head, uint32_t index);
 /* The first value of a name; NULL if there is none. */
--- a/io/httpc.c
+++ b/io/httpc.c
@@ -22,7 +22,7 @@
 static void conn_free(httpc_t *conn)
 {
 	head_finish(&conn->head);
-	outbox_finish(&conn->outbox);
+	sendbuf_finish(&conn->sendbuf);
 	free(conn);
 }
 
@@ -144,7 +144,7 @@
 	if (is_interim(parser) || !conn->taking)
 		return 0;
 	conn->ended = true;
-	if (!http_should_keep_alive(parser) || outbox_waiting(&conn->outbox))
+	if (!http_should_keep_alive(parser) || sendbuf_waiting(&conn->sendbuf))
 		conn->reusable = false;
 	return 0;
 }
@@ -235,9 +235,9 @@
 	conn->in_call = true;
 	if (connecting)
 		connected(conn);
-	else if (outbox_flush(&conn->outbox, conn->fd))
+	else if (sendbuf_flush(&conn->sendbuf, conn->fd))
 		fail(conn, HTTPC_BROKEN);
-	else if (!outbox_waiting(&conn->outbox))
+	else if (!sendbuf_waiting(&conn->sendbuf))
 		ev_io_stop(loop, &conn->writing);
 	conn->in_call = false;
 	if (conn->dead)
@@ -262,7 +262,7 @@
 	conn->fd = fd;
 	conn->since = sys_now();
 	head_init(&conn->head);
-	outbox_init(&conn->outbox);
+	sendbuf_init(&conn->sendbuf);
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	ev_io_init(&conn->reading, on_readable, fd, EV_READ);
@@ -284,8 +284,8 @@
 	text_add_bytes(&whole, body, body_length);
 	error = text_error(&whole);
 	if (!error)
-		error = outbox_write(&conn->outbox, conn->fd, whole.bytes,
-				     whole.length);
+		error = sendbuf_write(&conn->sendbuf, conn->fd, whole.bytes,
+				      whole.length);
 	text_finish(&whole);
 	if (error)
 		return false;
@@ -298,7 +298,7 @@
 	conn->reusable = true;
 	conn->headless = headless;
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
-	if (outbox_waiting(&conn->outbox))
+	if (sendbuf_waiting(&conn->sendbuf))
 		ev_io_start(conn->loop, &conn->writing);
 	return true;
 }
--- a/io/httpc.h
+++ b/io/httpc.h
@@ -10,7 +10,7 @@
 
 #include "head.h"
 #include "net.h"
-#include "outbox.h"
+#include "sendbuf.h"
 
 #include <http_parser.h>
 
@@ -57,7 +57,7 @@
 	ev_io writing;
 	http_parser parser;
 	head_t head;
-	outbox_t outbox;
+	sendbuf_t sendbuf;
 	int status;
 	bool sent; /* a byte of the request may have left */
 	bool taking; /* the answer under way is the one waited for */
--- a/io/httpd.c
+++ b/io/httpd.c
@@ -47,7 +47,7 @@
 	head_finish(&conn->head);
 	text_finish(&conn->body);
 	text_finish(&conn->ahead);
-	outbox_finish(&conn->outbox);
+	sendbuf_finish(&conn->sendbuf);
 	free(conn);
 }
 
@@ -76,7 +76,7 @@
 {
 	conn->state = HTTPD_LINGERING;
 	conn->last_byte = sys_now();
-	if (!outbox_waiting(&conn->outbox))
+	if (!sendbuf_waiting(&conn->sendbuf))
 		shutdown(conn->fd, SHUT_WR);
 }
 
@@ -144,13 +144,15 @@
 	conn->head_read = true;
 	if (conn->head.failed || text_error(&conn->target))
 		return refuse(conn, HTTP_STATUS_SERVICE_UNAVAILABLE);
+	if (!head_is_sound(&conn->head))
+		return refuse(conn, HTTP_STATUS_BAD_REQUEST);
 	if (parser->upgrade)
 		return refuse(conn, HTTP_STATUS_NOT_IMPLEMENTED);
 	if (length != UINT64_MAX && length > conn->server->limits.body_bytes)
 		return refuse(conn, HTTP_STATUS_PAYLOAD_TOO_LARGE);
 	if (head_has_token(&conn->head, "expect", "100-continue"))
-		(void)outbox_write(&conn->outbox, conn->fd, go_on,
-				   sizeof(go_on) - 1);
+		(void)sendbuf_write(&conn->sendbuf, conn->fd, go_on,
+				    sizeof(go_on) - 1);
 	return 0;
 }
 
@@ -295,11 +297,11 @@
 	httpd_conn_t *conn = watcher->data;
 
 	(void)events;
-	if (outbox_flush(&conn->outbox, conn->fd)) {
+	if (sendbuf_flush(&conn->sendbuf, conn->fd)) {
 		conn_close(conn, true);
 		return;
 	}
-	if (outbox_waiting(&conn->outbox))
+	if (sendbuf_waiting(&conn->sendbuf))
 		return;
 	ev_io_stop(loop, &conn->writing);
 	conn->last_byte = sys_now();
@@ -327,7 +329,7 @@
 	head_init(&conn->head);
 	text_init(&conn->body);
 	text_init(&conn->ahead);
-	outbox_init(&conn->outbox);
+	sendbuf_init(&conn->sendbuf);
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
 	clear_request(conn);
@@ -453,7 +455,7 @@
 
 	for (const httpd_conn_t *c = server->conns; c; c = c->next)
 		if (c->state == HTTPD_WAITING || c->state == HTTPD_ANSWERING ||
-		    outbox_waiting(&c->outbox))
+		    sendbuf_waiting(&c->sendbuf))
 			pending++;
 	return pending;
 }
@@ -465,8 +467,8 @@
 	if (conn->dead)
 		return;
 	/* A broken connection shows at the next read, and is told there. */
-	(void)outbox_write(&conn->outbox, conn->fd, bytes, length);
-	if (outbox_waiting(&conn->outbox))
+	(void)sendbuf_write(&conn->sendbuf, conn->fd, bytes, length);
+	if (sendbuf_waiting(&conn->sendbuf))
 		ev_io_start(conn->server->loop, &conn->writing);
 }
 
--- a/io/httpd.h
+++ b/io/httpd.h
@@ -10,7 +10,7 @@
 
 #include "head.h"
 #include "net.h"
-#include "outbox.h"
+#include "sendbuf.h"
 
 #include <http_parser.h>
 
@@ -65,7 +65,7 @@
 	head_t head;
 	text_t body;
 	text_t ahead; /* bytes behind the request */
-	outbox_t outbox;
+	sendbuf_t sendbuf;
 	size_t head_bytes;
 	int refusal; /* status of a request that cannot be taken; 0 */
 	bool head_read; /* of the request under way */
--- a/io/relay.c
+++ b/io/relay.c
@@ -218,7 +218,7 @@
 	x->event_at = now;
 	httpd_write(x->caller, x->events.partial.bytes, (size_t)whole);
 	events_drop(&x->events, (size_t)whole);
-	if (outbox_waiting(&x->caller->outbox) > UNREAD_MOST)
+	if (sendbuf_waiting(&x->caller->sendbuf) > UNREAD_MOST)
 		httpc_hold(x->conn, true);
 }
 
@@ -235,7 +235,7 @@
 	x->event_at = sys_now();
 	if (x->streaming) {
 		httpd_write(x->caller, bytes, length);
-		if (outbox_waiting(&x->caller->outbox) > UNREAD_MOST)
+		if (sendbuf_waiting(&x->caller->sendbuf) > UNREAD_MOST)
 			httpc_hold(conn, true);
 		return;
 	}
--- a/io/outbox.h
+++ b/io/sendbuf.h
@@ -1,5 +1,5 @@
-#ifndef OUTBOX_H
-#define OUTBOX_H
+#ifndef SENDBUF_H
+#define SENDBUF_H
 
 /*
  * Bytes on their way out of a non-blocking socket. What the socket takes at
@@ -8,24 +8,24 @@
 
 #include "../src/text.h"
 
-typedef struct outbox {
+typedef struct sendbuf {
 	text_t text;
 	size_t sent; /* of the text */
-} outbox_t;
+} sendbuf_t;
 
-void outbox_init(outbox_t *outbox);
-void outbox_finish(outbox_t *outbox);
+void sendbuf_init(sendbuf_t *sendbuf);
+void sendbuf_finish(sendbuf_t *sendbuf);
 
 /* Bytes that still wait. */
-size_t outbox_waiting(const outbox_t *outbox);
+size_t sendbuf_waiting(const sendbuf_t *sendbuf);
 
 /*
  * Writes bytes, behind what waits. Returns 0 (whether they left or wait), or
  * PIMENTO_EIO when the connection is broken, or PIMENTO_ENOMEM.
  */
-int outbox_write(outbox_t *outbox, int fd, const void *bytes, size_t length);
+int sendbuf_write(sendbuf_t *sendbuf, int fd, const void *bytes, size_t length);
 
 /* Writes what waits, as far as the socket takes it. Returns as above. */
-int outbox_flush(outbox_t *outbox, int fd);
+int sendbuf_flush(sendbuf_t *sendbuf, int fd);
 
 #endif
--- a/src/allotment.c
+++ b/src/allotment.c
@@ -42,8 +42,8 @@
 void allotment_init(allotment_t *allotment, pimento_usec_t window,
 		    bool first_start)
 {
-	*allotment = (allotment_t){ .first_start = first_start,
-				    .window = window };
+	*allotment =
+		(allotment_t){ .first_start = first_start, .window = window };
 }
 
 void allotment_finish(allotment_t *allotment)
@@ -133,7 +133,7 @@
 		return;
 	}
 	use->settled = now;
-		use->level -= passed * draining(allotment, rate) *
+	use->level -= passed * draining(allotment, rate) *
 		      heard_part(allotment, use, now);
 	if (use->level < 0)
 		use->level = 0;
--- a/src/placement.c
+++ b/src/placement.c
@@ -190,8 +190,8 @@
 	for (uint32_t i = 0; service && i < directory->count; i++) {
 		directory_endpoint_t *e = directory->endpoints[i];
 
-		if (e->service == request->service &&
-		    directory_takes(e, now) && !was_tried(request, e->key))
+		if (e->service == request->service && directory_takes(e, now) &&
+		    !was_tried(request, e->key))
 			consider(&choice, e, service, request, now);
 	}
 	*endpoint = choice.sound ? choice.best : choice.trial;
--- /dev/null
+++ b/standin/worker.c
@@ -0,0 +1,315 @@
+/*
+ * A stand-in for a worker of the platform, for tests: it answers plainly or
+ * with a stream, and misbehaves as the caller's own header field asks.
+ *
+ *	worker PORT ID [SLOTS]
+ *
+ * The path ends with "/stream" for a stream. "Test-Events: N" gives its length
+ * (default 5) and "Test-Gap-Ms: N" its pauses (default 10). "Test-Behave: WORD"
+ * asks this worker to misbehave; "Test-Behave-At: ID" only if it has that id.
+ *
+ *	extra	the answer twice		foreign	another request's id
+ *	torn	half an answer, then a reset	bare	no length; ends by closing
+ *	hang	no answer at all		garble	bytes that are no answer
+ *	full	503, not run			busy	503, may have run
+ *	fail	500				unsealed a success without a seal
+ *	half	a stream that stops inside its third event
+ *
+ * GET /test/runs tells {"runs": N, "here": requests that arrived, "open":
+ * streams under way, "last": the last request's head as text}.
+ */
+
+#include "httpd.h"
+#include "sys.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum { RUNS_MAX = 64, EVENTS_DEFAULT = 5, GAP_DEFAULT_MS = 10 };
+
+/* A stream under way. */
+typedef struct run {
+	httpd_conn_t *conn; /* NULL: free */
+	uint64_t next; /* event */
+	uint64_t events;
+	pimento_usec_t gap;
+	pimento_usec_t due;
+	bool half;
+} run_t;
+
+static const char *own_id;
+static run_t runs[RUNS_MAX];
+static json_int_t run_count;
+static json_int_t arrivals;
+static text_t last;
+
+static void keep_head(const httpd_conn_t *conn)
+{
+	last.length = 0;
+	text_add(&last, "%s\n", conn->target.bytes);
+	for (uint32_t i = 0; i < conn->head.count; i++)
+		text_add(&last, "%s: %s\n", head_name(&conn->head, i),
+			 head_value(&conn->head, i));
+}
+
+static bool behaves(const httpd_conn_t *conn, const char *word)
+{
+	const char *wanted = head_get(&conn->head, "Test-Behave");
+	const char *at = head_get(&conn->head, "Test-Behave-At");
+
+	return wanted && strcmp(wanted, word) == 0 &&
+	       (!at || strcmp(at, own_id) == 0);
+}
+
+static uint64_t number(const httpd_conn_t *conn, const char *name,
+		       uint64_t otherwise)
+{
+	uint64_t value;
+
+	return head_number(&conn->head, name, UINT32_MAX, &value) ? value
+								  : otherwise;
+}
+
+/* The head of an answer; sealed as a worker's. */
+static void add_fields(const httpd_conn_t *conn, text_t *fields)
+{
+	const char *id = head_get(&conn->head, "Request-Id");
+
+	if (behaves(conn, "foreign"))
+		id = "somebody-elses";
+	text_add(fields, "Request-Id: %s\r\n", id ? id : "-");
+	if (!behaves(conn, "unsealed"))
+		text_add(fields, "Response-Seal: %s.seal\r\n", own_id);
+	text_add(fields, "X-Worker: %s\r\n", own_id);
+}
+
+static void raw(httpd_conn_t *conn, const char *text, size_t length)
+{
+	(void)sendbuf_write(&conn->sendbuf, conn->fd, text, length);
+}
+
+static void answer_plainly(httpd_conn_t *conn)
+{
+	char body[128];
+	text_t fields;
+
+	snprintf(body, sizeof(body), "answer of %s to %zu bytes", own_id,
+		 conn->body.length);
+	text_init(&fields);
+	add_fields(conn, &fields);
+	if (behaves(conn, "torn") || behaves(conn, "bare")) {
+		text_t whole;
+
+		text_init(&whole);
+		text_add(&whole, "HTTP/1.1 200 OK\r\n%s", text_get(&fields));
+		if (behaves(conn, "torn"))
+			text_add(&whole, "Content-Length: 1000\r\n");
+		text_add(&whole, "\r\n%s", body);
+		raw(conn, whole.bytes, whole.length);
+		text_finish(&whole);
+		if (behaves(conn, "bare"))
+			shutdown(conn->fd, SHUT_WR);
+		else
+			httpd_abort(conn);
+	} else {
+		int status = behaves(conn, "fail")   ? 500
+			     : behaves(conn, "busy") ? 503
+						     : 200;
+
+		if (behaves(conn, "extra")) {
+			text_t again;
+
+			text_init(&again);
+			text_add(&again,
+				 "HTTP/1.1 200 OK\r\n%sContent-Length: "
+				 "%zu\r\n\r\n%s",
+				 text_get(&fields), strlen(body), body);
+			raw(conn, again.bytes, again.length);
+			text_finish(&again);
+		}
+		httpd_answer(conn, status, text_get(&fields), body,
+			     strlen(body));
+	}
+	text_finish(&fields);
+}
+
+static void begin_stream(httpd_conn_t *conn)
+{
+	text_t fields;
+
+	for (int i = 0; i < RUNS_MAX; i++) {
+		const char *after = head_get(&conn->head, "Last-Event-Id");
+
+		if (runs[i].conn)
+			continue;
+		runs[i].conn = conn;
+		runs[i].next = after ? strtoull(after, NULL, 10) + 1 : 1;
+		runs[i].events = number(conn, "Test-Events", EVENTS_DEFAULT);
+		runs[i].gap = (pimento_usec_t)number(conn, "Test-Gap-Ms",
+						     GAP_DEFAULT_MS) *
+			      PIMENTO_MSEC;
+		runs[i].due = sys_now();
+		runs[i].half = behaves(conn, "half");
+		break;
+	}
+	text_init(&fields);
+	add_fields(conn, &fields);
+	text_add(&fields, "Content-Type: text/event-stream\r\n");
+	httpd_begin(conn, 200, text_get(&fields), HTTPD_CHUNKED);
+	text_finish(&fields);
+}
+
+static void end_run(run_t *run)
+{
+	httpd_conn_t *conn = run->conn;
+
+	run->conn = NULL;
+	httpd_end(conn);
+}
+
+static void go_on(run_t *run)
+{
+	char event[64];
+	int length = snprintf(
+		event, sizeof(event), "id: %llu\ndata: event %llu\n\n",
+		(unsigned long long)run->next, (unsigned long long)run->next);
+
+	if (run->half && run->next == 3) {
+		httpd_conn_t *conn = run->conn;
+
+		run->conn = NULL;
+		httpd_write(conn, event, (size_t)length / 2);
+		httpd_abort(conn);
+		return;
+	}
+	httpd_write(run->conn, event, (size_t)length);
+	run->due += run->gap;
+	if (run->next++ >= run->events)
+		end_run(run);
+}
+
+static void tell_runs(httpd_conn_t *conn)
+{
+	json_int_t open = 0;
+	json_t *root;
+	char *text;
+
+	for (int i = 0; i < RUNS_MAX; i++)
+		open += runs[i].conn != NULL;
+	root = json_pack("{s:I, s:I, s:I, s:s}", "runs", run_count, "here",
+			 arrivals, "open", open, "last", text_get(&last));
+	text = json_dumps(root, JSON_COMPACT);
+	httpd_answer(conn, 200, "", text, strlen(text));
+	free(text);
+	json_decref(root);
+}
+
+/* Returns true if the request is refused and has not run. */
+static bool refuse(httpd_conn_t *conn)
+{
+	const char *wanted = head_get(&conn->head, "Expect-Instance");
+	char fields[128];
+
+	if (wanted && strcmp(wanted, own_id) != 0) {
+		snprintf(fields, sizeof(fields), "Instance-Id: %s\r\n", own_id);
+		httpd_answer(conn, 421, fields, "", 0);
+		return true;
+	}
+	if (behaves(conn, "full")) {
+		httpd_answer(conn, 503, "Not-Executed: 1\r\n", "", 0);
+		return true;
+	}
+	return false;
+}
+
+static void on_request(httpd_conn_t *conn)
+{
+	static const char rubbish[] = "\x01\x02 no answer\r\n\r\n";
+	size_t path = strcspn(conn->target.bytes, "?");
+
+	if (strcmp(conn->target.bytes, "/test/runs") == 0) {
+		tell_runs(conn);
+		return;
+	}
+	arrivals++;
+	keep_head(conn);
+	if (refuse(conn))
+		return;
+	run_count++;
+	if (behaves(conn, "hang"))
+		return;
+	if (behaves(conn, "garble"))
+		raw(conn, rubbish, sizeof(rubbish) - 1);
+	else if (path >= 7 &&
+		 strncmp(conn->target.bytes + path - 7, "/stream", 7) == 0)
+		begin_stream(conn);
+	else
+		answer_plainly(conn);
+}
+
+static void on_gone(httpd_conn_t *conn)
+{
+	for (int i = 0; i < RUNS_MAX; i++)
+		if (runs[i].conn == conn)
+			runs[i].conn = NULL;
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	pimento_usec_t now = sys_now();
+
+	(void)loop;
+	(void)timer;
+	(void)events;
+	for (int i = 0; i < RUNS_MAX; i++)
+		if (runs[i].conn && now >= runs[i].due)
+			go_on(&runs[i]);
+}
+
+static void on_term(struct ev_loop *loop, ev_signal *signal, int events)
+{
+	(void)signal;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+int main(int argc, char **argv)
+{
+	static const httpd_ops_t ops = { .request = on_request,
+					 .gone = on_gone };
+	static const httpd_limits_t limits = {
+		.head_bytes = 65536,
+		.body_bytes = 16 * 1024 * 1024,
+		.head_timeout = 10 * PIMENTO_SEC,
+		.idle_timeout = 30 * PIMENTO_SEC,
+		.connections = 512,
+	};
+	static httpd_t server;
+	struct ev_loop *loop = ev_default_loop(EVFLAG_NOENV);
+	net_address_t address = { 0 };
+	ev_timer tick;
+	ev_signal term;
+
+	if (argc < 3 || sodium_init() < 0)
+		return 2;
+	own_id = argv[2];
+	address.ip = 0x7f000001; /* 127.0.0.1 */
+	address.port = (uint16_t)strtoul(argv[1], NULL, 10);
+	text_init(&last);
+	signal(SIGPIPE, SIG_IGN);
+	if (httpd_init(&server, loop, &address, &ops, &limits))
+		return EXIT_FAILURE;
+	ev_timer_init(&tick, on_tick, 0, 0.002);
+	ev_timer_start(loop, &tick);
+	ev_signal_init(&term, on_term, SIGTERM);
+	ev_signal_start(loop, &term);
+	printf("listening on 127.0.0.1:%u\n", address.port);
+	fflush(stdout);
+	ev_run(loop, 0);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/edge.c
@@ -0,0 +1,297 @@
+#include "edge.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum { READY_MS = 10000, STOP_MS = 12000, TEXT_BYTES = 4096 };
+
+static const char settings_format[] =
+	"[host]\nname = \"h%u\"\ndatacentre = \"a\"\naddress = \"127.0.1.%u\"\n"
+	"first_start = true\n"
+	"[listen]\ncallers = \"127.0.0.1:%u\"\nhealth = \"127.0.0.1:%u\"\n"
+	"peers = \"127.0.1.%u:%u\"\ngossip_port = %u\n"
+	"[peers]\nseeds = [\"127.0.1.1:%u\", \"127.0.1.2:%u\"]\n"
+	"[store]\naddress = \"127.0.0.1:%u\"\n"
+	"[limits]\nstop_seconds = 8\n"
+	"[bounds]\nkey_revoke_ms = 3000\nretry_ratio = 0.2\nretry_slack = 56\n"
+	"retry_window_s = 10\nallotment_window_s = 8\n";
+
+static const char configuration_format[] =
+	"{\"version\":%u,\"routes\":["
+	"{\"name\":\"r1\",\"host\":\"t.example\",\"prefix\":\"/stream/\","
+	"\"route_type\":\"streaming\",\"timeout_ms\":8000,\"goal_ms\":400,"
+	"\"priority\":0,\"service\":\"s\",\"max_attempts\":2,"
+	"\"resumable\":true,\"gap_goal_ms\":300},"
+	"{\"name\":\"r2\",\"host\":\"t.example\",\"prefix\":\"/once/\","
+	"\"route_type\":\"streaming\",\"timeout_ms\":8000,\"goal_ms\":400,"
+	"\"priority\":0,\"service\":\"s\",\"max_attempts\":1,"
+	"\"gap_goal_ms\":300},"
+	"{\"name\":\"r3\",\"host\":\"t.example\",\"prefix\":\"/safe/\","
+	"\"route_type\":\"idempotent\",\"timeout_ms\":1500,\"goal_ms\":100,"
+	"\"priority\":1,\"service\":\"s\",\"max_attempts\":2},"
+	"{\"name\":\"r4\",\"host\":\"t.example\",\"prefix\":\"/unsafe/\","
+	"\"route_type\":\"non_idempotent\",\"timeout_ms\":1500,\"goal_ms\":100,"
+	"\"priority\":1,\"service\":\"s\",\"max_attempts\":1}],"
+	"\"services\":[{\"name\":\"s\"}],"
+	"\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":%u,"
+	"\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
+	"\"tenants\":[{\"name\":\"account-one\",\"api_keys\":%s}]}";
+
+static void store_call(const edge_t *edge, const char *path, const char *body)
+{
+	client_call_t call = { .method = "POST",
+			       .port = edge->store.port,
+			       .path = path,
+			       .body = body };
+	client_reply_t reply;
+
+	ck_assert_int_eq(client_call(&reply, &call), 0);
+	ck_assert_int_eq(reply.status, 200);
+	client_reply_finish(&reply);
+}
+
+void edge_put(const edge_t *edge, const char *key, const char *value)
+{
+	char path[256];
+
+	snprintf(path, sizeof(path), "/test/put?key=%s", key);
+	store_call(edge, path, value);
+}
+
+void edge_remove(const edge_t *edge, const char *key)
+{
+	char path[256];
+
+	snprintf(path, sizeof(path), "/test/remove?key=%s", key);
+	store_call(edge, path, "");
+}
+
+void edge_mode(const edge_t *edge, const char *mode)
+{
+	char path[64];
+
+	snprintf(path, sizeof(path), "/test/mode?%s", mode);
+	store_call(edge, path, "");
+}
+
+void edge_forget(const edge_t *edge)
+{
+	store_call(edge, "/test/forget", "");
+}
+
+void edge_configure(const edge_t *edge, uint32_t version, const char *keys,
+		    uint32_t body_bytes_max)
+{
+	char text[TEXT_BYTES];
+
+	snprintf(text, sizeof(text), configuration_format, version,
+		 body_bytes_max, keys);
+	edge_put(edge, "op/config", text);
+}
+
+void edge_list_worker(const edge_t *edge, uint32_t index, const char *state)
+{
+	char key[32];
+	char text[256];
+
+	snprintf(key, sizeof(key), "servers/w%u", index);
+	snprintf(text, sizeof(text),
+		 "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
+		 "\"zone\":\"a\",\"slots\":8,\"state\":\"%s\",\"born\":1}",
+		 edge->workers[index].port, state);
+	edge_put(edge, key, text);
+}
+
+static void start_program(process_t *process, const char *name,
+			  const char *program, const char *id)
+{
+	char port[8];
+	const char *args[] = { port, id, NULL };
+
+	snprintf(port, sizeof(port), "%u", process_free_port());
+	ck_assert_int_eq(process_start(process, name, program, args), 0);
+	ck_assert_int_eq(process_wait_listening(process, READY_MS), 0);
+}
+
+void edge_start_host(edge_t *edge, uint32_t index)
+{
+	edge_host_t *host = &edge->hosts[index];
+	char path[PROCESS_PATH_MAX];
+	char text[TEXT_BYTES];
+	char name[16];
+	const char *args[] = { "-c", path, NULL };
+
+	snprintf(text, sizeof(text), settings_format, index + 1, index + 1,
+		 host->callers, host->health, index + 1, edge->peer_port,
+		 edge->gossip_port, edge->peer_port, edge->peer_port,
+		 edge->store.port);
+	snprintf(name, sizeof(name), "h%u.toml", index + 1);
+	ck_assert_int_eq(process_write_file(path, name, text), 0);
+	snprintf(name, sizeof(name), "h%u", index + 1);
+	ck_assert_int_eq(
+		process_start(&host->process, name, "pimentoedge", args), 0);
+}
+
+void edge_start(edge_t *edge, uint32_t hosts, uint32_t workers)
+{
+	memset(edge, 0, sizeof(*edge));
+	edge->worker_count = workers;
+	edge->host_count = hosts;
+	edge->peer_port = process_free_port();
+	edge->gossip_port = process_free_port();
+	start_program(&edge->store, "store", "store", NULL);
+	edge_configure(edge, 2, "[\"" EDGE_KEY "\"]", 100000);
+	for (uint32_t i = 0; i < workers; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "w%u", i);
+		start_program(&edge->workers[i], id, "worker", id);
+		edge_list_worker(edge, i, "ready");
+	}
+	for (uint32_t i = 0; i < hosts; i++) {
+		edge->hosts[i].callers = process_free_port();
+		edge->hosts[i].health = process_free_port();
+		edge_start_host(edge, i);
+	}
+	for (uint32_t i = 0; i < hosts; i++)
+		ck_assert(edge_wait_health(edge, i, 200, READY_MS));
+}
+
+void edge_stop(edge_t *edge)
+{
+	for (uint32_t i = 0; i < edge->host_count; i++)
+		if (process_running(&edge->hosts[i].process))
+			process_kill(&edge->hosts[i].process);
+	for (uint32_t i = 0; i < edge->worker_count; i++)
+		if (process_running(&edge->workers[i]))
+			process_stop(&edge->workers[i], STOP_MS);
+	process_stop(&edge->store, STOP_MS);
+}
+
+client_reply_t edge_ask(const edge_t *edge, uint32_t host, const char *path,
+			const char *behave, const char *body)
+{
+	client_call_t call = { .method = body ? "POST" : "GET",
+			       .port = edge->hosts[host].callers,
+			       .path = path,
+			       .headers = { { "Host", "t.example" },
+					    { "Request-Id", "id-of-a-test" },
+					    { "Deadline-Ms", "5000" },
+					    { "Key", EDGE_KEY },
+					    { behave ? "Test-Behave" : NULL,
+					      behave } },
+			       .body = body };
+	client_reply_t reply;
+
+	client_call(&reply, &call);
+	return reply;
+}
+
+client_reply_t edge_ask_key(const edge_t *edge, uint32_t host, const char *path,
+			    const char *key)
+{
+	client_call_t call = { .method = "GET",
+			       .port = edge->hosts[host].callers,
+			       .path = path,
+			       .headers = { { "Host", "t.example" },
+					    { "Request-Id", "id-of-a-test" },
+					    { "Deadline-Ms", "5000" },
+					    { *key ? "Key" : NULL, key } } };
+	client_reply_t reply;
+
+	client_call(&reply, &call);
+	return reply;
+}
+
+long edge_health(const edge_t *edge, uint32_t host)
+{
+	client_call_t call = { .method = "GET",
+			       .port = edge->hosts[host].health,
+			       .path = "/readyz",
+			       .timeout_s = 2 };
+	client_reply_t reply;
+	long status;
+
+	client_call(&reply, &call);
+	status = reply.status;
+	client_reply_finish(&reply);
+	return status;
+}
+
+bool edge_wait_health(const edge_t *edge, uint32_t host, long status,
+		      int timeout_ms)
+{
+	int64_t until = process_now_ms() + timeout_ms;
+
+	while (process_now_ms() < until) {
+		if (edge_health(edge, host) == status)
+			return true;
+		process_sleep_ms(20);
+	}
+	return false;
+}
+
+long edge_worker(const edge_t *edge, uint32_t index, const char *name)
+{
+	client_call_t call = { .method = "GET",
+			       .port = edge->workers[index].port,
+			       .path = "/test/runs" };
+	client_reply_t reply;
+	json_t *root;
+	long value;
+
+	ck_assert_int_eq(client_call(&reply, &call), 0);
+	root = client_json(&reply);
+	value = (long)json_integer_value(json_object_get(root, name));
+	json_decref(root);
+	client_reply_finish(&reply);
+	return value;
+}
+
+int edge_connect(const edge_t *edge, uint32_t host)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_port = htons(edge->hosts[host].callers);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+void edge_send(int fd, const char *text)
+{
+	size_t length = strlen(text);
+
+	ck_assert_int_eq(send(fd, text, length, MSG_NOSIGNAL), (ssize_t)length);
+}
+
+bool edge_expect(int fd, const char *text, int timeout_ms)
+{
+	int64_t until = process_now_ms() + timeout_ms;
+	char bytes[65536];
+	size_t length = 0;
+
+	while (process_now_ms() < until && length < sizeof(bytes) - 1) {
+		struct pollfd poller = { .fd = fd, .events = POLLIN };
+		ssize_t got;
+
+		if (poll(&poller, 1, (int)(until - process_now_ms())) <= 0)
+			return false;
+		got = recv(fd, bytes + length, sizeof(bytes) - 1 - length, 0);
+		if (got <= 0)
+			return false;
+		length += (size_t)got;
+		bytes[length] = '\0';
+		if (strstr(bytes, text))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/test/edge.h
@@ -0,0 +1,81 @@
+#ifndef TEST_EDGE_H
+#define TEST_EDGE_H
+
+/*
+ * A deployment on loopback as the platform would run it: the store's stand-in,
+ * workers, and entry hosts (pimentoedge). Hosts have addresses of their own in
+ * 127.0.1.0/24 for each other, and face callers on 127.0.0.1.
+ */
+
+#include "../standin/client.h"
+#include "process.h"
+
+#define EDGE_HOSTS_MAX 4
+#define EDGE_WORKERS_MAX 4
+
+/* Routes of the configuration that edge_start() publishes. */
+#define EDGE_STREAM "/stream/go/stream" /* resumable, two attempts */
+#define EDGE_ONCE "/once/go/stream" /* a stream, not to be repeated */
+#define EDGE_SAFE "/safe/go"
+#define EDGE_UNSAFE "/unsafe/go"
+#define EDGE_KEY "key-one"
+
+typedef struct edge_host {
+	process_t process;
+	uint16_t callers;
+	uint16_t health;
+} edge_host_t;
+
+typedef struct edge {
+	process_t store;
+	process_t workers[EDGE_WORKERS_MAX];
+	edge_host_t hosts[EDGE_HOSTS_MAX];
+	uint32_t worker_count;
+	uint32_t host_count;
+	uint16_t peer_port;
+	uint16_t gossip_port;
+} edge_t;
+
+/* Starts all of it and waits until each host is ready, or fails the test. */
+void edge_start(edge_t *edge, uint32_t hosts, uint32_t workers);
+void edge_stop(edge_t *edge);
+
+/* Starts one host; for one that was killed, again. Does not wait. */
+void edge_start_host(edge_t *edge, uint32_t index);
+
+/* Calls of the store's stand-in. */
+void edge_put(const edge_t *edge, const char *key, const char *value);
+void edge_remove(const edge_t *edge, const char *key);
+void edge_mode(const edge_t *edge, const char *mode);
+void edge_forget(const edge_t *edge);
+
+/* Publishes a configuration; keys is a JSON list of the account's keys. */
+void edge_configure(const edge_t *edge, uint32_t version, const char *keys,
+		    uint32_t body_bytes_max);
+
+/* Publishes a worker's record. */
+void edge_list_worker(const edge_t *edge, uint32_t index, const char *state);
+
+/* A request with the key, an id and a deadline, and further header fields. */
+client_reply_t edge_ask(const edge_t *edge, uint32_t host, const char *path,
+			const char *behave, const char *body);
+/* The same with a key of one's own; "" sends none. */
+client_reply_t edge_ask_key(const edge_t *edge, uint32_t host, const char *path,
+			    const char *key);
+
+/* Status of the health check; 0 without an answer. */
+long edge_health(const edge_t *edge, uint32_t host);
+/* Waits until the health check gives status. Returns false if it does not. */
+bool edge_wait_health(const edge_t *edge, uint32_t host, long status,
+		      int timeout_ms);
+
+/* A number that the worker's stand-in tells: "runs", "here", "open". */
+long edge_worker(const edge_t *edge, uint32_t index, const char *name);
+
+/* A plain connection to a host's callers' port; closes with close(). */
+int edge_connect(const edge_t *edge, uint32_t host);
+void edge_send(int fd, const char *text);
+/* Reads until text appears or the connection ends or time is up. */
+bool edge_expect(int fd, const char *text, int timeout_ms);
+
+#endif
--- /dev/null
+++ b/test/test_allotment.c
@@ -0,0 +1,257 @@
+/*
+ * An account's allotment over several hosts in virtual time: a surge that comes
+ * in everywhere at once, hosts that are killed and forget, and cuts.
+ */
+
+#include "allotment.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	HOSTS = 8,
+	STEP_MS = 10, /* of virtual time */
+	NOTE_MS = 100, /* between a host's words */
+	DELAY_MS = 120, /* of a word, at most: a tick and the way */
+	RUN_S = 30,
+	WINDOW_S = 8,
+	REQUEST_TOKENS = 3000,
+	STEPS = RUN_S * 1000 / STEP_MS
+};
+
+#define ACCOUNT ((pimento_id_t)77)
+#define WINDOW (WINDOW_S * PIMENTO_SEC)
+/* What the operators tolerate beside rate * window + burst. */
+#define OVERRUN 0.25
+#define SLACK_TOKENS 140000
+
+static const allotment_rate_t rate = { .per_second = 200000, .burst = 200000 };
+
+typedef struct host {
+	allotment_t allotment;
+	uint64_t incarnation;
+	uint32_t side; /* of a cut */
+} host_t;
+
+static host_t hosts[HOSTS];
+static double admitted[STEPS]; /* tokens of all hosts */
+
+/* What happens on the way; times in seconds, 0: it does not. */
+typedef struct story {
+	const char *name;
+	double asked; /* times the rate, over all hosts */
+	double kill_all_at;
+	double kill_one_at;
+	double cut_at; /* two hosts from the six others */
+	double cut_until;
+	double least; /* part of rate * time that must be admitted */
+} story_t;
+
+static const story_t stories[] = {
+	{ "steady at the rate", 0.95, 0, 0, 0, 0, 0.94 },
+	{ "a surge of four times the rate", 4, 0, 0, 0, 0, 1.0 },
+	{ "all killed in the surge", 4, 13, 0, 0, 0, 1.0 },
+	{ "all killed soon after its start", 4, 1, 0, 0, 0, 1.0 },
+	{ "one killed in the surge", 4, 0, 13, 0, 0, 1.0 },
+	{ "cut in two in the surge", 4, 0, 0, 10, 20, 0.95 },
+};
+
+static void start(host_t *host, uint64_t incarnation, bool first)
+{
+	allotment_init(&host->allotment, WINDOW, first);
+	host->allotment.hear_every = NOTE_MS * PIMENTO_MSEC;
+	host->incarnation = incarnation;
+}
+
+static void restart(host_t *host)
+{
+	allotment_finish(&host->allotment);
+	start(host, host->incarnation + 1, false);
+}
+
+static bool is_at(double at_s, int step)
+{
+	return at_s > 0 && step == (int)(at_s * 1000 / STEP_MS);
+}
+
+static bool is_cut(const story_t *story, int step)
+{
+	double now = step * STEP_MS / 1000.0;
+
+	return story->cut_at > 0 && now >= story->cut_at &&
+	       now < story->cut_until;
+}
+
+static void exchange_words(const story_t *story, int step, pimento_usec_t now)
+{
+	for (uint32_t from = 0; from < HOSTS; from++) {
+		allotment_word_t word;
+
+		if (!allotment_say(&hosts[from].allotment, &word, 1))
+			continue;
+		for (uint32_t to = 0; to < HOSTS; to++) {
+			if (to == from || (is_cut(story, step) &&
+					   hosts[to].side != hosts[from].side))
+				continue;
+			ck_assert_int_eq(allotment_hear(&hosts[to].allotment,
+							from + 1,
+							hosts[from].incarnation,
+							&word, now),
+					 0);
+		}
+	}
+}
+
+/* Callers of one step, dealt out to the hosts in turn. */
+static void ask(const story_t *story, int step, pimento_usec_t now)
+{
+	static double owed; /* tokens that callers have still to ask for */
+	static uint32_t turn;
+
+	if (step == 0)
+		owed = 0;
+	owed += story->asked * rate.per_second * STEP_MS / 1000.0;
+	for (; owed >= REQUEST_TOKENS; owed -= REQUEST_TOKENS) {
+		host_t *host = &hosts[turn++ % HOSTS];
+
+		if (allotment_admit(&host->allotment, ACCOUNT, rate,
+				    REQUEST_TOKENS, now) == 0)
+			admitted[step] += REQUEST_TOKENS;
+	}
+}
+
+static void play(const story_t *story)
+{
+	memset(admitted, 0, sizeof(admitted));
+	for (uint32_t i = 0; i < HOSTS; i++) {
+		start(&hosts[i], 1, true);
+		hosts[i].side = i < 2;
+	}
+	for (int step = 0; step < STEPS; step++) {
+		pimento_usec_t now =
+			PIMENTO_SEC + step * STEP_MS * PIMENTO_MSEC;
+
+		for (uint32_t i = 0; i < HOSTS; i++)
+			if (is_at(story->kill_all_at, step))
+				restart(&hosts[i]);
+		if (is_at(story->kill_one_at, step))
+			restart(&hosts[0]);
+		ask(story, step, now);
+		if (step % (DELAY_MS / STEP_MS) == 0)
+			exchange_words(story, step, now);
+	}
+	for (uint32_t i = 0; i < HOSTS; i++)
+		allotment_finish(&hosts[i].allotment);
+}
+
+static double most_in_a_window(void)
+{
+	const int window = WINDOW_S * 1000 / STEP_MS;
+	double sum = 0;
+	double most = 0;
+
+	for (int step = 0; step < STEPS; step++) {
+		sum += admitted[step];
+		if (step >= window)
+			sum -= admitted[step - window];
+		if (sum > most)
+			most = sum;
+	}
+	return most;
+}
+
+/*
+ * One account sends several times what it may, at all hosts at once, while
+ * hosts are killed and forget what they admitted, or cannot hear each other.
+ * Other accounts would wait behind what it may not have; or, with too much
+ * caution, the account would be refused what it is owed.
+ */
+START_TEST(no_window_holds_more_than_the_operators_tolerate)
+{
+	const story_t *story = &stories[_i];
+	double most =
+		(rate.per_second * WINDOW_S + rate.burst) * (1 + OVERRUN) +
+		SLACK_TOKENS;
+	double all = 0;
+
+	play(story);
+	for (int step = 0; step < STEPS; step++)
+		all += admitted[step];
+	ck_assert_msg(most_in_a_window() <= most, "%s: %.0f of %.0f",
+		      story->name, most_in_a_window(), most);
+	ck_assert_msg(all >= story->least * rate.per_second * RUN_S,
+		      "%s: only %.0f", story->name, all);
+}
+END_TEST
+
+START_TEST(a_refund_gives_the_room_back)
+{
+	allotment_t allotment;
+
+	allotment_init(&allotment, WINDOW, true);
+	ck_assert_int_eq(
+		allotment_admit(&allotment, ACCOUNT, rate, 200000, PIMENTO_SEC),
+		0);
+	ck_assert_int_eq(
+		allotment_admit(&allotment, ACCOUNT, rate, 200000, PIMENTO_SEC),
+		PIMENTO_EFULL);
+	ck_assert_int_gt(allotment_wait(&allotment, ACCOUNT, rate, 200000), 0);
+	allotment_refund(&allotment, ACCOUNT, 200000);
+	ck_assert_int_eq(
+		allotment_admit(&allotment, ACCOUNT, rate, 200000, PIMENTO_SEC),
+		0);
+	allotment_finish(&allotment);
+}
+END_TEST
+
+START_TEST(one_request_beyond_the_burst_waits_for_an_empty_bucket)
+{
+	allotment_t allotment;
+
+	allotment_init(&allotment, WINDOW, true);
+	ck_assert_int_eq(
+		allotment_admit(&allotment, ACCOUNT, rate, 900000, PIMENTO_SEC),
+		0);
+	ck_assert_int_eq(
+		allotment_admit(&allotment, ACCOUNT, rate, 1, PIMENTO_SEC),
+		PIMENTO_EFULL);
+	allotment_finish(&allotment);
+}
+END_TEST
+
+START_TEST(without_a_rate_there_is_no_limit)
+{
+	const allotment_rate_t none = { 0, 0 };
+	allotment_t allotment;
+
+	allotment_init(&allotment, WINDOW, true);
+	for (int i = 0; i < 100; i++)
+		ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, none, 1e9,
+						 PIMENTO_SEC),
+				 0);
+	allotment_finish(&allotment);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("allotment");
+	TCase *tests = tcase_create("all");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_loop_test(tests,
+			    no_window_holds_more_than_the_operators_tolerate, 0,
+			    sizeof(stories) / sizeof(stories[0]));
+	tcase_add_test(tests, a_refund_gives_the_room_back);
+	tcase_add_test(tests,
+		       one_request_beyond_the_burst_waits_for_an_empty_bucket);
+	tcase_add_test(tests, without_a_rate_there_is_no_limit);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_catalog.c
@@ -0,0 +1,132 @@
+/* Versions of the operator's configuration: routes, keys, and shares. */
+
+#include "catalog.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static catalog_t *catalog;
+
+static void add_route(const char *host, const char *prefix)
+{
+	catalog_route_t *route = catalog_add_route(catalog);
+
+	ck_assert_ptr_nonnull(route);
+	route->name = strdup(prefix);
+	route->host = strdup(host);
+	route->prefix = strdup(prefix);
+}
+
+static void setup(void)
+{
+	catalog = catalog_new(7);
+	ck_assert_ptr_nonnull(catalog);
+	add_route("b.example", "/x/");
+	add_route("a.example", "/x/");
+	add_route("a.example", "/x/long/");
+	add_route("a.example", "/y/");
+	catalog_seal(catalog);
+}
+
+static void teardown(void)
+{
+	catalog_release(catalog);
+}
+
+static const struct {
+	const char *host;
+	const char *path;
+	const char *prefix; /* NULL: no route */
+} lookups[] = {
+	{ "a.example", "/x/1", "/x/" },
+	{ "a.example", "/x/long/1", "/x/long/" },
+	{ "a.example", "/x/longer/1", "/x/" },
+	{ "a.example", "/x/?q=/y/", "/x/" },
+	{ "A.Example:8080", "/y/", "/y/" },
+	{ "b.example", "/x/long/1", "/x/" },
+	{ "b.example", "/y/1", NULL },
+	{ "a.example", "/x", NULL },
+	{ "a.exampl", "/x/", NULL },
+	{ "a.example.org", "/x/", NULL },
+	{ "", "/x/", NULL },
+};
+
+START_TEST(the_longest_prefix_of_the_host_wins)
+{
+	const catalog_route_t *route =
+		catalog_route(catalog, lookups[_i].host, lookups[_i].path);
+
+	if (!lookups[_i].prefix) {
+		ck_assert_ptr_null(route);
+		return;
+	}
+	ck_assert_ptr_nonnull(route);
+	ck_assert_str_eq(route->prefix, lookups[_i].prefix);
+}
+END_TEST
+
+START_TEST(each_key_finds_its_account)
+{
+	catalog_t *keys = catalog_new(1);
+
+	catalog_add_account(keys)->name = strdup("first");
+	catalog_add_account(keys)->name = strdup("second");
+	ck_assert_int_eq(catalog_add_key(keys, "zz", 0), 0);
+	ck_assert_int_eq(catalog_add_key(keys, "aa", 1), 0);
+	ck_assert_int_eq(catalog_add_key(keys, "mm", 1), 0);
+	catalog_seal(keys);
+	ck_assert_str_eq(catalog_account(keys, "zz")->name, "first");
+	ck_assert_str_eq(catalog_account(keys, "aa")->name, "second");
+	ck_assert_str_eq(catalog_account(keys, "mm")->name, "second");
+	ck_assert_ptr_null(catalog_account(keys, "m"));
+	ck_assert_ptr_null(catalog_account(catalog, "aa"));
+	catalog_release(keys);
+}
+END_TEST
+
+START_TEST(services_get_requests_by_weight)
+{
+	enum { DRAWS = 1000 };
+	catalog_route_t route = { 0 };
+	uint32_t first = 0;
+
+	*catalog_add_target(&route) = (catalog_target_t){ 1, 90 };
+	*catalog_add_target(&route) = (catalog_target_t){ 2, 10 };
+	for (uint64_t draw = 0; draw < DRAWS; draw++)
+		first += catalog_pick(&route, draw) == 1;
+	ck_assert_uint_eq(first, 900);
+	free(route.targets);
+}
+END_TEST
+
+START_TEST(a_version_lives_as_long_as_its_last_holder)
+{
+	catalog_t *held = catalog_hold(catalog);
+
+	catalog_release(catalog);
+	ck_assert_uint_eq(held->version, 7);
+	catalog = held;
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("catalog");
+	TCase *tests = tcase_create("all");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_add_loop_test(tests, the_longest_prefix_of_the_host_wins, 0,
+			    sizeof(lookups) / sizeof(lookups[0]));
+	tcase_add_test(tests, each_key_finds_its_account);
+	tcase_add_test(tests, services_get_requests_by_weight);
+	tcase_add_test(tests, a_version_lives_as_long_as_its_last_holder);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_placement.c
@@ -0,0 +1,275 @@
+/* Which endpoint a request goes to, and when there is none for it. */
+
+#include "placement.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define SERVICE "engines"
+enum { ENDPOINTS = 4, SLOTS = 10, FAST_GAP_MS = 20, SLOW = 3 };
+
+static directory_t directory;
+static directory_endpoint_t *endpoints[ENDPOINTS];
+static pace_service_t *service;
+
+/* The last endpoint takes three times as long for everything. */
+static void learn(void)
+{
+	for (int i = 0; i < 400; i++) {
+		for (int e = 0; e < ENDPOINTS; e++) {
+			int slow = e == ENDPOINTS - 1 ? SLOW : 1;
+
+			pace_gap(&endpoints[e]->pace, service,
+				 slow * FAST_GAP_MS * PIMENTO_MSEC);
+		}
+	}
+	for (int i = 0; i < 100; i++) {
+		int e = i % ENDPOINTS;
+		int slow = e == ENDPOINTS - 1 ? SLOW : 1;
+		uint32_t prompt = 1000 + (uint32_t)i * 50;
+
+		pace_first(&endpoints[e]->pace, service,
+			   slow * (60 + prompt / 100) * PIMENTO_MSEC, prompt);
+		pace_length(service, 60, 10);
+	}
+}
+
+static void setup(void)
+{
+	directory_init(&directory);
+	for (int i = 0; i < ENDPOINTS; i++) {
+		char id[8];
+		directory_record_t record = { .id = id,
+					      .service = SERVICE,
+					      .address = "127.0.0.1",
+					      .port = (uint16_t)(8000 + i),
+					      .datacentre = "a",
+					      .slots = SLOTS };
+
+		snprintf(id, sizeof(id), "e%d", i);
+		endpoints[i] = directory_put(&directory, &record);
+		ck_assert_ptr_nonnull(endpoints[i]);
+	}
+	service = &directory_service(&directory, pimento_id(SERVICE))->pace;
+	learn();
+}
+
+static void teardown(void)
+{
+	directory_finish(&directory);
+}
+
+static placement_request_t stream(uint32_t prompt, uint32_t answer)
+{
+	return (placement_request_t){ .service = pimento_id(SERVICE),
+				      .prompt = prompt,
+				      .answer = answer,
+				      .left = 10 * PIMENTO_SEC,
+				      .gap_goal = 300 * PIMENTO_MSEC,
+				      .engine = true,
+				      .datacentre = "a",
+				      .draw = 1 };
+}
+
+static placement_verdict_t place(const placement_request_t *request,
+				 directory_endpoint_t **endpoint)
+{
+	return placement_choose(&directory, request, PIMENTO_SEC, endpoint);
+}
+
+START_TEST(idle_endpoints_are_chosen_by_their_speed)
+{
+	placement_request_t request = stream(1000, 60);
+	directory_endpoint_t *endpoint;
+
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+	ck_assert_ptr_ne(endpoint, endpoints[ENDPOINTS - 1]);
+	for (int i = 0; i < ENDPOINTS - 1; i++)
+		endpoints[i]->running = SLOTS + 1;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+	ck_assert_ptr_eq(endpoint, endpoints[ENDPOINTS - 1]);
+}
+END_TEST
+
+/*
+ * An answer of hundreds of events on the slowest hardware runs for longer than
+ * its caller stays. It holds a place for all that time and is cut at the last
+ * moment; the caller sees a long answer that never ends.
+ */
+START_TEST(a_long_answer_waits_for_an_endpoint_that_can_finish)
+{
+	placement_request_t request = stream(1000, 60 * 30); /* 300 events */
+	directory_endpoint_t *endpoint;
+
+	for (int i = 0; i < ENDPOINTS - 1; i++)
+		endpoints[i]->running = SLOTS + 1;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FULL);
+	endpoints[1]->running = 0;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+	ck_assert_ptr_eq(endpoint, endpoints[1]);
+}
+END_TEST
+
+START_TEST(an_answer_too_long_for_all_is_tried_anyway)
+{
+	placement_request_t request = stream(1000, 60 * 300);
+	directory_endpoint_t *endpoint;
+
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+}
+END_TEST
+
+/*
+ * An endpoint has crashed, and its port resets every connection at once. When
+ * all others are full it looks like the only one with free places: each
+ * waiting request would try it, many times a second, and none would wait for a
+ * place that does become free.
+ */
+START_TEST(a_dead_endpoint_is_no_overflow_for_full_ones)
+{
+	placement_request_t request = stream(1000, 60);
+	directory_endpoint_t *endpoint;
+
+	pace_unreachable(&endpoints[0]->pace, PIMENTO_SEC);
+	for (int i = 1; i < ENDPOINTS; i++)
+		endpoints[i]->running = SLOTS + 1;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FULL);
+}
+END_TEST
+
+START_TEST(when_all_are_dead_one_request_at_a_time_finds_out)
+{
+	placement_request_t request = stream(1000, 60);
+	directory_endpoint_t *endpoint;
+
+	for (int i = 0; i < ENDPOINTS; i++)
+		pace_unreachable(&endpoints[i]->pace, PIMENTO_SEC);
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+	for (int i = 0; i < ENDPOINTS; i++)
+		endpoints[i]->running = 1;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FULL);
+}
+END_TEST
+
+/*
+ * Peers have filled an endpoint. A host that counts only its own requests
+ * would send more, which the engine admits in order of arrival, behind
+ * everything else: the caller waits and nothing more urgent can overtake.
+ */
+START_TEST(what_peers_have_in_flight_counts)
+{
+	placement_request_t request = stream(1000, 60);
+	directory_endpoint_t *endpoint;
+
+	for (int i = 0; i < ENDPOINTS; i++)
+		endpoints[i]->elsewhere = SLOTS + 1;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FULL);
+}
+END_TEST
+
+START_TEST(prompts_that_wait_to_be_read_make_an_endpoint_slower)
+{
+	placement_request_t request = stream(1000, 60);
+	directory_endpoint_t *endpoint;
+
+	endpoints[0]->reading = 50000;
+	endpoints[1]->reading_elsewhere = 50000;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+	ck_assert_ptr_eq(endpoint, endpoints[2]);
+}
+END_TEST
+
+START_TEST(late_requests_leave_places_to_others)
+{
+	placement_request_t request = stream(1000, 60);
+	directory_endpoint_t *endpoint;
+
+	for (int i = 0; i < ENDPOINTS; i++)
+		endpoints[i]->running = SLOTS * 8 / 10;
+	request.late = true;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FULL);
+	request.late = false;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+}
+END_TEST
+
+START_TEST(endpoints_that_leave_or_were_tried_get_nothing)
+{
+	placement_request_t request = stream(1000, 60);
+	pimento_id_t tried[] = { endpoints[0]->key, endpoints[1]->key };
+	directory_endpoint_t *endpoint;
+
+	endpoints[2]->leaving = true;
+	directory_gone(&directory, "e3", PIMENTO_SEC / 2);
+	request.tried = tried;
+	request.tried_count = 1;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+	ck_assert_ptr_eq(endpoint, endpoints[1]);
+	request.tried_count = 2;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_NONE);
+}
+END_TEST
+
+START_TEST(a_failing_endpoint_is_left_alone_for_a_while)
+{
+	placement_request_t request = stream(1000, 60);
+	directory_endpoint_t *endpoint;
+
+	for (int i = 0; i < 12; i++)
+		pace_failed(&endpoints[0]->pace, service, PIMENTO_SEC);
+	ck_assert_int_gt(endpoints[0]->pace.shunned_until, PIMENTO_SEC);
+	for (int i = 0; i < 20; i++) {
+		request.draw = (uint64_t)i * 977;
+		ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+		ck_assert_ptr_ne(endpoint, endpoints[0]);
+	}
+}
+END_TEST
+
+START_TEST(a_new_process_under_an_old_id_starts_afresh)
+{
+	directory_record_t record = { .id = "e0",
+				      .service = SERVICE,
+				      .address = "127.0.0.1",
+				      .port = 8000,
+				      .datacentre = "a",
+				      .slots = SLOTS,
+				      .born = 5 };
+
+	pace_unreachable(&endpoints[0]->pace, PIMENTO_SEC);
+	ck_assert_ptr_eq(directory_put(&directory, &record), endpoints[0]);
+	ck_assert_uint_eq(endpoints[0]->life, 1);
+	ck_assert_int_eq(endpoints[0]->pace.shunned_until, 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("placement");
+	TCase *tests = tcase_create("all");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_add_test(tests, idle_endpoints_are_chosen_by_their_speed);
+	tcase_add_test(tests,
+		       a_long_answer_waits_for_an_endpoint_that_can_finish);
+	tcase_add_test(tests, an_answer_too_long_for_all_is_tried_anyway);
+	tcase_add_test(tests, a_dead_endpoint_is_no_overflow_for_full_ones);
+	tcase_add_test(tests,
+		       when_all_are_dead_one_request_at_a_time_finds_out);
+	tcase_add_test(tests, what_peers_have_in_flight_counts);
+	tcase_add_test(tests,
+		       prompts_that_wait_to_be_read_make_an_endpoint_slower);
+	tcase_add_test(tests, late_requests_leave_places_to_others);
+	tcase_add_test(tests, endpoints_that_leave_or_were_tried_get_nothing);
+	tcase_add_test(tests, a_failing_endpoint_is_left_alone_for_a_while);
+	tcase_add_test(tests, a_new_process_under_an_old_id_starts_afresh);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_records.c
@@ -0,0 +1,165 @@
+/* The platform's records, good and bad, as the product understands them. */
+
+#include "records.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CONFIGURATION                                                           \
+	"{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"A.example\","   \
+	"\"prefix\":\"/p/\",\"route_type\":\"streaming\",\"timeout_ms\":12000," \
+	"\"goal_ms\":400,\"priority\":1,\"max_attempts\":2,\"resumable\":true," \
+	"\"gap_goal_ms\":300,\"backends\":[{\"service\":\"s1\",\"weight\":90}," \
+	"{\"service\":\"s2\",\"weight\":10}]}],\"services\":[{\"name\":\"s1\"," \
+	"\"max_conns\":370,\"engine\":{\"slots\":12}},{\"name\":\"s2\"}],"      \
+	"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"    \
+	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":["   \
+	"{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,"         \
+	"\"unit\":\"tokens\",\"plain_tokens\":200,\"rate_per_s\":1.5,"          \
+	"\"burst\":100}],\"unheard_of\":[1]}"
+
+START_TEST(a_configuration_is_read_whole)
+{
+	char reason[RECORDS_REASON_BYTES];
+	catalog_t *c = records_configuration(CONFIGURATION,
+					     strlen(CONFIGURATION), reason);
+	const catalog_route_t *route;
+
+	ck_assert_ptr_nonnull(c);
+	ck_assert_uint_eq(c->version, 7);
+	route = catalog_route(c, "a.example", "/p/x");
+	ck_assert_ptr_nonnull(route);
+	ck_assert_int_eq(route->kind, CATALOG_STREAMING);
+	ck_assert(route->resumable);
+	ck_assert(!route->open);
+	ck_assert_uint_eq(route->attempts_max, 2);
+	ck_assert_int_eq(route->goal, 400 * PIMENTO_MSEC);
+	ck_assert_uint_eq(route->target_count, 2);
+	ck_assert_uint_eq(route->targets[1].service, pimento_id("s2"));
+	ck_assert(catalog_service(c, pimento_id("s1"))->engine);
+	ck_assert(!catalog_service(c, pimento_id("s2"))->engine);
+	ck_assert_str_eq(catalog_account(c, "k2")->name, "t1");
+	ck_assert(!catalog_account(c, "k2")->by_request);
+	ck_assert_double_eq(catalog_account(c, "k2")->tokens_per_second, 1.5);
+	ck_assert_int_eq(c->limits.idle_timeout, 15 * PIMENTO_SEC);
+	catalog_release(c);
+}
+END_TEST
+
+static const struct {
+	const char *json;
+	const char *reason; /* a part of it */
+} bad_configurations[] = {
+	{ "", "" },
+	{ "[]", "version" },
+	{ "{\"version\":\"7\"}", "version" },
+	{ "{\"version\":-1}", "version" },
+	{ "{\"version\":1,\"routes\":[{\"host\":\"a\"}]}", "name" },
+	{ "{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"a\","
+	  "\"prefix\":\"/\",\"route_type\":\"else\",\"service\":\"s\"}]}",
+	  "route_type" },
+	{ "{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"a\","
+	  "\"prefix\":\"/\",\"route_type\":\"idempotent\","
+	  "\"timeout_ms\":\"x\",\"service\":\"s\"}]}",
+	  "timeout_ms" },
+	{ "{\"version\":1,\"tenants\":[{\"name\":\"t\",\"api_keys\":[1]}]}",
+	  "api_keys" },
+};
+
+START_TEST(a_configuration_that_is_not_whole_is_refused_with_a_reason)
+{
+	const char *json = bad_configurations[_i].json;
+	char reason[RECORDS_REASON_BYTES] = "";
+
+	ck_assert_ptr_null(records_configuration(json, strlen(json), reason));
+	ck_assert_msg(strstr(reason, bad_configurations[_i].reason) != NULL,
+		      "%s", reason);
+}
+END_TEST
+
+static directory_t directory;
+
+static void put(void *context, const directory_record_t *record)
+{
+	(void)context;
+	ck_assert_ptr_nonnull(directory_put(&directory, record));
+}
+
+static const struct {
+	const char *json;
+	const char *reason; /* NULL: it is good */
+} endpoints[] = {
+	{ "{\"service\":\"s\",\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+	  "\"slots\":12,\"state\":\"ready\",\"born\":1700000000000}",
+	  NULL },
+	{ "{\"service\":\"s\",\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+	  "\"slots\":12,\"state\":\"draining\",\"more\":{}}",
+	  NULL },
+	{ "{\"service\":\"s\",\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+	  "\"slots\":12,\"state\":\"resting\"}",
+	  "state" },
+	{ "{\"service\":7,\"address\":\"10.1.0.9:8080\",\"zone\":\"z\","
+	  "\"slots\":12,\"state\":\"ready\"}",
+	  "service" },
+	{ "{\"service\":\"s\",\"address\":\"10.1.0.9\",\"zone\":\"z\","
+	  "\"slots\":12,\"state\":\"ready\"}",
+	  "address" },
+	{ "{\"service\":\"s\",\"address\":\"10.1.0.900:80\",\"zone\":\"z\","
+	  "\"slots\":12,\"state\":\"ready\"}",
+	  "address" },
+	{ "{\"service\":\"s\",\"address\":\"10.1.0.9:99999\",\"zone\":\"z\","
+	  "\"slots\":12,\"state\":\"ready\"}",
+	  "address" },
+	{ "{\"service\":\"s\",\"address\":\"10.1.0.9:80\",\"zone\":\"z\","
+	  "\"slots\":-1,\"state\":\"ready\"}",
+	  "slots" },
+	{ "{\"service\":\"s\",\"address\":\"10.1.0.9:80\",\"zone\":\"z\","
+	  "\"slots\":0,\"state\":\"ready\"}",
+	  "slots" },
+	{ "\xff\xfe nothing", "record" },
+	{ "[1,2]", "record" },
+	{ "", "record" },
+};
+
+START_TEST(an_endpoint_is_taken_whole_or_not_at_all)
+{
+	const char *json = endpoints[_i].json;
+	const char *wanted = endpoints[_i].reason;
+	char reason[RECORDS_REASON_BYTES] = "";
+	int error;
+
+	directory_init(&directory);
+	error = records_endpoint(RECORDS_ENDPOINTS "i-1", json, strlen(json), 3,
+				 put, NULL, reason);
+	ck_assert_int_eq(error, wanted ? PIMENTO_EPARSE : 0);
+	ck_assert_uint_eq(directory.count, wanted ? 0 : 1);
+	if (wanted)
+		ck_assert_msg(strstr(reason, wanted) != NULL, "%s", reason);
+	else
+		ck_assert_str_eq(directory.endpoints[0]->id, "i-1");
+	directory_finish(&directory);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("records");
+	TCase *tests = tcase_create("all");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tests, a_configuration_is_read_whole);
+	tcase_add_loop_test(
+		tests,
+		a_configuration_that_is_not_whole_is_refused_with_a_reason, 0,
+		sizeof(bad_configurations) / sizeof(bad_configurations[0]));
+	tcase_add_loop_test(tests, an_endpoint_is_taken_whole_or_not_at_all, 0,
+			    sizeof(endpoints) / sizeof(endpoints[0]));
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_retry_budget.c
@@ -0,0 +1,90 @@
+/* Repeats of all hosts together stay within the operators' bound. */
+
+#include "retry_budget.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+enum { HOSTS = 8, RUN_S = 40, WINDOW_S = 10, STEP_MS = 10 };
+
+static const retry_budget_terms_t terms = { .window = WINDOW_S * PIMENTO_SEC,
+					    .ratio = 0.2,
+					    .slack = 56 };
+
+static uint32_t requests[RUN_S * 1000 / STEP_MS];
+static uint32_t repeats[RUN_S * 1000 / STEP_MS];
+
+static void check_windows(void)
+{
+	const int steps = WINDOW_S * 1000 / STEP_MS;
+	double asked = 0;
+	double repeated = 0;
+
+	for (int i = 0; i < RUN_S * 1000 / STEP_MS; i++) {
+		asked += requests[i];
+		repeated += repeats[i];
+		if (i >= steps) {
+			asked -= requests[i - steps];
+			repeated -= repeats[i - steps];
+		}
+		ck_assert_msg(repeated <= terms.ratio * asked + terms.slack,
+			      "step %d: %.0f repeats of %.0f", i, repeated,
+			      asked);
+	}
+}
+
+/*
+ * Every request fails at its first endpoint, everywhere at once, and in the
+ * middle all hosts are killed and forget what they have repeated. Endpoints
+ * that are in trouble would get half as much again as without it.
+ */
+START_TEST(a_storm_of_failures_stays_within_the_bound)
+{
+	retry_budget_t budgets[HOSTS] = { 0 };
+	uint32_t all = 0;
+
+	for (int i = 0; i < RUN_S * 1000 / STEP_MS; i++) {
+		pimento_usec_t now = PIMENTO_SEC + i * STEP_MS * PIMENTO_MSEC;
+		retry_budget_t *budget = &budgets[i % HOSTS];
+
+		if (i == RUN_S * 1000 / STEP_MS / 2)
+			for (int j = 0; j < HOSTS; j++)
+				budgets[j] = (retry_budget_t){ 0 };
+		retry_budget_request(budget, &terms, now);
+		requests[i] = 1;
+		repeats[i] = retry_budget_take(budget, &terms, HOSTS, now);
+		all += repeats[i];
+	}
+	check_windows();
+	ck_assert_uint_gt(all, 400); /* a tenth at least is repeated */
+}
+END_TEST
+
+START_TEST(without_requests_only_the_slack_is_left)
+{
+	retry_budget_t budget = { 0 };
+	uint32_t taken = 0;
+
+	while (retry_budget_take(&budget, &terms, HOSTS, PIMENTO_SEC))
+		taken++;
+	ck_assert_uint_ge(taken, 1);
+	ck_assert_uint_le(taken * HOSTS, (uint32_t)terms.slack);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("retry_budget");
+	TCase *tests = tcase_create("all");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tests, a_storm_of_failures_stays_within_the_bound);
+	tcase_add_test(tests, without_requests_only_the_slack_is_left);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_roster.c
@@ -0,0 +1,219 @@
+/* What hosts hear of each other, and how far it may be believed. */
+
+#include "roster.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+enum { SELF = 1, PEER = 2 };
+
+static roster_t roster;
+
+static void setup(void)
+{
+	roster_init(&roster, SELF);
+}
+
+static void teardown(void)
+{
+	roster_finish(&roster);
+}
+
+static roster_note_t note_of(uint32_t address, pimento_usec_t stamp)
+{
+	return (roster_note_t){ .address = address,
+				.incarnation = 1,
+				.stamp = stamp,
+				.age = PIMENTO_NEVER };
+}
+
+/*
+ * This host is frozen for four seconds while a peer's note lies in its socket.
+ * The note says "my copy is 200 ms old", which was true when it was written.
+ * Counted from the moment of reading, keys that were taken away during the
+ * freeze would be honoured.
+ */
+START_TEST(an_old_note_does_not_make_the_copy_fresh)
+{
+	roster_note_t note = note_of(PEER, 50);
+	pimento_usec_t fresh;
+
+	note.echo = 10 * PIMENTO_SEC; /* our stamp before the freeze */
+	note.age = 200 * PIMENTO_MSEC;
+	ck_assert_ptr_nonnull(
+		roster_receive(&roster, &note, 14 * PIMENTO_SEC, &fresh));
+	ck_assert_int_eq(fresh, 10 * PIMENTO_SEC - 200 * PIMENTO_MSEC);
+}
+END_TEST
+
+START_TEST(without_an_echo_nothing_is_known_of_the_age)
+{
+	roster_note_t note = note_of(PEER, 50);
+	pimento_usec_t fresh;
+
+	note.age = 0;
+	ck_assert_ptr_nonnull(
+		roster_receive(&roster, &note, PIMENTO_SEC, &fresh));
+	ck_assert_int_eq(fresh, INT64_MIN);
+	note.stamp++;
+	note.echo = 2 * PIMENTO_SEC; /* of the future: not ours */
+	ck_assert_ptr_nonnull(
+		roster_receive(&roster, &note, PIMENTO_SEC, &fresh));
+	ck_assert_int_eq(fresh, INT64_MIN);
+}
+END_TEST
+
+START_TEST(notes_that_overtake_each_other_do_no_harm)
+{
+	roster_note_t note = note_of(PEER, 100);
+	roster_note_t earlier = note_of(PEER, 90);
+	pimento_usec_t fresh;
+
+	ck_assert_ptr_nonnull(roster_receive(&roster, &note, 200, &fresh));
+	ck_assert_ptr_null(roster_receive(&roster, &earlier, 201, &fresh));
+	ck_assert_ptr_null(roster_receive(&roster, &note, 202, &fresh));
+	earlier.incarnation = 2; /* it has restarted: its clock is another */
+	ck_assert_ptr_nonnull(roster_receive(&roster, &earlier, 203, &fresh));
+}
+END_TEST
+
+START_TEST(loads_of_silent_peers_are_not_believed)
+{
+	roster_note_t note = note_of(PEER, 100);
+	roster_load_t load;
+	pimento_usec_t fresh;
+
+	note.loads[0] = (roster_load_t){ 9, 4, 700 };
+	note.load_count = 1;
+	roster_receive(&roster, &note, PIMENTO_SEC, &fresh);
+	load = roster_load(&roster, 9, 2 * PIMENTO_SEC);
+	ck_assert_uint_eq(load.running, 4);
+	ck_assert_uint_eq(load.reading, 700);
+	load = roster_load(&roster, 9, 8 * PIMENTO_SEC);
+	ck_assert_uint_eq(load.running, 0);
+}
+END_TEST
+
+/*
+ * The three seeds are down, or stale: the host must still write to them until
+ * somebody answers, and then learn of everybody else.
+ */
+START_TEST(seeds_lead_to_the_others)
+{
+	roster_peer_t *targets[8];
+	roster_note_t note = note_of(PEER, 100);
+	pimento_usec_t fresh;
+
+	for (uint32_t seed = 10; seed < 13; seed++)
+		ck_assert_int_eq(roster_add(&roster, seed, true, 0), 0);
+	ck_assert_int_eq(roster_add(&roster, SELF, true, 0), 0);
+	ck_assert_uint_eq(roster_targets(&roster, PIMENTO_SEC, 8, targets), 3);
+	note.members[0] = 20;
+	note.member_count = 1;
+	roster_receive(&roster, &note, PIMENTO_SEC, &fresh);
+	ck_assert_uint_eq(roster_targets(&roster, PIMENTO_SEC, 8, targets), 5);
+}
+END_TEST
+
+START_TEST(a_host_that_is_gone_is_forgotten_but_a_seed_is_not)
+{
+	roster_peer_t *targets[8];
+	pimento_usec_t fresh;
+	roster_note_t note = note_of(PEER, 100);
+
+	roster_receive(&roster, &note, PIMENTO_SEC, &fresh);
+	ck_assert_int_eq(roster_add(&roster, 10, true, 0), 0);
+	ck_assert_uint_eq(roster_hosts(&roster, 2 * PIMENTO_SEC), 3);
+	roster_targets(&roster, 90 * PIMENTO_SEC, 8, targets);
+	ck_assert_uint_eq(roster.count, 1);
+	ck_assert_uint_eq(roster.peers[0]->address, 10);
+}
+END_TEST
+
+/* With many hosts about eight read the store, and others take over. */
+START_TEST(enough_hosts_read_the_store_and_not_all)
+{
+	enum { HOSTS = 60, ROUNDS = 50 };
+	pimento_usec_t now = PIMENTO_SEC;
+	uint32_t joined = 0;
+	pimento_usec_t fresh;
+
+	for (uint32_t i = 2; i < HOSTS; i++) {
+		roster_note_t note = note_of(i, 100);
+
+		note.reader = i < 2 + ROSTER_READERS;
+		roster_receive(&roster, &note, now, &fresh);
+	}
+	for (uint64_t draw = 0; draw < ROUNDS; draw++)
+		joined += roster_should_read(&roster, false, draw, now);
+	ck_assert_uint_eq(joined, 0);
+	roster.peers[0]->reader = false; /* one of them is down */
+	for (uint64_t draw = 0; draw < roster_hosts(&roster, now); draw++)
+		joined += roster_should_read(&roster, false, draw, now);
+	ck_assert_uint_eq(joined, 1); /* of sixty, about one steps in */
+}
+END_TEST
+
+START_TEST(with_few_hosts_all_read)
+{
+	ck_assert(roster_should_read(&roster, false, 0, PIMENTO_SEC));
+	ck_assert(roster_should_read(&roster, true, 0, PIMENTO_SEC));
+}
+END_TEST
+
+START_TEST(a_note_survives_its_encoding)
+{
+	uint8_t bytes[ROSTER_NOTE_BYTES];
+	roster_note_t note = note_of(PEER, 123456);
+	roster_note_t read;
+	int length;
+
+	note.echo = 99;
+	note.age = 1500 * PIMENTO_MSEC;
+	note.revision = 1u << 20;
+	note.reader = true;
+	note.load_count = ROSTER_LOADS_MAX;
+	note.use_count = ROSTER_USES_MAX;
+	note.member_count = ROSTER_MEMBERS_MAX;
+	for (uint32_t i = 0; i < ROSTER_LOADS_MAX; i++)
+		note.loads[i] = (roster_load_t){ i, i + 1, i * 1000 };
+	for (uint32_t i = 0; i < ROSTER_USES_MAX; i++)
+		note.uses[i] = (allotment_word_t){ i, 1e7 + i, 2e5 };
+	length = roster_pack(&note, bytes, sizeof(bytes));
+	ck_assert_int_gt(length, 0);
+	ck_assert_int_eq(roster_unpack(&read, bytes, (size_t)length), 0);
+	ck_assert_uint_eq(read.loads[5].reading, 5000);
+	ck_assert_double_eq(read.uses[3].admitted, 1e7 + 3);
+	ck_assert_int_ge(read.age, note.age); /* never younger */
+	ck_assert_uint_eq(read.revision, note.revision);
+	ck_assert(read.reader);
+	ck_assert_int_eq(roster_unpack(&read, bytes, (size_t)length - 1),
+			 PIMENTO_EPARSE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("roster");
+	TCase *tests = tcase_create("all");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_add_test(tests, an_old_note_does_not_make_the_copy_fresh);
+	tcase_add_test(tests, without_an_echo_nothing_is_known_of_the_age);
+	tcase_add_test(tests, notes_that_overtake_each_other_do_no_harm);
+	tcase_add_test(tests, loads_of_silent_peers_are_not_believed);
+	tcase_add_test(tests, seeds_lead_to_the_others);
+	tcase_add_test(tests,
+		       a_host_that_is_gone_is_forgotten_but_a_seed_is_not);
+	tcase_add_test(tests, enough_hosts_read_the_store_and_not_all);
+	tcase_add_test(tests, with_few_hosts_all_read);
+	tcase_add_test(tests, a_note_survives_its_encoding);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_waitline.c
@@ -0,0 +1,149 @@
+/* Which waiting request goes next, and when one is turned away. */
+
+#include "waitline.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+#define MS PIMENTO_MSEC
+
+static waitline_t line;
+
+static void setup(void)
+{
+	line = (waitline_t){ 0 };
+}
+
+static waitline_item_t item(uint64_t rank, pimento_usec_t arrived,
+			    pimento_usec_t late_at, pimento_usec_t give_up_at)
+{
+	return (waitline_item_t){ .rank = rank,
+				  .arrived = arrived,
+				  .late_at = late_at,
+				  .give_up_at = give_up_at };
+}
+
+START_TEST(the_more_urgent_goes_first_then_the_earlier)
+{
+	waitline_item_t a = item(1, 10 * MS, 900 * MS, PIMENTO_SEC);
+	waitline_item_t b = item(0, 30 * MS, 900 * MS, PIMENTO_SEC);
+	waitline_item_t c = item(0, 20 * MS, 900 * MS, PIMENTO_SEC);
+
+	waitline_put(&line, &a);
+	waitline_put(&line, &b);
+	waitline_put(&line, &c);
+	ck_assert_ptr_eq(line.first, &c);
+	ck_assert_ptr_eq(c.next, &b);
+	ck_assert_ptr_eq(b.next, &a);
+	waitline_remove(&line, &b);
+	ck_assert_ptr_eq(c.next, &a);
+	ck_assert_uint_eq(line.count, 2);
+}
+END_TEST
+
+/*
+ * A burst has filled the line. Served in order of arrival, everyone would be
+ * answered just too late; callers see every answer miss its goal although
+ * half of them could have been on time.
+ */
+START_TEST(what_is_late_goes_behind_what_can_be_on_time)
+{
+	waitline_item_t late = item(0, 0, 300 * MS, 900 * MS);
+	waitline_item_t fresh = item(2, 350 * MS, 650 * MS, 900 * MS);
+
+	waitline_put(&line, &late);
+	waitline_put(&line, &fresh);
+	ck_assert_ptr_null(waitline_expired(&line, 290 * MS));
+	ck_assert_ptr_eq(line.first, &late);
+	ck_assert_ptr_null(waitline_expired(&line, 400 * MS));
+	ck_assert_ptr_eq(line.first, &fresh);
+	ck_assert(late.late);
+	ck_assert_ptr_eq(waitline_expired(&line, 901 * MS), &fresh);
+}
+END_TEST
+
+/* What a request brings, and when it is late and turned away. */
+static const struct {
+	const char *what;
+	waitline_terms_t terms; /* in milliseconds */
+	int64_t late_at;
+	int64_t give_up_at;
+} times[] = {
+	{ "a stream with much time",
+	  { 1000, 0, 600, 100, 300, 16000 },
+	  1500,
+	  1000 + 1920 - 100 },
+	{ "a stream whose caller leaves soon",
+	  { 1000, 0, 400, 100, 300, 4000 },
+	  1300,
+	  1600 },
+	{ "a plain call", { 1000, 0, 100, 20, 0, 2000 }, 1080, 1200 },
+	{ "one that has come back late",
+	  { 1000, 3000, 600, 100, 300, 12000 },
+	  -1500,
+	  1000 + 1920 - 100 },
+	{ "one with hardly any time",
+	  { 1000, 0, 600, 100, 300, 1050 },
+	  1500,
+	  1050 },
+};
+
+START_TEST(waits_end_while_the_caller_still_cares)
+{
+	waitline_terms_t terms = times[_i].terms;
+	waitline_item_t it = { 0 };
+
+	terms.arrived *= MS;
+	terms.spent *= MS;
+	terms.goal *= MS;
+	terms.expect *= MS;
+	terms.gap_goal *= MS;
+	terms.end *= MS;
+	waitline_set_times(&it, &terms);
+	ck_assert_msg(it.late_at / MS == times[_i].late_at, "%s: late %lld",
+		      times[_i].what, (long long)(it.late_at / MS));
+	ck_assert_msg(it.give_up_at / MS == times[_i].give_up_at,
+		      "%s: given up %lld", times[_i].what,
+		      (long long)(it.give_up_at / MS));
+	ck_assert(it.late == (it.late_at <= it.arrived));
+}
+END_TEST
+
+START_TEST(callers_that_are_turned_away_come_back_spread)
+{
+	pimento_usec_t least = PIMENTO_NEVER;
+	pimento_usec_t most = 0;
+
+	for (uint64_t draw = 0; draw < 1000; draw++) {
+		pimento_usec_t wait =
+			waitline_come_back(40, 19, draw * 7919000);
+
+		least = wait < least ? wait : least;
+		most = wait > most ? wait : most;
+	}
+	ck_assert_int_ge(least, PIMENTO_SEC);
+	ck_assert_int_le(most, 4 * PIMENTO_SEC);
+	ck_assert_int_gt(most - least, PIMENTO_SEC);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("waitline");
+	TCase *tests = tcase_create("all");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tests, setup, NULL);
+	tcase_add_test(tests, the_more_urgent_goes_first_then_the_earlier);
+	tcase_add_test(tests, what_is_late_goes_behind_what_can_be_on_time);
+	tcase_add_loop_test(tests, waits_end_while_the_caller_still_cares, 0,
+			    sizeof(times) / sizeof(times[0]));
+	tcase_add_test(tests, callers_that_are_turned_away_come_back_spread);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
