--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -67,6 +67,7 @@
 	directory_t directory;
 	roster_t roster;
 	feed_t feed;
+	keeping_t keeping;
 	gateway_t gateway;
 	mesh_t mesh;
 	httpd_ops_t health_ops;
@@ -327,6 +328,13 @@
 	gateway_configure(&edge->gateway, catalog);
 }
 
+static void on_replied(void *context, const packet_reply_t *reply)
+{
+	edge_t *edge = context;
+
+	gateway_replied(&edge->gateway, reply);
+}
+
 static const feed_ops_t feed_ops = { .configuration = on_configuration };
 
 /* Start and end. */
@@ -367,6 +375,7 @@
 		.directory = &edge->directory,
 		.roster = &edge->roster,
 		.mirror = &edge->feed.mirror,
+		.keeping = &edge->keeping,
 	};
 
 	if (edge->settings.descriptors < 2 * DESCRIPTORS_KEPT)
@@ -385,6 +394,7 @@
 		.mirror = &edge->feed.mirror,
 		.directory = &edge->directory,
 		.allotment = &edge->gateway.allotment,
+		.keeping = &edge->keeping,
 	};
 	int error;
 
@@ -409,6 +419,9 @@
 		return PIMENTO_EIO;
 	directory_init(&edge->directory);
 	roster_init(&edge->roster, self);
+	keeping_init(&edge->keeping, &edge->directory, &edge->roster, self);
+	edge->keeping.replied = on_replied;
+	edge->keeping.context = edge;
 	if (!error)
 		error = net_parse(edge->settings.store, &store);
 	if (error)
@@ -442,6 +455,7 @@
 	mesh_finish(&edge->mesh);
 	httpd_finish(&edge->health);
 	feed_finish(&edge->feed);
+	keeping_finish(&edge->keeping);
 	roster_finish(&edge->roster);
 	directory_finish(&edge->directory);
 }
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -29,6 +29,20 @@
 /* The same in the middle of a stream, in parts of its longest good pause. */
 #define SILENT_GAPS 4
 
+/*
+ * A keeper answers within some milliseconds. One that has not after this is
+ * frozen, cut off or gone: a request goes by this host's own view then, and
+ * the keeper is not asked for a while.
+ */
+#define ASK_SILENT (40 * PIMENTO_MSEC)
+#define KEEPER_SILENT (1 * PIMENTO_SEC)
+/* Waits so long in one endpoint's line before it looks for a better one. */
+#define ASK_MOST (150 * PIMENTO_MSEC)
+/* The keeper forgets the ask this much later, should the release be lost. */
+#define ASK_MARGIN (100 * PIMENTO_MSEC)
+/* Requests of one service in line at keepers; the others wait here. */
+#define ASKS_AT_ONCE 16
+
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
 
@@ -38,6 +52,51 @@
 	x->reading = 0;
 }
 
+/* Asking keepers for places. */
+
+void dispatch_unask(exchange_t *x)
+{
+	directory_endpoint_t *endpoint = x->asked;
+
+	if (!x->ticket)
+		return;
+	if (x->state == EXCHANGE_WAITING)
+		x->service->asks--;
+	keeping_release(x->gateway->keeping, endpoint, x->ticket, sys_now());
+	endpoint->holders--;
+	x->ticket = 0;
+	x->asked = NULL;
+}
+
+static void ask(exchange_t *x, directory_endpoint_t *endpoint, bool sure,
+		pimento_usec_t now)
+{
+	grants_ask_t question = { .ticket = gateway_draw(x->gateway) | 1,
+				  .rank = x->wait.rank,
+				  .late = x->wait.late,
+				  .sure = sure,
+				  .wait = ASK_MOST + ASK_MARGIN };
+
+	endpoint->holders++;
+	x->ticket = question.ticket;
+	x->asked = endpoint;
+	x->asked_at = now;
+	x->in_line = false;
+	x->given = false;
+	x->service->asks++;
+	x->gateway->asking = x;
+	keeping_ask(x->gateway->keeping, endpoint, &question, now);
+	x->gateway->asking = NULL;
+}
+
+/* True if places of this endpoint are to be asked for. */
+static bool is_kept(const exchange_t *x, const directory_endpoint_t *endpoint,
+		    pimento_usec_t now)
+{
+	return x->engine && roster_hosts(x->gateway->roster, now) > 1 &&
+	       endpoint->keeper_silent_until <= now;
+}
+
 /* Lets go of an endpoint; the connection has been dealt with. */
 static void let_go(exchange_t *x)
 {
@@ -50,6 +109,7 @@
 	endpoint->holders--;
 	x->endpoint = NULL;
 	x->conn = NULL;
+	dispatch_unask(x);
 }
 
 void dispatch_abandon(exchange_t *x)
@@ -151,6 +211,8 @@
 	pimento_usec_t now = sys_now();
 
 	waitline_remove(&x->service->line, &x->wait);
+	if (x->ticket)
+		x->service->asks--;
 	x->state = EXCHANGE_CONNECTING;
 	x->endpoint = endpoint;
 	x->life = endpoint->life;
@@ -171,7 +233,8 @@
 
 /* Placing. */
 
-static placement_verdict_t place(exchange_t *x, pimento_usec_t now,
+static placement_verdict_t place(exchange_t *x, bool in_line,
+				 pimento_usec_t now,
 				 directory_endpoint_t **endpoint)
 {
 	gateway_t *gateway = x->gateway;
@@ -183,6 +246,7 @@
 		.gap_goal = x->route->gap_goal,
 		.engine = x->engine,
 		.late = x->wait.late,
+		.in_line = in_line,
 		.datacentre = gateway->datacentre,
 		.tried = x->tried,
 		.tried_count = x->tried_count,
@@ -208,25 +272,85 @@
 				"endpoints_full");
 }
 
-/* One step: returns true if the line has changed. */
+/* What became of a request that waits. */
+typedef enum step {
+	STEP_STAYS, /* for want of a place */
+	STEP_ASKS, /* a keeper was asked */
+	STEP_MOVED /* it has left the line */
+} step_t;
+
+static step_t ask_for_place(exchange_t *x, directory_endpoint_t *endpoint,
+			    pimento_usec_t now)
+{
+	ask(x, endpoint, false, now);
+	if (!x->given)
+		return STEP_ASKS;
+	begin(x, endpoint);
+	return STEP_MOVED;
+}
+
+/* A place that looks free: takes it, or asks its keeper if that is uncertain. */
+static step_t take_place(exchange_t *x, directory_endpoint_t *endpoint,
+			 pimento_usec_t now)
+{
+	bool kept = is_kept(x, endpoint, now);
+
+	if (kept && !placement_is_calm(endpoint))
+		return ask_for_place(x, endpoint, now);
+	if (kept)
+		ask(x, endpoint, true, now);
+	begin(x, endpoint);
+	return STEP_MOVED;
+}
+
+/* No place looks free: waits in the line of the best endpoint. */
+static step_t stand_in_line(exchange_t *x, pimento_usec_t now)
+{
+	directory_endpoint_t *endpoint = NULL;
+
+	if (!x->engine ||
+	    place(x, true, now, &endpoint) != PLACEMENT_FOUND ||
+	    !is_kept(x, endpoint, now))
+		return STEP_STAYS;
+	return ask_for_place(x, endpoint, now);
+}
+
+static step_t step(exchange_t *x, pimento_usec_t now)
+{
+	directory_endpoint_t *endpoint = NULL;
+
+	switch (place(x, false, now, &endpoint)) {
+	case PLACEMENT_FOUND:
+		return take_place(x, endpoint, now);
+	case PLACEMENT_FULL:
+		return stand_in_line(x, now);
+	case PLACEMENT_NONE:
+	default:
+		if (!x->tried_count)
+			return STEP_STAYS;
+		no_more_endpoints(x);
+		return STEP_MOVED;
+	}
+}
+
+/* Returns true if a request has left the line, which is then looked at anew. */
 static bool pump_once(gateway_service_t *service, pimento_usec_t now)
 {
 	for (waitline_item_t *item = service->line.first; item;
 	     item = item->next) {
 		exchange_t *x = (exchange_t *)item;
-		directory_endpoint_t *endpoint = NULL;
-		placement_verdict_t verdict = place(x, now, &endpoint);
-
-		if (verdict == PLACEMENT_FOUND) {
-			begin(x, endpoint);
-			return true;
-		}
-		if (verdict == PLACEMENT_NONE && x->tried_count) {
-			no_more_endpoints(x);
+		bool first_try = !x->tried_count;
+		step_t what;
+
+		if (x->ticket)
+			continue;
+		if (service->asks >= ASKS_AT_ONCE)
+			return false;
+		what = step(x, now);
+		if (what == STEP_MOVED)
 			return true;
-		}
-		if (!x->tried_count)
-			return false; /* those behind it find no place either */
+		if (what == STEP_STAYS && first_try)
+			return false; /* those behind it find none either */
 	}
 	return false;
 }
@@ -351,8 +475,51 @@
 	return now - x->event_at > most;
 }
 
+/* Ends an ask that was not answered, or has waited long enough. */
+static void sweep_ask(exchange_t *x, pimento_usec_t now)
+{
+	if (!x->in_line && now - x->asked_at > ASK_SILENT)
+		x->asked->keeper_silent_until = now + KEEPER_SILENT;
+	else if (now - x->asked_at < ASK_MOST)
+		return;
+	dispatch_unask(x);
+}
+
+static exchange_t *find_ticket(const gateway_t *gateway, uint64_t ticket)
+{
+	for (exchange_t *x = gateway->exchanges; x; x = x->next)
+		if (x->ticket == ticket)
+			return x;
+	return NULL;
+}
+
+void gateway_replied(gateway_t *gateway, const packet_reply_t *reply)
+{
+	exchange_t *x = find_ticket(gateway, reply->ticket);
+	pimento_usec_t now = sys_now();
+
+	if (!x)
+		return; /* over meanwhile, and released */
+	x->in_line = true;
+	x->asked->told_running = reply->running;
+	x->asked->told_waiting = reply->waiting;
+	x->asked->told_at = now;
+	if (!reply->granted || x->state != EXCHANGE_WAITING)
+		return;
+	if (x == gateway->asking) {
+		x->given = true; /* this host is the keeper */
+		return;
+	}
+	if (directory_takes(x->asked, now))
+		begin(x, x->asked);
+	else
+		dispatch_unask(x);
+}
+
 bool dispatch_sweep(exchange_t *x, pimento_usec_t now)
 {
+	if (x->state == EXCHANGE_WAITING && x->ticket)
+		sweep_ask(x, now);
 	if (x->state == EXCHANGE_CONNECTING &&
 	    now - x->conn->since > CONNECT_MOST) {
 		pace_unreachable(&x->endpoint->pace, now);
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -35,6 +35,12 @@
 	pimento_usec_t spent; /* by earlier attempts of its caller */
 	pimento_usec_t end; /* caller's deadline or route's timeout */
 	bool end_is_timeout;
+	/* A place that was asked for, and then holds. */
+	uint64_t ticket; /* 0: none */
+	directory_endpoint_t *asked; /* where; held */
+	pimento_usec_t asked_at;
+	bool in_line; /* the keeper has answered */
+	bool given; /* it granted a place while it was being asked */
 	/* The attempt under way. */
 	httpc_t *conn;
 	directory_endpoint_t *endpoint;
@@ -96,6 +102,8 @@
 void dispatch_init(gateway_t *gateway);
 /* Ends an attempt that is overdue; returns true if it did. */
 bool dispatch_sweep(exchange_t *exchange, pimento_usec_t now);
+/* Gives up what was asked for, granted or not. */
+void dispatch_unask(exchange_t *exchange);
 /* The attempt ended well; its connection rests. */
 void dispatch_done(exchange_t *exchange);
 
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -31,6 +31,9 @@
  */
 #define PATIENCE_USUAL 0.8
 
+/* A keeper's word counts more than notes for so long. */
+#define TOLD_AGE (300 * PIMENTO_MSEC)
+
 /* A caller told to come back while this host itself is not able. */
 #define COME_BACK_SOON (300 * PIMENTO_MSEC)
 
@@ -155,6 +158,7 @@
 	if (x->state == EXCHANGE_WAITING && service)
 		waitline_remove(&service->line, &x->wait);
 	dispatch_abandon(x);
+	dispatch_unask(x);
 	if (x->caller)
 		x->caller->user = NULL;
 	if (x->next)
@@ -603,6 +607,12 @@
 		roster_load_t load = roster_load(gateway->roster, e->key, now);
 
 		e->elsewhere = load.running;
+		if (now - e->told_at < TOLD_AGE)
+			e->elsewhere = e->told_running > e->running ?
+						     e->told_running - e->running :
+						     0;
+		else
+			e->told_waiting = 0;
 		e->reading_elsewhere = load.reading;
 		pool_sweep(e, now);
 	}
@@ -657,6 +667,7 @@
 	gateway->directory = setup->directory;
 	gateway->roster = setup->roster;
 	gateway->mirror = setup->mirror;
+	gateway->keeping = setup->keeping;
 	gateway->draws = sys_random();
 	allotment_init(&gateway->allotment, setup->bounds.allotment_window,
 		       setup->first_start);
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -54,14 +54,16 @@
 static void send_note(mesh_t *mesh, roster_note_t *note, roster_peer_t *peer)
 {
 	net_address_t to = { peer->address, mesh->note_port };
-	uint8_t bytes[ROSTER_NOTE_BYTES];
+	uint8_t bytes[PACKET_BYTES];
 	pimento_usec_t now = sys_now();
+	packet_t packet = { .kind = PACKET_NOTE };
 	int length;
 
 	note->stamp = now;
 	note->echo = peer->their_stamp;
 	note->age = mirror_age(mesh->mirror, now);
-	length = roster_pack(note, bytes, sizeof(bytes));
+	packet.as.note = *note;
+	length = packet_pack(&packet, bytes, sizeof(bytes));
 	if (length < 0)
 		return;
 	/* A note that cannot be sent now is as good as lost on the way. */
@@ -89,29 +91,39 @@
 		send_note(mesh, &note, targets[i]);
 }
 
-static void take_note(mesh_t *mesh, const uint8_t *bytes, size_t length)
+static void take_note(mesh_t *mesh, const roster_note_t *note,
+		      pimento_usec_t now)
 {
-	pimento_usec_t now = sys_now();
 	pimento_usec_t fresh;
-	roster_note_t note;
 
-	if (roster_unpack(&note, bytes, length))
-		return;
 	mesh->notes_in++;
-	if (!roster_receive(mesh->roster, &note, now, &fresh))
+	if (!roster_receive(mesh->roster, note, now, &fresh))
 		return;
 	if (fresh != INT64_MIN)
-		mirror_confirm(mesh->mirror, note.revision, fresh);
-	for (uint32_t i = 0; i < note.use_count; i++)
-		if (allotment_hear(mesh->allotment, note.address,
-				   note.incarnation, &note.uses[i], now))
+		mirror_confirm(mesh->mirror, note->revision, fresh);
+	for (uint32_t i = 0; i < note->use_count; i++)
+		if (allotment_hear(mesh->allotment, note->address,
+				   note->incarnation, &note->uses[i], now))
 			return; /* no memory; the next note says it again */
 }
 
+static void take_packet(mesh_t *mesh, const uint8_t *bytes, size_t length)
+{
+	pimento_usec_t now = sys_now();
+	packet_t packet;
+
+	if (packet_unpack(&packet, bytes, length))
+		return;
+	if (packet.kind == PACKET_NOTE)
+		take_note(mesh, &packet.as.note, now);
+	else
+		keeping_take(mesh->keeping, &packet, now);
+}
+
 static void on_datagram(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	mesh_t *mesh = watcher->data;
-	uint8_t bytes[ROSTER_NOTE_BYTES];
+	uint8_t bytes[PACKET_BYTES];
 
 	(void)loop;
 	(void)events;
@@ -121,7 +133,7 @@
 
 		if (got < 0)
 			return;
-		take_note(mesh, bytes, (size_t)got);
+		take_packet(mesh, bytes, (size_t)got);
 	}
 }
 
@@ -353,6 +365,7 @@
 {
 	mesh->allotment->hear_every =
 		TICK * (1 + mesh->roster->count / MESH_TARGETS);
+	keeping_tick(mesh->keeping, now);
 	send_notes(mesh, now);
 	catch_up(mesh, now);
 	httpd_sweep(&mesh->server, now);
@@ -399,10 +412,13 @@
 	mesh->mirror = setup->mirror;
 	mesh->directory = setup->directory;
 	mesh->allotment = setup->allotment;
+	mesh->keeping = setup->keeping;
 	text_init(&mesh->fetched);
 	fd = net_datagram(&notes);
 	if (fd < 0)
 		return fd;
+	mesh->keeping->fd = fd;
+	mesh->keeping->port = setup->note_port;
 	ev_io_init(&mesh->datagrams, on_datagram, fd, EV_READ);
 	mesh->datagrams.data = mesh;
 	ev_io_start(mesh->loop, &mesh->datagrams);
--- a/src/directory.h
+++ b/src/directory.h
@@ -28,6 +28,10 @@
 	uint32_t reading; /* tokens of prompts that are not answered yet */
 	uint32_t elsewhere; /* both, of all peers, as they last said */
 	uint32_t reading_elsewhere;
+	uint32_t told_running; /* by all hosts, as its keeper said */
+	uint32_t told_waiting;
+	pimento_usec_t told_at; /* 0 never */
+	pimento_usec_t keeper_silent_until; /* it did not answer lately */
 	pace_t pace;
 	void *connections; /* of the I/O layer, which alone looks at it */
 } directory_endpoint_t;
--- /dev/null
+++ b/src/grants.c
@@ -0,0 +1,232 @@
+/*
+ * The line of an endpoint is a short unsorted array: a host asks for a few of
+ * its most urgent requests only, and looks at them anew several times a second.
+ */
+
+#include "grants.h"
+
+#include <stdlib.h>
+
+/*
+ * A host's word may have been written before it got a grant that is younger
+ * than this: a tick, the way, and a note's turn.
+ */
+#define WORD_AGE (1500 * PIMENTO_MSEC)
+
+/*
+ * A host that has just become a keeper has granted nothing, though places are
+ * taken. Requests last some seconds at most times; after that its own count is
+ * the better one.
+ */
+#define NEW_KEEPER (2 * PIMENTO_SEC)
+
+void grants_init(grants_t *grants)
+{
+	*grants = (grants_t){ 0 };
+}
+
+void grants_finish(grants_t *grants)
+{
+	for (uint32_t i = 0; i < grants->count; i++)
+		free(grants->endpoints[i].entries);
+	free(grants->endpoints);
+}
+
+static grants_endpoint_t *find(const grants_t *grants, uint32_t endpoint)
+{
+	for (uint32_t i = 0; i < grants->count; i++)
+		if (grants->endpoints[i].endpoint == endpoint)
+			return &grants->endpoints[i];
+	return NULL;
+}
+
+static grants_endpoint_t *find_or_add(grants_t *grants, uint32_t endpoint,
+				      pimento_usec_t now)
+{
+	grants_endpoint_t *e = find(grants, endpoint);
+
+	if (e)
+		return e;
+	e = realloc(grants->endpoints, (grants->count + 1) * sizeof(*e));
+	if (!e)
+		return NULL;
+	grants->endpoints = e;
+	e += grants->count++;
+	*e = (grants_endpoint_t){ .endpoint = endpoint, .since = now };
+	return e;
+}
+
+static grants_entry_t *add_entry(grants_endpoint_t *e)
+{
+	uint32_t size = e->size ? e->size * 2 : 16;
+	grants_entry_t *grown;
+
+	if (e->count == e->size) {
+		grown = realloc(e->entries, size * sizeof(*grown));
+		if (!grown)
+			return NULL;
+		e->entries = grown;
+		e->size = size;
+	}
+	return &e->entries[e->count++];
+}
+
+static void drop(grants_endpoint_t *e, uint32_t index)
+{
+	if (e->entries[index].granted)
+		e->granted--;
+	else
+		e->waiting--;
+	e->entries[index] = e->entries[--e->count];
+}
+
+int grants_ask(grants_t *grants, const grants_ask_t *ask, pimento_usec_t now)
+{
+	grants_endpoint_t *e = find_or_add(grants, ask->endpoint, now);
+	grants_entry_t *entry = e ? add_entry(e) : NULL;
+
+	if (!entry)
+		return PIMENTO_ENOMEM;
+	*entry = (grants_entry_t){ .ask = *ask,
+				   .granted = ask->sure,
+				   .since = now };
+	if (ask->sure)
+		e->granted++;
+	else
+		e->waiting++;
+	return 0;
+}
+
+bool grants_is_waiting(const grants_t *grants, const grants_ask_t *ask)
+{
+	const grants_endpoint_t *e = find(grants, ask->endpoint);
+
+	for (uint32_t i = 0; e && i < e->count; i++)
+		if (e->entries[i].ask.ticket == ask->ticket &&
+		    e->entries[i].ask.address == ask->address)
+			return !e->entries[i].granted;
+	return false;
+}
+
+void grants_release(grants_t *grants, uint32_t endpoint, uint32_t address,
+		    uint64_t ticket)
+{
+	grants_endpoint_t *e = find(grants, endpoint);
+
+	for (uint32_t i = 0; e && i < e->count; i++) {
+		const grants_ask_t *ask = &e->entries[i].ask;
+
+		if (ask->ticket == ticket && ask->address == address) {
+			drop(e, i);
+			return;
+		}
+	}
+}
+
+/* True if a goes before b: on time, then urgent, then first come. */
+static bool goes_before(const grants_entry_t *a, const grants_entry_t *b)
+{
+	if (a->ask.late != b->ask.late)
+		return b->ask.late;
+	if (a->ask.rank != b->ask.rank)
+		return a->ask.rank < b->ask.rank;
+	return a->since < b->since;
+}
+
+static void drop_expired(grants_endpoint_t *e, pimento_usec_t now)
+{
+	for (uint32_t i = e->count; i-- > 0;) {
+		const grants_entry_t *entry = &e->entries[i];
+
+		if (!entry->granted && now - entry->since > entry->ask.wait)
+			drop(e, i);
+	}
+}
+
+static grants_entry_t *first_waiting(grants_endpoint_t *e)
+{
+	grants_entry_t *first = NULL;
+
+	for (uint32_t i = 0; i < e->count; i++) {
+		grants_entry_t *entry = &e->entries[i];
+
+		if (!entry->granted && (!first || goes_before(entry, first)))
+			first = entry;
+	}
+	return first;
+}
+
+bool grants_next(grants_t *grants, uint32_t endpoint, grants_places_t places,
+		 pimento_usec_t now, grants_ask_t *granted)
+{
+	grants_endpoint_t *e = find(grants, endpoint);
+	grants_entry_t *first;
+
+	if (!e || !e->waiting)
+		return false;
+	drop_expired(e, now);
+	first = first_waiting(e);
+	if (!first || e->granted + e->uncounted >=
+			      (first->ask.late ? places.late : places.all))
+		return false;
+	first->granted = true;
+	first->since = now;
+	e->granted++;
+	e->waiting--;
+	*granted = first->ask;
+	return true;
+}
+
+void grants_hear_begin(grants_t *grants)
+{
+	for (uint32_t i = 0; i < grants->count; i++)
+		grants->endpoints[i].uncounted = 0;
+}
+
+void grants_hear(grants_t *grants, uint32_t endpoint, uint32_t address,
+		 uint32_t running, pimento_usec_t now)
+{
+	grants_endpoint_t *e = find_or_add(grants, endpoint, now);
+	uint32_t young = 0;
+	uint32_t old = 0;
+
+	for (uint32_t i = e ? e->count : 0; i-- > 0;) {
+		const grants_entry_t *entry = &e->entries[i];
+
+		if (entry->ask.address != address || !entry->granted)
+			continue;
+		if (now - entry->since < WORD_AGE)
+			young++;
+		else if (old + 1 > running)
+			drop(e, i);
+		else
+			old++;
+	}
+	/* Later its words are older than the releases that came meanwhile. */
+	if (e && now - e->since < NEW_KEEPER && running > young + old)
+		e->uncounted += running - young - old;
+}
+
+void grants_forget(grants_t *grants, uint32_t endpoint)
+{
+	grants_endpoint_t *e = find(grants, endpoint);
+
+	if (!e)
+		return;
+	free(e->entries);
+	*e = grants->endpoints[--grants->count];
+}
+
+uint32_t grants_running(const grants_t *grants, uint32_t endpoint)
+{
+	const grants_endpoint_t *e = find(grants, endpoint);
+
+	return e ? e->granted + e->uncounted : 0;
+}
+
+uint32_t grants_waiting(const grants_t *grants, uint32_t endpoint)
+{
+	const grants_endpoint_t *e = find(grants, endpoint);
+
+	return e ? e->waiting : 0;
+}
--- /dev/null
+++ b/src/grants.h
@@ -0,0 +1,93 @@
+#ifndef GRANTS_H
+#define GRANTS_H
+
+/*
+ * The places of endpoints that this host keeps count of for all hosts. With
+ * many hosts, notes are a second old; hosts that choose by them all send to
+ * what was free a second ago. So each endpoint has one host that counts, its
+ * keeper: the others ask it for a place, wait there in one line in order of
+ * urgency, and say when they have done.
+ *
+ * A grant is advice. A keeper that is frozen, cut off or gone grants nothing;
+ * who asks then goes by its own view.
+ */
+
+#include "../pimentoshelf.h"
+
+/* Who asks, and for what. */
+typedef struct grants_ask {
+	uint32_t endpoint; /* low half of its key */
+	uint32_t address; /* of the host that asks */
+	uint64_t ticket; /* chosen by that host, never used again */
+	uint64_t rank; /* urgency: less is more urgent */
+	bool late; /* cannot be on time any more */
+	bool sure; /* goes there anyway: is only to be counted */
+	pimento_usec_t wait; /* how long it waits in line */
+} grants_ask_t;
+
+typedef struct grants_entry {
+	grants_ask_t ask;
+	bool granted;
+	pimento_usec_t since; /* of the grant, or of the wait */
+} grants_entry_t;
+
+typedef struct grants_endpoint {
+	uint32_t endpoint;
+	pimento_usec_t since; /* this host keeps it */
+	uint32_t uncounted; /* in flight by hosts' own word, from before that */
+	uint32_t granted;
+	uint32_t waiting;
+	grants_entry_t *entries;
+	uint32_t count;
+	uint32_t size;
+} grants_endpoint_t;
+
+typedef struct grants {
+	grants_endpoint_t *endpoints;
+	uint32_t count;
+} grants_t;
+
+/* Places of an endpoint: for anybody, and for late requests. */
+typedef struct grants_places {
+	uint32_t all;
+	uint32_t late;
+} grants_places_t;
+
+void grants_init(grants_t *grants);
+void grants_finish(grants_t *grants);
+
+/* Takes a question in. Returns 0 or PIMENTO_ENOMEM; grants_next() answers. */
+int grants_ask(grants_t *grants, const grants_ask_t *ask, pimento_usec_t now);
+
+/* True if the ask is still in line. */
+bool grants_is_waiting(const grants_t *grants, const grants_ask_t *ask);
+
+/* The request is over, or does not want the place any more. */
+void grants_release(grants_t *grants, uint32_t endpoint, uint32_t address,
+		    uint64_t ticket);
+
+/*
+ * The next request of the line that gets a place; call until it returns false,
+ * after each ask and release.
+ */
+bool grants_next(grants_t *grants, uint32_t endpoint, grants_places_t places,
+		 pimento_usec_t now, grants_ask_t *granted);
+
+/*
+ * A host's own word on how many of its requests are in flight at an endpoint.
+ * Grants whose release was lost are dropped. For a new keeper, what it did not
+ * grant counts too.
+ */
+void grants_hear(grants_t *grants, uint32_t endpoint, uint32_t address,
+		 uint32_t running, pimento_usec_t now);
+/* Before the words of all hosts are heard anew. */
+void grants_hear_begin(grants_t *grants);
+
+/* This host does not keep the endpoint any more. */
+void grants_forget(grants_t *grants, uint32_t endpoint);
+
+/* In flight, and waiting; 0 for an endpoint that was never asked for. */
+uint32_t grants_running(const grants_t *grants, uint32_t endpoint);
+uint32_t grants_waiting(const grants_t *grants, uint32_t endpoint);
+
+#endif
--- /dev/null
+++ b/src/packet.c
@@ -0,0 +1,244 @@
+#include "packet.h"
+
+#include <string.h>
+
+#include "peer.pb-c.h"
+
+#define AGE_UNKNOWN UINT32_MAX
+
+typedef struct packed {
+	Peer__Load loads[ROSTER_LOADS_MAX];
+	Peer__Load *load_pointers[ROSTER_LOADS_MAX];
+	Peer__Use uses[ROSTER_USES_MAX];
+	Peer__Use *use_pointers[ROSTER_USES_MAX];
+} packed_t;
+
+static uint32_t age_msec(pimento_usec_t age)
+{
+	if (age < 0 || age / PIMENTO_MSEC + 1 >= AGE_UNKNOWN)
+		return AGE_UNKNOWN;
+	return (uint32_t)(age / PIMENTO_MSEC) + 1; /* never younger */
+}
+
+static uint64_t whole(double tokens)
+{
+	return tokens > 0 ? (uint64_t)tokens : 0;
+}
+
+static void point(Peer__Note *message, const roster_note_t *note,
+		  packed_t *packed)
+{
+	for (uint32_t i = 0; i < note->load_count; i++) {
+		peer__load__init(&packed->loads[i]);
+		packed->loads[i].endpoint = note->loads[i].endpoint;
+		packed->loads[i].running = note->loads[i].running;
+		packed->loads[i].reading = note->loads[i].reading;
+		packed->load_pointers[i] = &packed->loads[i];
+	}
+	for (uint32_t i = 0; i < note->use_count; i++) {
+		peer__use__init(&packed->uses[i]);
+		packed->uses[i].account = note->uses[i].account;
+		packed->uses[i].admitted = whole(note->uses[i].admitted);
+		packed->uses[i].level = whole(note->uses[i].level);
+		packed->use_pointers[i] = &packed->uses[i];
+	}
+	message->n_loads = note->load_count;
+	message->loads = packed->load_pointers;
+	message->n_uses = note->use_count;
+	message->uses = packed->use_pointers;
+}
+
+/* Encodes a packet whose parts live as long as this call. */
+static int encode(const Peer__Packet *message, uint8_t *bytes, size_t size)
+{
+	if (peer__packet__get_packed_size(message) > size)
+		return PIMENTO_ETOOBIG;
+	return (int)peer__packet__pack(message, bytes);
+}
+
+static int pack_note(const roster_note_t *note, uint8_t *bytes, size_t size)
+{
+	Peer__Packet message = PEER__PACKET__INIT;
+	Peer__Note said = PEER__NOTE__INIT;
+	packed_t packed;
+
+	said.address = note->address;
+	said.incarnation = note->incarnation;
+	said.stamp = (uint64_t)note->stamp;
+	said.echo = (uint64_t)note->echo;
+	said.fresh_age_ms = age_msec(note->age);
+	said.revision = note->revision;
+	said.reader = note->reader;
+	said.n_members = note->member_count;
+	said.members = (uint32_t *)note->members;
+	point(&said, note, &packed);
+	message.content_case = PEER__PACKET__CONTENT_NOTE;
+	message.note = &said;
+	return encode(&message, bytes, size);
+}
+
+static int pack_ask(const grants_ask_t *ask, uint8_t *bytes, size_t size)
+{
+	Peer__Packet message = PEER__PACKET__INIT;
+	Peer__Ask said = PEER__ASK__INIT;
+
+	said.endpoint = ask->endpoint;
+	said.address = ask->address;
+	said.ticket = ask->ticket;
+	said.rank = ask->rank;
+	said.late = ask->late;
+	said.sure = ask->sure;
+	said.wait_ms = (uint32_t)(ask->wait / PIMENTO_MSEC);
+	message.content_case = PEER__PACKET__CONTENT_ASK;
+	message.ask = &said;
+	return encode(&message, bytes, size);
+}
+
+static int pack_reply(const packet_reply_t *reply, uint8_t *bytes, size_t size)
+{
+	Peer__Packet message = PEER__PACKET__INIT;
+	Peer__Reply said = PEER__REPLY__INIT;
+
+	said.endpoint = reply->endpoint;
+	said.ticket = reply->ticket;
+	said.granted = reply->granted;
+	said.running = reply->running;
+	said.waiting = reply->waiting;
+	message.content_case = PEER__PACKET__CONTENT_REPLY;
+	message.reply = &said;
+	return encode(&message, bytes, size);
+}
+
+static int pack_release(const packet_release_t *release, uint8_t *bytes,
+			size_t size)
+{
+	Peer__Packet message = PEER__PACKET__INIT;
+	Peer__Release said = PEER__RELEASE__INIT;
+
+	said.endpoint = release->endpoint;
+	said.address = release->address;
+	said.ticket = release->ticket;
+	message.content_case = PEER__PACKET__CONTENT_RELEASE;
+	message.release = &said;
+	return encode(&message, bytes, size);
+}
+
+int packet_pack(const packet_t *packet, uint8_t *bytes, size_t size)
+{
+	switch (packet->kind) {
+	case PACKET_NOTE:
+		return pack_note(&packet->as.note, bytes, size);
+	case PACKET_ASK:
+		return pack_ask(&packet->as.ask, bytes, size);
+	case PACKET_REPLY:
+		return pack_reply(&packet->as.reply, bytes, size);
+	case PACKET_RELEASE:
+		return pack_release(&packet->as.release, bytes, size);
+	}
+	return PIMENTO_EINVAL;
+}
+
+static uint32_t least(size_t count, uint32_t most)
+{
+	return count < most ? (uint32_t)count : most;
+}
+
+static void copy_note(roster_note_t *note, const Peer__Note *message)
+{
+	*note = (roster_note_t){
+		.address = message->address,
+		.incarnation = message->incarnation,
+		.stamp = (pimento_usec_t)message->stamp,
+		.echo = (pimento_usec_t)message->echo,
+		.age = PIMENTO_NEVER,
+		.revision = message->revision,
+		.reader = message->reader != 0,
+		.load_count = least(message->n_loads, ROSTER_LOADS_MAX),
+		.use_count = least(message->n_uses, ROSTER_USES_MAX),
+		.member_count = least(message->n_members, ROSTER_MEMBERS_MAX),
+	};
+	if (message->fresh_age_ms != AGE_UNKNOWN)
+		note->age = message->fresh_age_ms * PIMENTO_MSEC;
+	for (uint32_t i = 0; i < note->load_count; i++) {
+		note->loads[i].endpoint = message->loads[i]->endpoint;
+		note->loads[i].running = message->loads[i]->running;
+		note->loads[i].reading = message->loads[i]->reading;
+	}
+	for (uint32_t i = 0; i < note->use_count; i++) {
+		note->uses[i].account = message->uses[i]->account;
+		note->uses[i].admitted = (double)message->uses[i]->admitted;
+		note->uses[i].level = (double)message->uses[i]->level;
+	}
+	for (uint32_t i = 0; i < note->member_count; i++)
+		note->members[i] = message->members[i];
+}
+
+static void copy_ask(grants_ask_t *ask, const Peer__Ask *message)
+{
+	*ask = (grants_ask_t){
+		.endpoint = message->endpoint,
+		.address = message->address,
+		.ticket = message->ticket,
+		.rank = message->rank,
+		.late = message->late != 0,
+		.sure = message->sure != 0,
+		.wait = message->wait_ms * PIMENTO_MSEC,
+	};
+}
+
+static void copy_reply(packet_reply_t *reply, const Peer__Reply *message)
+{
+	*reply = (packet_reply_t){
+		.endpoint = message->endpoint,
+		.ticket = message->ticket,
+		.granted = message->granted != 0,
+		.running = message->running,
+		.waiting = message->waiting,
+	};
+}
+
+static void copy_release(packet_release_t *release,
+			 const Peer__Release *message)
+{
+	*release = (packet_release_t){
+		.endpoint = message->endpoint,
+		.address = message->address,
+		.ticket = message->ticket,
+	};
+}
+
+static int copy(packet_t *packet, const Peer__Packet *message)
+{
+	switch (message->content_case) {
+	case PEER__PACKET__CONTENT_NOTE:
+		packet->kind = PACKET_NOTE;
+		copy_note(&packet->as.note, message->note);
+		return 0;
+	case PEER__PACKET__CONTENT_ASK:
+		packet->kind = PACKET_ASK;
+		copy_ask(&packet->as.ask, message->ask);
+		return 0;
+	case PEER__PACKET__CONTENT_REPLY:
+		packet->kind = PACKET_REPLY;
+		copy_reply(&packet->as.reply, message->reply);
+		return 0;
+	case PEER__PACKET__CONTENT_RELEASE:
+		packet->kind = PACKET_RELEASE;
+		copy_release(&packet->as.release, message->release);
+		return 0;
+	default:
+		return PIMENTO_EPARSE; /* of a later version, or rubbish */
+	}
+}
+
+int packet_unpack(packet_t *packet, const uint8_t *bytes, size_t length)
+{
+	Peer__Packet *message = peer__packet__unpack(NULL, length, bytes);
+	int error;
+
+	if (!message)
+		return PIMENTO_EPARSE;
+	error = copy(packet, message);
+	peer__packet__free_unpacked(message, NULL);
+	return error;
+}
--- /dev/null
+++ b/src/packet.h
@@ -0,0 +1,51 @@
+#ifndef PACKET_H
+#define PACKET_H
+
+/*
+ * The datagrams between entry hosts, typed. src/peer.proto is their encoding;
+ * what comes from the network is bounded before it is copied.
+ */
+
+#include "grants.h"
+#include "roster.h"
+
+/* Bytes of an encoded packet, below the least MTU in use. */
+#define PACKET_BYTES 1400
+
+typedef enum packet_kind {
+	PACKET_NOTE,
+	PACKET_ASK,
+	PACKET_REPLY,
+	PACKET_RELEASE
+} packet_kind_t;
+
+typedef struct packet_reply {
+	uint32_t endpoint;
+	uint64_t ticket;
+	bool granted;
+	uint32_t running; /* in flight at the endpoint, by all hosts */
+	uint32_t waiting;
+} packet_reply_t;
+
+typedef struct packet_release {
+	uint32_t endpoint;
+	uint32_t address;
+	uint64_t ticket;
+} packet_release_t;
+
+typedef struct packet {
+	packet_kind_t kind;
+	union {
+		roster_note_t note;
+		grants_ask_t ask;
+		packet_reply_t reply;
+		packet_release_t release;
+	} as;
+} packet_t;
+
+/* Returns the bytes written, or a negative error. */
+int packet_pack(const packet_t *packet, uint8_t *bytes, size_t size);
+/* Returns 0 or PIMENTO_EPARSE. */
+int packet_unpack(packet_t *packet, const uint8_t *bytes, size_t length);
+
+#endif
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -232,6 +232,186 @@
   assert(message->base.descriptor == &peer__snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__ask__init
+                     (Peer__Ask         *message)
+{
+  static const Peer__Ask init_value = PEER__ASK__INIT;
+  *message = init_value;
+}
+size_t peer__ask__get_packed_size
+                     (const Peer__Ask *message)
+{
+  assert(message->base.descriptor == &peer__ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__ask__pack
+                     (const Peer__Ask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__ask__pack_to_buffer
+                     (const Peer__Ask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Ask *
+       peer__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Ask *)
+     protobuf_c_message_unpack (&peer__ask__descriptor,
+                                allocator, len, data);
+}
+void   peer__ask__free_unpacked
+                     (Peer__Ask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__reply__init
+                     (Peer__Reply         *message)
+{
+  static const Peer__Reply init_value = PEER__REPLY__INIT;
+  *message = init_value;
+}
+size_t peer__reply__get_packed_size
+                     (const Peer__Reply *message)
+{
+  assert(message->base.descriptor == &peer__reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__reply__pack
+                     (const Peer__Reply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__reply__pack_to_buffer
+                     (const Peer__Reply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Reply *
+       peer__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Reply *)
+     protobuf_c_message_unpack (&peer__reply__descriptor,
+                                allocator, len, data);
+}
+void   peer__reply__free_unpacked
+                     (Peer__Reply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__release__init
+                     (Peer__Release         *message)
+{
+  static const Peer__Release init_value = PEER__RELEASE__INIT;
+  *message = init_value;
+}
+size_t peer__release__get_packed_size
+                     (const Peer__Release *message)
+{
+  assert(message->base.descriptor == &peer__release__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__release__pack
+                     (const Peer__Release *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__release__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__release__pack_to_buffer
+                     (const Peer__Release *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__release__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Release *
+       peer__release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Release *)
+     protobuf_c_message_unpack (&peer__release__descriptor,
+                                allocator, len, data);
+}
+void   peer__release__free_unpacked
+                     (Peer__Release *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__release__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer__packet__init
+                     (Peer__Packet         *message)
+{
+  static const Peer__Packet init_value = PEER__PACKET__INIT;
+  *message = init_value;
+}
+size_t peer__packet__get_packed_size
+                     (const Peer__Packet *message)
+{
+  assert(message->base.descriptor == &peer__packet__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__packet__pack
+                     (const Peer__Packet *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__packet__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__packet__pack_to_buffer
+                     (const Peer__Packet *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__packet__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Packet *
+       peer__packet__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Packet *)
+     protobuf_c_message_unpack (&peer__packet__descriptor,
+                                allocator, len, data);
+}
+void   peer__packet__free_unpacked
+                     (Peer__Packet *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__packet__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor peer__load__field_descriptors[3] =
 {
   {
@@ -630,3 +810,350 @@
   (ProtobufCMessageInit) peer__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__ask__field_descriptors[7] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ask, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ask, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ask, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ask, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ask, late),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sure",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ask, sure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Ask, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__ask__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = endpoint */
+  4,   /* field[4] = late */
+  3,   /* field[3] = rank */
+  5,   /* field[5] = sure */
+  2,   /* field[2] = ticket */
+  6,   /* field[6] = wait_ms */
+};
+static const ProtobufCIntRange peer__ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor peer__ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Ask",
+  "Ask",
+  "Peer__Ask",
+  "peer",
+  sizeof(Peer__Ask),
+  7,
+  peer__ask__field_descriptors,
+  peer__ask__field_indices_by_name,
+  1,  peer__ask__number_ranges,
+  (ProtobufCMessageInit) peer__ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__reply__field_descriptors[5] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Reply, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Reply, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Reply, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Reply, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Reply, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__reply__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = granted */
+  3,   /* field[3] = running */
+  1,   /* field[1] = ticket */
+  4,   /* field[4] = waiting */
+};
+static const ProtobufCIntRange peer__reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Reply",
+  "Reply",
+  "Peer__Reply",
+  "peer",
+  sizeof(Peer__Reply),
+  5,
+  peer__reply__field_descriptors,
+  peer__reply__field_indices_by_name,
+  1,  peer__reply__number_ranges,
+  (ProtobufCMessageInit) peer__reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__release__field_descriptors[3] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Release, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Release, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Release, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__release__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = ticket */
+};
+static const ProtobufCIntRange peer__release__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__release__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Release",
+  "Release",
+  "Peer__Release",
+  "peer",
+  sizeof(Peer__Release),
+  3,
+  peer__release__field_descriptors,
+  peer__release__field_indices_by_name,
+  1,  peer__release__number_ranges,
+  (ProtobufCMessageInit) peer__release__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__packet__field_descriptors[4] =
+{
+  {
+    "note",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Packet, content_case),
+    offsetof(Peer__Packet, note),
+    &peer__note__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Packet, content_case),
+    offsetof(Peer__Packet, ask),
+    &peer__ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Packet, content_case),
+    offsetof(Peer__Packet, reply),
+    &peer__reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Packet, content_case),
+    offsetof(Peer__Packet, release),
+    &peer__release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__packet__field_indices_by_name[] = {
+  1,   /* field[1] = ask */
+  0,   /* field[0] = note */
+  3,   /* field[3] = release */
+  2,   /* field[2] = reply */
+};
+static const ProtobufCIntRange peer__packet__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__packet__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Packet",
+  "Packet",
+  "Peer__Packet",
+  "peer",
+  sizeof(Peer__Packet),
+  4,
+  peer__packet__field_descriptors,
+  peer__packet__field_indices_by_name,
+  1,  peer__packet__number_ranges,
+  (ProtobufCMessageInit) peer__packet__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -20,6 +20,10 @@
 typedef struct Peer__Note Peer__Note;
 typedef struct Peer__Record Peer__Record;
 typedef struct Peer__Snapshot Peer__Snapshot;
+typedef struct Peer__Ask Peer__Ask;
+typedef struct Peer__Reply Peer__Reply;
+typedef struct Peer__Release Peer__Release;
+typedef struct Peer__Packet Peer__Packet;
 
 
 /* --- enums --- */
@@ -133,6 +137,91 @@
     , 0, 0,NULL }
 
 
+/*
+ * Asks the keeper of an endpoint for a place there.
+ */
+struct  Peer__Ask
+{
+  ProtobufCMessage base;
+  uint32_t endpoint;
+  /*
+   * of the sender
+   */
+  uint32_t address;
+  uint64_t ticket;
+  /*
+   * less is more urgent
+   */
+  uint64_t rank;
+  protobuf_c_boolean late;
+  /*
+   * only to be counted; no answer is wanted
+   */
+  protobuf_c_boolean sure;
+  uint32_t wait_ms;
+};
+#define PEER__ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__ask__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The keeper's answer: at once, and again when a place is granted later.
+ */
+struct  Peer__Reply
+{
+  ProtobufCMessage base;
+  uint32_t endpoint;
+  uint64_t ticket;
+  protobuf_c_boolean granted;
+  uint32_t running;
+  uint32_t waiting;
+};
+#define PEER__REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__reply__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+struct  Peer__Release
+{
+  ProtobufCMessage base;
+  uint32_t endpoint;
+  uint32_t address;
+  uint64_t ticket;
+};
+#define PEER__RELEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__release__descriptor) \
+    , 0, 0, 0 }
+
+
+typedef enum {
+  PEER__PACKET__CONTENT__NOT_SET = 0,
+  PEER__PACKET__CONTENT_NOTE = 1,
+  PEER__PACKET__CONTENT_ASK = 2,
+  PEER__PACKET__CONTENT_REPLY = 3,
+  PEER__PACKET__CONTENT_RELEASE = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__PACKET__CONTENT__CASE)
+} Peer__Packet__ContentCase;
+
+/*
+ * One datagram.
+ */
+struct  Peer__Packet
+{
+  ProtobufCMessage base;
+  Peer__Packet__ContentCase content_case;
+  union {
+    Peer__Note *note;
+    Peer__Ask *ask;
+    Peer__Reply *reply;
+    Peer__Release *release;
+  };
+};
+#define PEER__PACKET__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__packet__descriptor) \
+    , PEER__PACKET__CONTENT__NOT_SET, {0} }
+
+
 /* Peer__Load methods */
 void   peer__load__init
                      (Peer__Load         *message);
@@ -228,6 +317,82 @@
 void   peer__snapshot__free_unpacked
                      (Peer__Snapshot *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Ask methods */
+void   peer__ask__init
+                     (Peer__Ask         *message);
+size_t peer__ask__get_packed_size
+                     (const Peer__Ask   *message);
+size_t peer__ask__pack
+                     (const Peer__Ask   *message,
+                      uint8_t             *out);
+size_t peer__ask__pack_to_buffer
+                     (const Peer__Ask   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Ask *
+       peer__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__ask__free_unpacked
+                     (Peer__Ask *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Reply methods */
+void   peer__reply__init
+                     (Peer__Reply         *message);
+size_t peer__reply__get_packed_size
+                     (const Peer__Reply   *message);
+size_t peer__reply__pack
+                     (const Peer__Reply   *message,
+                      uint8_t             *out);
+size_t peer__reply__pack_to_buffer
+                     (const Peer__Reply   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Reply *
+       peer__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__reply__free_unpacked
+                     (Peer__Reply *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Release methods */
+void   peer__release__init
+                     (Peer__Release         *message);
+size_t peer__release__get_packed_size
+                     (const Peer__Release   *message);
+size_t peer__release__pack
+                     (const Peer__Release   *message,
+                      uint8_t             *out);
+size_t peer__release__pack_to_buffer
+                     (const Peer__Release   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Release *
+       peer__release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__release__free_unpacked
+                     (Peer__Release *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Packet methods */
+void   peer__packet__init
+                     (Peer__Packet         *message);
+size_t peer__packet__get_packed_size
+                     (const Peer__Packet   *message);
+size_t peer__packet__pack
+                     (const Peer__Packet   *message,
+                      uint8_t             *out);
+size_t peer__packet__pack_to_buffer
+                     (const Peer__Packet   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Packet *
+       peer__packet__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__packet__free_unpacked
+                     (Peer__Packet *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Peer__Load_Closure)
@@ -245,6 +410,18 @@
 typedef void (*Peer__Snapshot_Closure)
                  (const Peer__Snapshot *message,
                   void *closure_data);
+typedef void (*Peer__Ask_Closure)
+                 (const Peer__Ask *message,
+                  void *closure_data);
+typedef void (*Peer__Reply_Closure)
+                 (const Peer__Reply *message,
+                  void *closure_data);
+typedef void (*Peer__Release_Closure)
+                 (const Peer__Release *message,
+                  void *closure_data);
+typedef void (*Peer__Packet_Closure)
+                 (const Peer__Packet *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -256,6 +433,10 @@
 extern const ProtobufCMessageDescriptor peer__note__descriptor;
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
 extern const ProtobufCMessageDescriptor peer__snapshot__descriptor;
+extern const ProtobufCMessageDescriptor peer__ask__descriptor;
+extern const ProtobufCMessageDescriptor peer__reply__descriptor;
+extern const ProtobufCMessageDescriptor peer__release__descriptor;
+extern const ProtobufCMessageDescriptor peer__packet__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/placement.c
+++ b/src/placement.c
@@ -30,6 +30,14 @@
 
 /* Cost of a full batch against an empty one, in parts of the first event. */
 #define LOAD_COST 0.8
+/* Cost of each request that waits in the endpoint's line. */
+#define LINE_COST 0.3
+/*
+ * Below this part of the slots a request goes at once and is only counted: an
+ * endpoint cannot fill up by surprise from there, and asking would cost the
+ * first event some milliseconds.
+ */
+#define CALM_PART 0.5
 /* Random part of the cost. */
 #define SPREAD 0.15
 /* An endpoint elsewhere: a link of a millisecond, and bytes are priced. */
@@ -46,14 +54,24 @@
 /* Used when no answer has been seen: microseconds to a first answer. */
 #define UNKNOWN_FIRST 50000.0
 
+grants_places_t placement_places(const directory_endpoint_t *endpoint)
+{
+	return (grants_places_t){
+		.all = endpoint->slots + ENGINE_BEYOND,
+		.late = (uint32_t)(endpoint->slots * LATE_PART),
+	};
+}
+
 static uint32_t places(const directory_endpoint_t *endpoint,
 		       const placement_request_t *request)
 {
-	if (request->late)
-		return (uint32_t)(endpoint->slots * LATE_PART);
-	if (request->engine)
-		return endpoint->slots + ENGINE_BEYOND;
-	return endpoint->slots + PLAIN_BEYOND;
+	grants_places_t engine = placement_places(endpoint);
+
+	if (request->in_line)
+		return UINT32_MAX;
+	if (!request->engine)
+		return endpoint->slots + PLAIN_BEYOND;
+	return request->late ? engine.late : engine.all;
 }
 
 static uint32_t in_flight(const directory_endpoint_t *endpoint)
@@ -61,6 +79,11 @@
 	return endpoint->running + endpoint->elsewhere;
 }
 
+bool placement_is_calm(const directory_endpoint_t *endpoint)
+{
+	return in_flight(endpoint) < (uint32_t)(endpoint->slots * CALM_PART);
+}
+
 static bool was_tried(const placement_request_t *request, pimento_id_t key)
 {
 	for (uint32_t i = 0; i < request->tried_count; i++)
@@ -130,6 +153,7 @@
 	double first = expect_first(endpoint, service, request);
 
 	first *= 1 + LOAD_COST * load;
+	first *= 1 + LINE_COST * (double)endpoint->told_waiting;
 	first *= 1 + FAILING_COST * endpoint->pace.failing;
 	first *= 1 + SPREAD * chance(request->draw, endpoint->key);
 	if (!same_text(endpoint->datacentre, request->datacentre))
--- a/src/placement.h
+++ b/src/placement.h
@@ -7,6 +7,7 @@
  */
 
 #include "directory.h"
+#include "grants.h"
 
 #define PLACEMENT_TRIED_MAX 8
 
@@ -21,6 +22,7 @@
 	const char *datacentre; /* of this host; nearer endpoints are cheaper */
 	const pimento_id_t *tried; /* endpoints that had this request */
 	uint32_t tried_count;
+	bool in_line; /* full ones too: it is to wait at the best of them */
 	uint64_t draw; /* random, to spread hosts that see the same */
 } placement_request_t;
 
@@ -40,6 +42,12 @@
 				     pimento_usec_t now,
 				     directory_endpoint_t **endpoint);
 
+/* Places of an engine, for whoever keeps count of them. */
+grants_places_t placement_places(const directory_endpoint_t *endpoint);
+
+/* True if so little is in flight there that nobody need be asked. */
+bool placement_is_calm(const directory_endpoint_t *endpoint);
+
 /* Places of a service: taken counts requests in flight anywhere. */
 typedef struct placement_room {
 	uint32_t places;
--- a/src/roster.c
+++ b/src/roster.c
@@ -12,7 +12,7 @@
 #include <string.h>
 
 /* A peer's counts are believed for so long; notes come every 100 ms or so. */
-#define BELIEVED (2 * PIMENTO_SEC)
+#define BELIEVED (2500 * PIMENTO_MSEC)
 /* A peer that was not heard for this long is only tried now and then. */
 #define QUIET (5 * PIMENTO_SEC)
 /* A host that never answered, or was silent as long, is dropped. */
@@ -222,6 +222,44 @@
 	return draw % roster_hosts(roster, now) < ROSTER_READERS - readers;
 }
 
+/* Mixed so that each endpoint orders the hosts in another way. */
+static uint64_t keeper_weight(pimento_id_t endpoint, uint32_t address)
+{
+	uint64_t z = endpoint ^ (address * 0x9e3779b97f4a7c15u);
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+	return z ^ (z >> 31);
+}
+
+uint32_t roster_keeper(const roster_t *roster, pimento_id_t endpoint,
+		       pimento_usec_t now)
+{
+	uint32_t keeper = roster->self;
+	uint64_t most = keeper_weight(endpoint, keeper);
+
+	for (uint32_t i = 0; i < roster->count; i++) {
+		const roster_peer_t *peer = roster->peers[i];
+		uint64_t weight = keeper_weight(endpoint, peer->address);
+
+		if (weight > most && roster_believed(peer, now)) {
+			most = weight;
+			keeper = peer->address;
+		}
+	}
+	return keeper;
+}
+
+uint32_t roster_peer_running(const roster_peer_t *peer, pimento_id_t endpoint,
+			     pimento_usec_t now)
+{
+	for (uint32_t i = 0; i < peer->load_count; i++)
+		if (peer->loads[i].endpoint == (uint32_t)endpoint)
+			return roster_believed(peer, now) ?
+					     peer->loads[i].running :
+					     0;
+	return 0;
+}
+
 roster_load_t roster_load(const roster_t *roster, pimento_id_t endpoint,
 			  pimento_usec_t now)
 {
--- a/src/roster.h
+++ b/src/roster.h
@@ -19,8 +19,6 @@
  * about once in 4,000 if each loses every third answer.
  */
 #define ROSTER_READERS 8
-/* Bytes of an encoded note, below the least MTU in use. */
-#define ROSTER_NOTE_BYTES 1400
 
 typedef struct roster_load {
 	uint32_t endpoint; /* low half of its key */
@@ -94,6 +92,10 @@
 /* True if the peer has been heard lately enough to believe its counts. */
 bool roster_believed(const roster_peer_t *peer, pimento_usec_t now);
 
+/* Requests that a peer has in flight at an endpoint; 0 if not believed. */
+uint32_t roster_peer_running(const roster_peer_t *peer, pimento_id_t endpoint,
+			     pimento_usec_t now);
+
 /* What believed peers have in flight at an endpoint, added up. */
 roster_load_t roster_load(const roster_t *roster, pimento_id_t endpoint,
 			  pimento_usec_t now);
@@ -106,8 +108,11 @@
 bool roster_should_read(const roster_t *roster, bool reader, uint64_t draw,
 			pimento_usec_t now);
 
-/* Encoding of a note: returns its bytes, or a negative error. */
-int roster_pack(const roster_note_t *note, uint8_t *bytes, size_t size);
-int roster_unpack(roster_note_t *note, const uint8_t *bytes, size_t length);
+/*
+ * The host that keeps count of an endpoint's places: the same for all hosts
+ * that hear the same peers, and for others mostly. May be this host.
+ */
+uint32_t roster_keeper(const roster_t *roster, pimento_id_t endpoint,
+		       pimento_usec_t now);
 
 #endif
--- a/test/test_roster.c
+++ b/test/test_roster.c
@@ -1,6 +1,6 @@
 /* What hosts hear of each other, and how far it may be believed. */
 
-#include "roster.h"
+#include "packet.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -163,8 +163,9 @@
 
 START_TEST(a_note_survives_its_encoding)
 {
-	uint8_t bytes[ROSTER_NOTE_BYTES];
+	uint8_t bytes[PACKET_BYTES];
 	roster_note_t note = note_of(PEER, 123456);
+	packet_t packet = { .kind = PACKET_NOTE };
 	roster_note_t read;
 	int length;
 
@@ -179,15 +180,17 @@
 		note.loads[i] = (roster_load_t){ i, i + 1, i * 1000 };
 	for (uint32_t i = 0; i < ROSTER_USES_MAX; i++)
 		note.uses[i] = (allotment_word_t){ i, 1e7 + i, 2e5 };
-	length = roster_pack(&note, bytes, sizeof(bytes));
+	packet.as.note = note;
+	length = packet_pack(&packet, bytes, sizeof(bytes));
 	ck_assert_int_gt(length, 0);
-	ck_assert_int_eq(roster_unpack(&read, bytes, (size_t)length), 0);
+	ck_assert_int_eq(packet_unpack(&packet, bytes, (size_t)length), 0);
+	read = packet.as.note;
 	ck_assert_uint_eq(read.loads[5].reading, 5000);
 	ck_assert_double_eq(read.uses[3].admitted, 1e7 + 3);
 	ck_assert_int_ge(read.age, note.age); /* never younger */
 	ck_assert_uint_eq(read.revision, note.revision);
 	ck_assert(read.reader);
-	ck_assert_int_eq(roster_unpack(&read, bytes, (size_t)length - 1),
+	ck_assert_int_eq(packet_unpack(&packet, bytes, (size_t)length - 1),
 			 PIMENTO_EPARSE);
 }
 END_TEST
