keeping: speeds and absences of engines are told by their keepers

Ruled out: shorter sight of the store (records lapse after 3.6 s). Change: the end of a request tells its keeper the mean pause or that nobody was there; the keeper's word carries speed, shunning and doubt; one in doubt is tried by one request at a time.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -43,6 +43,9 @@
 /* Requests of one service in line at keepers; the others wait here. */
 #define ASKS_AT_ONCE 16
 
+/* Events of a stream whose mean pause says something of the endpoint. */
+#define EVENTS_TO_JUDGE 4
+
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
 
@@ -54,6 +57,16 @@
 
 /* Asking keepers for places. */
 
+/* Mean pause between the events of this attempt; 0 if there were too few. */
+static pimento_usec_t mean_gap(const exchange_t *x)
+{
+	uint32_t events = x->events.count - x->events_before;
+
+	if (events < EVENTS_TO_JUDGE || x->event_at <= x->first_event_at)
+		return 0;
+	return (x->event_at - x->first_event_at) / (events - 1);
+}
+
 void dispatch_unask(exchange_t *x)
 {
 	directory_endpoint_t *endpoint = x->asked;
@@ -62,7 +75,12 @@
 		return;
 	if (x->state == EXCHANGE_WAITING)
 		x->service->asks--;
-	keeping_release(x->gateway->keeping, endpoint, x->ticket, sys_now());
+	keeping_release(x->gateway->keeping, endpoint,
+			&(packet_release_t){ .ticket = x->ticket,
+					     .gap_us = (uint32_t)mean_gap(x),
+					     .unreached = x->unreached },
+			sys_now());
+	x->unreached = false;
 	endpoint->holders--;
 	x->ticket = 0;
 	x->asked = NULL;
@@ -192,6 +210,7 @@
 	x->state = EXCHANGE_SENT;
 	x->sent_at = now;
 	x->event_at = now;
+	x->events_before = x->events.count;
 	x->load = x->endpoint->running + x->endpoint->elsewhere;
 	x->arrivals++;
 	x->runs++;
@@ -448,6 +467,7 @@
 	service = directory_service(x->gateway->directory, x->service->key);
 	if (why == HTTPC_UNREACHED || x->state == EXCHANGE_CONNECTING) {
 		verdict = PIMENTO_NOT_RUN;
+		x->unreached = true;
 		pace_unreachable(&x->endpoint->pace, sys_now());
 	} else if (x->reused && why == HTTPC_BROKEN && !conn->status) {
 		pool_stale(conn, x->rested);
@@ -501,9 +521,7 @@
 	if (!x)
 		return; /* over meanwhile, and released */
 	x->in_line = true;
-	x->asked->told_running = reply->running;
-	x->asked->told_waiting = reply->waiting;
-	x->asked->told_at = now;
+	directory_told(x->asked, &reply->word, now);
 	if (!reply->granted || x->state != EXCHANGE_WAITING)
 		return;
 	if (x == gateway->asking) {
@@ -522,6 +540,7 @@
 		sweep_ask(x, now);
 	if (x->state == EXCHANGE_CONNECTING &&
 	    now - x->conn->since > CONNECT_MOST) {
+		x->unreached = true;
 		pace_unreachable(&x->endpoint->pace, now);
 		dispatch_over(x, PIMENTO_NOT_RUN, 0, "connect_timeout");
 		return true;
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -40,6 +40,7 @@
 	directory_endpoint_t *asked; /* where; held */
 	pimento_usec_t asked_at;
 	bool in_line; /* the keeper has answered */
+	bool unreached; /* the endpoint was not there */
 	bool given; /* it granted a place while it was being asked */
 	/* The attempt under way. */
 	httpc_t *conn;
@@ -52,6 +53,8 @@
 	uint32_t ahead; /* tokens of prompts that were to be read before */
 	uint32_t reading; /* of its own prompt, until the answer begins */
 	pimento_usec_t event_at; /* last event */
+	pimento_usec_t first_event_at; /* of this attempt */
+	uint32_t events_before; /* it began */
 	pimento_usec_t pause_most; /* the longest between two events */
 	/* All attempts. */
 	pimento_id_t tried[PLACEMENT_TRIED_MAX];
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -31,8 +31,11 @@
  */
 #define PATIENCE_USUAL 0.8
 
-/* A keeper's word counts more than notes for so long. */
-#define TOLD_AGE (300 * PIMENTO_MSEC)
+/*
+ * A keeper's word counts more than the sum of what hosts say of themselves, for
+ * as long as the keeper's next word may take with a hundred hosts.
+ */
+#define TOLD_AGE (1500 * PIMENTO_MSEC)
 
 /* A caller told to come back while this host itself is not able. */
 #define COME_BACK_SOON (300 * PIMENTO_MSEC)
@@ -608,11 +611,11 @@
 
 		e->elsewhere = load.running;
 		if (now - e->told_at < TOLD_AGE)
-			e->elsewhere = e->told_running > e->running ?
-						     e->told_running - e->running :
+			e->elsewhere = e->told.running > e->told_own ?
+						     e->told.running - e->told_own :
 						     0;
 		else
-			e->told_waiting = 0;
+			e->told.waiting = 0;
 		e->reading_elsewhere = load.reading;
 		pool_sweep(e, now);
 	}
--- a/io/keeping.h
+++ b/io/keeping.h
@@ -33,8 +33,15 @@
 /* Asks the endpoint's keeper; its answer comes by replied(), maybe at once. */
 void keeping_ask(keeping_t *keeping, const directory_endpoint_t *endpoint,
 		 grants_ask_t *ask, pimento_usec_t now);
+/* The request is over; ticket, gap and failure are the caller's to fill. */
 void keeping_release(keeping_t *keeping, const directory_endpoint_t *endpoint,
-		     uint64_t ticket, pimento_usec_t now);
+		     const packet_release_t *release, pimento_usec_t now);
+
+/* What this host's note says of the endpoints that it keeps. */
+void keeping_say(const keeping_t *keeping, roster_note_t *note,
+		 pimento_usec_t now);
+void keeping_hear(keeping_t *keeping, const roster_note_t *note,
+		  pimento_usec_t now);
 
 /* A datagram of another host. */
 void keeping_take(keeping_t *keeping, const packet_t *packet,
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -85,6 +85,7 @@
 	add_loads(mesh, &note);
 	note.use_count =
 		allotment_say(mesh->allotment, note.uses, ROSTER_USES_MAX);
+	keeping_say(mesh->keeping, &note, now);
 	roster_members(mesh->roster, now, &note);
 	count = roster_targets(mesh->roster, now, MESH_TARGETS, targets);
 	for (uint32_t i = 0; i < count; i++)
@@ -101,6 +102,7 @@
 		return;
 	if (fresh != INT64_MIN)
 		mirror_confirm(mesh->mirror, note->revision, fresh);
+	keeping_hear(mesh->keeping, note, now);
 	for (uint32_t i = 0; i < note->use_count; i++)
 		if (allotment_hear(mesh->allotment, note->address,
 				   note->incarnation, &note->uses[i], now))
--- a/io/relay.c
+++ b/io/relay.c
@@ -123,6 +123,7 @@
 		pace_full(&x->endpoint->pace, sys_now());
 	else
 		pace_unreachable(&x->endpoint->pace, sys_now());
+	x->unreached = !full;
 	dispatch_over(x, PIMENTO_NOT_RUN, status,
 		      full ? "endpoint_full" : "other_endpoint");
 }
@@ -211,10 +212,12 @@
 	if (!whole)
 		return;
 	x->gateway->counters.events += x->events.count - before;
-	if (x->event_at == x->sent_at)
+	if (x->event_at == x->sent_at) {
+		x->first_event_at = now;
 		learn_first(x, now);
-	else
+	} else {
 		learn_gap(x, x->events.count - before, now);
+	}
 	x->event_at = now;
 	httpd_write(x->caller, x->events.partial.bytes, (size_t)whole);
 	events_drop(&x->events, (size_t)whole);
--- a/src/directory.c
+++ b/src/directory.c
@@ -127,6 +127,21 @@
 	endpoint->gone_at = gone_at;
 }
 
+void directory_told(directory_endpoint_t *endpoint,
+		    const directory_word_t *word, pimento_usec_t now)
+{
+	pimento_usec_t shunned = now + word->shunned_ms * PIMENTO_MSEC;
+
+	endpoint->told = *word;
+	endpoint->told_own = endpoint->running;
+	endpoint->told_at = now;
+	/* The keeper hears from all hosts; this one has seen a few streams. */
+	if (word->gap_us)
+		endpoint->pace.gap = word->gap_us;
+	if (word->shunned_ms && endpoint->pace.shunned_until < shunned)
+		endpoint->pace.shunned_until = shunned;
+}
+
 void directory_sweep(directory_t *directory, pimento_usec_t now)
 {
 	uint32_t kept = 0;
--- a/src/directory.h
+++ b/src/directory.h
@@ -9,6 +9,15 @@
 
 #include "pace.h"
 
+/* What the keeper of an endpoint says of it. */
+typedef struct directory_word {
+	uint32_t running; /* requests in flight, of all hosts */
+	uint32_t waiting; /* in its line */
+	uint32_t gap_us; /* between events of a stream there; 0 unknown */
+	uint32_t shunned_ms; /* gets no new work for so long */
+	bool doubtful; /* was not reached, and has not answered since */
+} directory_word_t;
+
 typedef struct directory_endpoint {
 	char id[PIMENTO_NAME_MAX];
 	pimento_id_t key; /* of the id */
@@ -28,8 +37,8 @@
 	uint32_t reading; /* tokens of prompts that are not answered yet */
 	uint32_t elsewhere; /* both, of all peers, as they last said */
 	uint32_t reading_elsewhere;
-	uint32_t told_running; /* by all hosts, as its keeper said */
-	uint32_t told_waiting;
+	directory_word_t told;
+	uint32_t told_own; /* running from this host, at that moment */
 	pimento_usec_t told_at; /* 0 never */
 	pimento_usec_t keeper_silent_until; /* it did not answer lately */
 	pace_t pace;
@@ -83,6 +92,10 @@
 directory_service_t *directory_service(directory_t *directory,
 				       pimento_id_t key);
 
+/* Takes the word of an endpoint's keeper. */
+void directory_told(directory_endpoint_t *endpoint,
+		    const directory_word_t *word, pimento_usec_t now);
+
 /* Drops endpoints that are gone and that nobody holds. */
 void directory_sweep(directory_t *directory, pimento_usec_t now);
 
--- a/src/grants.c
+++ b/src/grants.c
@@ -217,6 +217,11 @@
 	*e = grants->endpoints[--grants->count];
 }
 
+bool grants_is_kept(const grants_t *grants, uint32_t endpoint)
+{
+	return find(grants, endpoint) != NULL;
+}
+
 uint32_t grants_running(const grants_t *grants, uint32_t endpoint)
 {
 	const grants_endpoint_t *e = find(grants, endpoint);
--- a/src/grants.h
+++ b/src/grants.h
@@ -86,6 +86,9 @@
 /* This host does not keep the endpoint any more. */
 void grants_forget(grants_t *grants, uint32_t endpoint);
 
+/* True if anybody has asked or said a word about it. */
+bool grants_is_kept(const grants_t *grants, uint32_t endpoint);
+
 /* In flight, and waiting; 0 for an endpoint that was never asked for. */
 uint32_t grants_running(const grants_t *grants, uint32_t endpoint);
 uint32_t grants_waiting(const grants_t *grants, uint32_t endpoint);
--- a/src/pace.c
+++ b/src/pace.c
@@ -14,6 +14,9 @@
 /* Weight of a new sample: events come by the hundred, answers one by one. */
 #define GAP_WEIGHT 0.02
 #define SERVICE_GAP_WEIGHT 0.002
+/* The same for the mean of a stream of some ten events. */
+#define GAP_MEAN_WEIGHT 0.15
+#define SERVICE_GAP_MEAN_WEIGHT 0.02
 #define FIRST_WEIGHT 0.1
 #define FAILING_WEIGHT 0.08
 #define SERVICE_FAILING_WEIGHT 0.02
@@ -57,6 +60,12 @@
 	blend(&service->gap, (double)gap, SERVICE_GAP_WEIGHT);
 }
 
+void pace_gap_mean(pace_t *pace, pace_service_t *service, pimento_usec_t gap)
+{
+	blend(&pace->gap, (double)gap, GAP_MEAN_WEIGHT);
+	blend(&service->gap, (double)gap, SERVICE_GAP_MEAN_WEIGHT);
+}
+
 double pace_slowness(const pace_t *pace, const pace_service_t *service)
 {
 	double slowness = 1;
--- a/src/pace.h
+++ b/src/pace.h
@@ -32,6 +32,8 @@
 
 /* An event came gap after the one before. */
 void pace_gap(pace_t *pace, pace_service_t *service, pimento_usec_t gap);
+/* The mean of a whole stream, as another host has seen it. */
+void pace_gap_mean(pace_t *pace, pace_service_t *service, pimento_usec_t gap);
 /*
  * The answer began after span; prompt counts its tokens and those of prompts
  * that were to be read before.
--- a/src/packet.c
+++ b/src/packet.c
@@ -11,6 +11,8 @@
 	Peer__Load *load_pointers[ROSTER_LOADS_MAX];
 	Peer__Use uses[ROSTER_USES_MAX];
 	Peer__Use *use_pointers[ROSTER_USES_MAX];
+	Peer__Kept kept[ROSTER_KEPT_MAX];
+	Peer__Kept *kept_pointers[ROSTER_KEPT_MAX];
 } packed_t;
 
 static uint32_t age_msec(pimento_usec_t age)
@@ -42,6 +44,18 @@
 		packed->uses[i].level = whole(note->uses[i].level);
 		packed->use_pointers[i] = &packed->uses[i];
 	}
+	for (uint32_t i = 0; i < note->kept_count; i++) {
+		peer__kept__init(&packed->kept[i]);
+		packed->kept[i].endpoint = note->kept[i].endpoint;
+		packed->kept[i].running = note->kept[i].word.running;
+		packed->kept[i].waiting = note->kept[i].word.waiting;
+		packed->kept[i].gap_us = note->kept[i].word.gap_us;
+		packed->kept[i].shunned_ms = note->kept[i].word.shunned_ms;
+		packed->kept[i].doubtful = note->kept[i].word.doubtful;
+		packed->kept_pointers[i] = &packed->kept[i];
+	}
+	message->n_kept = note->kept_count;
+	message->kept = packed->kept_pointers;
 	message->n_loads = note->load_count;
 	message->loads = packed->load_pointers;
 	message->n_uses = note->use_count;
@@ -102,8 +116,11 @@
 	said.endpoint = reply->endpoint;
 	said.ticket = reply->ticket;
 	said.granted = reply->granted;
-	said.running = reply->running;
-	said.waiting = reply->waiting;
+	said.running = reply->word.running;
+	said.waiting = reply->word.waiting;
+	said.gap_us = reply->word.gap_us;
+	said.shunned_ms = reply->word.shunned_ms;
+	said.doubtful = reply->word.doubtful;
 	message.content_case = PEER__PACKET__CONTENT_REPLY;
 	message.reply = &said;
 	return encode(&message, bytes, size);
@@ -118,6 +135,8 @@
 	said.endpoint = release->endpoint;
 	said.address = release->address;
 	said.ticket = release->ticket;
+	said.gap_us = release->gap_us;
+	said.unreached = release->unreached;
 	message.content_case = PEER__PACKET__CONTENT_RELEASE;
 	message.release = &said;
 	return encode(&message, bytes, size);
@@ -155,6 +174,7 @@
 		.reader = message->reader != 0,
 		.load_count = least(message->n_loads, ROSTER_LOADS_MAX),
 		.use_count = least(message->n_uses, ROSTER_USES_MAX),
+		.kept_count = least(message->n_kept, ROSTER_KEPT_MAX),
 		.member_count = least(message->n_members, ROSTER_MEMBERS_MAX),
 	};
 	if (message->fresh_age_ms != AGE_UNKNOWN)
@@ -169,6 +189,15 @@
 		note->uses[i].admitted = (double)message->uses[i]->admitted;
 		note->uses[i].level = (double)message->uses[i]->level;
 	}
+	for (uint32_t i = 0; i < note->kept_count; i++)
+		note->kept[i] = (roster_kept_t){
+			.endpoint = message->kept[i]->endpoint,
+			.word = { .running = message->kept[i]->running,
+				  .waiting = message->kept[i]->waiting,
+				  .gap_us = message->kept[i]->gap_us,
+				  .shunned_ms = message->kept[i]->shunned_ms,
+				  .doubtful = message->kept[i]->doubtful != 0 },
+		};
 	for (uint32_t i = 0; i < note->member_count; i++)
 		note->members[i] = message->members[i];
 }
@@ -192,8 +221,11 @@
 		.endpoint = message->endpoint,
 		.ticket = message->ticket,
 		.granted = message->granted != 0,
-		.running = message->running,
-		.waiting = message->waiting,
+		.word = { .running = message->running,
+			  .waiting = message->waiting,
+			  .gap_us = message->gap_us,
+			  .shunned_ms = message->shunned_ms,
+			  .doubtful = message->doubtful != 0 },
 	};
 }
 
@@ -204,6 +236,8 @@
 		.endpoint = message->endpoint,
 		.address = message->address,
 		.ticket = message->ticket,
+		.gap_us = message->gap_us,
+		.unreached = message->unreached != 0,
 	};
 }
 
--- a/src/packet.h
+++ b/src/packet.h
@@ -23,14 +23,15 @@
 	uint32_t endpoint;
 	uint64_t ticket;
 	bool granted;
-	uint32_t running; /* in flight at the endpoint, by all hosts */
-	uint32_t waiting;
+	directory_word_t word;
 } packet_reply_t;
 
 typedef struct packet_release {
 	uint32_t endpoint;
 	uint32_t address;
 	uint64_t ticket;
+	uint32_t gap_us; /* mean that the request has seen; 0 none */
+	bool unreached; /* the endpoint was not there */
 } packet_release_t;
 
 typedef struct packet {
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &peer__use__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__kept__init
+                     (Peer__Kept         *message)
+{
+  static const Peer__Kept init_value = PEER__KEPT__INIT;
+  *message = init_value;
+}
+size_t peer__kept__get_packed_size
+                     (const Peer__Kept *message)
+{
+  assert(message->base.descriptor == &peer__kept__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__kept__pack
+                     (const Peer__Kept *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__kept__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__kept__pack_to_buffer
+                     (const Peer__Kept *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__kept__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Kept *
+       peer__kept__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Kept *)
+     protobuf_c_message_unpack (&peer__kept__descriptor,
+                                allocator, len, data);
+}
+void   peer__kept__free_unpacked
+                     (Peer__Kept *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__kept__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__note__init
                      (Peer__Note         *message)
 {
@@ -540,7 +585,110 @@
   (ProtobufCMessageInit) peer__use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__note__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer__kept__field_descriptors[6] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Kept, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Kept, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Kept, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gap_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Kept, gap_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shunned_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Kept, shunned_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "doubtful",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Kept, doubtful),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__kept__field_indices_by_name[] = {
+  5,   /* field[5] = doubtful */
+  0,   /* field[0] = endpoint */
+  3,   /* field[3] = gap_us */
+  1,   /* field[1] = running */
+  4,   /* field[4] = shunned_ms */
+  2,   /* field[2] = waiting */
+};
+static const ProtobufCIntRange peer__kept__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer__kept__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Kept",
+  "Kept",
+  "Peer__Kept",
+  "peer",
+  sizeof(Peer__Kept),
+  6,
+  peer__kept__field_descriptors,
+  peer__kept__field_indices_by_name,
+  1,  peer__kept__number_ranges,
+  (ProtobufCMessageInit) peer__kept__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__note__field_descriptors[11] =
 {
   {
     "address",
@@ -662,12 +810,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Note, n_kept),
+    offsetof(Peer__Note, kept),
+    &peer__kept__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__note__field_indices_by_name[] = {
   0,   /* field[0] = address */
   3,   /* field[3] = echo */
   4,   /* field[4] = fresh_age_ms */
   1,   /* field[1] = incarnation */
+  10,   /* field[10] = kept */
   6,   /* field[6] = loads */
   8,   /* field[8] = members */
   9,   /* field[9] = reader */
@@ -678,7 +839,7 @@
 static const ProtobufCIntRange peer__note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer__note__descriptor =
 {
@@ -688,7 +849,7 @@
   "Peer__Note",
   "peer",
   sizeof(Peer__Note),
-  10,
+  11,
   peer__note__field_descriptors,
   peer__note__field_indices_by_name,
   1,  peer__note__number_ranges,
@@ -926,7 +1087,7 @@
   (ProtobufCMessageInit) peer__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__reply__field_descriptors[8] =
 {
   {
     "endpoint",
@@ -988,18 +1149,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gap_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Reply, gap_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shunned_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Reply, shunned_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "doubtful",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Reply, doubtful),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__reply__field_indices_by_name[] = {
+  7,   /* field[7] = doubtful */
   0,   /* field[0] = endpoint */
+  5,   /* field[5] = gap_us */
   2,   /* field[2] = granted */
   3,   /* field[3] = running */
+  6,   /* field[6] = shunned_ms */
   1,   /* field[1] = ticket */
   4,   /* field[4] = waiting */
 };
 static const ProtobufCIntRange peer__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__reply__descriptor =
 {
@@ -1009,14 +1209,14 @@
   "Peer__Reply",
   "peer",
   sizeof(Peer__Reply),
-  5,
+  8,
   peer__reply__field_descriptors,
   peer__reply__field_indices_by_name,
   1,  peer__reply__number_ranges,
   (ProtobufCMessageInit) peer__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__release__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__release__field_descriptors[5] =
 {
   {
     "endpoint",
@@ -1054,16 +1254,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gap_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Release, gap_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unreached",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Release, unreached),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__release__field_indices_by_name[] = {
   1,   /* field[1] = address */
   0,   /* field[0] = endpoint */
+  3,   /* field[3] = gap_us */
   2,   /* field[2] = ticket */
+  4,   /* field[4] = unreached */
 };
 static const ProtobufCIntRange peer__release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__release__descriptor =
 {
@@ -1073,7 +1299,7 @@
   "Peer__Release",
   "peer",
   sizeof(Peer__Release),
-  3,
+  5,
   peer__release__field_descriptors,
   peer__release__field_indices_by_name,
   1,  peer__release__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Peer__Load Peer__Load;
 typedef struct Peer__Use Peer__Use;
+typedef struct Peer__Kept Peer__Kept;
 typedef struct Peer__Note Peer__Note;
 typedef struct Peer__Record Peer__Record;
 typedef struct Peer__Snapshot Peer__Snapshot;
@@ -73,6 +74,33 @@
     , 0, 0, 0 }
 
 
+struct  Peer__Kept
+{
+  ProtobufCMessage base;
+  uint32_t endpoint;
+  /*
+   * by all hosts, as its keeper, the sender, counts
+   */
+  uint32_t running;
+  uint32_t waiting;
+  /*
+   * between events of a stream there; 0 unknown
+   */
+  uint32_t gap_us;
+  /*
+   * gets no new work for so long
+   */
+  uint32_t shunned_ms;
+  /*
+   * was not reached, and has not answered since
+   */
+  protobuf_c_boolean doubtful;
+};
+#define PEER__KEPT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__kept__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
 struct  Peer__Note
 {
   ProtobufCMessage base;
@@ -107,10 +135,12 @@
    * it reads the platform's store, with success
    */
   protobuf_c_boolean reader;
+  size_t n_kept;
+  Peer__Kept **kept;
 };
 #define PEER__NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__note__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Peer__Record
@@ -176,10 +206,22 @@
   protobuf_c_boolean granted;
   uint32_t running;
   uint32_t waiting;
+  /*
+   * between events of a stream there; 0 unknown
+   */
+  uint32_t gap_us;
+  /*
+   * gets no new work for so long
+   */
+  uint32_t shunned_ms;
+  /*
+   * was not reached, and has not answered since
+   */
+  protobuf_c_boolean doubtful;
 };
 #define PEER__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__reply__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__Release
@@ -188,10 +230,18 @@
   uint32_t endpoint;
   uint32_t address;
   uint64_t ticket;
+  /*
+   * mean that the request has seen; 0 none
+   */
+  uint32_t gap_us;
+  /*
+   * the endpoint was not there
+   */
+  protobuf_c_boolean unreached;
 };
 #define PEER__RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__release__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 typedef enum {
@@ -260,6 +310,25 @@
 void   peer__use__free_unpacked
                      (Peer__Use *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Kept methods */
+void   peer__kept__init
+                     (Peer__Kept         *message);
+size_t peer__kept__get_packed_size
+                     (const Peer__Kept   *message);
+size_t peer__kept__pack
+                     (const Peer__Kept   *message,
+                      uint8_t             *out);
+size_t peer__kept__pack_to_buffer
+                     (const Peer__Kept   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Kept *
+       peer__kept__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__kept__free_unpacked
+                     (Peer__Kept *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Note methods */
 void   peer__note__init
                      (Peer__Note         *message);
@@ -401,6 +470,9 @@
 typedef void (*Peer__Use_Closure)
                  (const Peer__Use *message,
                   void *closure_data);
+typedef void (*Peer__Kept_Closure)
+                 (const Peer__Kept *message,
+                  void *closure_data);
 typedef void (*Peer__Note_Closure)
                  (const Peer__Note *message,
                   void *closure_data);
@@ -430,6 +502,7 @@
 
 extern const ProtobufCMessageDescriptor peer__load__descriptor;
 extern const ProtobufCMessageDescriptor peer__use__descriptor;
+extern const ProtobufCMessageDescriptor peer__kept__descriptor;
 extern const ProtobufCMessageDescriptor peer__note__descriptor;
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
 extern const ProtobufCMessageDescriptor peer__snapshot__descriptor;
--- a/src/placement.c
+++ b/src/placement.c
@@ -30,6 +30,8 @@
 
 /* Cost of a full batch against an empty one, in parts of the first event. */
 #define LOAD_COST 0.8
+/* One that was not reached looks idle; the others are worth more of a wait. */
+#define DOUBT_COST 5.0
 /* Cost of each request that waits in the endpoint's line. */
 #define LINE_COST 0.3
 /*
@@ -81,6 +83,8 @@
 
 bool placement_is_calm(const directory_endpoint_t *endpoint)
 {
+	if (endpoint->told.doubtful || endpoint->pace.failures)
+		return false; /* its keeper lets one at a time find out */
 	return in_flight(endpoint) < (uint32_t)(endpoint->slots * CALM_PART);
 }
 
@@ -153,7 +157,9 @@
 	double first = expect_first(endpoint, service, request);
 
 	first *= 1 + LOAD_COST * load;
-	first *= 1 + LINE_COST * (double)endpoint->told_waiting;
+	first *= 1 + LINE_COST * (double)endpoint->told.waiting;
+	if (endpoint->told.doubtful)
+		first *= DOUBT_COST;
 	first *= 1 + FAILING_COST * endpoint->pace.failing;
 	first *= 1 + SPREAD * chance(request->draw, endpoint->key);
 	if (!same_text(endpoint->datacentre, request->datacentre))
--- a/src/roster.h
+++ b/src/roster.h
@@ -8,10 +8,12 @@
  */
 
 #include "allotment.h"
+#include "directory.h"
 
 /* A note has room for this many; more would not fit one datagram. */
 #define ROSTER_LOADS_MAX 64
 #define ROSTER_USES_MAX 24
+#define ROSTER_KEPT_MAX 16
 #define ROSTER_MEMBERS_MAX 12
 /*
  * Hosts that read the store. Each change costs a call of each, and the store's
@@ -26,6 +28,12 @@
 	uint32_t reading; /* tokens of prompts without an answer yet */
 } roster_load_t;
 
+/* What the keeper of an endpoint says of it. */
+typedef struct roster_kept {
+	uint32_t endpoint;
+	directory_word_t word;
+} roster_kept_t;
+
 typedef struct roster_note {
 	uint32_t address; /* IPv4, host byte order */
 	uint64_t incarnation;
@@ -37,6 +45,8 @@
 	uint32_t load_count;
 	uint32_t use_count;
 	uint32_t member_count;
+	uint32_t kept_count;
+	roster_kept_t kept[ROSTER_KEPT_MAX];
 	roster_load_t loads[ROSTER_LOADS_MAX];
 	allotment_word_t uses[ROSTER_USES_MAX];
 	uint32_t members[ROSTER_MEMBERS_MAX];
