ctl: pimentoctl explain, one request's story out of the logs

Cause: on-call engineers have logs of many hosts and one id. Ruled out: a page on the hosts (they keep nothing). Change: explain ID [FILE...] prints the lines that name the request in order of time, and what the last reason means.

--- a/daemon/ctl.h
+++ b/daemon/ctl.h
@@ -20,6 +20,7 @@
 int ctl_burn(int argc, char **argv);
 int ctl_check(int argc, char **argv);
 int ctl_diff(int argc, char **argv);
+int ctl_explain(int argc, char **argv);
 int ctl_generate(int argc, char **argv);
 int ctl_hash_key(int argc, char **argv);
 int ctl_send(int argc, char **argv);
--- a/daemon/pimentoctl.c
+++ b/daemon/pimentoctl.c
@@ -20,6 +20,7 @@
 	{ "status", ctl_status, "hosts, endpoints, owners, waiting requests" },
 	{ "send", ctl_send, "send a request, print answer and verdict" },
 	{ "burn", ctl_burn, "service-level burn per tier" },
+	{ "explain", ctl_explain, "one request's story out of the logs" },
 };
 
 #define COMMANDS (sizeof(commands) / sizeof(commands[0]))
--- /dev/null
+++ b/src/explain.c
@@ -0,0 +1,174 @@
+#include "explain.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define VALUE_BYTES 96
+
+static const struct {
+	const char *why;
+	const char *meaning;
+} meanings[] = {
+	{ "-", "the answer was passed on whole" },
+	{ "allotment", "the account was over its allotment over all hosts; the "
+		       "line of part=allotment gives rate, burst and level" },
+	{ "broken", "the connection to the endpoint broke before the answer "
+		    "was whole" },
+	{ "caller_left", "the caller closed its connection first; look at "
+			 "waited_ms and first_ms for what it waited for" },
+	{ "connect_timeout", "the endpoint did not take the connection" },
+	{ "connection_dead", "a kept connection was dead; nothing was sent" },
+	{ "copy_too_old", "this host had not heard from the platform, nor from "
+			  "a peer that had, for longer than a revoked key may "
+			  "live; look at copy_age_ms and part=store" },
+	{ "deadline", "the caller's own deadline passed" },
+	{ "endpoint_failed", "the endpoint ran the request and failed it" },
+	{ "endpoint_full", "the endpoint said that it has no room" },
+	{ "endpoint_left", "the endpoint left while the connection was made" },
+	{ "endpoints_failed", "each endpoint that may be tried has failed it" },
+	{ "endpoints_full", "each endpoint that may be tried has no room" },
+	{ "event_too_big", "one event of the stream was beyond all bounds" },
+	{ "garbled", "the endpoint sent bytes that are no answer" },
+	{ "memory", "this host ran out of memory" },
+	{ "no_connection", "this host could open no further connection" },
+	{ "no_id", "the request had no id" },
+	{ "no_place", "no endpoint had a free place in time; look at waiting, "
+		      "late and the load of the service" },
+	{ "no_route", "no route of the configuration matches; look at config" },
+	{ "no_time", "too little time was left to send it" },
+	{ "other_endpoint", "another process has the endpoint's address now" },
+	{ "route_timeout", "the route's timeout passed" },
+	{ "silent", "the endpoint sent nothing for far longer than the goal" },
+	{ "stopping", "this host is stopping and takes no new requests" },
+	{ "stream_torn", "the stream ended in the middle of an event" },
+	{ "unfit_answer", "the answer was not the endpoint's own, or its "
+			  "promise \"not run\" could not be trusted" },
+	{ "unknown_key", "no account holds the key; look at config" },
+	{ "unreached", "nobody answered at the endpoint's address" },
+};
+
+const char *explain_why(const char *why)
+{
+	for (size_t i = 0; i < sizeof(meanings) / sizeof(meanings[0]); i++)
+		if (strcmp(meanings[i].why, why) == 0)
+			return meanings[i].meaning;
+	return NULL;
+}
+
+void explain_init(explain_t *explain, const char *id)
+{
+	*explain = (explain_t){ .id = id };
+}
+
+void explain_finish(explain_t *explain)
+{
+	for (uint32_t i = 0; i < explain->count; i++)
+		free(explain->lines[i]);
+	free(explain->lines);
+}
+
+/* The value of a key in a line, into value; "" if it has none. */
+static void value_of(const char *line, const char *key, char value[VALUE_BYTES])
+{
+	size_t length = strlen(key);
+	const char *at = line;
+
+	value[0] = '\0';
+	while ((at = strstr(at, key))) {
+		bool starts = at == line || at[-1] == ' ';
+		size_t span;
+
+		at += length;
+		if (!starts || *at != '=')
+			continue;
+		span = strcspn(++at, " \n");
+		if (span >= VALUE_BYTES)
+			span = VALUE_BYTES - 1;
+		memcpy(value, at, span);
+		value[span] = '\0';
+		return;
+	}
+}
+
+static bool is_of(const char *line, const char *id)
+{
+	char value[VALUE_BYTES];
+
+	value_of(line, "id", value);
+	return strcmp(value, id) == 0;
+}
+
+static void keep(explain_t *explain, const char *line)
+{
+	uint32_t size = explain->size ? explain->size * 2 : 8;
+	char *copy = strdup(line);
+
+	if (explain->count == explain->size && copy) {
+		char **grown = realloc(explain->lines, size * sizeof(char *));
+
+		if (!grown) {
+			free(copy);
+			copy = NULL;
+		} else {
+			explain->lines = grown;
+			explain->size = size;
+		}
+	}
+	if (!copy) {
+		explain->failed = true;
+		return;
+	}
+	copy[strcspn(copy, "\n")] = '\0';
+	explain->lines[explain->count++] = copy;
+}
+
+void explain_line(explain_t *explain, const char *line)
+{
+	if (is_of(line, explain->id))
+		keep(explain, line);
+}
+
+static double time_of(const char *line)
+{
+	char value[VALUE_BYTES];
+
+	value_of(line, "at", value);
+	return strtod(value, NULL);
+}
+
+static int by_time(const void *a, const void *b)
+{
+	double x = time_of(*(char *const *)a);
+	double y = time_of(*(char *const *)b);
+
+	return x < y ? -1 : x > y;
+}
+
+static void write_cause(const explain_t *explain, text_t *text)
+{
+	const char *last = explain->lines[explain->count - 1];
+	char why[VALUE_BYTES];
+	char event[VALUE_BYTES];
+	char host[VALUE_BYTES];
+	const char *meaning;
+
+	value_of(last, "why", why);
+	value_of(last, "event", event);
+	value_of(last, "host", host);
+	meaning = explain_why(why);
+	text_add(text, "%s at %s: %s (%s)\n", event, host,
+		 meaning ? meaning : "not known to this program", why);
+}
+
+int explain_write(explain_t *explain, text_t *text)
+{
+	if (explain->failed)
+		return PIMENTO_ENOMEM;
+	if (!explain->count)
+		return 0;
+	qsort(explain->lines, explain->count, sizeof(char *), by_time);
+	for (uint32_t i = 0; i < explain->count; i++)
+		text_add(text, "%s\n", explain->lines[i]);
+	write_cause(explain, text);
+	return text_error(text) ? PIMENTO_ENOMEM : (int)explain->count;
+}
