slots: the standard words, owner and slot, for who counts an engine's places

Cause: keeper and keeping are metaphors of ours; the glossary has owner. Ruled out: nothing. Change: names only.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 SRC_C = $(wildcard src/*.c)
 SRC_CC = $(wildcard src/*.cc)
 # The event-driven data path stands alone, without the libraries of the other.
-EDGE_IO_C = $(patsubst %,io/%.c,dispatch gateway head httpc httpd keeping mesh metrics \
+EDGE_IO_C = $(patsubst %,io/%.c,dispatch gateway head httpc httpd mesh metrics slots \
 	net sendbuf pool relay sys trail)
 IO_C = $(wildcard io/*.c)
 PLATFORM_C = $(wildcard platform/*.c)
--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -50,7 +50,7 @@
  * noticed: it asks once a second and wants two misses.
  */
 #define NOTICE (2500 * PIMENTO_MSEC)
-/* Kept before the platform's SIGKILL. */
+/* Owned before the platform's SIGKILL. */
 #define STOP_MARGIN (600 * PIMENTO_MSEC)
 
 /* Descriptors: some are the system's, and half of the rest face callers. */
@@ -67,7 +67,7 @@
 	directory_t directory;
 	roster_t roster;
 	feed_t feed;
-	keeping_t keeping;
+	slots_t slots;
 	gateway_t gateway;
 	mesh_t mesh;
 	httpd_ops_t health_ops;
@@ -375,7 +375,7 @@
 		.directory = &edge->directory,
 		.roster = &edge->roster,
 		.mirror = &edge->feed.mirror,
-		.keeping = &edge->keeping,
+		.slots = &edge->slots,
 	};
 
 	if (edge->settings.descriptors < 2 * DESCRIPTORS_KEPT)
@@ -394,7 +394,7 @@
 		.mirror = &edge->feed.mirror,
 		.directory = &edge->directory,
 		.allotment = &edge->gateway.allotment,
-		.keeping = &edge->keeping,
+		.slots = &edge->slots,
 	};
 	int error;
 
@@ -419,9 +419,9 @@
 		return PIMENTO_EIO;
 	directory_init(&edge->directory);
 	roster_init(&edge->roster, self);
-	keeping_init(&edge->keeping, &edge->directory, &edge->roster, self);
-	edge->keeping.replied = on_replied;
-	edge->keeping.context = edge;
+	slots_init(&edge->slots, &edge->directory, &edge->roster, self);
+	edge->slots.replied = on_replied;
+	edge->slots.context = edge;
 	if (!error)
 		error = net_parse(edge->settings.store, &store);
 	if (error)
@@ -455,7 +455,7 @@
 	mesh_finish(&edge->mesh);
 	httpd_finish(&edge->health);
 	feed_finish(&edge->feed);
-	keeping_finish(&edge->keeping);
+	slots_finish(&edge->slots);
 	roster_finish(&edge->roster);
 	directory_finish(&edge->directory);
 }
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -30,17 +30,17 @@
 #define SILENT_GAPS 4
 
 /*
- * A keeper answers within some milliseconds. One that has not after this is
+ * A owner answers within some milliseconds. One that has not after this is
  * frozen, cut off or gone: a request goes by this host's own view then, and
- * the keeper is not asked for a while.
+ * the owner is not asked for a while.
  */
 #define ASK_SILENT (40 * PIMENTO_MSEC)
-#define KEEPER_SILENT (1 * PIMENTO_SEC)
+#define OWNER_SILENT (1 * PIMENTO_SEC)
 /* Waits so long in one endpoint's line before it looks for a better one. */
 #define ASK_MOST (150 * PIMENTO_MSEC)
-/* The keeper forgets the ask this much later, should the release be lost. */
+/* The owner forgets the ask this much later, should the release be lost. */
 #define ASK_MARGIN (100 * PIMENTO_MSEC)
-/* Requests of one service in line at keepers; the others wait here. */
+/* Requests of one service in line at owners; the others wait here. */
 #define ASKS_AT_ONCE 16
 
 /* Events of a stream whose mean pause says something of the endpoint. */
@@ -55,7 +55,7 @@
 	x->reading = 0;
 }
 
-/* Asking keepers for places. */
+/* Asking owners for places. */
 
 /* Mean pause between the events of this attempt; 0 if there were too few. */
 static pimento_usec_t mean_gap(const exchange_t *x)
@@ -75,11 +75,11 @@
 		return;
 	if (x->state == EXCHANGE_WAITING)
 		x->service->asks--;
-	keeping_release(x->gateway->keeping, endpoint,
-			&(packet_release_t){ .ticket = x->ticket,
-					     .gap_us = (uint32_t)mean_gap(x),
-					     .unreached = x->unreached },
-			sys_now());
+	slots_release(x->gateway->slots, endpoint,
+		      &(packet_release_t){ .ticket = x->ticket,
+					   .gap_us = (uint32_t)mean_gap(x),
+					   .unreached = x->unreached },
+		      sys_now());
 	x->unreached = false;
 	endpoint->holders--;
 	x->ticket = 0;
@@ -103,16 +103,16 @@
 	x->given = false;
 	x->service->asks++;
 	x->gateway->asking = x;
-	keeping_ask(x->gateway->keeping, endpoint, &question, now);
+	slots_ask(x->gateway->slots, endpoint, &question, now);
 	x->gateway->asking = NULL;
 }
 
 /* True if places of this endpoint are to be asked for. */
-static bool is_kept(const exchange_t *x, const directory_endpoint_t *endpoint,
-		    pimento_usec_t now)
+static bool is_owned(const exchange_t *x, const directory_endpoint_t *endpoint,
+		     pimento_usec_t now)
 {
 	return x->engine && roster_hosts(x->gateway->roster, now) > 1 &&
-	       endpoint->keeper_silent_until <= now;
+	       endpoint->owner_silent_until <= now;
 }
 
 /* Lets go of an endpoint; the connection has been dealt with. */
@@ -294,7 +294,7 @@
 /* What became of a request that waits. */
 typedef enum step {
 	STEP_STAYS, /* for want of a place */
-	STEP_ASKS, /* a keeper was asked */
+	STEP_ASKS, /* a owner was asked */
 	STEP_MOVED /* it has left the line */
 } step_t;
 
@@ -308,15 +308,15 @@
 	return STEP_MOVED;
 }
 
-/* A place that looks free: takes it, or asks its keeper if that is uncertain. */
+/* A place that looks free: takes it, or asks its owner if that is uncertain. */
 static step_t take_place(exchange_t *x, directory_endpoint_t *endpoint,
 			 pimento_usec_t now)
 {
-	bool kept = is_kept(x, endpoint, now);
+	bool owned = is_owned(x, endpoint, now);
 
-	if (kept && !placement_is_calm(endpoint))
+	if (owned && !placement_is_calm(endpoint))
 		return ask_for_place(x, endpoint, now);
-	if (kept)
+	if (owned)
 		ask(x, endpoint, true, now);
 	begin(x, endpoint);
 	return STEP_MOVED;
@@ -328,7 +328,7 @@
 	directory_endpoint_t *endpoint = NULL;
 
 	if (!x->engine || place(x, true, now, &endpoint) != PLACEMENT_FOUND ||
-	    !is_kept(x, endpoint, now))
+	    !is_owned(x, endpoint, now))
 		return STEP_STAYS;
 	return ask_for_place(x, endpoint, now);
 }
@@ -498,7 +498,7 @@
 static void sweep_ask(exchange_t *x, pimento_usec_t now)
 {
 	if (!x->in_line && now - x->asked_at > ASK_SILENT)
-		x->asked->keeper_silent_until = now + KEEPER_SILENT;
+		x->asked->owner_silent_until = now + OWNER_SILENT;
 	else if (now - x->asked_at < ASK_MOST)
 		return;
 	dispatch_unask(x);
@@ -524,7 +524,7 @@
 	if (!reply->granted || x->state != EXCHANGE_WAITING)
 		return;
 	if (x == gateway->asking) {
-		x->given = true; /* this host is the keeper */
+		x->given = true; /* this host is the owner */
 		return;
 	}
 	if (directory_takes(x->asked, now))
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -68,7 +68,7 @@
 	bool engine;
 	bool repeatable; /* may run more than once */
 	bool end_is_timeout;
-	bool in_line; /* the keeper has answered */
+	bool in_line; /* the owner has answered */
 	bool given; /* it granted a place while it was being asked */
 	bool unreached; /* the endpoint was not there */
 	bool reused; /* the connection had rested */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -32,8 +32,8 @@
 #define PATIENCE_USUAL 0.8
 
 /*
- * A keeper's word counts more than the sum of what hosts say of themselves, for
- * as long as the keeper's next word may take with a hundred hosts.
+ * A owner's word counts more than the sum of what hosts say of themselves, for
+ * as long as the owner's next word may take with a hundred hosts.
  */
 #define TOLD_AGE (1500 * PIMENTO_MSEC)
 
@@ -670,7 +670,7 @@
 	gateway->directory = setup->directory;
 	gateway->roster = setup->roster;
 	gateway->mirror = setup->mirror;
-	gateway->keeping = setup->keeping;
+	gateway->slots = setup->slots;
 	gateway->draws = sys_random();
 	allotment_init(&gateway->allotment, setup->bounds.allotment_window,
 		       setup->first_start);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -9,7 +9,7 @@
 
 #include "dialect.h"
 #include "httpd.h"
-#include "keeping.h"
+#include "slots.h"
 #include "pool.h"
 
 #include "../src/allotment.h"
@@ -69,7 +69,7 @@
 	retry_budget_t budget;
 	double per_second; /* answers, decayed */
 	uint32_t answers; /* since the last tick */
-	uint32_t asks; /* requests in line at keepers */
+	uint32_t asks; /* requests in line at owners */
 } gateway_service_t;
 
 /* What this host has learnt of each route, by its name. */
@@ -90,7 +90,7 @@
 	directory_t *directory;
 	roster_t *roster;
 	const mirror_t *mirror;
-	keeping_t *keeping;
+	slots_t *slots;
 	allotment_t allotment;
 	catalog_t *catalog; /* in force; NULL before the first */
 	gateway_service_t **services;
@@ -103,7 +103,7 @@
 	bool stopping;
 	pimento_usec_t stop_at; /* when new requests are turned away */
 	bool pumping;
-	struct exchange *asking; /* during its call to the keeping */
+	struct exchange *asking; /* while its ask is being sent */
 } gateway_t;
 
 typedef struct gateway_setup {
@@ -117,7 +117,7 @@
 	directory_t *directory;
 	roster_t *roster;
 	const mirror_t *mirror;
-	keeping_t *keeping;
+	slots_t *slots;
 } gateway_setup_t;
 
 /* Returns 0, or PIMENTO_EIO with errno set. */
@@ -130,7 +130,7 @@
 /* True if requests can be served: configuration known, and not too old. */
 bool gateway_able(const gateway_t *gateway, pimento_usec_t now);
 
-/* The keeper of an endpoint has answered an ask of this gateway. */
+/* The owner of an endpoint has answered an ask of this gateway. */
 void gateway_replied(gateway_t *gateway, const packet_reply_t *reply);
 
 /* Ends what is overdue and tries what waits; call some 20 times a second. */
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -85,7 +85,7 @@
 	add_loads(mesh, &note);
 	note.use_count =
 		allotment_say(mesh->allotment, note.uses, ROSTER_USES_MAX);
-	keeping_say(mesh->keeping, &note, now);
+	slots_say(mesh->slots, &note, now);
 	roster_members(mesh->roster, now, &note);
 	count = roster_targets(mesh->roster, now, MESH_TARGETS, targets);
 	for (uint32_t i = 0; i < count; i++)
@@ -102,7 +102,7 @@
 		return;
 	if (fresh != INT64_MIN)
 		mirror_confirm(mesh->mirror, note->revision, fresh);
-	keeping_hear(mesh->keeping, note, now);
+	slots_hear(mesh->slots, note, now);
 	for (uint32_t i = 0; i < note->use_count; i++)
 		if (allotment_hear(mesh->allotment, note->address,
 				   note->incarnation, &note->uses[i], now))
@@ -119,7 +119,7 @@
 	if (packet.kind == PACKET_NOTE)
 		take_note(mesh, &packet.as.note, now);
 	else
-		keeping_take(mesh->keeping, &packet, now);
+		slots_take(mesh->slots, &packet, now);
 }
 
 static void on_datagram(struct ev_loop *loop, ev_io *watcher, int events)
@@ -367,7 +367,7 @@
 {
 	mesh->allotment->hear_every =
 		TICK * (1 + mesh->roster->count / MESH_TARGETS);
-	keeping_tick(mesh->keeping, now);
+	slots_tick(mesh->slots, now);
 	send_notes(mesh, now);
 	catch_up(mesh, now);
 	httpd_sweep(&mesh->server, now);
@@ -414,13 +414,13 @@
 	mesh->mirror = setup->mirror;
 	mesh->directory = setup->directory;
 	mesh->allotment = setup->allotment;
-	mesh->keeping = setup->keeping;
+	mesh->slots = setup->slots;
 	text_init(&mesh->fetched);
 	fd = net_datagram(&notes);
 	if (fd < 0)
 		return fd;
-	mesh->keeping->fd = fd;
-	mesh->keeping->port = setup->note_port;
+	mesh->slots->fd = fd;
+	mesh->slots->port = setup->note_port;
 	ev_io_init(&mesh->datagrams, on_datagram, fd, EV_READ);
 	mesh->datagrams.data = mesh;
 	ev_io_start(mesh->loop, &mesh->datagrams);
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -9,7 +9,7 @@
 
 #include "httpc.h"
 #include "httpd.h"
-#include "keeping.h"
+#include "slots.h"
 
 #include "../src/allotment.h"
 #include "../src/directory.h"
@@ -30,7 +30,7 @@
 	mirror_t *mirror;
 	directory_t *directory;
 	allotment_t *allotment;
-	keeping_t *keeping;
+	slots_t *slots;
 	httpc_t *fetching; /* one snapshot at a time; NULL */
 	text_t fetched;
 	pimento_usec_t behind_since; /* a peer has had newer records; 0 no */
@@ -51,7 +51,7 @@
 	mirror_t *mirror;
 	directory_t *directory;
 	allotment_t *allotment;
-	keeping_t *keeping; /* is given the mesh's socket and port */
+	slots_t *slots; /* is given the mesh's socket and port */
 } mesh_setup_t;
 
 /* Returns 0, or PIMENTO_EIO with errno set. */
--- /dev/null
+++ b/io/slots.c
@@ -0,0 +1,257 @@
+#include "slots.h"
+
+void slots_init(slots_t *slots, directory_t *directory, roster_t *roster,
+		uint32_t self)
+{
+	*slots = (slots_t){
+		.directory = directory, .roster = roster, .fd = -1, .self = self
+	};
+	grants_init(&slots->grants);
+}
+
+void slots_finish(slots_t *slots)
+{
+	grants_finish(&slots->grants);
+}
+
+/* A datagram that cannot be sent now is as good as lost on the way. */
+static void send_packet(const slots_t *slots, uint32_t address,
+			const packet_t *packet)
+{
+	net_address_t to = { address, slots->port };
+	uint8_t bytes[PACKET_BYTES];
+	int length = packet_pack(packet, bytes, sizeof(bytes));
+
+	if (length > 0)
+		(void)net_send_to(slots->fd, &to, bytes, (size_t)length);
+}
+
+static directory_endpoint_t *endpoint_of(const slots_t *slots, uint32_t key)
+{
+	for (uint32_t i = 0; i < slots->directory->count; i++)
+		if ((uint32_t)slots->directory->endpoints[i]->key == key)
+			return slots->directory->endpoints[i];
+	return NULL;
+}
+
+/* What this host, as the owner, says of an endpoint. */
+static directory_word_t word_of(const slots_t *slots,
+				const directory_endpoint_t *endpoint,
+				pimento_usec_t now)
+{
+	uint32_t key = (uint32_t)endpoint->key;
+	directory_word_t word = {
+		.running = grants_running(&slots->grants, key),
+		.waiting = grants_waiting(&slots->grants, key),
+		.gap_us = (uint32_t)endpoint->pace.gap,
+		.doubtful = endpoint->pace.failures > 0,
+	};
+
+	if (endpoint->pace.shunned_until > now)
+		word.shunned_ms =
+			(uint32_t)((endpoint->pace.shunned_until - now) /
+				   PIMENTO_MSEC);
+	return word;
+}
+
+static void reply(slots_t *slots, const grants_ask_t *ask, bool granted,
+		  pimento_usec_t now)
+{
+	packet_t packet = { .kind = PACKET_REPLY };
+	const directory_endpoint_t *endpoint =
+		endpoint_of(slots, ask->endpoint);
+
+	packet.as.reply = (packet_reply_t){ .endpoint = ask->endpoint,
+					    .ticket = ask->ticket,
+					    .granted = granted };
+	if (endpoint)
+		packet.as.reply.word = word_of(slots, endpoint, now);
+	if (ask->address == slots->self)
+		slots->replied(slots->context, &packet.as.reply);
+	else
+		send_packet(slots, ask->address, &packet);
+}
+
+/* One that was not reached lately is tried by one request at a time. */
+static grants_places_t places_of(const directory_endpoint_t *endpoint)
+{
+	grants_places_t places = placement_places(endpoint);
+
+	if (endpoint->pace.failures)
+		places = (grants_places_t){ .all = 1, .late = 1 };
+	return places;
+}
+
+/* Gives free places to those in line. */
+static void give_places(slots_t *slots, uint32_t key, pimento_usec_t now)
+{
+	const directory_endpoint_t *endpoint = endpoint_of(slots, key);
+	grants_ask_t ask;
+
+	if (!endpoint || !directory_takes(endpoint, now) ||
+	    endpoint->pace.shunned_until > now)
+		return;
+	while (grants_next(&slots->grants, key, places_of(endpoint), now,
+			   &ask)) {
+		slots->granted++;
+		reply(slots, &ask, true, now);
+	}
+}
+
+static bool is_granted(const slots_t *slots, const grants_ask_t *ask)
+{
+	return !grants_is_waiting(&slots->grants, ask);
+}
+
+static void take_ask(slots_t *slots, const grants_ask_t *ask,
+		     pimento_usec_t now)
+{
+	if (grants_ask(&slots->grants, ask, now))
+		return; /* no memory: who asks goes by its own view */
+	if (ask->sure)
+		return;
+	give_places(slots, ask->endpoint, now);
+	if (!is_granted(slots, ask))
+		reply(slots, ask, false, now);
+}
+
+/* What another host found out; this one's own was learnt on the way. */
+static void learn_reached(pace_t *pace, const packet_release_t *release,
+			  pimento_usec_t now)
+{
+	if (release->unreached && pace->shunned_until <= now)
+		pace_unreachable(pace, now);
+	else if (release->gap_us)
+		pace->failures = 0; /* a stream came from there */
+}
+
+static void take_release(slots_t *slots, const packet_release_t *release,
+			 pimento_usec_t now)
+{
+	directory_endpoint_t *endpoint = endpoint_of(slots, release->endpoint);
+	directory_service_t *service =
+		endpoint
+			? directory_service(slots->directory, endpoint->service)
+			: NULL;
+
+	if (endpoint && release->address != slots->self)
+		learn_reached(&endpoint->pace, release, now);
+	if (service && release->gap_us && release->address != slots->self)
+		pace_gap_mean(&endpoint->pace, &service->pace, release->gap_us);
+	grants_release(&slots->grants, release->endpoint, release->address,
+		       release->ticket);
+	give_places(slots, release->endpoint, now);
+}
+
+void slots_ask(slots_t *slots, const directory_endpoint_t *endpoint,
+	       grants_ask_t *ask, pimento_usec_t now)
+{
+	uint32_t owner = roster_owner(slots->roster, endpoint->key, now);
+	packet_t packet = { .kind = PACKET_ASK };
+
+	ask->endpoint = (uint32_t)endpoint->key;
+	ask->address = slots->self;
+	slots->asked++;
+	if (owner == slots->self) {
+		take_ask(slots, ask, now);
+		return;
+	}
+	packet.as.ask = *ask;
+	send_packet(slots, owner, &packet);
+}
+
+void slots_release(slots_t *slots, const directory_endpoint_t *endpoint,
+		   const packet_release_t *release, pimento_usec_t now)
+{
+	uint32_t owner = roster_owner(slots->roster, endpoint->key, now);
+	packet_t packet = { .kind = PACKET_RELEASE };
+
+	packet.as.release = *release;
+	packet.as.release.endpoint = (uint32_t)endpoint->key;
+	packet.as.release.address = slots->self;
+	if (owner == slots->self)
+		take_release(slots, &packet.as.release, now);
+	else
+		send_packet(slots, owner, &packet);
+}
+
+void slots_take(slots_t *slots, const packet_t *packet, pimento_usec_t now)
+{
+	switch (packet->kind) {
+	case PACKET_ASK:
+		take_ask(slots, &packet->as.ask, now);
+		break;
+	case PACKET_REPLY:
+		slots->replied(slots->context, &packet->as.reply);
+		break;
+	case PACKET_RELEASE:
+		take_release(slots, &packet->as.release, now);
+		break;
+	case PACKET_NOTE:
+		break; /* the mesh's own */
+	}
+}
+
+static void hear_endpoint(slots_t *slots, directory_endpoint_t *endpoint,
+			  pimento_usec_t now)
+{
+	uint32_t key = (uint32_t)endpoint->key;
+	const roster_t *roster = slots->roster;
+	directory_word_t word;
+
+	grants_hear(&slots->grants, key, slots->self, endpoint->running, now);
+	for (uint32_t i = 0; i < roster->count; i++) {
+		const roster_peer_t *peer = roster->peers[i];
+
+		grants_hear(&slots->grants, key, peer->address,
+			    roster_peer_running(peer, endpoint->key, now), now);
+	}
+	word = word_of(slots, endpoint, now);
+	directory_told(endpoint, &word, now);
+}
+
+void slots_say(const slots_t *slots, roster_note_t *note, pimento_usec_t now)
+{
+	const directory_t *directory = slots->directory;
+
+	for (uint32_t i = 0; i < directory->count; i++) {
+		const directory_endpoint_t *e = directory->endpoints[i];
+		uint32_t key = (uint32_t)e->key;
+
+		if (note->owned_count == ROSTER_OWNED_MAX ||
+		    !grants_is_owned(&slots->grants, key) ||
+		    roster_owner(slots->roster, e->key, now) != slots->self)
+			continue;
+		note->owned[note->owned_count++] = (roster_owned_t){
+			.endpoint = key,
+			.word = word_of(slots, e, now),
+		};
+	}
+}
+
+void slots_hear(slots_t *slots, const roster_note_t *note, pimento_usec_t now)
+{
+	for (uint32_t i = 0; i < note->owned_count; i++) {
+		const roster_owned_t *owned = &note->owned[i];
+		directory_endpoint_t *e = endpoint_of(slots, owned->endpoint);
+
+		if (e &&
+		    roster_owner(slots->roster, e->key, now) == note->address)
+			directory_told(e, &owned->word, now);
+	}
+}
+
+void slots_tick(slots_t *slots, pimento_usec_t now)
+{
+	grants_hear_begin(&slots->grants);
+	for (uint32_t i = 0; i < slots->directory->count; i++) {
+		directory_endpoint_t *e = slots->directory->endpoints[i];
+
+		if (roster_owner(slots->roster, e->key, now) != slots->self) {
+			grants_forget(&slots->grants, (uint32_t)e->key);
+			continue;
+		}
+		hear_endpoint(slots, e, now);
+		give_places(slots, (uint32_t)e->key, now);
+	}
+}
--- /dev/null
+++ b/io/slots.h
@@ -0,0 +1,50 @@
+#ifndef SLOTS_H
+#define SLOTS_H
+
+/*
+ * Places at endpoints, asked of their owners and kept for others: the traffic
+ * between grants (who keeps) and the gateway (who asks).
+ */
+
+#include "net.h"
+
+#include "../src/directory.h"
+#include "../src/packet.h"
+#include "../src/placement.h"
+
+typedef struct slots {
+	grants_t grants;
+	directory_t *directory;
+	roster_t *roster;
+	int fd; /* datagrams; borrowed */
+	uint16_t port; /* of every host */
+	uint32_t self;
+	/* An answer to an ask of this host. */
+	void (*replied)(void *context, const packet_reply_t *reply);
+	void *context;
+	uint64_t asked; /* counters */
+	uint64_t granted; /* as owner */
+} slots_t;
+
+void slots_init(slots_t *slots, directory_t *directory, roster_t *roster,
+		uint32_t self);
+void slots_finish(slots_t *slots);
+
+/* Asks the endpoint's owner; its answer comes by replied(), maybe at once. */
+void slots_ask(slots_t *slots, const directory_endpoint_t *endpoint,
+	       grants_ask_t *ask, pimento_usec_t now);
+/* The request is over; ticket, gap and failure are the caller's to fill. */
+void slots_release(slots_t *slots, const directory_endpoint_t *endpoint,
+		   const packet_release_t *release, pimento_usec_t now);
+
+/* What this host's note says of the endpoints that it keeps. */
+void slots_say(const slots_t *slots, roster_note_t *note, pimento_usec_t now);
+void slots_hear(slots_t *slots, const roster_note_t *note, pimento_usec_t now);
+
+/* A datagram of another host. */
+void slots_take(slots_t *slots, const packet_t *packet, pimento_usec_t now);
+
+/* Compares the grants with what hosts say; call some times a second. */
+void slots_tick(slots_t *slots, pimento_usec_t now);
+
+#endif
--- a/src/directory.c
+++ b/src/directory.c
@@ -1,6 +1,6 @@
 /*
  * A plain array: the largest deployment lists 600 endpoints, and a walk over
- * them costs less than keeping an index true.
+ * them costs less than slots an index true.
  */
 
 #include "directory.h"
@@ -137,7 +137,7 @@
 	endpoint->told = *word;
 	endpoint->told_own = endpoint->running;
 	endpoint->told_at = now;
-	/* The keeper hears from all hosts; this one has seen a few streams. */
+	/* The owner hears from all hosts; this one has seen a few streams. */
 	if (word->gap_us)
 		endpoint->pace.gap = word->gap_us;
 	if (word->shunned_ms && endpoint->pace.shunned_until < shunned)
--- a/src/directory.h
+++ b/src/directory.h
@@ -9,7 +9,7 @@
 
 #include "pace.h"
 
-/* What the keeper of an endpoint says of it. */
+/* What the owner of an endpoint says of it. */
 typedef struct directory_word {
 	uint32_t running; /* requests in flight, of all hosts */
 	uint32_t waiting; /* in its line */
@@ -40,7 +40,7 @@
 	directory_word_t told;
 	uint32_t told_own; /* running from this host, at that moment */
 	pimento_usec_t told_at; /* 0 never */
-	pimento_usec_t keeper_silent_until; /* it did not answer lately */
+	pimento_usec_t owner_silent_until; /* it did not answer lately */
 	pace_t pace;
 	void *connections; /* of the I/O layer, which alone looks at it */
 } directory_endpoint_t;
@@ -92,7 +92,7 @@
 directory_service_t *directory_service(directory_t *directory,
 				       pimento_id_t key);
 
-/* Takes the word of an endpoint's keeper. */
+/* Takes the word of an endpoint's owner. */
 void directory_told(directory_endpoint_t *endpoint,
 		    const directory_word_t *word, pimento_usec_t now);
 
--- a/src/grants.c
+++ b/src/grants.c
@@ -14,11 +14,11 @@
 #define WORD_AGE (1500 * PIMENTO_MSEC)
 
 /*
- * A host that has just become a keeper has granted nothing, though places are
+ * A host that has just become a owner has granted nothing, though places are
  * taken. Requests last some seconds at most times; after that its own count is
  * the better one.
  */
-#define NEW_KEEPER (2 * PIMENTO_SEC)
+#define NEW_OWNER (2 * PIMENTO_SEC)
 
 void grants_init(grants_t *grants)
 {
@@ -203,7 +203,7 @@
 			old++;
 	}
 	/* Later its words are older than the releases that came meanwhile. */
-	if (e && now - e->since < NEW_KEEPER && running > young + old)
+	if (e && now - e->since < NEW_OWNER && running > young + old)
 		e->uncounted += running - young - old;
 }
 
@@ -217,7 +217,7 @@
 	*e = grants->endpoints[--grants->count];
 }
 
-bool grants_is_kept(const grants_t *grants, uint32_t endpoint)
+bool grants_is_owned(const grants_t *grants, uint32_t endpoint)
 {
 	return find(grants, endpoint) != NULL;
 }
--- a/src/grants.h
+++ b/src/grants.h
@@ -5,10 +5,10 @@
  * The places of endpoints that this host keeps count of for all hosts. With
  * many hosts, notes are a second old; hosts that choose by them all send to
  * what was free a second ago. So each endpoint has one host that counts, its
- * keeper: the others ask it for a place, wait there in one line in order of
+ * owner: the others ask it for a place, wait there in one line in order of
  * urgency, and say when they have done.
  *
- * A grant is advice. A keeper that is frozen, cut off or gone grants nothing;
+ * A grant is advice. A owner that is frozen, cut off or gone grants nothing;
  * who asks then goes by its own view.
  */
 
@@ -75,7 +75,7 @@
 
 /*
  * A host's own word on how many of its requests are in flight at an endpoint.
- * Grants whose release was lost are dropped. For a new keeper, what it did not
+ * Grants whose release was lost are dropped. For a new owner, what it did not
  * grant counts too.
  */
 void grants_hear(grants_t *grants, uint32_t endpoint, uint32_t address,
@@ -87,7 +87,7 @@
 void grants_forget(grants_t *grants, uint32_t endpoint);
 
 /* True if anybody has asked or said a word about it. */
-bool grants_is_kept(const grants_t *grants, uint32_t endpoint);
+bool grants_is_owned(const grants_t *grants, uint32_t endpoint);
 
 /* In flight, and waiting; 0 for an endpoint that was never asked for. */
 uint32_t grants_running(const grants_t *grants, uint32_t endpoint);
--- a/src/packet.c
+++ b/src/packet.c
@@ -11,8 +11,8 @@
 	Peer__Load *load_pointers[ROSTER_LOADS_MAX];
 	Peer__Use uses[ROSTER_USES_MAX];
 	Peer__Use *use_pointers[ROSTER_USES_MAX];
-	Peer__Kept kept[ROSTER_KEPT_MAX];
-	Peer__Kept *kept_pointers[ROSTER_KEPT_MAX];
+	Peer__Owned owned[ROSTER_OWNED_MAX];
+	Peer__Owned *owned_pointers[ROSTER_OWNED_MAX];
 } packed_t;
 
 static uint32_t age_msec(pimento_usec_t age)
@@ -44,18 +44,18 @@
 		packed->uses[i].level = whole(note->uses[i].level);
 		packed->use_pointers[i] = &packed->uses[i];
 	}
-	for (uint32_t i = 0; i < note->kept_count; i++) {
-		peer__kept__init(&packed->kept[i]);
-		packed->kept[i].endpoint = note->kept[i].endpoint;
-		packed->kept[i].running = note->kept[i].word.running;
-		packed->kept[i].waiting = note->kept[i].word.waiting;
-		packed->kept[i].gap_us = note->kept[i].word.gap_us;
-		packed->kept[i].shunned_ms = note->kept[i].word.shunned_ms;
-		packed->kept[i].doubtful = note->kept[i].word.doubtful;
-		packed->kept_pointers[i] = &packed->kept[i];
+	for (uint32_t i = 0; i < note->owned_count; i++) {
+		peer__owned__init(&packed->owned[i]);
+		packed->owned[i].endpoint = note->owned[i].endpoint;
+		packed->owned[i].running = note->owned[i].word.running;
+		packed->owned[i].waiting = note->owned[i].word.waiting;
+		packed->owned[i].gap_us = note->owned[i].word.gap_us;
+		packed->owned[i].shunned_ms = note->owned[i].word.shunned_ms;
+		packed->owned[i].doubtful = note->owned[i].word.doubtful;
+		packed->owned_pointers[i] = &packed->owned[i];
 	}
-	message->n_kept = note->kept_count;
-	message->kept = packed->kept_pointers;
+	message->n_owned = note->owned_count;
+	message->owned = packed->owned_pointers;
 	message->n_loads = note->load_count;
 	message->loads = packed->load_pointers;
 	message->n_uses = note->use_count;
@@ -174,7 +174,7 @@
 		.reader = message->reader != 0,
 		.load_count = least(message->n_loads, ROSTER_LOADS_MAX),
 		.use_count = least(message->n_uses, ROSTER_USES_MAX),
-		.kept_count = least(message->n_kept, ROSTER_KEPT_MAX),
+		.owned_count = least(message->n_owned, ROSTER_OWNED_MAX),
 		.member_count = least(message->n_members, ROSTER_MEMBERS_MAX),
 	};
 	if (message->fresh_age_ms != AGE_UNKNOWN)
@@ -189,14 +189,15 @@
 		note->uses[i].admitted = (double)message->uses[i]->admitted;
 		note->uses[i].level = (double)message->uses[i]->level;
 	}
-	for (uint32_t i = 0; i < note->kept_count; i++)
-		note->kept[i] = (roster_kept_t){
-			.endpoint = message->kept[i]->endpoint,
-			.word = { .running = message->kept[i]->running,
-				  .waiting = message->kept[i]->waiting,
-				  .gap_us = message->kept[i]->gap_us,
-				  .shunned_ms = message->kept[i]->shunned_ms,
-				  .doubtful = message->kept[i]->doubtful != 0 },
+	for (uint32_t i = 0; i < note->owned_count; i++)
+		note->owned[i] = (roster_owned_t){
+			.endpoint = message->owned[i]->endpoint,
+			.word = { .running = message->owned[i]->running,
+				  .waiting = message->owned[i]->waiting,
+				  .gap_us = message->owned[i]->gap_us,
+				  .shunned_ms = message->owned[i]->shunned_ms,
+				  .doubtful =
+					  message->owned[i]->doubtful != 0 },
 		};
 	for (uint32_t i = 0; i < note->member_count; i++)
 		note->members[i] = message->members[i];
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -97,49 +97,49 @@
   assert(message->base.descriptor == &peer__use__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   peer__kept__init
-                     (Peer__Kept         *message)
+void   peer__owned__init
+                     (Peer__Owned         *message)
 {
-  static const Peer__Kept init_value = PEER__KEPT__INIT;
+  static const Peer__Owned init_value = PEER__OWNED__INIT;
   *message = init_value;
 }
-size_t peer__kept__get_packed_size
-                     (const Peer__Kept *message)
+size_t peer__owned__get_packed_size
+                     (const Peer__Owned *message)
 {
-  assert(message->base.descriptor == &peer__kept__descriptor);
+  assert(message->base.descriptor == &peer__owned__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__kept__pack
-                     (const Peer__Kept *message,
+size_t peer__owned__pack
+                     (const Peer__Owned *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &peer__kept__descriptor);
+  assert(message->base.descriptor == &peer__owned__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__kept__pack_to_buffer
-                     (const Peer__Kept *message,
+size_t peer__owned__pack_to_buffer
+                     (const Peer__Owned *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__kept__descriptor);
+  assert(message->base.descriptor == &peer__owned__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Kept *
-       peer__kept__unpack
+Peer__Owned *
+       peer__owned__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Peer__Kept *)
-     protobuf_c_message_unpack (&peer__kept__descriptor,
+  return (Peer__Owned *)
+     protobuf_c_message_unpack (&peer__owned__descriptor,
                                 allocator, len, data);
 }
-void   peer__kept__free_unpacked
-                     (Peer__Kept *message,
+void   peer__owned__free_unpacked
+                     (Peer__Owned *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &peer__kept__descriptor);
+  assert(message->base.descriptor == &peer__owned__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   peer__note__init
@@ -585,7 +585,7 @@
   (ProtobufCMessageInit) peer__use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__kept__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__owned__field_descriptors[6] =
 {
   {
     "endpoint",
@@ -593,7 +593,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Kept, endpoint),
+    offsetof(Peer__Owned, endpoint),
     NULL,
     NULL,
     0,             /* flags */
@@ -605,7 +605,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Kept, running),
+    offsetof(Peer__Owned, running),
     NULL,
     NULL,
     0,             /* flags */
@@ -617,7 +617,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Kept, waiting),
+    offsetof(Peer__Owned, waiting),
     NULL,
     NULL,
     0,             /* flags */
@@ -629,7 +629,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Kept, gap_us),
+    offsetof(Peer__Owned, gap_us),
     NULL,
     NULL,
     0,             /* flags */
@@ -641,7 +641,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Kept, shunned_ms),
+    offsetof(Peer__Owned, shunned_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -653,14 +653,14 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Peer__Kept, doubtful),
+    offsetof(Peer__Owned, doubtful),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__kept__field_indices_by_name[] = {
+static const unsigned peer__owned__field_indices_by_name[] = {
   5,   /* field[5] = doubtful */
   0,   /* field[0] = endpoint */
   3,   /* field[3] = gap_us */
@@ -668,24 +668,24 @@
   4,   /* field[4] = shunned_ms */
   2,   /* field[2] = waiting */
 };
-static const ProtobufCIntRange peer__kept__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__owned__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 6 }
 };
-const ProtobufCMessageDescriptor peer__kept__descriptor =
+const ProtobufCMessageDescriptor peer__owned__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.Kept",
-  "Kept",
-  "Peer__Kept",
+  "peer.Owned",
+  "Owned",
+  "Peer__Owned",
   "peer",
-  sizeof(Peer__Kept),
+  sizeof(Peer__Owned),
   6,
-  peer__kept__field_descriptors,
-  peer__kept__field_indices_by_name,
-  1,  peer__kept__number_ranges,
-  (ProtobufCMessageInit) peer__kept__init,
+  peer__owned__field_descriptors,
+  peer__owned__field_indices_by_name,
+  1,  peer__owned__number_ranges,
+  (ProtobufCMessageInit) peer__owned__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor peer__note__field_descriptors[11] =
@@ -811,13 +811,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kept",
+    "owned",
     11,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Peer__Note, n_kept),
-    offsetof(Peer__Note, kept),
-    &peer__kept__descriptor,
+    offsetof(Peer__Note, n_owned),
+    offsetof(Peer__Note, owned),
+    &peer__owned__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -828,9 +828,9 @@
   3,   /* field[3] = echo */
   4,   /* field[4] = fresh_age_ms */
   1,   /* field[1] = incarnation */
-  10,   /* field[10] = kept */
   6,   /* field[6] = loads */
   8,   /* field[8] = members */
+  10,   /* field[10] = owned */
   9,   /* field[9] = reader */
   5,   /* field[5] = revision */
   2,   /* field[2] = stamp */
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -17,7 +17,7 @@
 
 typedef struct Peer__Load Peer__Load;
 typedef struct Peer__Use Peer__Use;
-typedef struct Peer__Kept Peer__Kept;
+typedef struct Peer__Owned Peer__Owned;
 typedef struct Peer__Note Peer__Note;
 typedef struct Peer__Record Peer__Record;
 typedef struct Peer__Snapshot Peer__Snapshot;
@@ -74,12 +74,12 @@
     , 0, 0, 0 }
 
 
-struct  Peer__Kept
+struct  Peer__Owned
 {
   ProtobufCMessage base;
   uint32_t endpoint;
   /*
-   * by all hosts, as its keeper, the sender, counts
+   * by all hosts, as its owner, the sender, counts
    */
   uint32_t running;
   uint32_t waiting;
@@ -96,8 +96,8 @@
    */
   protobuf_c_boolean doubtful;
 };
-#define PEER__KEPT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__kept__descriptor) \
+#define PEER__OWNED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__owned__descriptor) \
     , 0, 0, 0, 0, 0, 0 }
 
 
@@ -135,8 +135,8 @@
    * it reads the platform's store, with success
    */
   protobuf_c_boolean reader;
-  size_t n_kept;
-  Peer__Kept **kept;
+  size_t n_owned;
+  Peer__Owned **owned;
 };
 #define PEER__NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__note__descriptor) \
@@ -168,7 +168,7 @@
 
 
 /*
- * Asks the keeper of an endpoint for a place there.
+ * Asks the owner of an endpoint for a place there.
  */
 struct  Peer__Ask
 {
@@ -196,7 +196,7 @@
 
 
 /*
- * The keeper's answer: at once, and again when a place is granted later.
+ * The owner's answer: at once, and again when a place is granted later.
  */
 struct  Peer__Reply
 {
@@ -310,24 +310,24 @@
 void   peer__use__free_unpacked
                      (Peer__Use *message,
                       ProtobufCAllocator *allocator);
-/* Peer__Kept methods */
-void   peer__kept__init
-                     (Peer__Kept         *message);
-size_t peer__kept__get_packed_size
-                     (const Peer__Kept   *message);
-size_t peer__kept__pack
-                     (const Peer__Kept   *message,
+/* Peer__Owned methods */
+void   peer__owned__init
+                     (Peer__Owned         *message);
+size_t peer__owned__get_packed_size
+                     (const Peer__Owned   *message);
+size_t peer__owned__pack
+                     (const Peer__Owned   *message,
                       uint8_t             *out);
-size_t peer__kept__pack_to_buffer
-                     (const Peer__Kept   *message,
+size_t peer__owned__pack_to_buffer
+                     (const Peer__Owned   *message,
                       ProtobufCBuffer     *buffer);
-Peer__Kept *
-       peer__kept__unpack
+Peer__Owned *
+       peer__owned__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   peer__kept__free_unpacked
-                     (Peer__Kept *message,
+void   peer__owned__free_unpacked
+                     (Peer__Owned *message,
                       ProtobufCAllocator *allocator);
 /* Peer__Note methods */
 void   peer__note__init
@@ -470,8 +470,8 @@
 typedef void (*Peer__Use_Closure)
                  (const Peer__Use *message,
                   void *closure_data);
-typedef void (*Peer__Kept_Closure)
-                 (const Peer__Kept *message,
+typedef void (*Peer__Owned_Closure)
+                 (const Peer__Owned *message,
                   void *closure_data);
 typedef void (*Peer__Note_Closure)
                  (const Peer__Note *message,
@@ -502,7 +502,7 @@
 
 extern const ProtobufCMessageDescriptor peer__load__descriptor;
 extern const ProtobufCMessageDescriptor peer__use__descriptor;
-extern const ProtobufCMessageDescriptor peer__kept__descriptor;
+extern const ProtobufCMessageDescriptor peer__owned__descriptor;
 extern const ProtobufCMessageDescriptor peer__note__descriptor;
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
 extern const ProtobufCMessageDescriptor peer__snapshot__descriptor;
--- a/src/placement.c
+++ b/src/placement.c
@@ -84,7 +84,7 @@
 bool placement_is_calm(const directory_endpoint_t *endpoint)
 {
 	if (endpoint->told.doubtful || endpoint->pace.failures)
-		return false; /* its keeper lets one at a time find out */
+		return false; /* its owner lets one at a time find out */
 	return in_flight(endpoint) < (uint32_t)(endpoint->slots * CALM_PART);
 }
 
--- a/src/roster.c
+++ b/src/roster.c
@@ -224,7 +224,7 @@
 }
 
 /* Mixed so that each endpoint orders the hosts in another way. */
-static uint64_t keeper_weight(pimento_id_t endpoint, uint32_t address)
+static uint64_t owner_weight(pimento_id_t endpoint, uint32_t address)
 {
 	uint64_t z = endpoint ^ (address * 0x9e3779b97f4a7c15u);
 
@@ -232,22 +232,22 @@
 	return z ^ (z >> 31);
 }
 
-uint32_t roster_keeper(const roster_t *roster, pimento_id_t endpoint,
-		       pimento_usec_t now)
+uint32_t roster_owner(const roster_t *roster, pimento_id_t endpoint,
+		      pimento_usec_t now)
 {
-	uint32_t keeper = roster->self;
-	uint64_t most = keeper_weight(endpoint, keeper);
+	uint32_t owner = roster->self;
+	uint64_t most = owner_weight(endpoint, owner);
 
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const roster_peer_t *peer = roster->peers[i];
-		uint64_t weight = keeper_weight(endpoint, peer->address);
+		uint64_t weight = owner_weight(endpoint, peer->address);
 
 		if (weight > most && roster_believed(peer, now)) {
 			most = weight;
-			keeper = peer->address;
+			owner = peer->address;
 		}
 	}
-	return keeper;
+	return owner;
 }
 
 uint32_t roster_peer_running(const roster_peer_t *peer, pimento_id_t endpoint,
--- a/src/roster.h
+++ b/src/roster.h
@@ -13,7 +13,7 @@
 /* A note has room for this many; more would not fit one datagram. */
 #define ROSTER_LOADS_MAX 64
 #define ROSTER_USES_MAX 24
-#define ROSTER_KEPT_MAX 16
+#define ROSTER_OWNED_MAX 16
 #define ROSTER_MEMBERS_MAX 12
 /*
  * Hosts that read the store. Each change costs a call of each, and the store's
@@ -28,11 +28,11 @@
 	uint32_t reading; /* tokens of prompts without an answer yet */
 } roster_load_t;
 
-/* What the keeper of an endpoint says of it. */
+/* What the owner of an endpoint says of it. */
 typedef struct roster_kept {
 	uint32_t endpoint;
 	directory_word_t word;
-} roster_kept_t;
+} roster_owned_t;
 
 typedef struct roster_note {
 	uint32_t address; /* IPv4, host byte order */
@@ -45,8 +45,8 @@
 	uint32_t load_count;
 	uint32_t use_count;
 	uint32_t member_count;
-	uint32_t kept_count;
-	roster_kept_t kept[ROSTER_KEPT_MAX];
+	uint32_t owned_count;
+	roster_owned_t owned[ROSTER_OWNED_MAX];
 	roster_load_t loads[ROSTER_LOADS_MAX];
 	allotment_word_t uses[ROSTER_USES_MAX];
 	uint32_t members[ROSTER_MEMBERS_MAX];
@@ -122,7 +122,7 @@
  * The host that keeps count of an endpoint's places: the same for all hosts
  * that hear the same peers, and for others mostly. May be this host.
  */
-uint32_t roster_keeper(const roster_t *roster, pimento_id_t endpoint,
-		       pimento_usec_t now);
+uint32_t roster_owner(const roster_t *roster, pimento_id_t endpoint,
+		      pimento_usec_t now);
 
 #endif
--- a/test/test_grants.c
+++ b/test/test_grants.c
@@ -118,10 +118,10 @@
 END_TEST
 
 /*
- * The keeper is killed and another host takes over, or it restarts: it has
+ * The owner is killed and another host takes over, or it restarts: it has
  * granted nothing, though the engine is full.
  */
-START_TEST(a_new_keeper_counts_what_hosts_say)
+START_TEST(a_new_owner_counts_what_hosts_say)
 {
 	grants_hear_begin(&grants);
 	grants_hear(&grants, ENGINE, HOST_A, 3, NOW);
@@ -137,7 +137,7 @@
 END_TEST
 
 /*
- * A host's note is a second old and still names requests whose end the keeper
+ * A host's note is a second old and still names requests whose end the owner
  * has heard of since. Counted beside the grants, a third of the places would
  * look taken while callers are turned away.
  */
@@ -179,7 +179,7 @@
 	tcase_add_test(tests, a_place_goes_to_the_most_urgent_of_all_hosts);
 	tcase_add_test(tests, an_ask_that_has_waited_too_long_gets_nothing);
 	tcase_add_test(tests, a_lost_release_is_made_up_by_the_hosts_own_word);
-	tcase_add_test(tests, a_new_keeper_counts_what_hosts_say);
+	tcase_add_test(tests, a_new_owner_counts_what_hosts_say);
 	tcase_add_test(tests, an_old_word_takes_no_place);
 	tcase_add_test(tests, a_request_that_goes_anyway_is_counted);
 	suite_add_tcase(suite, tests);
