gateway: split by task; bodies bounded together; fuzzers and a demo

Ruled out: nothing. Change: arrival.c, exchange.c and placing.c; a bound for all bodies (0.4 of the memory, beyond it 503 before anything has run); fuzz_packet, fuzz_records; examples/demo-platform, which make demo runs.

--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,8 @@
 SRC_C = $(wildcard src/*.c)
 SRC_CC = $(wildcard src/*.cc)
 # The event-driven data path stands alone, without the libraries of the other.
-EDGE_IO_C = $(patsubst %,io/%.c,dispatch gateway head httpc httpd mesh metrics slots \
-	net sendbuf pool relay sys trail)
+EDGE_IO_C = $(patsubst %,io/%.c,arrival dispatch exchange gateway head httpc \
+	httpd mesh metrics net placing pool relay sendbuf slots sys trail)
 IO_C = $(wildcard io/*.c)
 PLATFORM_C = $(wildcard platform/*.c)
 CTL_C = $(wildcard daemon/ctl_*.c) daemon/pimentoctl.c
@@ -169,7 +169,7 @@
 FUZZ_RUN = -max_total_time=$(FUZZ_SECONDS) -seed=1 -max_len=4096 \
 	-rss_limit_mb=1500 -print_final_stats=1 -verbosity=0
 
-$(FUZZERS): $(B)/test/%: $(B)/obj/test/%.c.o $(PURE)
+$(FUZZERS): $(B)/test/%: $(B)/obj/test/%.c.o $(PLATFORMLIB) $(IOLIB) $(PURE)
 	@mkdir -p $(@D)
 	$(CXX) -fsanitize=fuzzer,$(SAN) -o $@ $^ $(LDLIBS_ALL)
 
@@ -193,6 +193,7 @@
 demo: deps
 	@$(MAKE) -s all
 	@B=$(B) examples/demo
+	@B=$(B) examples/demo-platform
 
 bench: all
 	$(B)/bench
--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -57,6 +57,9 @@
 #define DESCRIPTORS_KEPT 200
 #define CALLERS_PART 0.6
 
+/* Part of the memory for bodies; answers, buffers and the copy take the rest. */
+#define BODIES_PART 0.4
+
 enum { EXIT_USAGE = 2 };
 
 typedef struct edge {
@@ -368,6 +371,8 @@
 		.connections_max = (uint32_t)((edge->settings.descriptors -
 					       DESCRIPTORS_KEPT) *
 					      CALLERS_PART),
+		.bodies_bytes = (size_t)(edge->settings.memory_mb *
+					 BODIES_PART * 1024 * 1024),
 		.datacentre = edge->settings.datacentre,
 		.dialect = &platform_dialect,
 		.bounds = bounds_of(&edge->settings),
--- /dev/null
+++ b/io/arrival.c
@@ -0,0 +1,312 @@
+/*
+ * Requests come in and are judged here: route, key, allotment, and whether
+ * this host may judge at all. A host that has not heard from the platform for
+ * longer than a key may live after it was taken away cannot tell a good key
+ * from a bad one; it says "not run, come back", which is true, and its health
+ * check sends new callers to other hosts.
+ */
+
+#include "exchange.h"
+
+#include "sys.h"
+#include "trail.h"
+
+#include <stdlib.h>
+
+/*
+ * Callers of one route differ in their patience by about a sixth. Less than
+ * this part of the most that was seen shows that some was spent before, in an
+ * earlier attempt.
+ */
+#define PATIENCE_USUAL 0.8
+
+/* A caller told to come back while this host itself is not able. */
+#define COME_BACK_SOON (300 * PIMENTO_MSEC)
+
+static gateway_route_t *learnt_of(gateway_t *gateway, pimento_id_t key)
+{
+	gateway_route_t *grown;
+
+	for (uint32_t i = 0; i < gateway->route_count; i++)
+		if (gateway->routes[i].key == key)
+			return &gateway->routes[i];
+	grown = realloc(gateway->routes,
+			(gateway->route_count + 1) * sizeof(*grown));
+	if (!grown)
+		return NULL;
+	gateway->routes = grown;
+	grown += gateway->route_count++;
+	*grown = (gateway_route_t){ .key = key };
+	return grown;
+}
+
+/* True if keys may be honoured: none that we hold can have been dead long. */
+static bool is_fresh(const gateway_t *gateway, pimento_usec_t now)
+{
+	return mirror_age(gateway->mirror, now) < gateway->bounds.key_lease;
+}
+
+bool gateway_able(const gateway_t *gateway, pimento_usec_t now)
+{
+	return gateway->catalog && is_fresh(gateway, now);
+}
+
+/* Why a request is answered before it becomes an exchange. */
+typedef struct judgement {
+	int status; /* 0: go on */
+	const char *why;
+	gateway_outcome_t outcome;
+} judgement_t;
+
+static const judgement_t unable = { HTTP_STATUS_SERVICE_UNAVAILABLE,
+				    "copy_too_old", GATEWAY_REFUSED };
+
+/* A denial, or "come back" where this host cannot know. */
+static judgement_t deny(const gateway_t *gateway, int status, const char *why,
+			pimento_usec_t now)
+{
+	if (!is_fresh(gateway, now))
+		return unable;
+	return (judgement_t){ status, why, GATEWAY_DENIED };
+}
+
+static judgement_t judge_key(const gateway_t *gateway, exchange_t *x,
+			     pimento_usec_t now)
+{
+	const judgement_t good = { 0, "-", GATEWAY_SERVED };
+
+	if (x->call.key)
+		x->account = catalog_account(x->catalog, x->call.key);
+	if (x->route->open || !x->catalog->account_count)
+		return good;
+	if (!x->account)
+		return deny(gateway, HTTP_STATUS_UNAUTHORIZED, "unknown_key",
+			    now);
+	return is_fresh(gateway, now) ? good : unable;
+}
+
+static judgement_t judge(const gateway_t *gateway, exchange_t *x,
+			 pimento_usec_t now)
+{
+	const char *host = head_get(&x->caller->head, "host");
+
+	if (gateway->stopping && now >= gateway->stop_at)
+		return (judgement_t){ HTTP_STATUS_SERVICE_UNAVAILABLE,
+				      "stopping", GATEWAY_REFUSED };
+	if (!x->call.id)
+		return (judgement_t){ HTTP_STATUS_BAD_REQUEST, "no_id",
+				      GATEWAY_DENIED };
+	if (host)
+		x->route = catalog_route(x->catalog, host,
+					 x->caller->target.bytes);
+	if (!x->route)
+		return deny(gateway, HTTP_STATUS_NOT_FOUND, "no_route", now);
+	return judge_key(gateway, x, now);
+}
+
+/* Answers a request that is no exchange yet. */
+static void turn_away(gateway_t *gateway, httpd_conn_t *caller,
+		      const dialect_call_t *call, const judgement_t *judgement)
+{
+	trail(TRAIL_FAILURE, "request",
+	      gateway_outcome_name(judgement->outcome),
+	      "id=%s status=%d why=%s config=%llu copy_age_ms=%lld",
+	      call->id ? call->id : "-", judgement->status, judgement->why,
+	      gateway->catalog ? (unsigned long long)gateway->catalog->version
+			       : 0ULL,
+	      (long long)(mirror_age(gateway->mirror, sys_now()) /
+			  PIMENTO_MSEC));
+	gateway->counters.outcomes[judgement->outcome]++;
+	if (judgement->outcome == GATEWAY_REFUSED)
+		exchange_come_back(gateway, caller, judgement->status,
+				   COME_BACK_SOON);
+	else
+		httpd_answer(caller, judgement->status, "", "", 0);
+}
+
+/* What the caller has surely spent before, in earlier attempts. */
+static pimento_usec_t spent_before(gateway_t *gateway, const exchange_t *x)
+{
+	gateway_route_t *learnt = learnt_of(gateway, x->route->key);
+	pimento_usec_t usual;
+
+	if (!learnt || !x->call.patience)
+		return 0;
+	if (learnt->patience < x->call.patience)
+		learnt->patience = x->call.patience;
+	usual = (pimento_usec_t)((double)learnt->patience * PATIENCE_USUAL);
+	return usual > x->call.patience ? usual - x->call.patience : 0;
+}
+
+static void set_ends(exchange_t *x)
+{
+	x->end = x->arrived + x->route->timeout;
+	x->end_is_timeout = true;
+	if (x->call.patience && x->call.patience < x->route->timeout) {
+		x->end = x->arrived + x->call.patience;
+		x->end_is_timeout = false;
+	}
+}
+
+/* Less is more urgent: the account's rank if it has one, then the route's. */
+static uint64_t rank_of(const exchange_t *x)
+{
+	uint64_t first = x->route->priority;
+
+	if (x->account && x->account->ranked)
+		first = x->account->priority;
+	return first << 32 | x->route->priority;
+}
+
+static void set_wait(exchange_t *x)
+{
+	gateway_t *gateway = x->gateway;
+	directory_service_t *service =
+		directory_service(gateway->directory, x->service->key);
+	pace_t average = { 0 };
+	waitline_terms_t terms = {
+		.arrived = x->arrived,
+		.spent = x->spent,
+		.goal = x->route->goal,
+		.gap_goal = x->route->gap_goal,
+		.end = x->end,
+	};
+
+	if (service)
+		terms.expect = (pimento_usec_t)pace_expect(
+			&average, &service->pace, x->call.prompt);
+	x->wait.rank = rank_of(x);
+	waitline_set_times(&x->wait, &terms);
+}
+
+static void fill(exchange_t *x)
+{
+	const catalog_service_t *service;
+	gateway_t *gateway = x->gateway;
+	pimento_id_t key = catalog_pick(x->route, x->draw);
+
+	service = catalog_service(x->catalog, key);
+	x->service = gateway_service(gateway, key);
+	x->engine = service && service->engine;
+	x->repeatable =
+		x->route->kind == CATALOG_IDEMPOTENT ||
+		(x->route->kind == CATALOG_STREAMING && x->route->resumable);
+	x->spent = spent_before(gateway, x);
+	set_ends(x);
+}
+
+static int admit(exchange_t *x, pimento_usec_t now)
+{
+	allotment_rate_t rate;
+
+	if (!x->account)
+		return 0;
+	rate.per_second = x->account->tokens_per_second;
+	rate.burst = x->account->burst;
+	x->tokens = x->call.sized ? x->call.prompt + x->call.answer
+				  : x->account->plain_tokens;
+	if (x->account->by_request)
+		x->tokens = 1;
+	return allotment_admit(&x->gateway->allotment, x->account->key, rate,
+			       x->tokens, now);
+}
+
+static exchange_t *exchange_new(gateway_t *gateway, httpd_conn_t *caller)
+{
+	exchange_t *x = calloc(1, sizeof(*x));
+
+	if (!x)
+		return NULL;
+	x->gateway = gateway;
+	x->caller = caller;
+	x->catalog = catalog_hold(gateway->catalog);
+	x->arrived = caller->first_byte;
+	x->length = -1;
+	x->draw = gateway_draw(gateway);
+	text_init(&x->fields);
+	text_init(&x->body);
+	events_init(&x->events);
+	return x;
+}
+
+static void link_in(exchange_t *x)
+{
+	gateway_t *gateway = x->gateway;
+
+	x->caller->user = x;
+	x->next = gateway->exchanges;
+	if (x->next)
+		x->next->prev = x;
+	gateway->exchanges = x;
+}
+
+static void drop_new(exchange_t *x)
+{
+	catalog_release(x->catalog);
+	free(x);
+}
+
+static void start(exchange_t *x, pimento_usec_t now)
+{
+	gateway_t *gateway = x->gateway;
+
+	fill(x);
+	link_in(x);
+	if (!x->service) {
+		exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, "memory");
+		return;
+	}
+	if (admit(x, now)) {
+		exchange_over_allotment(x);
+		return;
+	}
+	retry_budget_request(&x->service->budget, &gateway->bounds.retry, now);
+	set_wait(x);
+	waitline_put(&x->service->line, &x->wait);
+	placing_pump(gateway, x->service);
+}
+
+void arrival_request(httpd_conn_t *caller)
+{
+	gateway_t *gateway = caller->server->user;
+	pimento_usec_t now = sys_now();
+	dialect_call_t call = { 0 };
+	judgement_t judgement;
+	exchange_t *x;
+
+	gateway->counters.requests++;
+	gateway->dialect->read_call(&caller->head, &call);
+	if (!gateway->catalog) {
+		turn_away(gateway, caller, &call, &unable);
+		return;
+	}
+	x = exchange_new(gateway, caller);
+	if (!x) {
+		turn_away(gateway, caller, &call, &unable);
+		return;
+	}
+	x->call = call;
+	judgement = judge(gateway, x, now);
+	if (judgement.status) {
+		drop_new(x);
+		turn_away(gateway, caller, &call, &judgement);
+		return;
+	}
+	start(x, now);
+}
+
+void arrival_gone(httpd_conn_t *caller)
+{
+	exchange_t *x = caller->user;
+
+	if (!x)
+		return;
+	x->caller = NULL;
+	exchange_finish(x, GATEWAY_LEFT, "caller_left");
+}
+
+void arrival_written(httpd_conn_t *caller)
+{
+	if (caller->user)
+		relay_written(caller->user);
+}
--- /dev/null
+++ b/io/exchange.c
@@ -0,0 +1,191 @@
+/*
+ * How exchanges end. Whatever became of a request, it ends here exactly once:
+ * its line is written, its place and memory are given back, and its caller gets
+ * an answer or is cut off.
+ */
+
+#include "exchange.h"
+
+#include "sys.h"
+#include "trail.h"
+
+#include <stdlib.h>
+
+const char *gateway_outcome_name(gateway_outcome_t outcome)
+{
+	static const char *const names[GATEWAY_OUTCOMES] = {
+		"served", "passed", "refused", "over_allotment",
+		"denied", "failed", "cut",     "left",
+	};
+
+	return names[outcome];
+}
+
+static void histogram_add(gateway_histogram_t *histogram, pimento_usec_t span)
+{
+	double ms = (double)span / (double)PIMENTO_MSEC;
+	double edge = 1;
+	uint32_t i = 0;
+
+	while (i < GATEWAY_BUCKETS - 1 && ms > edge) {
+		edge *= 2;
+		i++;
+	}
+	histogram->buckets[i]++;
+	histogram->count++;
+	histogram->sum_ms += ms;
+}
+
+static int64_t msec(pimento_usec_t span)
+{
+	return span / PIMENTO_MSEC;
+}
+
+static void log_end(const exchange_t *x, gateway_outcome_t outcome,
+		    const char *why, pimento_usec_t now)
+{
+	bool good = outcome == GATEWAY_SERVED || outcome == GATEWAY_PASSED;
+
+	trail(good ? TRAIL_ROUTINE : TRAIL_FAILURE, "request",
+	      gateway_outcome_name(outcome),
+	      "id=%s route=%s account=%s status=%d why=%s ms=%lld "
+	      "first_ms=%lld waited_ms=%lld left_ms=%lld late=%d attempts=%u "
+	      "endpoint=%s load=%u waiting=%u prompt=%u expected=%u events=%u "
+	      "pause_ms=%lld "
+	      "config=%llu copy_age_ms=%lld",
+	      x->call.id, x->route->name, x->account ? x->account->name : "-",
+	      x->status, why, (long long)msec(now - x->arrived),
+	      x->first_at ? (long long)msec(x->first_at - x->arrived) : -1,
+	      x->sent_at ? (long long)msec(x->sent_at - x->arrived) : -1,
+	      (long long)msec(x->end - now), x->wait.late, x->arrivals,
+	      x->endpoint ? x->endpoint->id : "-", x->load,
+	      x->service ? x->service->line.count : 0, x->call.prompt,
+	      x->call.expected, x->events.count, (long long)msec(x->pause_most),
+	      (unsigned long long)x->catalog->version,
+	      (long long)msec(mirror_age(x->gateway->mirror, now)));
+}
+
+void exchange_finish(exchange_t *x, gateway_outcome_t outcome, const char *why)
+{
+	gateway_t *gateway = x->gateway;
+	gateway_service_t *service = x->service;
+	pimento_usec_t now = sys_now();
+
+	log_end(x, outcome, why, now);
+	gateway->counters.outcomes[outcome]++;
+	if (x->first_at)
+		histogram_add(&gateway->counters.first,
+			      x->first_at - x->arrived);
+	if (x->sent_at)
+		histogram_add(&gateway->counters.waited,
+			      x->sent_at - x->arrived);
+	if (x->state == EXCHANGE_WAITING && service)
+		waitline_remove(&service->line, &x->wait);
+	dispatch_abandon(x);
+	placing_unask(x);
+	if (x->caller)
+		x->caller->user = NULL;
+	if (x->next)
+		x->next->prev = x->prev;
+	if (x->prev)
+		x->prev->next = x->next;
+	else
+		gateway->exchanges = x->next;
+	catalog_release(x->catalog);
+	text_finish(&x->fields);
+	text_finish(&x->body);
+	events_finish(&x->events);
+	free(x);
+	if (service)
+		placing_pump(gateway, service);
+}
+
+/* A "not run, come back" with the time to stay away. */
+void exchange_come_back(gateway_t *gateway, httpd_conn_t *caller, int status,
+			pimento_usec_t wait)
+{
+	text_t fields;
+
+	text_init(&fields);
+	gateway->dialect->write_come_back(&fields, wait);
+	httpd_answer(caller, status, text_get(&fields), "", 0);
+	text_finish(&fields);
+}
+
+/*
+ * Takes the caller out of an exchange and ends that. The answer is written
+ * afterwards, because the caller's next request may be there already and is
+ * then read into the memory that the exchange still refers to.
+ */
+static httpd_conn_t *part(exchange_t *x, int status, gateway_outcome_t outcome,
+			  const char *why)
+{
+	httpd_conn_t *caller = x->caller;
+
+	x->status = status;
+	x->caller = NULL;
+	caller->user = NULL;
+	exchange_finish(x, outcome, why);
+	return caller;
+}
+
+void exchange_refuse(exchange_t *x, int status, const char *why)
+{
+	gateway_t *gateway = x->gateway;
+	pimento_usec_t wait = waitline_come_back(
+		x->service ? x->service->line.count : 0,
+		x->service ? x->service->per_second : 0, gateway_draw(gateway));
+
+	if (x->streaming) {
+		exchange_cut(x, why);
+		return;
+	}
+	if (x->account)
+		allotment_refund(&gateway->allotment, x->account->key,
+				 x->tokens);
+	exchange_come_back(gateway, part(x, status, GATEWAY_REFUSED, why),
+			   status, wait);
+}
+
+void exchange_fail(exchange_t *x, int status, const char *why)
+{
+	if (x->streaming)
+		exchange_cut(x, why);
+	else
+		httpd_answer(part(x, status, GATEWAY_FAILED, why), status, "",
+			     "", 0);
+}
+
+httpd_conn_t *exchange_served(exchange_t *x)
+{
+	gateway_outcome_t outcome =
+		x->status / 100 == 2 ? GATEWAY_SERVED : GATEWAY_PASSED;
+
+	x->service->answers++;
+	return part(x, x->status, outcome, "-");
+}
+
+void exchange_cut(exchange_t *x, const char *why)
+{
+	httpd_abort(part(x, x->status, GATEWAY_CUT, why));
+}
+
+void exchange_over_allotment(exchange_t *x)
+{
+	const int status = HTTP_STATUS_TOO_MANY_REQUESTS;
+	gateway_t *gateway = x->gateway;
+	allotment_rate_t rate = { .per_second = x->account->tokens_per_second,
+				  .burst = x->account->burst };
+	pimento_usec_t wait = allotment_wait(&gateway->allotment,
+					     x->account->key, rate, x->tokens);
+	httpd_conn_t *caller;
+
+	trail(TRAIL_FAILURE, "allotment", "over",
+	      "id=%s account=%s tokens=%.0f rate=%.0f burst=%.0f level=%.0f",
+	      x->call.id, x->account->name, x->tokens, rate.per_second,
+	      rate.burst,
+	      allotment_level(&gateway->allotment, x->account->key));
+	x->service = NULL; /* it never waited */
+	caller = part(x, status, GATEWAY_OVER_ALLOTMENT, "allotment");
+	exchange_come_back(gateway, caller, status, wait);
+}
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -82,13 +82,19 @@
 gateway_service_t *gateway_service(gateway_t *gateway, pimento_id_t key);
 uint64_t gateway_draw(gateway_t *gateway);
 
+/* arrival.c: what the callers' side of the server tells. */
+void arrival_request(httpd_conn_t *caller);
+void arrival_gone(httpd_conn_t *caller);
+void arrival_written(httpd_conn_t *caller);
+
 /*
- * Each of these ends an exchange and frees it. The first two answer the caller:
- * "not run, come back", or a failure that promises nothing; if the head of an
- * endpoint's answer has already gone out, they break that answer off.
+ * exchange.c: each of these ends an exchange and frees it. The first two answer
+ * the caller: "not run, come back", or a failure that promises nothing; if the
+ * head of an endpoint's answer has already gone out, they break that answer off.
  */
 void exchange_refuse(exchange_t *exchange, int status, const char *why);
 void exchange_fail(exchange_t *exchange, int status, const char *why);
+void exchange_over_allotment(exchange_t *exchange);
 /* Its answer is whole; returns the caller, to whom its end is still owed. */
 httpd_conn_t *exchange_served(exchange_t *exchange);
 /* Breaks an answer off that has begun. */
@@ -96,23 +102,32 @@
 /* Answers nobody. */
 void exchange_finish(exchange_t *exchange, gateway_outcome_t outcome,
 		     const char *why);
+/* A "not run, come back" to a caller, with the time to stay away. */
+void exchange_come_back(gateway_t *gateway, httpd_conn_t *caller, int status,
+			pimento_usec_t wait);
+
+/* placing.c */
+void placing_pump(gateway_t *gateway, gateway_service_t *service);
+/* Gives up what was asked for, granted or not. */
+void placing_unask(exchange_t *exchange);
+/* Gives up an ask that was not answered, or has waited long enough. */
+void placing_sweep(exchange_t *exchange, pimento_usec_t now);
 
 /* dispatch.c */
-void dispatch_pump(gateway_t *gateway, gateway_service_t *service);
-/* Lets go of the attempt under way; its connection is closed. */
-void dispatch_abandon(exchange_t *exchange);
+void dispatch_init(gateway_t *gateway);
+/* Takes a place at an endpoint, and a connection there. */
+void dispatch_begin(exchange_t *exchange, directory_endpoint_t *endpoint);
+/* The endpoint has read the prompt: its answer has begun. */
+void dispatch_read(exchange_t *exchange);
+/* The attempt ended well; its connection rests. */
+void dispatch_done(exchange_t *exchange);
 /* The attempt failed: tries again or ends the exchange. */
 void dispatch_over(exchange_t *exchange, pimento_verdict_t verdict, int status,
 		   const char *why);
-/* The endpoint has read the prompt: its answer has begun. */
-void dispatch_read(exchange_t *exchange);
-void dispatch_init(gateway_t *gateway);
+/* Lets go of the attempt under way; its connection is closed. */
+void dispatch_abandon(exchange_t *exchange);
 /* Ends an attempt that is overdue; returns true if it did. */
 bool dispatch_sweep(exchange_t *exchange, pimento_usec_t now);
-/* Gives up what was asked for, granted or not. */
-void dispatch_unask(exchange_t *exchange);
-/* The attempt ended well; its connection rests. */
-void dispatch_done(exchange_t *exchange);
 
 /* relay.c: what the connection to the endpoint tells. */
 bool relay_head(httpc_t *conn);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -110,6 +110,7 @@
 	struct ev_loop *loop;
 	net_address_t listen;
 	uint32_t connections_max;
+	size_t bodies_bytes; /* of requests that are held, together */
 	const char *datacentre; /* borrowed */
 	const dialect_ops_t *dialect;
 	gateway_bounds_t bounds;
--- a/io/httpd.c
+++ b/io/httpd.c
@@ -30,6 +30,13 @@
 
 static char read_buffer[READ_BYTES];
 
+static void drop_body(httpd_conn_t *conn)
+{
+	conn->server->bodies -= conn->body.length;
+	text_finish(&conn->body);
+	text_init(&conn->body);
+}
+
 static void conn_free(httpd_conn_t *conn)
 {
 	httpd_t *server = conn->server;
@@ -45,7 +52,7 @@
 		ev_io_start(server->loop, &server->accepting);
 	text_finish(&conn->target);
 	head_finish(&conn->head);
-	text_finish(&conn->body);
+	drop_body(conn);
 	text_finish(&conn->ahead);
 	sendbuf_finish(&conn->sendbuf);
 	free(conn);
@@ -84,8 +91,7 @@
 {
 	conn->target.length = 0;
 	head_clear(&conn->head);
-	text_finish(&conn->body);
-	text_init(&conn->body);
+	drop_body(conn);
 	conn->head_bytes = 0;
 	conn->head_read = false;
 	conn->refusal = 0;
@@ -156,15 +162,30 @@
 	return 0;
 }
 
+/*
+ * Bodies are held until their requests are over. Large ones that come at many
+ * connections at once would use up the host's memory, and the process would be
+ * killed with everybody's requests.
+ */
+static bool has_room(const httpd_t *server, size_t length)
+{
+	size_t most = server->limits.bodies_bytes;
+
+	return !most || server->bodies + length <= most;
+}
+
 static int on_body(http_parser *parser, const char *at, size_t length)
 {
 	httpd_conn_t *conn = of(parser);
 
 	if (conn->body.length + length > conn->server->limits.body_bytes)
 		return refuse(conn, HTTP_STATUS_PAYLOAD_TOO_LARGE);
+	if (!has_room(conn->server, length))
+		return refuse(conn, HTTP_STATUS_SERVICE_UNAVAILABLE);
 	text_add_bytes(&conn->body, at, length);
 	if (text_error(&conn->body))
 		return refuse(conn, HTTP_STATUS_SERVICE_UNAVAILABLE);
+	conn->server->bodies += length;
 	return 0;
 }
 
--- a/io/httpd.h
+++ b/io/httpd.h
@@ -29,6 +29,7 @@
 typedef struct httpd_limits {
 	uint32_t head_bytes;
 	uint32_t body_bytes;
+	size_t bodies_bytes; /* of all requests together; 0: no bound */
 	pimento_usec_t head_timeout; /* from a request's first byte */
 	pimento_usec_t idle_timeout; /* without a byte */
 	uint32_t connections;
@@ -42,6 +43,7 @@
 	httpd_limits_t limits;
 	httpd_conn_t *conns;
 	uint32_t count;
+	size_t bodies; /* bytes of all requests' bodies */
 	bool stopping; /* each answer ends its connection */
 } httpd_t;
 
--- a/src/grants.c
+++ b/src/grants.c
@@ -14,7 +14,7 @@
 #define WORD_AGE (1500 * PIMENTO_MSEC)
 
 /*
- * A host that has just become a owner has granted nothing, though places are
+ * A host that has just become an owner has granted nothing, though places are
  * taken. Requests last some seconds at most times; after that its own count is
  * the better one.
  */
--- a/src/grants.h
+++ b/src/grants.h
@@ -8,7 +8,7 @@
  * owner: the others ask it for a place, wait there in one line in order of
  * urgency, and say when they have done.
  *
- * A grant is advice. A owner that is frozen, cut off or gone grants nothing;
+ * A grant is advice. An owner that is frozen, cut off or gone grants nothing;
  * who asks then goes by its own view.
  */
 
--- /dev/null
+++ b/test/fuzz_packet.c
@@ -0,0 +1,50 @@
+/*
+ * Datagrams of peers, and the events of streams: whatever bytes come, tables
+ * stay within their bounds and what was read can be written again.
+ */
+
+#include "events.h"
+#include "packet.h"
+
+#include <stdlib.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void fuzz_packet(const uint8_t *data, size_t size)
+{
+	uint8_t bytes[4 * PACKET_BYTES];
+	packet_t packet;
+
+	if (packet_unpack(&packet, data, size))
+		return;
+	if (packet_pack(&packet, bytes, sizeof(bytes)) <= 0)
+		abort();
+}
+
+static void fuzz_events(const uint8_t *data, size_t size)
+{
+	size_t half = size / 2;
+	events_t events;
+	int64_t whole;
+
+	events_init(&events);
+	whole = events_take(&events, (const char *)data, half);
+	if (whole < 0 || (size_t)whole > events.partial.length)
+		abort();
+	events_drop(&events, (size_t)whole);
+	whole = events_take(&events, (const char *)data + half, size - half);
+	if (whole < 0 || (size_t)whole > events.partial.length)
+		abort();
+	events_finish(&events);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	if (!size)
+		return 0;
+	if (data[0] & 1)
+		fuzz_packet(data + 1, size - 1);
+	else
+		fuzz_events(data + 1, size - 1);
+	return 0;
+}
