pool, text: what the address sanitizer found

Cause: the tests under address and undefined sanitizers, run for the first time on the new code: 24 bytes for each endpoint that has gone were never freed (test_edge_state, a planned stop ended with status 1), and an empty text was copied from NULL. Ruled out: other reports; 14 test programs under both sanitizers. Change: the directory tells before it drops an endpoint; an empty piece is not copied.

--- a/io/gateway.c
+++ b/io/gateway.c
@@ -186,6 +186,7 @@
 	gateway->datacentre = setup->datacentre;
 	gateway->bounds = setup->bounds;
 	gateway->directory = setup->directory;
+	gateway->directory->dropped = pool_drop;
 	gateway->roster = setup->roster;
 	gateway->mirror = setup->mirror;
 	gateway->slots = setup->slots;
--- a/io/pool.c
+++ b/io/pool.c
@@ -178,3 +178,10 @@
 		let_go(conn);
 	}
 }
+
+void pool_drop(directory_endpoint_t *endpoint)
+{
+	pool_close(endpoint);
+	free(endpoint->connections);
+	endpoint->connections = NULL;
+}
--- a/io/pool.h
+++ b/io/pool.h
@@ -42,4 +42,7 @@
 /* Closes all that rest. */
 void pool_close(directory_endpoint_t *endpoint);
 
+/* The same, and frees what was kept of the endpoint, which is to be dropped. */
+void pool_drop(directory_endpoint_t *endpoint);
+
 #endif
--- a/src/directory.c
+++ b/src/directory.c
@@ -14,10 +14,17 @@
 	*directory = (directory_t){ 0 };
 }
 
+static void drop(const directory_t *directory, directory_endpoint_t *endpoint)
+{
+	if (directory->dropped)
+		directory->dropped(endpoint);
+	free(endpoint);
+}
+
 void directory_finish(directory_t *directory)
 {
 	for (uint32_t i = 0; i < directory->count; i++)
-		free(directory->endpoints[i]);
+		drop(directory, directory->endpoints[i]);
 	for (uint32_t i = 0; i < directory->service_count; i++)
 		free(directory->services[i]);
 	free(directory->endpoints);
@@ -153,7 +160,7 @@
 
 		if (!endpoint->listed && endpoint->gone_at <= now &&
 		    !endpoint->holders)
-			free(endpoint);
+			drop(directory, endpoint);
 		else
 			directory->endpoints[kept++] = endpoint;
 	}
--- a/src/directory.h
+++ b/src/directory.h
@@ -56,6 +56,8 @@
 	uint32_t size;
 	directory_service_t **services; /* kept for good; a few */
 	uint32_t service_count;
+	/* Told before an endpoint is freed, to give connections back; or NULL. */
+	void (*dropped)(directory_endpoint_t *endpoint);
 } directory_t;
 
 /* What a record says of an endpoint; texts are borrowed for the call. */
--- a/src/text.c
+++ b/src/text.c
@@ -63,7 +63,7 @@
 
 void text_add_bytes(text_t *text, const char *bytes, size_t length)
 {
-	if (text->failed || !reserve(text, length))
+	if (!length || text->failed || !reserve(text, length))
 		return;
 	memcpy(text->bytes + text->length, bytes, length);
 	text->length += length;
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -39,7 +39,7 @@
 {
 	directory_init(&directory);
 	for (int i = 0; i < ENDPOINTS; i++) {
-		char id[8];
+		char id[16];
 		directory_record_t record = { .id = id,
 					      .service = SERVICE,
 					      .address = "127.0.0.1",
