--- a/src/events.c
+++ b/src/events.c
@@ -82,6 +82,8 @@
 	size_t whole = 0;
 	size_t event;
 
+	if (!length)
+		return 0;
 	text_add_bytes(&events->partial, bytes, length);
 	if (text_error(&events->partial))
 		return PIMENTO_ENOMEM;
--- a/test/test_events.c
+++ b/test/test_events.c
@@ -41,6 +41,20 @@
 }
 END_TEST
 
+START_TEST(an_empty_piece_changes_nothing)
+{
+	events_t events;
+
+	events_init(&events);
+	ck_assert_int_eq(events_take(&events, NULL, 0), 0);
+	ck_assert_int_eq(events_take(&events, "data: a\n\n", 9), 9);
+	events_drop(&events, 9);
+	ck_assert_int_eq(events_take(&events, "", 0), 0);
+	ck_assert_uint_eq(events.count, 1);
+	events_finish(&events);
+}
+END_TEST
+
 START_TEST(an_id_beyond_all_reason_is_passed_over)
 {
 	char text[EVENTS_ID_MAX + 16] = "id: ";
@@ -64,6 +78,7 @@
 
 	tcase_add_loop_test(tests, any_cut_gives_the_same_events, 1,
 			    sizeof(stream));
+	tcase_add_test(tests, an_empty_piece_changes_nothing);
 	tcase_add_test(tests, an_id_beyond_all_reason_is_passed_over);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
