test: an answer that has begun gets no second head

Ruled out: the same for a dead endpoint as overflow; that case does fail.

Change: the worker's stand-in can reset a stream after its head; a case that looks for a second head.

No change of the product.

--- a/standin/worker.c
+++ b/standin/worker.c
@@ -14,6 +14,7 @@
  *	full	503, not run			busy	503, may have run
  *	fail	500				unsealed a success without a seal
  *	half	a stream that stops inside its third event
+ *	mute	a stream's head, and a reset before its first event
  *
  * GET /test/runs tells {"runs": N, "here": requests that arrived, "open":
  * streams under way, "last": the last request's head as text}.
@@ -30,7 +31,12 @@
 #include <string.h>
 #include <sys/socket.h>
 
-enum { RUNS_MAX = 64, EVENTS_DEFAULT = 5, GAP_DEFAULT_MS = 10 };
+enum {
+	RUNS_MAX = 64,
+	EVENTS_DEFAULT = 5,
+	GAP_DEFAULT_MS = 10,
+	MUTE_MS = 100 /* from a stream's head to its reset */
+};
 
 /* A stream under way. */
 typedef struct run {
@@ -40,6 +46,7 @@
 	pimento_usec_t gap;
 	pimento_usec_t due;
 	bool half;
+	bool mute;
 } run_t;
 
 static const char *own_id;
@@ -155,6 +162,9 @@
 			      PIMENTO_MSEC;
 		runs[i].due = sys_now();
 		runs[i].half = behaves(conn, "half");
+		runs[i].mute = behaves(conn, "mute");
+		if (runs[i].mute) /* its head must have arrived before */
+			runs[i].due += MUTE_MS * PIMENTO_MSEC;
 		break;
 	}
 	text_init(&fields);
@@ -179,6 +189,13 @@
 		event, sizeof(event), "id: %llu\ndata: event %llu\n\n",
 		(unsigned long long)run->next, (unsigned long long)run->next);
 
+	if (run->mute) {
+		httpd_conn_t *conn = run->conn;
+
+		run->conn = NULL;
+		httpd_abort(conn);
+		return;
+	}
 	if (run->half && run->next == 3) {
 		httpd_conn_t *conn = run->conn;
 
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -192,6 +192,25 @@
 }
 END_TEST
 
+/*
+ * A stream's head has gone out to the caller, and the worker resets before the
+ * first event. A failure answered then would stand, with a head of its own, in
+ * the middle of the first answer: the caller cannot read either.
+ */
+START_TEST(an_answer_that_has_begun_gets_no_second_head)
+{
+	int fd = edge_connect(&edge, 0);
+
+	edge_send(fd, "GET " EDGE_ONCE " HTTP/1.1\r\nHost: t.example\r\n"
+		      "Request-Id: a\r\nDeadline-Ms: 3000\r\nKey: " EDGE_KEY
+		      "\r\nTest-Behave: mute\r\n\r\n");
+	ck_assert(edge_expect(fd, "HTTP/1.1 200 ", 1000));
+	ck_assert(!edge_expect(fd, "HTTP/1.1 ", 2000));
+	close(fd);
+	ck_assert_int_eq(runs(), 1);
+}
+END_TEST
+
 /*
  * A caller hides a second request in the body of the first, or states two
  * lengths. If the worker got other bytes than the caller's, somebody's request
@@ -350,6 +369,7 @@
 			    sizeof(misbehaviours) / sizeof(misbehaviours[0]));
 	tcase_add_test(one, a_reused_address_runs_nothing);
 	tcase_add_test(one, a_caller_that_leaves_frees_the_worker);
+	tcase_add_test(one, an_answer_that_has_begun_gets_no_second_head);
 	tcase_add_loop_test(one, a_smuggled_request_is_refused_and_runs_nowhere,
 			    0, sizeof(smuggled) / sizeof(smuggled[0]));
 	tcase_add_test(one, requests_sent_ahead_are_answered_in_turn);
