slots: owners count the slots of plain endpoints too

Only engines had owners; hosts filled the endpoint's own queue (24, in order of arrival), so that answers came after their goal, 2,737 of 8,596 arrivals found the endpoint full, and each of those cost repeats from the budget.

Ruled out: lost capacity. With or without owners the one endpoint answers 97 to 110 requests a second, what its slots can do.

Change: slots of plain endpoints are granted by an owner like those of engines.

--- a/io/arrival.c
+++ b/io/arrival.c
@@ -160,6 +160,9 @@
 	if (x->engine)
 		terms->hold += (pimento_usec_t)pace_rest_expect(
 			&average, &service->pace, x->call.expected);
+	else
+		terms->expect = (pimento_usec_t)pace_expect_most(
+			&average, &service->pace, x->call.prompt);
 }
 
 static void set_wait(exchange_t *x)
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -31,6 +31,9 @@
 /* The same in the middle of a stream, in parts of its longest good pause. */
 #define SILENT_GAPS 4
 
+/* A plain answer that takes this many times the usual does not come. */
+#define OVERDUE_TIMES 3.0
+
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
 
@@ -40,6 +43,14 @@
 	x->reading = 0;
 }
 
+/* The endpoint is done with the request, or counts as done with it. */
+static void free_slot(exchange_t *x)
+{
+	if (!x->overdue)
+		x->endpoint->running--;
+	x->overdue = false;
+}
+
 /* Lets go of an endpoint; the connection has been dealt with. */
 static void let_go(exchange_t *x)
 {
@@ -48,7 +59,7 @@
 	if (!endpoint)
 		return;
 	dispatch_read(x);
-	endpoint->running--;
+	free_slot(x);
 	endpoint->holders--;
 	x->endpoint = NULL;
 	x->conn = NULL;
@@ -276,14 +287,16 @@
 	if (why == HTTPC_UNREACHED || x->state == EXCHANGE_CONNECTING) {
 		verdict = PIMENTO_NOT_RUN;
 		x->finding = PACE_UNREACHED;
-		slots_learn(x->endpoint, x->finding, sys_now());
+		slots_learn(x->gateway->slots, x->endpoint, x->finding,
+			    sys_now());
 	} else if (x->reused && why == HTTPC_BROKEN && !conn->status) {
 		pool_stale(conn, x->rested);
 	} else if (service) {
 		pace_failed(&x->endpoint->pace, &service->pace, sys_now());
 		if (why == HTTPC_BROKEN && !conn->status) {
 			x->finding = PACE_BREAKS;
-			slots_learn(x->endpoint, x->finding, sys_now());
+			slots_learn(x->gateway->slots, x->endpoint, x->finding,
+				    sys_now());
 		}
 	}
 	dispatch_over(x, verdict, 0, names[why]);
@@ -307,6 +320,30 @@
 	return now - x->event_at > most;
 }
 
+/* True if an endpoint that works would have answered long ago. */
+static bool is_overdue(const exchange_t *x, pimento_usec_t now)
+{
+	const directory_service_t *service =
+		directory_service(x->gateway->directory, x->service->key);
+	double most;
+
+	if (x->engine || x->state != EXCHANGE_SENT || !service)
+		return false;
+	most = pace_expect_most(&x->endpoint->pace, &service->pace, 0);
+	return most > 0 && (double)(now - x->sent_at) > OVERDUE_TIMES * most;
+}
+
+/*
+ * An endpoint that drops requests without an answer has free slots all the
+ * same. Counted as taken until the timeout, they would keep others from it.
+ */
+static void count_out(exchange_t *x)
+{
+	x->endpoint->running--;
+	x->overdue = true;
+	placing_give_back(x);
+}
+
 bool dispatch_sweep(exchange_t *x, pimento_usec_t now)
 {
 	if (x->state == EXCHANGE_WAITING)
@@ -314,10 +351,12 @@
 	if (x->state == EXCHANGE_CONNECTING &&
 	    now - x->conn->since > CONNECT_MOST) {
 		x->finding = PACE_UNREACHED;
-		slots_learn(x->endpoint, x->finding, now);
+		slots_learn(x->gateway->slots, x->endpoint, x->finding, now);
 		dispatch_over(x, PIMENTO_NOT_RUN, 0, "connect_timeout");
 		return true;
 	}
+	if (!x->overdue && is_overdue(x, now))
+		count_out(x);
 	if (x->state < EXCHANGE_SENT || !x->repeatable ||
 	    x->runs >= x->route->attempts_max || !is_silent(x, now))
 		return false;
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -75,6 +75,7 @@
 	int status;
 	exchange_state_t state;
 
+	bool overdue; /* its endpoint is not taken for busy with it any more */
 	bool granted; /* the last attempt's place, by the endpoint's owner */
 	bool engine;
 	bool repeatable; /* may run more than once */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -168,6 +168,19 @@
 	httpd_sweep(&gateway->front, now);
 }
 
+/* Placement needs to know what kind of endpoints a service has. */
+static void mark_services(gateway_t *gateway, const catalog_t *catalog)
+{
+	for (uint32_t i = 0; i < catalog->service_count; i++) {
+		const catalog_service_t *from = &catalog->services[i];
+		directory_service_t *service =
+			directory_service(gateway->directory, from->key);
+
+		if (service)
+			service->plain = !from->engine;
+	}
+}
+
 void gateway_configure(gateway_t *gateway, catalog_t *catalog)
 {
 	const catalog_limits_t *limits = &catalog->limits;
@@ -175,6 +188,7 @@
 
 	catalog_release(gateway->catalog);
 	gateway->catalog = catalog;
+	mark_services(gateway, catalog);
 	if (limits->head_bytes_max)
 		front->head_bytes = limits->head_bytes_max;
 	if (limits->body_bytes_max)
--- a/io/placing.c
+++ b/io/placing.c
@@ -194,7 +194,7 @@
 static bool is_owned(const exchange_t *x, const directory_endpoint_t *endpoint,
 		     pimento_usec_t now)
 {
-	return x->engine && roster_hosts(x->gateway->roster, now) > 1 &&
+	return roster_hosts(x->gateway->roster, now) > 1 &&
 	       endpoint->owner_silent_until <= now;
 }
 
@@ -283,7 +283,7 @@
 			      .sure = true };
 
 	x->granted = false;
-	if (x->engine && roster_hosts(x->gateway->roster, now) > 1) {
+	if (roster_hosts(x->gateway->roster, now) > 1) {
 		x->place.ticket = told.ticket;
 		x->place.endpoint = endpoint;
 		endpoint->holders++;
@@ -307,7 +307,7 @@
 {
 	directory_endpoint_t *endpoint = NULL;
 
-	while (x->engine && x->line_count < GRANTS_LINES &&
+	while (x->line_count < GRANTS_LINES &&
 	       place(x, true, now, &endpoint) == PLACEMENT_FOUND &&
 	       is_owned(x, endpoint, now))
 		if (ask_for_place(x, endpoint, now) == STEP_MOVED)
--- a/io/relay.c
+++ b/io/relay.c
@@ -120,7 +120,7 @@
 static void not_run(exchange_t *x, bool full, int status)
 {
 	x->finding = full ? PACE_FULL : PACE_UNREACHED;
-	slots_learn(x->endpoint, x->finding, sys_now());
+	slots_learn(x->gateway->slots, x->endpoint, x->finding, sys_now());
 	dispatch_over(x, PIMENTO_NOT_RUN, status,
 		      full ? "endpoint_full" : "other_endpoint");
 }
@@ -132,7 +132,7 @@
 	pimento_usec_t now = sys_now();
 
 	x->finding = PACE_FAILS;
-	slots_learn(x->endpoint, x->finding, now);
+	slots_learn(x->gateway->slots, x->endpoint, x->finding, now);
 	if (service)
 		pace_failed(&x->endpoint->pace, service, now);
 }
@@ -186,7 +186,7 @@
 	dispatch_read(x);
 	if (x->status / 100 != 5) {
 		x->finding = PACE_ANSWERS;
-		slots_learn(x->endpoint, x->finding, now);
+		slots_learn(x->gateway->slots, x->endpoint, x->finding, now);
 	}
 	if (!service || x->status / 100 != 2)
 		return;
--- a/io/slots.c
+++ b/io/slots.c
@@ -2,6 +2,9 @@
 
 #include "trail.h"
 
+#define PLAIN_STAY (300 * PIMENTO_MSEC)
+#define ENGINE_STAY (2 * PIMENTO_SEC)
+
 void slots_init(slots_t *slots, directory_t *directory, roster_t *roster,
 		uint32_t self)
 {
@@ -75,9 +78,15 @@
 }
 
 /* One that was not reached lately is tried by one request at a time. */
-static uint32_t places_of(const directory_endpoint_t *endpoint)
+static uint32_t places_of(const slots_t *slots,
+			  const directory_endpoint_t *endpoint)
 {
-	return endpoint->pace.failures ? 1 : placement_places(endpoint);
+	const directory_service_t *service =
+		directory_service(slots->directory, endpoint->service);
+
+	if (endpoint->pace.failures || !service)
+		return 1;
+	return placement_places(service, endpoint);
 }
 
 /* Gives free places to those in line. */
@@ -89,7 +98,7 @@
 	if (!endpoint || !directory_takes(endpoint, now) ||
 	    endpoint->pace.shunned_until > now)
 		return;
-	while (grants_next(&slots->grants, key, places_of(endpoint), now,
+	while (grants_next(&slots->grants, key, places_of(slots, endpoint), now,
 			   &ask)) {
 		slots->granted++;
 		reply(slots, &ask, true, now);
@@ -113,13 +122,17 @@
 		reply(slots, ask, false, now);
 }
 
-void slots_learn(directory_endpoint_t *endpoint, pace_finding_t finding,
-		 pimento_usec_t now)
+void slots_learn(slots_t *slots, directory_endpoint_t *endpoint,
+		 pace_finding_t finding, pimento_usec_t now)
 {
+	const directory_service_t *service =
+		directory_service(slots->directory, endpoint->service);
 	pace_t *pace = &endpoint->pace;
 	uint32_t before = pace->failures;
 
-	pace_found(pace, finding, now);
+	if (!service)
+		return;
+	pace_found(pace, &service->pace, finding, now);
 	if (!before && pace->failures)
 		trail(TRAIL_STATE, "endpoint", "left_alone",
 		      "endpoint=%s why=%s in_a_row=%u ms=%lld", endpoint->id,
@@ -140,10 +153,13 @@
 			: NULL;
 
 	/* what this host found out itself was learnt on the way */
-	if (endpoint && release->address != slots->self)
-		slots_learn(endpoint, release->finding, now);
-	if (service && release->gap_us && release->address != slots->self)
-		pace_gap_mean(&endpoint->pace, &service->pace, release->gap_us);
+	if (service && release->address != slots->self) {
+		pace_heard(&endpoint->pace, &service->pace, release->finding);
+		slots_learn(slots, endpoint, release->finding, now);
+		if (release->gap_us)
+			pace_gap_mean(&endpoint->pace, &service->pace,
+				      release->gap_us);
+	}
 	grants_release(&slots->grants, release->endpoint, release->address,
 		       release->ticket);
 	give_places(slots, release->endpoint, now);
@@ -198,12 +214,24 @@
 	}
 }
 
+/* How long requests last at an endpoint, mostly. */
+static pimento_usec_t stay_of(const slots_t *slots,
+			      const directory_endpoint_t *endpoint)
+{
+	const directory_service_t *service =
+		directory_service(slots->directory, endpoint->service);
+
+	return service && service->plain ? PLAIN_STAY : ENGINE_STAY;
+}
+
 static void hear_endpoint(slots_t *slots, directory_endpoint_t *endpoint,
 			  pimento_usec_t now)
 {
+	pimento_usec_t stay = stay_of(slots, endpoint);
 	uint32_t key = (uint32_t)endpoint->key;
 	const roster_t *roster = slots->roster;
 
+	grants_hear_begin(&slots->grants, key, stay, now);
 	grants_hear(&slots->grants, key, slots->self, endpoint->running, now);
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const roster_peer_t *peer = roster->peers[i];
@@ -260,7 +288,6 @@
 
 void slots_tick(slots_t *slots, pimento_usec_t now)
 {
-	grants_hear_begin(&slots->grants);
 	for (uint32_t i = 0; i < slots->directory->count; i++) {
 		directory_endpoint_t *e = slots->directory->endpoints[i];
 		uint32_t key = (uint32_t)e->key;
--- a/io/slots.h
+++ b/io/slots.h
@@ -51,7 +51,7 @@
  * Learns what a request has found out of an endpoint, and logs when that is
  * left alone or answers again.
  */
-void slots_learn(directory_endpoint_t *endpoint, pace_finding_t finding,
-		 pimento_usec_t now);
+void slots_learn(slots_t *slots, directory_endpoint_t *endpoint,
+		 pace_finding_t finding, pimento_usec_t now);
 
 #endif
--- a/src/directory.h
+++ b/src/directory.h
@@ -47,6 +47,7 @@
 
 typedef struct directory_service {
 	pimento_id_t key;
+	bool plain; /* its endpoints queue requests, and are no engines */
 	pace_service_t pace;
 } directory_service_t;
 
--- a/src/grants.c
+++ b/src/grants.c
@@ -13,13 +13,6 @@
  */
 #define WORD_AGE (1500 * PIMENTO_MSEC)
 
-/*
- * A host that has just become an owner has granted nothing, though places are
- * taken. Requests last some seconds at most times; after that its own count is
- * the better one.
- */
-#define NEW_OWNER (2 * PIMENTO_SEC)
-
 /*
  * Hosts hear of a host's death up to some seconds apart, and ask its successor
  * while that one still takes it for alive. It keeps count as long as anybody asks
@@ -208,10 +201,15 @@
 	return true;
 }
 
-void grants_hear_begin(grants_t *grants)
+void grants_hear_begin(grants_t *grants, uint32_t endpoint, pimento_usec_t stay,
+		       pimento_usec_t now)
 {
-	for (uint32_t i = 0; i < grants->count; i++)
-		grants->endpoints[i].uncounted = 0;
+	grants_endpoint_t *e = find_or_add(grants, endpoint, now);
+
+	if (!e)
+		return;
+	e->uncounted = 0;
+	e->is_new = now - e->since < stay;
 }
 
 void grants_hear(grants_t *grants, uint32_t endpoint, uint32_t address,
@@ -234,7 +232,7 @@
 			old++;
 	}
 	/* Later its words are older than the releases that came meanwhile. */
-	if (e && now - e->since < NEW_OWNER && running > young + old)
+	if (e && e->is_new && running > young + old)
 		e->uncounted += running - young - old;
 }
 
--- a/src/grants.h
+++ b/src/grants.h
@@ -47,6 +47,7 @@
 typedef struct grants_endpoint {
 	uint32_t endpoint;
 	pimento_usec_t since; /* this host keeps it */
+	bool is_new; /* requests that others granted are still there */
 	pimento_usec_t asked_at; /* last, by anybody */
 	uint32_t uncounted; /* in flight by hosts' own word, from before that */
 	uint32_t granted;
@@ -88,8 +89,12 @@
  */
 void grants_hear(grants_t *grants, uint32_t endpoint, uint32_t address,
 		 uint32_t running, pimento_usec_t now);
-/* Before the words of all hosts are heard anew. */
-void grants_hear_begin(grants_t *grants);
+/*
+ * Before the words of all hosts on an endpoint are heard anew. Requests last
+ * for stay there, mostly: for so long a new owner counts what it did not grant.
+ */
+void grants_hear_begin(grants_t *grants, uint32_t endpoint,
+		       pimento_usec_t stay, pimento_usec_t now);
 
 /* True if hosts ask here for its places, or did lately. */
 bool grants_is_asked(const grants_t *grants, uint32_t endpoint,
--- a/src/pace.c
+++ b/src/pace.c
@@ -21,6 +21,9 @@
 #define FAILING_WEIGHT 0.08
 #define SERVICE_FAILING_WEIGHT 0.02
 #define LINE_DECAY 0.995
+#define FIRST_ERROR_WEIGHT 0.05
+/* Mean errors above the mean, below which nine spans in ten lie. */
+#define MOST_ERRORS 2.0
 
 /* Samples before the fitted line is used. */
 #define LINE_SAMPLES 12.0
@@ -56,6 +59,8 @@
  * fourth).
  */
 #define BAD_MOST 4
+/* Chance of as many in a row at an endpoint that is as good as others. */
+#define BAD_CHANCE 0.01
 
 void pace_init(pace_t *pace)
 {
@@ -115,6 +120,11 @@
 void pace_first(pace_t *pace, pace_service_t *service, pimento_usec_t span,
 		uint32_t prompt)
 {
+	double error = fabs((double)span - pace_expect(pace, service, prompt));
+
+	if (service->first.weight > 0)
+		blend(&service->first_error,
+		      error / pace_slowness(pace, service), FIRST_ERROR_WEIGHT);
 	blend(&pace->first, (double)span, FIRST_WEIGHT);
 	line_add(&service->first, (double)prompt,
 		 (double)span / pace_slowness(pace, service));
@@ -146,19 +156,34 @@
 	       pace_gap_expect(pace, service);
 }
 
+static void learn_failing(pace_t *pace, pace_service_t *service, bool failed)
+{
+	double sample = failed ? 1 : 0;
+
+	pace->failing += FAILING_WEIGHT * (sample - pace->failing);
+	service->failing +=
+		SERVICE_FAILING_WEIGHT * (sample - service->failing);
+}
+
 void pace_answered(pace_t *pace, pace_service_t *service)
 {
 	pace->failures = 0;
 	pace->bad = 0;
 	pace->shunned_until = 0;
-	pace->failing *= 1 - FAILING_WEIGHT;
-	service->failing *= 1 - SERVICE_FAILING_WEIGHT;
+	learn_failing(pace, service, false);
+}
+
+void pace_heard(pace_t *pace, pace_service_t *service, pace_finding_t finding)
+{
+	if (finding == PACE_ANSWERS)
+		learn_failing(pace, service, false);
+	else if (finding == PACE_FAILS || finding == PACE_BREAKS)
+		learn_failing(pace, service, true);
 }
 
 void pace_failed(pace_t *pace, pace_service_t *service, pimento_usec_t now)
 {
-	pace->failing += FAILING_WEIGHT * (1 - pace->failing);
-	service->failing += SERVICE_FAILING_WEIGHT * (1 - service->failing);
+	learn_failing(pace, service, true);
 	if (pace->failing > service->failing + FAILING_EXCESS)
 		pace->shunned_until = now + SHUN_FAILING;
 }
@@ -188,7 +213,21 @@
 	return finding < PACE_FINDINGS ? names[finding] : "unknown";
 }
 
-void pace_found(pace_t *pace, pace_finding_t finding, pimento_usec_t now)
+/*
+ * Failures in a row that single an endpoint out. Where the whole service fails
+ * half of its requests, four in a row are common at each endpoint.
+ */
+static uint32_t bad_most(const pace_service_t *service)
+{
+	double most = BAD_MOST;
+
+	if (service->failing > 0)
+		most = log(BAD_CHANCE) / log(fmin(service->failing, 0.9));
+	return (uint32_t)fmax(most, BAD_MOST);
+}
+
+void pace_found(pace_t *pace, const pace_service_t *service,
+		pace_finding_t finding, pimento_usec_t now)
 {
 	switch (finding) {
 	case PACE_ANSWERS:
@@ -201,7 +240,7 @@
 	case PACE_BREAKS:
 	case PACE_FAILS:
 		pace->bad++;
-		if (pace->bad < BAD_MOST)
+		if (pace->bad < bad_most(service))
 			break;
 		/* fallthrough */
 	case PACE_UNREACHED:
@@ -222,3 +261,11 @@
 	return pace_slowness(pace, service) *
 	       fmax(line_at(&service->first, (double)prompt, 0), 0);
 }
+
+double pace_expect_most(const pace_t *pace, const pace_service_t *service,
+			uint32_t prompt)
+{
+	return pace_expect(pace, service, prompt) +
+	       MOST_ERRORS * service->first_error *
+		       pace_slowness(pace, service);
+}
--- a/src/pace.h
+++ b/src/pace.h
@@ -31,6 +31,7 @@
 	pace_line_t
 		length; /* logarithm of events over that of tokens expected */
 	pace_line_t first; /* span over prompt, divided by the slowness */
+	double first_error; /* mean distance from that line; 0 unknown */
 } pace_service_t;
 
 /* What a request has found out of its endpoint; hosts tell the owner. */
@@ -69,13 +70,19 @@
 /* "answers", "breaks", ...; never NULL. */
 const char *pace_finding_name(pace_finding_t finding);
 /* Learns from a finding, of this host or of another. */
-void pace_found(pace_t *pace, pace_finding_t finding, pimento_usec_t now);
+void pace_found(pace_t *pace, const pace_service_t *service,
+		pace_finding_t finding, pimento_usec_t now);
+/* Learns how often requests of another host fail. */
+void pace_heard(pace_t *pace, pace_service_t *service, pace_finding_t finding);
 
 /* How much slower than its service's mean; 1 unknown. */
 double pace_slowness(const pace_t *pace, const pace_service_t *service);
 /* Expected span to the first event when nothing waits there. */
 double pace_expect(const pace_t *pace, const pace_service_t *service,
 		   uint32_t prompt);
+/* The same, for nine requests in ten: they take no longer than this. */
+double pace_expect_most(const pace_t *pace, const pace_service_t *service,
+			uint32_t prompt);
 
 /* Expected span between events there. */
 double pace_gap_expect(const pace_t *pace, const pace_service_t *service);
--- a/src/placement.c
+++ b/src/placement.c
@@ -18,8 +18,8 @@
  */
 #define ENGINE_BEYOND 1
 
-/* A plain service queues a few; its answers take some 10 ms each. */
-#define PLAIN_BEYOND 4
+/* A plain service answers sooner, so that more slots fall free meanwhile. */
+#define PLAIN_BEYOND 3
 
 /* Cost of a full batch against an empty one, in parts of the first event. */
 #define LOAD_COST 0.8
@@ -51,19 +51,20 @@
 /* Used when no answer has been seen: microseconds to a first answer. */
 #define UNKNOWN_FIRST 50000.0
 
-uint32_t placement_places(const directory_endpoint_t *endpoint)
+uint32_t placement_places(const directory_service_t *service,
+			  const directory_endpoint_t *endpoint)
 {
-	return endpoint->slots + ENGINE_BEYOND;
+	return endpoint->slots +
+	       (service->plain ? PLAIN_BEYOND : ENGINE_BEYOND);
 }
 
-static uint32_t places(const directory_endpoint_t *endpoint,
+static uint32_t places(const directory_service_t *service,
+		       const directory_endpoint_t *endpoint,
 		       const placement_request_t *request)
 {
 	if (request->in_line)
 		return UINT32_MAX;
-	if (!request->engine)
-		return endpoint->slots + PLAIN_BEYOND;
-	return placement_places(endpoint);
+	return placement_places(service, endpoint);
 }
 
 static uint32_t in_flight(const directory_endpoint_t *endpoint)
@@ -270,7 +271,7 @@
 		choice->cost = INFINITY;
 	}
 	if (fit < choice->fit || has_no_line(endpoint, request, now) ||
-	    in_flight(endpoint) >= places(endpoint, request))
+	    in_flight(endpoint) >= places(service, endpoint, request))
 		return;
 	c = cost(endpoint, service, request);
 	if (c < choice->cost) {
--- a/src/placement.h
+++ b/src/placement.h
@@ -54,8 +54,9 @@
 bool placement_suits(directory_t *directory, const placement_request_t *request,
 		     const directory_endpoint_t *endpoint, pimento_usec_t now);
 
-/* Places of an engine, for whoever keeps count of them. */
-uint32_t placement_places(const directory_endpoint_t *endpoint);
+/* Requests that an endpoint of the service may have in flight. */
+uint32_t placement_places(const directory_service_t *service,
+			  const directory_endpoint_t *endpoint);
 
 /* Places of a service: taken counts requests in flight anywhere. */
 typedef struct placement_room {
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -173,6 +173,34 @@
 }
 END_TEST
 
+/* Guards against slots taken for busy by requests that get no answer. */
+START_TEST(unanswered_requests_do_not_keep_others_out)
+{
+	enum { UNANSWERED = 12 }; /* more than the worker's slots and reserve */
+	int fds[UNANSWERED];
+	client_reply_t reply;
+
+	/* so that the host knows how long answers take */
+	for (int i = 0; i < 4; i++)
+		ck_assert_int_eq(status_of(EDGE_UNSAFE, NULL), 200);
+	for (int i = 0; i < UNANSWERED; i++) {
+		fds[i] = edge_connect(&edge, 0);
+		edge_send(fds[i], "POST " EDGE_UNSAFE " HTTP/1.1\r\n"
+				  "Host: t.example\r\nRequest-Id: a\r\n"
+				  "Deadline-Ms: 5000\r\nKey: " EDGE_KEY "\r\n"
+				  "Content-Length: 0\r\n"
+				  "Test-Behave: hang\r\n\r\n");
+	}
+	process_sleep_ms(100);
+	reply = edge_ask(&edge, 0, EDGE_UNSAFE, NULL, NULL);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_int_lt(reply.total_us, 1000000);
+	client_reply_finish(&reply);
+	for (int i = 0; i < UNANSWERED; i++)
+		close(fds[i]);
+}
+END_TEST
+
 /*
  * A caller gives up, before the answer or in the middle of a stream. The engine
  * would go on for seconds for nobody, and others would wait for its place.
@@ -368,6 +396,7 @@
 			    0,
 			    sizeof(misbehaviours) / sizeof(misbehaviours[0]));
 	tcase_add_test(one, a_reused_address_runs_nothing);
+	tcase_add_test(one, unanswered_requests_do_not_keep_others_out);
 	tcase_add_test(one, a_caller_that_leaves_frees_the_worker);
 	tcase_add_test(one, an_answer_that_has_begun_gets_no_second_head);
 	tcase_add_loop_test(one, a_smuggled_request_is_refused_and_runs_nowhere,
--- a/test/test_grants.c
+++ b/test/test_grants.c
@@ -8,6 +8,7 @@
 enum { ENGINE = 7, PLACES = 4, HOST_A = 1, HOST_B = 2 };
 
 #define NOW (100 * PIMENTO_SEC)
+#define STAY (2 * PIMENTO_SEC)
 
 static grants_t grants;
 
@@ -163,10 +164,10 @@
 START_TEST(a_lost_release_is_made_up_by_the_hosts_own_word)
 {
 	fill(PLACES, NOW);
-	grants_hear_begin(&grants);
+	grants_hear_begin(&grants, ENGINE, STAY, NOW + PIMENTO_SEC);
 	grants_hear(&grants, ENGINE, HOST_A, 1, NOW + PIMENTO_SEC);
 	ck_assert_uint_eq(grants_running(&grants, ENGINE), PLACES);
-	grants_hear_begin(&grants);
+	grants_hear_begin(&grants, ENGINE, STAY, NOW + 3 * PIMENTO_SEC);
 	grants_hear(&grants, ENGINE, HOST_A, 1, NOW + 3 * PIMENTO_SEC);
 	ck_assert_uint_eq(grants_running(&grants, ENGINE), 1);
 }
@@ -178,12 +179,12 @@
  */
 START_TEST(a_new_owner_counts_what_hosts_say)
 {
-	grants_hear_begin(&grants);
+	grants_hear_begin(&grants, ENGINE, STAY, NOW);
 	grants_hear(&grants, ENGINE, HOST_A, 3, NOW);
 	grants_hear(&grants, ENGINE, HOST_B, 2, NOW);
 	ask(9, 0, false, NOW);
 	ck_assert_uint_eq(next(NOW), 0);
-	grants_hear_begin(&grants);
+	grants_hear_begin(&grants, ENGINE, STAY, NOW + PIMENTO_SEC);
 	grants_hear(&grants, ENGINE, HOST_A, 1, NOW + PIMENTO_SEC);
 	grants_hear(&grants, ENGINE, HOST_B, 2, NOW + PIMENTO_SEC);
 	ask(10, 0, false, NOW + PIMENTO_SEC);
@@ -191,6 +192,22 @@
 }
 END_TEST
 
+/* Guards against old notes that take a new owner's slots for finished requests. */
+START_TEST(a_new_owner_counts_short_requests_briefly)
+{
+	const pimento_usec_t stay = 300 * PIMENTO_MSEC;
+
+	grants_hear_begin(&grants, ENGINE, stay, NOW);
+	grants_hear(&grants, ENGINE, HOST_A, PLACES, NOW);
+	ask(9, 0, false, NOW);
+	ck_assert_uint_eq(next(NOW), 0);
+	grants_hear_begin(&grants, ENGINE, stay, NOW + stay);
+	grants_hear(&grants, ENGINE, HOST_A, PLACES, NOW + stay);
+	ask(10, 0, false, NOW + stay);
+	ck_assert_uint_eq(next(NOW + stay), 10);
+}
+END_TEST
+
 /*
  * A host's note is a second old and still names requests whose end the owner
  * has heard of since. Counted beside the grants, a third of the places would
@@ -202,7 +219,7 @@
 	fill(PLACES, NOW + 5 * PIMENTO_SEC);
 	for (uint64_t ticket = 1; ticket <= 3; ticket++)
 		grants_release(&grants, ENGINE, HOST_A, ticket);
-	grants_hear_begin(&grants);
+	grants_hear_begin(&grants, ENGINE, STAY, NOW + 6 * PIMENTO_SEC);
 	grants_hear(&grants, ENGINE, HOST_A, 4, NOW + 6 * PIMENTO_SEC);
 	ck_assert_uint_eq(grants_running(&grants, ENGINE), 1);
 }
@@ -237,6 +254,7 @@
 	tcase_add_test(tests, an_ask_that_has_waited_too_long_gets_nothing);
 	tcase_add_test(tests, a_lost_release_is_made_up_by_the_hosts_own_word);
 	tcase_add_test(tests, a_new_owner_counts_what_hosts_say);
+	tcase_add_test(tests, a_new_owner_counts_short_requests_briefly);
 	tcase_add_test(tests, an_old_word_takes_no_place);
 	tcase_add_test(tests, a_request_that_goes_anyway_is_counted);
 	suite_add_tcase(suite, tests);
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -335,7 +335,8 @@
 	pace_t *pace = &endpoints[0]->pace;
 
 	for (int i = 0; i < 6; i++)
-		pace_found(pace, findings[_i].findings[i], PIMENTO_SEC);
+		pace_found(pace, service, findings[_i].findings[i],
+			   PIMENTO_SEC);
 	ck_assert_msg((pace->shunned_until > PIMENTO_SEC) ==
 			      findings[_i].shunned,
 		      "%s", findings[_i].what);
--- a/test/test_slots.c
+++ b/test/test_slots.c
@@ -12,6 +12,7 @@
 
 static directory_t directory;
 static directory_endpoint_t *endpoint;
+static directory_service_t *service;
 static roster_t roster;
 static slots_t slots;
 
@@ -40,6 +41,8 @@
 	directory_init(&directory);
 	endpoint = directory_put(&directory, &record);
 	ck_assert_ptr_nonnull(endpoint);
+	service = directory_service(&directory, endpoint->service);
+	ck_assert_ptr_nonnull(service);
 	roster_init(&roster, SELF);
 	hear_peers(NOW);
 	slots_init(&slots, &directory, &roster, SELF);
@@ -84,7 +87,7 @@
 		for (int i = 0; i < ASKS; i++)
 			ask(ticket++, now);
 	}
-	ck_assert_uint_eq(slots.granted, placement_places(endpoint));
+	ck_assert_uint_eq(slots.granted, placement_places(service, endpoint));
 }
 END_TEST
 
@@ -100,7 +103,7 @@
 
 	for (uint64_t ticket = 1; ticket <= ASKS; ticket++)
 		ask(ticket, NOW);
-	ck_assert_uint_eq(slots.granted, placement_places(endpoint));
+	ck_assert_uint_eq(slots.granted, placement_places(service, endpoint));
 	packet.as.release = (packet_release_t){
 		.endpoint = (uint32_t)endpoint->key,
 		.address = ASKER,
@@ -109,7 +112,26 @@
 	};
 	slots_take(&slots, &packet, NOW);
 	ck_assert_double_eq(endpoint->pace.gap, 160000);
-	ck_assert_uint_eq(slots.granted, placement_places(endpoint));
+	ck_assert_uint_eq(slots.granted, placement_places(service, endpoint));
+}
+END_TEST
+
+/* Guards against singling out one endpoint of a service that fails everywhere. */
+START_TEST(failures_of_a_whole_service_single_nobody_out)
+{
+	packet_t packet = { .kind = PACKET_RELEASE };
+
+	for (int i = 0; i < 200; i++) {
+		packet.as.release = (packet_release_t){
+			.endpoint = (uint32_t)endpoint->key,
+			.address = ASKER,
+			.finding = i % 5 ? PACE_FAILS : PACE_ANSWERS,
+		};
+		slots_take(&slots, &packet, NOW);
+		ck_assert(i < 100 || endpoint->pace.shunned_until <= NOW);
+		if (i == 99)
+			endpoint->pace.shunned_until = 0;
+	}
 }
 END_TEST
 
@@ -135,6 +157,7 @@
 	tcase_add_test(tests,
 		       a_successor_that_does_not_know_it_yet_keeps_count);
 	tcase_add_test(tests, a_pace_is_learnt_before_a_place_is_given_back);
+	tcase_add_test(tests, failures_of_a_whole_service_single_nobody_out);
 	tcase_add_test(tests, what_nobody_asks_for_is_forgotten);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
