placement: prefer endpoints to which a connection is idle, and the own data centre

Ruled out: a fixed subset of engines for each host.

Change: the cost of an endpoint without an idle connection is 2.2 times as high, of one in another data centre 1.3 times (1.05 before). What fits a request comes first, as before; a slot is still granted by the endpoint's owner.

--- a/io/pool.c
+++ b/io/pool.c
@@ -66,14 +66,17 @@
 	return now - conn->since < most;
 }
 
-static httpc_t *take_resting(shelf_t *shelf, bool careful, pimento_usec_t now)
+static httpc_t *take_resting(directory_endpoint_t *endpoint, bool careful,
+			     pimento_usec_t now)
 {
+	shelf_t *shelf = shelf_of(endpoint);
 	httpc_t *conn = shelf->resting;
 
 	if (!conn || !is_good(shelf, conn, careful, now))
 		return NULL; /* the others have rested longer */
 	shelf->resting = conn->next;
 	conn->next = NULL;
+	endpoint->idle_connections--;
 	return conn;
 }
 
@@ -95,7 +98,7 @@
 	if (!shelf || net_parse_ip(endpoint->address, &address.ip))
 		return NULL;
 	forget_earlier_life(endpoint, shelf);
-	conn = take_resting(shelf, careful, now);
+	conn = take_resting(endpoint, careful, now);
 	if (conn) {
 		pool->reused++;
 		return conn;
@@ -120,6 +123,7 @@
 	}
 	conn->next = shelf->resting;
 	shelf->resting = conn;
+	((directory_endpoint_t *)conn->owner)->idle_connections++;
 }
 
 void pool_over(httpc_t *conn)
@@ -130,8 +134,10 @@
 
 	while (at && *at && *at != conn)
 		at = &(*at)->next;
-	if (at && *at)
+	if (at && *at) {
 		*at = conn->next;
+		endpoint->idle_connections--;
+	}
 	endpoint->holders--;
 }
 
@@ -163,6 +169,7 @@
 			continue;
 		}
 		*at = conn->next;
+		endpoint->idle_connections--;
 		let_go(conn);
 	}
 }
@@ -175,6 +182,7 @@
 		httpc_t *conn = shelf->resting;
 
 		shelf->resting = conn->next;
+		endpoint->idle_connections--;
 		let_go(conn);
 	}
 }
--- a/src/directory.h
+++ b/src/directory.h
@@ -42,6 +42,7 @@
 	pimento_usec_t told_at; /* 0 never */
 	pimento_usec_t owner_silent_until; /* it did not answer lately */
 	pace_t pace;
+	uint32_t idle_connections; /* open, with no request */
 	void *connections; /* of the I/O layer, which alone looks at it */
 } directory_endpoint_t;
 
--- a/src/placement.c
+++ b/src/placement.c
@@ -29,8 +29,10 @@
 #define LINE_COST 0.3
 /* Random part of the cost. */
 #define SPREAD 0.15
-/* An endpoint elsewhere: a link of a millisecond, and bytes are priced. */
-#define FAR_COST 0.05
+/* An endpoint in another data centre: latency, and bytes between them. */
+#define FAR_COST 0.3
+/* A new connection costs a round trip, and endpoints bound their number. */
+#define CONNECT_COST 1.2
 /* Failing endpoints look quick; a failure costs the whole request. */
 #define FAILING_COST 6.0
 /*
@@ -223,6 +225,8 @@
 		first *= DOUBT_COST;
 	first *= 1 + FAILING_COST * endpoint->pace.failing;
 	first *= 1 + SPREAD * chance(request->draw, endpoint->key);
+	if (!endpoint->idle_connections)
+		first *= 1 + CONNECT_COST;
 	if (!same_text(endpoint->datacentre, request->datacentre))
 		first *= 1 + FAR_COST;
 	return first;
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -92,6 +92,39 @@
 }
 END_TEST
 
+/* Guards against a new connection for each request of a host with few. */
+START_TEST(a_host_stays_with_its_idle_connections)
+{
+	placement_request_t request = stream(1000, 60);
+	directory_endpoint_t *endpoint;
+
+	endpoints[1]->idle_connections = 1;
+	for (uint64_t draw = 0; draw < 50; draw++) {
+		request.draw = draw * 977;
+		ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+		ck_assert_ptr_eq(endpoint, endpoints[1]);
+	}
+	endpoints[1]->running = SLOTS + 1;
+	ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+	ck_assert_ptr_ne(endpoint, endpoints[1]);
+}
+END_TEST
+
+/* Guards against slow answers for the sake of a connection. */
+START_TEST(an_idle_connection_to_a_slow_endpoint_stays_unused)
+{
+	placement_request_t request = stream(1000, 60);
+	directory_endpoint_t *endpoint;
+
+	endpoints[ENDPOINTS - 1]->idle_connections = 1;
+	for (uint64_t draw = 0; draw < 50; draw++) {
+		request.draw = draw * 977;
+		ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
+		ck_assert_ptr_ne(endpoint, endpoints[ENDPOINTS - 1]);
+	}
+}
+END_TEST
+
 /*
  * An answer of hundreds of events on the slowest hardware runs for longer than
  * its caller stays. It holds a place for all that time and is cut at the last
@@ -539,6 +572,9 @@
 
 	tcase_add_checked_fixture(tests, setup, teardown);
 	tcase_add_test(tests, idle_endpoints_are_chosen_by_their_speed);
+	tcase_add_test(tests, a_host_stays_with_its_idle_connections);
+	tcase_add_test(tests,
+		       an_idle_connection_to_a_slow_endpoint_stays_unused);
 	tcase_add_test(tests,
 		       a_long_answer_waits_for_an_endpoint_that_can_finish);
 	tcase_add_test(tests, an_answer_too_long_for_all_is_tried_anyway);
