pace: owners single out endpoints that break half of their requests

Each break frees a slot, which the owner gives at once to the next request. Hosts see each engine too rarely to learn it alone, and half of the breaks were on reused connections and so taken for connections that the engine had closed.

Ruled out: the owner learning the share of failures from what hosts tell it, by the old rule (0.3 above the service's mean): no change at all, as the service's mean is one of requests, of which these engines draw most (0.2 of all failed).

Change: the owner learns the share from hosts' releases; an endpoint that fails more than 0.3 and 1.6 times as often as its service is left alone for 0.7 s and then tried by one request at a time, and hosts hear that it is doubtful; a break within 100 ms after the connection's last use is the endpoint's.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -34,6 +34,9 @@
 /* A plain answer that takes this many times the usual does not come. */
 #define OVERDUE_TIMES 3.0
 
+/* Sooner than this no endpoint closes an idle connection. */
+#define STALE_LEAST (100 * PIMENTO_MSEC)
+
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
 
@@ -289,7 +292,8 @@
 		x->finding = PACE_UNREACHED;
 		slots_learn(x->gateway->slots, x->endpoint, x->finding,
 			    sys_now());
-	} else if (x->reused && why == HTTPC_BROKEN && !conn->status) {
+	} else if (x->reused && why == HTTPC_BROKEN && !conn->status &&
+		   x->rested > STALE_LEAST) {
 		pool_stale(conn, x->rested);
 	} else if (service) {
 		pace_failed(&x->endpoint->pace, &service->pace, sys_now());
--- a/io/slots.c
+++ b/io/slots.c
@@ -45,11 +45,15 @@
 				pimento_usec_t now)
 {
 	uint32_t key = (uint32_t)endpoint->key;
+	const directory_service_t *service =
+		directory_service(slots->directory, endpoint->service);
 	directory_word_t word = {
 		.running = grants_running(&slots->grants, key),
 		.waiting = grants_waiting(&slots->grants, key),
 		.gap_us = (uint32_t)endpoint->pace.gap,
-		.doubtful = endpoint->pace.failures > 0,
+		.doubtful = endpoint->pace.failures > 0 ||
+			    (service &&
+			     pace_is_failing(&endpoint->pace, &service->pace)),
 	};
 
 	if (endpoint->pace.shunned_until > now)
@@ -77,14 +81,15 @@
 		send_packet(slots, ask->address, &packet);
 }
 
-/* One that was not reached lately is tried by one request at a time. */
+/* One that was not reached, or mostly fails, is tried by one request at a time. */
 static uint32_t places_of(const slots_t *slots,
 			  const directory_endpoint_t *endpoint)
 {
 	const directory_service_t *service =
 		directory_service(slots->directory, endpoint->service);
 
-	if (endpoint->pace.failures || !service)
+	if (!service || endpoint->pace.failures ||
+	    pace_is_failing(&endpoint->pace, &service->pace))
 		return 1;
 	return placement_places(service, endpoint);
 }
@@ -154,7 +159,8 @@
 
 	/* what this host found out itself was learnt on the way */
 	if (service && release->address != slots->self) {
-		pace_heard(&endpoint->pace, &service->pace, release->finding);
+		pace_heard(&endpoint->pace, &service->pace, release->finding,
+			   now);
 		slots_learn(slots, endpoint, release->finding, now);
 		if (release->gap_us)
 			pace_gap_mean(&endpoint->pace, &service->pace,
--- a/src/pace.c
+++ b/src/pace.c
@@ -41,11 +41,12 @@
 #define SHUN_FULL (60 * PIMENTO_MSEC)
 
 /*
- * An endpoint that fails this much more often than its service is given no
- * work for a while: it answers at once and would otherwise look the least
- * loaded and draw in more and more requests to fail.
+ * An endpoint that fails this often, and so much more often than its service,
+ * is given no work for a while: it answers at once and would otherwise look the
+ * least loaded and draw in more and more requests to fail.
  */
-#define FAILING_EXCESS 0.3
+#define FAILING_LEAST 0.3
+#define FAILING_TIMES 1.6
 #define SHUN_FAILING (700 * PIMENTO_MSEC)
 
 /*
@@ -173,21 +174,28 @@
 	learn_failing(pace, service, false);
 }
 
-void pace_heard(pace_t *pace, pace_service_t *service, pace_finding_t finding)
+bool pace_is_failing(const pace_t *pace, const pace_service_t *service)
 {
-	if (finding == PACE_ANSWERS)
-		learn_failing(pace, service, false);
-	else if (finding == PACE_FAILS || finding == PACE_BREAKS)
-		learn_failing(pace, service, true);
+	return pace->failing > FAILING_LEAST &&
+	       pace->failing > service->failing * FAILING_TIMES;
 }
 
 void pace_failed(pace_t *pace, pace_service_t *service, pimento_usec_t now)
 {
 	learn_failing(pace, service, true);
-	if (pace->failing > service->failing + FAILING_EXCESS)
+	if (pace_is_failing(pace, service))
 		pace->shunned_until = now + SHUN_FAILING;
 }
 
+void pace_heard(pace_t *pace, pace_service_t *service, pace_finding_t finding,
+		pimento_usec_t now)
+{
+	if (finding == PACE_ANSWERS)
+		learn_failing(pace, service, false);
+	else if (finding == PACE_FAILS || finding == PACE_BREAKS)
+		pace_failed(pace, service, now);
+}
+
 void pace_unreachable(pace_t *pace, pimento_usec_t now)
 {
 	pimento_usec_t span = SHUN_FIRST;
--- a/src/pace.h
+++ b/src/pace.h
@@ -73,7 +73,10 @@
 void pace_found(pace_t *pace, const pace_service_t *service,
 		pace_finding_t finding, pimento_usec_t now);
 /* Learns how often requests of another host fail. */
-void pace_heard(pace_t *pace, pace_service_t *service, pace_finding_t finding);
+void pace_heard(pace_t *pace, pace_service_t *service, pace_finding_t finding,
+		pimento_usec_t now);
+/* True if it fails far more often than its service. */
+bool pace_is_failing(const pace_t *pace, const pace_service_t *service);
 
 /* How much slower than its service's mean; 1 unknown. */
 double pace_slowness(const pace_t *pace, const pace_service_t *service);
--- a/test/test_slots.c
+++ b/test/test_slots.c
@@ -116,18 +116,24 @@
 }
 END_TEST
 
-/* Guards against singling out one endpoint of a service that fails everywhere. */
-START_TEST(failures_of_a_whole_service_single_nobody_out)
+/* What hosts tell of a request that ended at an endpoint. */
+static void hear_end(const directory_endpoint_t *of, pace_finding_t finding)
 {
 	packet_t packet = { .kind = PACKET_RELEASE };
 
+	packet.as.release = (packet_release_t){
+		.endpoint = (uint32_t)of->key,
+		.address = ASKER,
+		.finding = finding,
+	};
+	slots_take(&slots, &packet, NOW);
+}
+
+/* Guards against singling out one endpoint of a service that fails everywhere. */
+START_TEST(failures_of_a_whole_service_single_nobody_out)
+{
 	for (int i = 0; i < 200; i++) {
-		packet.as.release = (packet_release_t){
-			.endpoint = (uint32_t)endpoint->key,
-			.address = ASKER,
-			.finding = i % 5 ? PACE_FAILS : PACE_ANSWERS,
-		};
-		slots_take(&slots, &packet, NOW);
+		hear_end(endpoint, i % 5 ? PACE_FAILS : PACE_ANSWERS);
 		ck_assert(i < 100 || endpoint->pace.shunned_until <= NOW);
 		if (i == 99)
 			endpoint->pace.shunned_until = 0;
@@ -135,6 +141,33 @@
 }
 END_TEST
 
+/* Guards against an endpoint that breaks half of its requests and gets more. */
+START_TEST(an_endpoint_that_breaks_half_is_singled_out)
+{
+	const directory_record_t record = { .id = "sound",
+					    .service = SERVICE,
+					    .address = "127.0.0.1",
+					    .port = 8001,
+					    .datacentre = "a",
+					    .slots = PLACES };
+	directory_endpoint_t *sound = directory_put(&directory, &record);
+	int broken = 0;
+
+	ck_assert_ptr_nonnull(sound);
+	for (int i = 0; endpoint->pace.shunned_until <= NOW; i++) {
+		hear_end(sound, PACE_ANSWERS);
+		hear_end(sound, PACE_ANSWERS);
+		hear_end(endpoint, i % 2 ? PACE_ANSWERS : PACE_BREAKS);
+		broken += !(i % 2);
+		ck_assert_int_le(broken, 8);
+	}
+	ck_assert_int_le(sound->pace.shunned_until, NOW);
+	for (uint64_t ticket = 1; ticket <= ASKS; ticket++)
+		ask(ticket, NOW + PIMENTO_SEC);
+	ck_assert_uint_eq(slots.granted, 1);
+}
+END_TEST
+
 /* Nobody asks any more, as all know the owner again: nothing is kept. */
 START_TEST(what_nobody_asks_for_is_forgotten)
 {
@@ -158,6 +191,7 @@
 		       a_successor_that_does_not_know_it_yet_keeps_count);
 	tcase_add_test(tests, a_pace_is_learnt_before_a_place_is_given_back);
 	tcase_add_test(tests, failures_of_a_whole_service_single_nobody_out);
+	tcase_add_test(tests, an_endpoint_that_breaks_half_is_singled_out);
 	tcase_add_test(tests, what_nobody_asks_for_is_forgotten);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
