quota: a scarce account admits its urgent requests first

Change: while an account is scarce, a request leaves a part of the host's credit and of the bucket (up to a fifth) to more urgent ones, as much as those ask for lately; one that is small beside the others leaves less, as refusing it saves nothing.

--- a/src/allotment.c
+++ b/src/allotment.c
@@ -52,6 +52,8 @@
 #define SETTLE_SECONDS 2.0
 #define SETTLE_TURNS 2.0
 #define CORRECT_MOST 0.5
+/* Part of the bucket that is kept for more urgent requests. */
+#define KEPT_PART 0.2
 /* Views that began within this of each other know equally little. */
 #define SAME_START (1 * PIMENTO_SEC)
 /* A peer's admissions are projected for at most this. */
@@ -226,19 +228,23 @@
 }
 
 static bool fits(const allotment_t *allotment, allotment_use_t *use,
-		 double level, double tokens, pimento_usec_t now)
+		 double level, uint32_t rank, double tokens, pimento_usec_t now)
 {
 	double most = room(use->rate);
+	double kept;
 
 	share_fill(&use->share, fair_rate(allotment, use, level, now), now);
+	kept = KEPT_PART * share_reserved(&use->share, rank, tokens, now);
 	/* one that is larger than the whole bucket waits for an empty one */
-	if (level > 0 && level + tokens > most)
+	if (level > 0 && level + tokens > most * (1 - kept))
 		return false;
-	return level <= SCARCE_PART * most || share_spend(&use->share, tokens);
+	return level <= SCARCE_PART * most ||
+	       share_spend(&use->share, rank, tokens, now);
 }
 
 int allotment_admit(allotment_t *allotment, pimento_id_t account,
-		    allotment_rate_t rate, double tokens, pimento_usec_t now)
+		    allotment_rate_t rate, uint32_t rank, double tokens,
+		    pimento_usec_t now)
 {
 	allotment_use_t *use = use_of(allotment, account);
 	double level;
@@ -249,9 +255,10 @@
 	if (!use->begun)
 		begin(allotment, use, rate, now);
 	drain(allotment, use, now);
-	share_ask(&use->share, tokens, now);
+	share_ask(&use->share, rank, tokens, now);
 	level = use->level + projected(use, now);
-	if (rate.per_second > 0 && !fits(allotment, use, level, tokens, now))
+	if (rate.per_second > 0 &&
+	    !fits(allotment, use, level, rank, tokens, now))
 		return PIMENTO_EFULL;
 	use->level += tokens;
 	use->admitted += tokens;
--- a/src/allotment.h
+++ b/src/allotment.h
@@ -67,7 +67,8 @@
  * account is over its allotment, or PIMENTO_ENOMEM.
  */
 int allotment_admit(allotment_t *allotment, pimento_id_t account,
-		    allotment_rate_t rate, double tokens, pimento_usec_t now);
+		    allotment_rate_t rate, uint32_t rank, double tokens,
+		    pimento_usec_t now);
 
 /* The request was turned away after all and has not run. */
 void allotment_refund(allotment_t *allotment, pimento_id_t account,
--- a/src/share.c
+++ b/src/share.c
@@ -11,34 +11,78 @@
 
 /* Credit that may be saved, in seconds of its flow. */
 #define CREDIT_SECONDS 0.5
+/* Of more urgent requests' demand, which less urgent ones leave. */
+#define RESERVE_SECONDS 1.0
+/* Weight of a new request in their mean size. */
+#define SIZE_WEIGHT 0.05
 
 static double seconds(pimento_usec_t span)
 {
 	return (double)span / (double)PIMENTO_SEC;
 }
 
+static double fade(const share_t *share, pimento_usec_t now)
+{
+	return exp(-seconds(now - share->asked_at) / ASKED_SECONDS);
+}
+
+/* Asked for lately by requests of the first ranks. */
+static double asked_below(const share_t *share, uint32_t ranks,
+			  pimento_usec_t now)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < ranks; i++)
+		sum += share->asked[i];
+	return sum * fade(share, now);
+}
+
 double share_asked(const share_t *share, pimento_usec_t now)
 {
-	return share->asked *
-	       exp(-seconds(now - share->asked_at) / ASKED_SECONDS);
+	return asked_below(share, SHARE_RANKS, now);
+}
+
+static uint32_t least_rank(uint32_t rank)
+{
+	return rank < SHARE_RANKS ? rank : SHARE_RANKS - 1;
 }
 
-void share_ask(share_t *share, double tokens, pimento_usec_t now)
+void share_ask(share_t *share, uint32_t rank, double tokens, pimento_usec_t now)
 {
-	share->asked = share_asked(share, now) + tokens / ASKED_SECONDS;
+	double part = fade(share, now);
+
+	for (uint32_t i = 0; i < SHARE_RANKS; i++)
+		share->asked[i] *= part;
+	share->asked[least_rank(rank)] += tokens / ASKED_SECONDS;
 	share->asked_at = now;
+	share->size += SIZE_WEIGHT * (tokens - share->size);
 }
 
 void share_fill(share_t *share, double per_second, pimento_usec_t now)
 {
+	share->credit_most = per_second * CREDIT_SECONDS;
 	share->credit += per_second * seconds(now - share->filled_at);
-	share->credit = fmin(share->credit, per_second * CREDIT_SECONDS);
+	share->credit = fmin(share->credit, share->credit_most);
 	share->filled_at = now;
 }
 
-bool share_spend(share_t *share, double tokens)
+double share_reserved(const share_t *share, uint32_t rank, double tokens,
+		      pimento_usec_t now)
+{
+	double urgent = asked_below(share, least_rank(rank), now);
+	double part = share->size > 0 ? fmin(tokens / share->size, 1) : 1;
+
+	if (urgent <= 0 || share->credit_most <= 0)
+		return 0;
+	return fmin(urgent * RESERVE_SECONDS / share->credit_most, 1) * part;
+}
+
+bool share_spend(share_t *share, uint32_t rank, double tokens,
+		 pimento_usec_t now)
 {
-	if (share->credit <= 0)
+	double kept = share_reserved(share, rank, tokens, now);
+
+	if (share->credit <= 0 || share->credit < kept * share->credit_most)
 		return false;
 	share->credit -= tokens;
 	return true;
--- a/test/test_allotment.c
+++ b/test/test_allotment.c
@@ -115,7 +115,7 @@
 	for (; owed >= REQUEST_TOKENS; owed -= REQUEST_TOKENS) {
 		host_t *host = &hosts[turn++ % HOSTS];
 
-		if (allotment_admit(&host->allotment, ACCOUNT, rate,
+		if (allotment_admit(&host->allotment, ACCOUNT, rate, 0,
 				    REQUEST_TOKENS, now) == 0)
 			admitted[step] += REQUEST_TOKENS;
 	}
@@ -265,7 +265,7 @@
 		owed += restarts[_i].asked * rate.per_second * STEP_MS / 1000.0;
 		for (; owed >= REQUEST_TOKENS; owed -= REQUEST_TOKENS) {
 			int error = allotment_admit(&many[turn++ * 7 % MANY],
-						    ACCOUNT, rate,
+						    ACCOUNT, rate, 0,
 						    REQUEST_TOKENS, now);
 
 			asked += killed;
@@ -330,7 +330,7 @@
 		owed += asked * rate.per_second * STEP_MS / 1000.0;
 		for (; owed >= REQUEST_TOKENS; owed -= REQUEST_TOKENS)
 			if (!allotment_admit(&many[turn++ * 7 % MANY], ACCOUNT,
-					     rate, REQUEST_TOKENS, now))
+					     rate, 0, REQUEST_TOKENS, now))
 				admitted[step] += REQUEST_TOKENS;
 		if (ms % TICK_MS == 0)
 			exchange_many(ms, 1, now);
@@ -347,22 +347,89 @@
 }
 END_TEST
 
+/*
+ * What an account asks for by rank, in times its rate, and the part of each
+ * that is admitted: at least, and of the least urgent at most.
+ */
+enum { RANKS = 3, SMALL_TOKENS = 100 };
+
+static const struct {
+	const char *name;
+	double asked[RANKS];
+	double least; /* of what rank 0 asks */
+	double most; /* of what the last rank asks */
+} ranked[] = {
+	{ "the urgent alone fit", { 0.7, 1.4, 1.4 }, 0.9, 0.25 },
+	{ "the urgent alone are too many", { 2, 2, 2 }, 0.4, 0.1 },
+	{ "all fit", { 0.3, 0.3, 0.3 }, 0.99, 1 },
+};
+
+static bool admit_ranked(uint32_t rank, double tokens, pimento_usec_t now)
+{
+	static uint32_t turn;
+	host_t *host = &hosts[turn++ % HOSTS];
+
+	return !allotment_admit(&host->allotment, ACCOUNT, rate, rank, tokens,
+				now);
+}
+
+/* Guards against urgent work refused while its account's other work is served. */
+START_TEST(a_scarce_account_admits_its_urgent_requests_first)
+{
+	const story_t calm = { 0 };
+	double owed[RANKS] = { 0 };
+	double asked[RANKS] = { 0 };
+	double given[RANKS] = { 0 };
+	uint32_t small = 0;
+
+	for (uint32_t i = 0; i < HOSTS; i++)
+		start(&hosts[i], 1, true);
+	for (int step = 0; step < STEPS; step++) {
+		pimento_usec_t now =
+			PIMENTO_SEC + step * STEP_MS * PIMENTO_MSEC;
+
+		for (uint32_t rank = 0; rank < RANKS; rank++) {
+			owed[rank] += ranked[_i].asked[rank] * rate.per_second *
+				      STEP_MS / 1000.0;
+			for (; owed[rank] >= REQUEST_TOKENS;
+			     owed[rank] -= REQUEST_TOKENS) {
+				asked[rank] += REQUEST_TOKENS;
+				if (admit_ranked(rank, REQUEST_TOKENS, now))
+					given[rank] += REQUEST_TOKENS;
+			}
+		}
+		small += admit_ranked(RANKS - 1, SMALL_TOKENS, now);
+		if (step % (DELAY_MS / STEP_MS) == 0)
+			exchange_words(&calm, step, now);
+	}
+	for (uint32_t i = 0; i < HOSTS; i++)
+		allotment_finish(&hosts[i].allotment);
+	ck_assert_msg(given[0] >= ranked[_i].least * asked[0], "%s: %.2f",
+		      ranked[_i].name, given[0] / asked[0]);
+	ck_assert_msg(given[RANKS - 1] <= ranked[_i].most * asked[RANKS - 1],
+		      "%s: %.2f", ranked[_i].name,
+		      given[RANKS - 1] / asked[RANKS - 1]);
+	/* refusing what is tiny would save nothing */
+	ck_assert_msg(small > STEPS / 4, "%s: %u", ranked[_i].name, small);
+}
+END_TEST
+
 START_TEST(a_refund_gives_the_room_back)
 {
 	allotment_t allotment;
 
 	allotment_init(&allotment, WINDOW, true);
-	ck_assert_int_eq(
-		allotment_admit(&allotment, ACCOUNT, rate, 200000, PIMENTO_SEC),
-		0);
-	ck_assert_int_eq(
-		allotment_admit(&allotment, ACCOUNT, rate, 200000, PIMENTO_SEC),
-		PIMENTO_EFULL);
+	ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, rate, 0, 200000,
+					 PIMENTO_SEC),
+			 0);
+	ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, rate, 0, 200000,
+					 PIMENTO_SEC),
+			 PIMENTO_EFULL);
 	ck_assert_int_gt(allotment_wait(&allotment, ACCOUNT, rate, 200000), 0);
 	allotment_refund(&allotment, ACCOUNT, 200000);
-	ck_assert_int_eq(
-		allotment_admit(&allotment, ACCOUNT, rate, 200000, PIMENTO_SEC),
-		0);
+	ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, rate, 0, 200000,
+					 PIMENTO_SEC),
+			 0);
 	allotment_finish(&allotment);
 }
 END_TEST
@@ -372,11 +439,11 @@
 	allotment_t allotment;
 
 	allotment_init(&allotment, WINDOW, true);
+	ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, rate, 0, 900000,
+					 PIMENTO_SEC),
+			 0);
 	ck_assert_int_eq(
-		allotment_admit(&allotment, ACCOUNT, rate, 900000, PIMENTO_SEC),
-		0);
-	ck_assert_int_eq(
-		allotment_admit(&allotment, ACCOUNT, rate, 1, PIMENTO_SEC),
+		allotment_admit(&allotment, ACCOUNT, rate, 0, 1, PIMENTO_SEC),
 		PIMENTO_EFULL);
 	allotment_finish(&allotment);
 }
@@ -389,8 +456,8 @@
 
 	allotment_init(&allotment, WINDOW, true);
 	for (int i = 0; i < 100; i++)
-		ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, none, 1e9,
-						 PIMENTO_SEC),
+		ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, none, 0,
+						 1e9, PIMENTO_SEC),
 				 0);
 	allotment_finish(&allotment);
 }
@@ -412,6 +479,9 @@
 		sizeof(restarts) / sizeof(restarts[0]));
 	tcase_add_loop_test(tests, a_surge_at_many_hosts_is_admitted_evenly, 0,
 			    sizeof(surges) / sizeof(surges[0]));
+	tcase_add_loop_test(tests,
+			    a_scarce_account_admits_its_urgent_requests_first,
+			    0, sizeof(ranked) / sizeof(ranked[0]));
 	tcase_add_test(tests, a_refund_gives_the_room_back);
 	tcase_add_test(tests,
 		       one_request_beyond_the_burst_waits_for_an_empty_bucket);
--- a/test/test_share.c
+++ b/test/test_share.c
@@ -22,9 +22,9 @@
 		pimento_usec_t now = step * STEP_MS * PIMENTO_MSEC;
 		double tokens = step % 51 ? 100 : 6000;
 
-		share_ask(&share, tokens, now);
+		share_ask(&share, 0, tokens, now);
 		share_fill(&share, 5000, now);
-		if (!share_spend(&share, tokens))
+		if (!share_spend(&share, 0, tokens, now))
 			continue;
 		spent += tokens;
 		large += tokens > 1000;
@@ -41,7 +41,7 @@
 
 	for (int i = 0; i < 2000; i++) {
 		now += STEP_MS * PIMENTO_MSEC;
-		share_ask(&share, 50, now); /* 5,000 a second */
+		share_ask(&share, 0, 50, now); /* 5,000 a second */
 	}
 	ck_assert_double_eq_tol(share_asked(&share, now), 5000, 100);
 	ck_assert_double_le(share_asked(&share, now + 30 * PIMENTO_SEC), 1);
@@ -53,10 +53,10 @@
 	share_t share = { 0 };
 
 	share_fill(&share, 1000, PIMENTO_SEC);
-	ck_assert(share_spend(&share, 2000));
-	ck_assert(!share_spend(&share, 1));
+	ck_assert(share_spend(&share, 0, 2000, PIMENTO_SEC));
+	ck_assert(!share_spend(&share, 0, 1, PIMENTO_SEC));
 	share_refund(&share, 2000);
-	ck_assert(share_spend(&share, 1));
+	ck_assert(share_spend(&share, 0, 1, PIMENTO_SEC));
 }
 END_TEST
 
