quota: a restarted host counts what is used now, not what ever was

Four of six hosts are stopped and started in turn. A host that starts hears of an account before its own first request and follows the peer's view; each further peer that it hears for the first time then added all tokens that it had admitted since its start, 28 seconds of them. In the code for long; seen now, as it needs two words between restart and first request.

Change: what a first word adds is at most the peer's own level, so that what drained does not count; nothing, if the peer has known the account for a window before this host followed a view, which holds its use.

--- a/src/allotment.c
+++ b/src/allotment.c
@@ -322,8 +322,8 @@
  * away for seconds; were nothing taken, each host would give a surge the whole
  * allotment anew.
  */
-static double first_news(allotment_use_t *use, const allotment_word_t *word,
-			 pimento_usec_t now)
+static double first_news(const allotment_t *allotment, allotment_use_t *use,
+			 const allotment_word_t *word, pimento_usec_t now)
 {
 	pimento_usec_t since = now - word->age;
 
@@ -336,7 +336,11 @@
 	}
 	if (use->taken_over && since <= use->since + SAME_START)
 		return 0; /* in what was taken over */
-	return word->admitted;
+	if (now - use->followed_at < allotment->window &&
+	    since + allotment->window < use->followed_at)
+		return 0; /* in the view that was followed */
+	/* what drained since does not count any more */
+	return fmin(word->admitted, word->level);
 }
 
 /*
@@ -351,18 +355,19 @@
 	if (use->since && since > use->since + SAME_START)
 		return; /* others have known for longer */
 	use->since = since;
+	use->followed_at = now;
 	use->level = word->level;
 }
 
 /* Tokens that a peer admitted since its last word. */
-static double news_of(allotment_use_t *use, const allotment_peer_t *peer,
-		      uint64_t incarnation, const allotment_word_t *word,
-		      pimento_usec_t now)
+static double news_of(const allotment_t *allotment, allotment_use_t *use,
+		      const allotment_peer_t *peer, uint64_t incarnation,
+		      const allotment_word_t *word, pimento_usec_t now)
 {
 	if (!use->begun)
 		return 0; /* in the view that is followed */
 	if (!peer->incarnation)
-		return first_news(use, word, now);
+		return first_news(allotment, use, word, now);
 	if (peer->incarnation != incarnation)
 		return word->admitted; /* since its restart */
 	return word->admitted - peer->admitted;
@@ -403,7 +408,7 @@
 		drain(allotment, use, now);
 	else
 		follow(use, word, now);
-	news = news_of(use, peer, incarnation, word, now);
+	news = news_of(allotment, use, peer, incarnation, word, now);
 	learn_rate(allotment, peer, word, news, now);
 	peer->incarnation = incarnation;
 	peer->admitted = word->admitted;
--- a/src/allotment.h
+++ b/src/allotment.h
@@ -43,6 +43,7 @@
 	bool begun; /* it was settled once */
 	pimento_usec_t since; /* the view holds what was used since; 0 none */
 	bool taken_over; /* from a peer that has known for longer */
+	pimento_usec_t followed_at; /* last took a peer's view for its own */
 	pimento_usec_t settled; /* when level was last drained */
 	share_t share; /* of this host, while the account is scarce */
 	allotment_peer_t *peers;
--- a/test/test_allotment.c
+++ b/test/test_allotment.c
@@ -103,6 +103,22 @@
 	}
 }
 
+/* One host is heard by all others. */
+static void exchange_words_of(uint32_t from, pimento_usec_t now)
+{
+	allotment_word_t word;
+
+	if (!allotment_say(&hosts[from].allotment, &word, 1, now))
+		return;
+	for (uint32_t to = 0; to < HOSTS; to++)
+		if (to != from)
+			ck_assert_int_eq(allotment_hear(&hosts[to].allotment,
+							from + 1,
+							hosts[from].incarnation,
+							&word, now),
+					 0);
+}
+
 /* Callers of one step, dealt out to the hosts in turn. */
 static void ask(const story_t *story, int step, pimento_usec_t now)
 {
@@ -347,6 +363,58 @@
 }
 END_TEST
 
+/* Guards against a restarted host that counts all that was ever admitted. */
+enum { RESTART_S = 20 };
+
+static const struct {
+	const char *name;
+	double asked; /* times the rate, over all hosts */
+	double most; /* that may be refused at the restarted host */
+} rolling[] = {
+	{ "a calm account", 0.5, 0 },
+	{ "a scarce account", 2, 0.6 },
+};
+
+START_TEST(a_restarted_host_takes_over_what_is_used_now)
+{
+	uint32_t asked = 0;
+	uint32_t refused = 0;
+	double owed[HOSTS] = { 0 };
+
+	for (uint32_t i = 0; i < HOSTS; i++)
+		start(&hosts[i], 1, true);
+	for (int step = 0; step < STEPS; step++) {
+		pimento_usec_t now =
+			PIMENTO_SEC + step * STEP_MS * PIMENTO_MSEC;
+
+		if (step == RESTART_S * 1000 / STEP_MS)
+			restart(&hosts[0]);
+		for (uint32_t i = 0; i < HOSTS; i++) {
+			owed[i] += rolling[_i].asked * rate.per_second / HOSTS *
+				   STEP_MS / 1000.0;
+			for (; owed[i] >= REQUEST_TOKENS;
+			     owed[i] -= REQUEST_TOKENS) {
+				bool counts =
+					!i && step > RESTART_S * 1000 / STEP_MS;
+				int error = allotment_admit(
+					&hosts[i].allotment, ACCOUNT, rate, 0,
+					REQUEST_TOKENS, now);
+
+				asked += counts;
+				refused += counts && error;
+			}
+		}
+		/* one host after the other is heard */
+		if (step % 3 == 0)
+			exchange_words_of((uint32_t)(step / 3) % HOSTS, now);
+	}
+	for (uint32_t i = 0; i < HOSTS; i++)
+		allotment_finish(&hosts[i].allotment);
+	ck_assert_msg(refused <= rolling[_i].most * asked, "%s: %u of %u",
+		      rolling[_i].name, refused, asked);
+}
+END_TEST
+
 /*
  * What an account asks for by rank, in times its rate, and the part of each
  * that is admitted: at least, and of the least urgent at most.
@@ -479,6 +547,8 @@
 		sizeof(restarts) / sizeof(restarts[0]));
 	tcase_add_loop_test(tests, a_surge_at_many_hosts_is_admitted_evenly, 0,
 			    sizeof(surges) / sizeof(surges[0]));
+	tcase_add_loop_test(tests, a_restarted_host_takes_over_what_is_used_now,
+			    0, sizeof(rolling) / sizeof(rolling[0]));
 	tcase_add_loop_test(tests,
 			    a_scarce_account_admits_its_urgent_requests_first,
 			    0, sizeof(ranked) / sizeof(ranked[0]));
