--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -143,7 +143,7 @@
 		.retry = { .window = seconds(settings->retry_window_s),
 			   .ratio = settings->retry_ratio,
 			   .slack = settings->retry_slack },
-		.allotment_window = seconds(settings->allotment_window_s),
+		.quota_window = seconds(settings->quota_window_s),
 
 	};
 }
@@ -398,7 +398,7 @@
 		.roster = &edge->roster,
 		.mirror = &edge->feed.mirror,
 		.directory = &edge->directory,
-		.allotment = &edge->gateway.allotment,
+		.quota = &edge->gateway.quota,
 		.slots = &edge->slots,
 	};
 	int error;
--- a/io/arrival.c
+++ b/io/arrival.c
@@ -1,5 +1,5 @@
 /*
- * Requests come in and are judged here: route, key, allotment, and whether
+ * Requests come in and are judged here: route, key, quota, and whether
  * this host may judge at all. A host that has not heard from the platform for
  * longer than a key may live after it was taken away cannot tell a good key
  * from a bad one; it says "not run, come back", which is true, and its health
@@ -198,7 +198,7 @@
 
 static int admit(exchange_t *x, pimento_usec_t now)
 {
-	allotment_rate_t rate;
+	quota_limit_t rate;
 
 	if (!x->account)
 		return 0;
@@ -208,8 +208,8 @@
 				  : x->account->plain_tokens;
 	if (x->account->by_request)
 		x->tokens = 1;
-	return allotment_admit(&x->gateway->allotment, x->account->key, rate,
-			       x->route->priority, x->tokens, now);
+	return quota_admit(&x->gateway->quota, x->account->key, rate,
+			   x->route->priority, x->tokens, now);
 }
 
 static exchange_t *exchange_new(gateway_t *gateway, httpd_conn_t *caller)
@@ -258,7 +258,7 @@
 		return;
 	}
 	if (admit(x, now)) {
-		exchange_over_allotment(x);
+		exchange_over_quota(x);
 		return;
 	}
 	retry_budget_request(&x->service->budget, &gateway->bounds.retry, now);
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -14,7 +14,7 @@
 const char *gateway_outcome_name(gateway_outcome_t outcome)
 {
 	static const char *const names[GATEWAY_OUTCOMES] = {
-		"served", "passed", "refused", "over_allotment",
+		"served", "passed", "refused", "over_quota",
 		"denied", "failed", "cut",     "left",
 	};
 
@@ -143,8 +143,7 @@
 		return;
 	}
 	if (x->account)
-		allotment_refund(&gateway->allotment, x->account->key,
-				 x->tokens);
+		quota_refund(&gateway->quota, x->account->key, x->tokens);
 	exchange_come_back(gateway, part(x, status, GATEWAY_REFUSED, why),
 			   status, wait);
 }
@@ -172,22 +171,21 @@
 	httpd_abort(part(x, x->status, GATEWAY_CUT, why));
 }
 
-void exchange_over_allotment(exchange_t *x)
+void exchange_over_quota(exchange_t *x)
 {
 	const int status = HTTP_STATUS_TOO_MANY_REQUESTS;
 	gateway_t *gateway = x->gateway;
-	allotment_rate_t rate = { .per_second = x->account->tokens_per_second,
-				  .burst = x->account->burst };
-	pimento_usec_t wait = allotment_wait(&gateway->allotment,
-					     x->account->key, rate, x->tokens);
+	quota_limit_t rate = { .per_second = x->account->tokens_per_second,
+			       .burst = x->account->burst };
+	pimento_usec_t wait = quota_retry_after(
+		&gateway->quota, x->account->key, rate, x->tokens);
 	httpd_conn_t *caller;
 
-	trail(TRAIL_FAILURE, "allotment", "over",
+	trail(TRAIL_FAILURE, "quota", "over",
 	      "id=%s account=%s tokens=%.0f rate=%.0f burst=%.0f level=%.0f",
 	      x->call.id, x->account->name, x->tokens, rate.per_second,
-	      rate.burst,
-	      allotment_level(&gateway->allotment, x->account->key));
+	      rate.burst, quota_level(&gateway->quota, x->account->key));
 	x->service = NULL; /* it never waited */
-	caller = part(x, status, GATEWAY_OVER_ALLOTMENT, "allotment");
+	caller = part(x, status, GATEWAY_OVER_QUOTA, "quota");
 	exchange_come_back(gateway, caller, status, wait);
 }
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -34,7 +34,7 @@
 	const catalog_route_t *route;
 	const catalog_account_t *account; /* NULL: none */
 	dialect_call_t call;
-	double tokens; /* counted against the allotment */
+	double tokens; /* counted against the quota */
 	uint64_t draw;
 	pimento_usec_t arrived; /* its first byte */
 	pimento_usec_t spent; /* by earlier attempts of its caller */
@@ -104,7 +104,7 @@
  */
 void exchange_refuse(exchange_t *exchange, int status, const char *why);
 void exchange_fail(exchange_t *exchange, int status, const char *why);
-void exchange_over_allotment(exchange_t *exchange);
+void exchange_over_quota(exchange_t *exchange);
 /* Its answer is whole; returns the caller, to whom its end is still owed. */
 httpd_conn_t *exchange_served(exchange_t *exchange);
 /* Breaks an answer off that has begun. */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -225,8 +225,8 @@
 	gateway->mirror = setup->mirror;
 	gateway->slots = setup->slots;
 	gateway->draws = sys_random();
-	allotment_init(&gateway->allotment, setup->bounds.allotment_window,
-		       setup->first_start);
+	quota_init(&gateway->quota, setup->bounds.quota_window,
+		   setup->first_start);
 	dispatch_init(gateway);
 	error = httpd_init(&gateway->front, setup->loop, &setup->listen,
 			   &gateway->callers, &limits);
@@ -246,7 +246,7 @@
 		free(gateway->services[i]);
 	free(gateway->services);
 	free(gateway->routes);
-	allotment_finish(&gateway->allotment);
+	quota_finish(&gateway->quota);
 	catalog_release(gateway->catalog);
 }
 
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -12,7 +12,7 @@
 #include "slots.h"
 #include "pool.h"
 
-#include "../src/allotment.h"
+#include "../src/quota.h"
 #include "../src/catalog.h"
 #include "../src/events.h"
 #include "../src/mirror.h"
@@ -26,14 +26,14 @@
 typedef struct gateway_bounds {
 	pimento_usec_t key_lease; /* a copy older than this honours no key */
 	retry_budget_terms_t retry;
-	pimento_usec_t allotment_window;
+	pimento_usec_t quota_window;
 } gateway_bounds_t;
 
 typedef enum gateway_outcome {
 	GATEWAY_SERVED,
 	GATEWAY_PASSED, /* an endpoint's failure, passed on as it was */
 	GATEWAY_REFUSED, /* not run, come back */
-	GATEWAY_OVER_ALLOTMENT,
+	GATEWAY_OVER_QUOTA,
 	GATEWAY_DENIED, /* no such route, unknown key */
 	GATEWAY_FAILED, /* may have run */
 	GATEWAY_CUT, /* broken off in the middle of the answer */
@@ -92,7 +92,7 @@
 	roster_t *roster;
 	const mirror_t *mirror;
 	slots_t *slots;
-	allotment_t allotment;
+	quota_t quota;
 	catalog_t *catalog; /* in force; NULL before the first */
 	gateway_service_t **services;
 	uint32_t service_count;
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -84,7 +84,7 @@
 
 	add_loads(mesh, &note);
 	note.use_count =
-		allotment_say(mesh->allotment, note.uses, ROSTER_USES_MAX, now);
+		quota_reports(mesh->quota, note.uses, ROSTER_USES_MAX, now);
 	slots_say(mesh->slots, &note, now);
 	roster_members(mesh->roster, now, &note);
 	count = roster_targets(mesh->roster, now, MESH_TARGETS, targets);
@@ -104,8 +104,8 @@
 		mirror_confirm(mesh->mirror, note->revision, fresh);
 	slots_hear(mesh->slots, note, now);
 	for (uint32_t i = 0; i < note->use_count; i++)
-		if (allotment_hear(mesh->allotment, note->address,
-				   note->incarnation, &note->uses[i], now))
+		if (quota_receive(mesh->quota, note->address, note->incarnation,
+				  &note->uses[i], now))
 			return; /* no memory; the next note says it again */
 }
 
@@ -365,9 +365,9 @@
 
 void mesh_tick(mesh_t *mesh, pimento_usec_t now)
 {
-	mesh->allotment->hear_every =
+	mesh->quota->hear_every =
 		TICK * (1 + mesh->roster->count / MESH_TARGETS);
-	mesh->allotment->hosts = roster_hosts(mesh->roster, now);
+	mesh->quota->hosts = roster_hosts(mesh->roster, now);
 	slots_tick(mesh->slots, now);
 	send_notes(mesh, now);
 	catch_up(mesh, now);
@@ -414,7 +414,7 @@
 	mesh->roster = setup->roster;
 	mesh->mirror = setup->mirror;
 	mesh->directory = setup->directory;
-	mesh->allotment = setup->allotment;
+	mesh->quota = setup->quota;
 	mesh->slots = setup->slots;
 	text_init(&mesh->fetched);
 	fd = net_datagram(&notes);
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -11,7 +11,7 @@
 #include "httpd.h"
 #include "slots.h"
 
-#include "../src/allotment.h"
+#include "../src/quota.h"
 #include "../src/directory.h"
 #include "../src/mirror.h"
 #include "../src/roster.h"
@@ -29,7 +29,7 @@
 	roster_t *roster;
 	mirror_t *mirror;
 	directory_t *directory;
-	allotment_t *allotment;
+	quota_t *quota;
 	slots_t *slots;
 	httpc_t *fetching; /* one snapshot at a time; NULL */
 	text_t fetched;
@@ -50,7 +50,7 @@
 	roster_t *roster;
 	mirror_t *mirror;
 	directory_t *directory;
-	allotment_t *allotment;
+	quota_t *quota;
 	slots_t *slots; /* is given the mesh's socket and port */
 } mesh_setup_t;
 
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -49,10 +49,10 @@
 	pimento_id_t key; /* of the name */
 	bool ranked; /* has a priority of its own, which goes first */
 	uint32_t priority;
-	double tokens_per_second; /* 0: no allotment */
+	double tokens_per_second; /* 0: no quota */
 	double burst; /* tokens */
 	uint32_t plain_tokens; /* what a request without a size counts as */
-	bool by_request; /* the allotment counts requests, not tokens */
+	bool by_request; /* the quota counts requests, not tokens */
 } catalog_account_t;
 
 typedef struct catalog_key {
--- a/src/edge_settings.c
+++ b/src/edge_settings.c
@@ -77,7 +77,7 @@
 	NUMBER("retry_ratio", retry_ratio, 0),
 	NUMBER("retry_slack", retry_slack, 0),
 	NUMBER("retry_window_s", retry_window_s, 1),
-	NUMBER("allotment_window_s", allotment_window_s, 1),
+	NUMBER("quota_window_s", quota_window_s, 1),
 };
 
 static const struct {
@@ -148,7 +148,7 @@
 		.retry_ratio = RETRY_RATIO_DEFAULT,
 		.retry_slack = RETRY_SLACK_DEFAULT,
 		.retry_window_s = WINDOW_S_DEFAULT,
-		.allotment_window_s = WINDOW_S_DEFAULT,
+		.quota_window_s = WINDOW_S_DEFAULT,
 	};
 	error = toml_init(&document, text, length);
 	if (error) {
--- a/src/edge_settings.h
+++ b/src/edge_settings.h
@@ -12,7 +12,7 @@
  *	[store]   address ("address:port")
  *	[limits]  memory_mb, descriptors, stop_seconds
  *	[bounds]  key_revoke_ms, retry_ratio, retry_slack, retry_window_s,
- *	          allotment_window_s
+ *	          quota_window_s
  */
 
 #include "config.h"
@@ -39,7 +39,7 @@
 	double retry_ratio; /* repeats for each request */
 	double retry_slack; /* repeats of all hosts in a window */
 	double retry_window_s;
-	double allotment_window_s;
+	double quota_window_s;
 } edge_settings_t;
 
 /* Every mistake goes to problems. Returns 0 or PIMENTO_EPARSE. */
--- a/src/explain.c
+++ b/src/explain.c
@@ -10,8 +10,8 @@
 	const char *meaning;
 } meanings[] = {
 	{ "-", "the answer was passed on whole" },
-	{ "allotment", "the account was over its allotment over all hosts; the "
-		       "line of part=allotment gives rate, burst and level" },
+	{ "quota", "the account was over its quota over all hosts; the "
+		   "line of part=quota gives rate, burst and level" },
 	{ "broken", "the connection to the endpoint broke before the answer "
 		    "was whole" },
 	{ "caller_left", "the caller closed its connection first; look at "
--- a/src/grants.h
+++ b/src/grants.h
@@ -93,8 +93,8 @@
  * Before the words of all hosts on an endpoint are heard anew. Requests last
  * for stay there, mostly: for so long a new owner counts what it did not grant.
  */
-void grants_hear_begin(grants_t *grants, uint32_t endpoint,
-		       pimento_usec_t stay, pimento_usec_t now);
+void grants_hear_begin(grants_t *grants, uint32_t endpoint, pimento_usec_t stay,
+		       pimento_usec_t now);
 
 /* True if hosts ask here for its places, or did lately. */
 bool grants_is_asked(const grants_t *grants, uint32_t endpoint,
--- a/src/allotment.c
+++ b/src/quota.c
@@ -23,7 +23,7 @@
  * of rate times window plus burst, holds what is used twice then.
  */
 
-#include "allotment.h"
+#include "quota.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -66,53 +66,51 @@
 /* Weight of a new sample of a peer's rate. */
 #define RATE_WEIGHT 0.5
 
-void allotment_init(allotment_t *allotment, pimento_usec_t window,
-		    bool first_start)
+void quota_init(quota_t *quota, pimento_usec_t window, bool first_start)
 {
-	*allotment =
-		(allotment_t){ .first_start = first_start, .window = window };
+	*quota = (quota_t){ .first_start = first_start, .window = window };
 }
 
-void allotment_finish(allotment_t *allotment)
+void quota_finish(quota_t *quota)
 {
-	for (uint32_t i = 0; i < allotment->count; i++)
-		free(allotment->uses[i].peers);
-	free(allotment->uses);
+	for (uint32_t i = 0; i < quota->count; i++)
+		free(quota->uses[i].peers);
+	free(quota->uses);
 }
 
-static allotment_use_t *find(const allotment_t *allotment, uint32_t account)
+static quota_usage_t *find(const quota_t *quota, uint32_t account)
 {
-	for (uint32_t i = 0; i < allotment->count; i++)
-		if ((uint32_t)allotment->uses[i].account == account)
-			return &allotment->uses[i];
+	for (uint32_t i = 0; i < quota->count; i++)
+		if ((uint32_t)quota->uses[i].account == account)
+			return &quota->uses[i];
 	return NULL;
 }
 
-static allotment_use_t *use_of(allotment_t *allotment, pimento_id_t account)
+static quota_usage_t *use_of(quota_t *quota, pimento_id_t account)
 {
-	allotment_use_t *use = find(allotment, (uint32_t)account);
+	quota_usage_t *use = find(quota, (uint32_t)account);
 
 	if (use)
 		return use;
-	use = realloc(allotment->uses, (allotment->count + 1) * sizeof(*use));
+	use = realloc(quota->uses, (quota->count + 1) * sizeof(*use));
 	if (!use)
 		return NULL;
-	allotment->uses = use;
-	use += allotment->count++;
-	*use = (allotment_use_t){ .account = account };
+	quota->uses = use;
+	use += quota->count++;
+	*use = (quota_usage_t){ .account = account };
 	return use;
 }
 
-static pimento_usec_t silent_after(const allotment_t *allotment)
+static pimento_usec_t silent_after(const quota_t *quota)
 {
-	pimento_usec_t span = allotment->hear_every * SILENT_TIMES;
+	pimento_usec_t span = quota->hear_every * SILENT_TIMES;
 
 	return span > SILENT_LEAST ? span : SILENT_LEAST;
 }
 
 /* Part of the rate that is left to hosts that can hear each other. */
-static double heard_part(const allotment_t *allotment,
-			 const allotment_use_t *use, pimento_usec_t now)
+static double heard_part(const quota_t *quota, const quota_usage_t *use,
+			 pimento_usec_t now)
 {
 	double heard = 1; /* this host */
 	double silent = 0;
@@ -120,7 +118,7 @@
 	for (uint32_t i = 0; i < use->peer_count; i++) {
 		pimento_usec_t age = now - use->peers[i].heard_at;
 
-		if (age < silent_after(allotment))
+		if (age < silent_after(quota))
 			heard++;
 		else if (age < GONE)
 			silent++;
@@ -128,25 +126,25 @@
 	return heard / (heard + silent);
 }
 
-static double room(allotment_rate_t rate)
+static double room(quota_limit_t rate)
 {
 	return rate.burst * BURST_PART + rate.per_second * ROOM_SECONDS;
 }
 
 /* Tokens a second that drain. */
-static double draining(const allotment_t *allotment, allotment_rate_t rate)
+static double draining(const quota_t *quota, quota_limit_t rate)
 {
-	double window = (double)allotment->window / (double)PIMENTO_SEC;
+	double window = (double)quota->window / (double)PIMENTO_SEC;
 
 	return rate.per_second + rate.burst * DRAIN_PART / window;
 }
 
-static void begin(const allotment_t *allotment, allotment_use_t *use,
-		  allotment_rate_t rate, pimento_usec_t now)
+static void begin(const quota_t *quota, quota_usage_t *use, quota_limit_t rate,
+		  pimento_usec_t now)
 {
 	double unknown = room(rate) * UNKNOWN_PART;
-	bool known = allotment->first_start ||
-		     (use->since && now - use->since > allotment->window);
+	bool known = quota->first_start ||
+		     (use->since && now - use->since > quota->window);
 
 	if (!known && use->level < unknown)
 		use->level = unknown;
@@ -160,25 +158,24 @@
  * Also before a view is told to others: the level of an account that nobody
  * asked for here lately would else be that of its last request.
  */
-static void drain(const allotment_t *allotment, allotment_use_t *use,
-		  pimento_usec_t now)
+static void drain(const quota_t *quota, quota_usage_t *use, pimento_usec_t now)
 {
 	double passed = (double)(now - use->settled) / (double)PIMENTO_SEC;
 
 	use->settled = now;
-	use->level -= passed * draining(allotment, use->rate) *
-		      heard_part(allotment, use, now);
+	use->level -= passed * draining(quota, use->rate) *
+		      heard_part(quota, use, now);
 	if (use->level < 0)
 		use->level = 0;
 }
 
 /* What peers have probably admitted since they last spoke. */
-static double projected(const allotment_use_t *use, pimento_usec_t now)
+static double projected(const quota_usage_t *use, pimento_usec_t now)
 {
 	double sum = 0;
 
 	for (uint32_t i = 0; i < use->peer_count; i++) {
-		const allotment_peer_t *peer = &use->peers[i];
+		const quota_peer_t *peer = &use->peers[i];
 		pimento_usec_t age = now - peer->heard_at;
 
 		if (age > PROJECT_MOST)
@@ -189,36 +186,35 @@
 }
 
 /* Tokens a second that callers ask all hosts for. */
-static double asked_of_all(const allotment_t *allotment,
-			   const allotment_use_t *use, pimento_usec_t now)
+static double asked_of_all(const quota_t *quota, const quota_usage_t *use,
+			   pimento_usec_t now)
 {
 	double own = share_asked(&use->share, now);
 	double sum = own;
 	uint32_t heard = 1;
 
 	for (uint32_t i = 0; i < use->peer_count; i++) {
-		if (now - use->peers[i].heard_at >= silent_after(allotment))
+		if (now - use->peers[i].heard_at >= silent_after(quota))
 			continue;
 		sum += use->peers[i].asked;
 		heard++;
 	}
 	/* those that have not spoken of it yet are asked as this host is */
-	if (allotment->hosts > heard)
-		sum += own * (allotment->hosts - heard);
+	if (quota->hosts > heard)
+		sum += own * (quota->hosts - heard);
 	return sum;
 }
 
 /* Tokens a second that this host may admit of a scarce account. */
-static double fair_rate(const allotment_t *allotment,
-			const allotment_use_t *use, double level,
-			pimento_usec_t now)
+static double fair_rate(const quota_t *quota, const quota_usage_t *use,
+			double level, pimento_usec_t now)
 {
-	double all = asked_of_all(allotment, use, now);
-	double drains = draining(allotment, use->rate) *
-			heard_part(allotment, use, now);
-	double span = fmax(SETTLE_SECONDS,
-			   SETTLE_TURNS * (double)allotment->hear_every /
-				   (double)PIMENTO_SEC);
+	double all = asked_of_all(quota, use, now);
+	double drains =
+		draining(quota, use->rate) * heard_part(quota, use, now);
+	double span =
+		fmax(SETTLE_SECONDS, SETTLE_TURNS * (double)quota->hear_every /
+					     (double)PIMENTO_SEC);
 	double off = (AIM_PART * room(use->rate) - level) / span / drains;
 
 	if (all <= 0)
@@ -227,13 +223,13 @@
 	return drains * (1 + off) * share_asked(&use->share, now) / all;
 }
 
-static bool fits(const allotment_t *allotment, allotment_use_t *use,
-		 double level, uint32_t rank, double tokens, pimento_usec_t now)
+static bool fits(const quota_t *quota, quota_usage_t *use, double level,
+		 uint32_t rank, double tokens, pimento_usec_t now)
 {
 	double most = room(use->rate);
 	double kept;
 
-	share_fill(&use->share, fair_rate(allotment, use, level, now), now);
+	share_fill(&use->share, fair_rate(quota, use, level, now), now);
 	kept = KEPT_PART * share_reserved(&use->share, rank, tokens, now);
 	/* one that is larger than the whole bucket waits for an empty one */
 	if (level > 0 && level + tokens > most * (1 - kept))
@@ -242,33 +238,30 @@
 	       share_spend(&use->share, rank, tokens, now);
 }
 
-int allotment_admit(allotment_t *allotment, pimento_id_t account,
-		    allotment_rate_t rate, uint32_t rank, double tokens,
-		    pimento_usec_t now)
+int quota_admit(quota_t *quota, pimento_id_t account, quota_limit_t rate,
+		uint32_t rank, double tokens, pimento_usec_t now)
 {
-	allotment_use_t *use = use_of(allotment, account);
+	quota_usage_t *use = use_of(quota, account);
 	double level;
 
 	if (!use)
 		return PIMENTO_ENOMEM;
 	use->rate = rate;
 	if (!use->begun)
-		begin(allotment, use, rate, now);
-	drain(allotment, use, now);
+		begin(quota, use, rate, now);
+	drain(quota, use, now);
 	share_ask(&use->share, rank, tokens, now);
 	level = use->level + projected(use, now);
-	if (rate.per_second > 0 &&
-	    !fits(allotment, use, level, rank, tokens, now))
+	if (rate.per_second > 0 && !fits(quota, use, level, rank, tokens, now))
 		return PIMENTO_EFULL;
 	use->level += tokens;
 	use->admitted += tokens;
 	return 0;
 }
 
-void allotment_refund(allotment_t *allotment, pimento_id_t account,
-		      double tokens)
+void quota_refund(quota_t *quota, pimento_id_t account, double tokens)
 {
-	allotment_use_t *use = find(allotment, (uint32_t)account);
+	quota_usage_t *use = find(quota, (uint32_t)account);
 
 	if (!use)
 		return;
@@ -277,29 +270,28 @@
 	use->level = use->level > tokens ? use->level - tokens : 0;
 }
 
-pimento_usec_t allotment_wait(const allotment_t *allotment,
-			      pimento_id_t account, allotment_rate_t rate,
-			      double tokens)
+pimento_usec_t quota_retry_after(const quota_t *quota, pimento_id_t account,
+				 quota_limit_t rate, double tokens)
 {
-	const allotment_use_t *use = find(allotment, (uint32_t)account);
+	const quota_usage_t *use = find(quota, (uint32_t)account);
 	double over = (use ? use->level : 0) + tokens - room(rate);
 	double seconds = 0;
 
 	if (over > 0 && rate.per_second > 0)
-		seconds = over / draining(allotment, rate);
+		seconds = over / draining(quota, rate);
 	return (pimento_usec_t)(seconds * (double)PIMENTO_SEC);
 }
 
-double allotment_level(const allotment_t *allotment, pimento_id_t account)
+double quota_level(const quota_t *quota, pimento_id_t account)
 {
-	const allotment_use_t *use = find(allotment, (uint32_t)account);
+	const quota_usage_t *use = find(quota, (uint32_t)account);
 
 	return use ? use->level : 0;
 }
 
-static allotment_peer_t *peer_of(allotment_use_t *use, uint32_t address)
+static quota_peer_t *peer_of(quota_usage_t *use, uint32_t address)
 {
-	allotment_peer_t *peer;
+	quota_peer_t *peer;
 
 	for (uint32_t i = 0; i < use->peer_count; i++)
 		if (use->peers[i].address == address)
@@ -309,7 +301,7 @@
 		return NULL;
 	use->peers = peer;
 	peer += use->peer_count++;
-	*peer = (allotment_peer_t){ .address = address };
+	*peer = (quota_peer_t){ .address = address };
 	return peer;
 }
 
@@ -320,10 +312,10 @@
  * only that is new. Were its view taken over too, views would climb one upon
  * the other, as each holds what others admitted, and accounts would be turned
  * away for seconds; were nothing taken, each host would give a surge the whole
- * allotment anew.
+ * quota anew.
  */
-static double first_news(const allotment_t *allotment, allotment_use_t *use,
-			 const allotment_word_t *word, pimento_usec_t now)
+static double first_news(const quota_t *quota, quota_usage_t *use,
+			 const quota_report_t *word, pimento_usec_t now)
 {
 	pimento_usec_t since = now - word->age;
 
@@ -336,8 +328,8 @@
 	}
 	if (use->taken_over && since <= use->since + SAME_START)
 		return 0; /* in what was taken over */
-	if (now - use->followed_at < allotment->window &&
-	    since + allotment->window < use->followed_at)
+	if (now - use->followed_at < quota->window &&
+	    since + quota->window < use->followed_at)
 		return 0; /* in the view that was followed */
 	/* what drained since does not count any more */
 	return fmin(word->admitted, word->level);
@@ -347,7 +339,7 @@
  * No request of this account came here yet, so that its rate is not known here
  * and the view is not drained: the latest word of a peer is the view.
  */
-static void follow(allotment_use_t *use, const allotment_word_t *word,
+static void follow(quota_usage_t *use, const quota_report_t *word,
 		   pimento_usec_t now)
 {
 	pimento_usec_t since = now - word->age;
@@ -360,22 +352,22 @@
 }
 
 /* Tokens that a peer admitted since its last word. */
-static double news_of(const allotment_t *allotment, allotment_use_t *use,
-		      const allotment_peer_t *peer, uint64_t incarnation,
-		      const allotment_word_t *word, pimento_usec_t now)
+static double news_of(const quota_t *quota, quota_usage_t *use,
+		      const quota_peer_t *peer, uint64_t incarnation,
+		      const quota_report_t *word, pimento_usec_t now)
 {
 	if (!use->begun)
 		return 0; /* in the view that is followed */
 	if (!peer->incarnation)
-		return first_news(allotment, use, word, now);
+		return first_news(quota, use, word, now);
 	if (peer->incarnation != incarnation)
 		return word->admitted; /* since its restart */
 	return word->admitted - peer->admitted;
 }
 
 /* How fast the peer admits, for what it will have admitted until it speaks. */
-static void learn_rate(const allotment_t *allotment, allotment_peer_t *peer,
-		       const allotment_word_t *word, double news,
+static void learn_rate(const quota_t *quota, quota_peer_t *peer,
+		       const quota_report_t *word, double news,
 		       pimento_usec_t now)
 {
 	pimento_usec_t span =
@@ -383,8 +375,8 @@
 	double sample;
 
 	/* a single request in a shorter span would look like a surge */
-	if (span < allotment->hear_every)
-		span = allotment->hear_every;
+	if (span < quota->hear_every)
+		span = quota->hear_every;
 	if (span <= 0)
 		return;
 	sample = news * (double)PIMENTO_SEC / (double)span;
@@ -394,22 +386,21 @@
 	peer->per_second = sample > 0 ? sample : 0;
 }
 
-int allotment_hear(allotment_t *allotment, uint32_t address,
-		   uint64_t incarnation, const allotment_word_t *word,
-		   pimento_usec_t now)
+int quota_receive(quota_t *quota, uint32_t address, uint64_t incarnation,
+		  const quota_report_t *word, pimento_usec_t now)
 {
-	allotment_use_t *use = use_of(allotment, word->account);
-	allotment_peer_t *peer = use ? peer_of(use, address) : NULL;
+	quota_usage_t *use = use_of(quota, word->account);
+	quota_peer_t *peer = use ? peer_of(use, address) : NULL;
 	double news;
 
 	if (!peer)
 		return PIMENTO_ENOMEM;
 	if (use->begun)
-		drain(allotment, use, now);
+		drain(quota, use, now);
 	else
 		follow(use, word, now);
-	news = news_of(allotment, use, peer, incarnation, word, now);
-	learn_rate(allotment, peer, word, news, now);
+	news = news_of(quota, use, peer, incarnation, word, now);
+	learn_rate(quota, peer, word, news, now);
 	peer->incarnation = incarnation;
 	peer->admitted = word->admitted;
 	peer->asked = word->asked;
@@ -420,18 +411,18 @@
 	return 0;
 }
 
-uint32_t allotment_say(allotment_t *allotment, allotment_word_t *words,
-		       uint32_t max, pimento_usec_t now)
+uint32_t quota_reports(quota_t *quota, quota_report_t *words, uint32_t max,
+		       pimento_usec_t now)
 {
 	uint32_t count = 0;
 
-	for (uint32_t i = 0; i < allotment->count && count < max; i++) {
-		allotment_use_t *use = &allotment->uses[i];
+	for (uint32_t i = 0; i < quota->count && count < max; i++) {
+		quota_usage_t *use = &quota->uses[i];
 
 		if (!use->begun)
 			continue; /* it only repeats what others say */
-		drain(allotment, use, now);
-		words[count++] = (allotment_word_t){
+		drain(quota, use, now);
+		words[count++] = (quota_report_t){
 			.account = (uint32_t)use->account,
 			.admitted = use->admitted,
 			.level = use->level,
--- a/src/allotment.h
+++ b/src/quota.h
@@ -1,5 +1,5 @@
-#ifndef ALLOTMENT_H
-#define ALLOTMENT_H
+#ifndef QUOTA_H
+#define QUOTA_H
 
 /*
  * What a client account may use over all entry hosts together: in any window,
@@ -11,33 +11,33 @@
 
 #include "share.h"
 
-typedef struct allotment_rate {
+typedef struct quota_rate {
 	double per_second; /* tokens; 0 no limit */
 	double burst;
-} allotment_rate_t;
+} quota_limit_t;
 
 /* What a host says of an account, in its notes. */
-typedef struct allotment_word {
+typedef struct quota_word {
 	uint32_t account; /* low half of its key */
 	double admitted; /* tokens since the host's start */
 	double level; /* of the bucket, as the host sees it */
 	double asked; /* tokens a second, by its callers lately */
 	pimento_usec_t age; /* of that view: what was used before is unknown */
-} allotment_word_t;
+} quota_report_t;
 
 /* A peer and what it last said of one account. */
-typedef struct allotment_peer {
+typedef struct quota_peer {
 	uint32_t address;
 	uint64_t incarnation;
 	double admitted;
 	double per_second; /* lately */
 	double asked; /* tokens a second */
 	pimento_usec_t heard_at;
-} allotment_peer_t;
+} quota_peer_t;
 
-typedef struct allotment_use {
+typedef struct quota_use {
 	pimento_id_t account;
-	allotment_rate_t rate; /* as last stated */
+	quota_limit_t rate; /* as last stated */
 	double admitted; /* tokens, by this host since its start */
 	double level; /* tokens in the bucket */
 	bool begun; /* it was settled once */
@@ -46,50 +46,45 @@
 	pimento_usec_t followed_at; /* last took a peer's view for its own */
 	pimento_usec_t settled; /* when level was last drained */
 	share_t share; /* of this host, while the account is scarce */
-	allotment_peer_t *peers;
+	quota_peer_t *peers;
 	uint32_t peer_count;
-} allotment_use_t;
+} quota_usage_t;
 
-typedef struct allotment {
+typedef struct quota {
 	bool first_start; /* nothing can have been used before this host */
 	pimento_usec_t window; /* that the operator counts in */
 	pimento_usec_t hear_every; /* how often a peer is usually heard */
 	uint32_t hosts; /* that are heard, this one too */
-	allotment_use_t *uses;
+	quota_usage_t *uses;
 	uint32_t count;
-} allotment_t;
+} quota_t;
 
-void allotment_init(allotment_t *allotment, pimento_usec_t window,
-		    bool first_start);
-void allotment_finish(allotment_t *allotment);
+void quota_init(quota_t *quota, pimento_usec_t window, bool first_start);
+void quota_finish(quota_t *quota);
 
 /*
  * Admits tokens if they fit, and counts them. Returns 0, PIMENTO_EFULL if the
- * account is over its allotment, or PIMENTO_ENOMEM.
+ * account is over its quota, or PIMENTO_ENOMEM.
  */
-int allotment_admit(allotment_t *allotment, pimento_id_t account,
-		    allotment_rate_t rate, uint32_t rank, double tokens,
-		    pimento_usec_t now);
+int quota_admit(quota_t *quota, pimento_id_t account, quota_limit_t rate,
+		uint32_t rank, double tokens, pimento_usec_t now);
 
 /* The request was turned away after all and has not run. */
-void allotment_refund(allotment_t *allotment, pimento_id_t account,
-		      double tokens);
+void quota_refund(quota_t *quota, pimento_id_t account, double tokens);
 
 /* When room for tokens may be there again; for a caller told to come back. */
-pimento_usec_t allotment_wait(const allotment_t *allotment,
-			      pimento_id_t account, allotment_rate_t rate,
-			      double tokens);
+pimento_usec_t quota_retry_after(const quota_t *quota, pimento_id_t account,
+				 quota_limit_t rate, double tokens);
 
 /* Tokens in an account's bucket, as this host last saw it. */
-double allotment_level(const allotment_t *allotment, pimento_id_t account);
+double quota_level(const quota_t *quota, pimento_id_t account);
 
 /* Takes a peer's word. Returns 0 or PIMENTO_ENOMEM. */
-int allotment_hear(allotment_t *allotment, uint32_t address,
-		   uint64_t incarnation, const allotment_word_t *word,
-		   pimento_usec_t now);
+int quota_receive(quota_t *quota, uint32_t address, uint64_t incarnation,
+		  const quota_report_t *word, pimento_usec_t now);
 
 /* This host's words, at most max; returns how many. */
-uint32_t allotment_say(allotment_t *allotment, allotment_word_t *words,
-		       uint32_t max, pimento_usec_t now);
+uint32_t quota_reports(quota_t *quota, quota_report_t *words, uint32_t max,
+		       pimento_usec_t now);
 
 #endif
--- a/src/roster.h
+++ b/src/roster.h
@@ -7,7 +7,7 @@
  * A roster is advice: nothing here gives leave to run anything.
  */
 
-#include "allotment.h"
+#include "quota.h"
 #include "directory.h"
 
 /* A note has room for this many; more would not fit one datagram. */
@@ -48,7 +48,7 @@
 	uint32_t owned_count;
 	roster_owned_t owned[ROSTER_OWNED_MAX];
 	roster_load_t loads[ROSTER_LOADS_MAX];
-	allotment_word_t uses[ROSTER_USES_MAX];
+	quota_report_t uses[ROSTER_USES_MAX];
 	uint32_t members[ROSTER_MEMBERS_MAX];
 } roster_note_t;
 
--- a/test/edge.c
+++ b/test/edge.c
@@ -19,7 +19,7 @@
 	"[store]\naddress = \"127.0.0.1:%u\"\n"
 	"[limits]\nstop_seconds = 8\n"
 	"[bounds]\nkey_revoke_ms = 3000\nretry_ratio = 0.2\nretry_slack = 56\n"
-	"retry_window_s = 10\nallotment_window_s = 8\n";
+	"retry_window_s = 10\nquota_window_s = 8\n";
 
 static const char configuration_format[] =
 	"{\"version\":%u,\"routes\":["
--- a/test/test_allotment.c
+++ b/test/test_quota.c
@@ -1,9 +1,9 @@
 /*
- * An account's allotment over several hosts in virtual time: a surge that comes
+ * An account's quota over several hosts in virtual time: a surge that comes
  * in everywhere at once, hosts that are killed and forget, and cuts.
  */
 
-#include "allotment.h"
+#include "quota.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -26,10 +26,10 @@
 #define OVERRUN 0.25
 #define SLACK_TOKENS 140000
 
-static const allotment_rate_t rate = { .per_second = 200000, .burst = 200000 };
+static const quota_limit_t rate = { .per_second = 200000, .burst = 200000 };
 
 typedef struct host {
-	allotment_t allotment;
+	quota_t quota;
 	uint64_t incarnation;
 	uint32_t side; /* of a cut */
 } host_t;
@@ -59,14 +59,14 @@
 
 static void start(host_t *host, uint64_t incarnation, bool first)
 {
-	allotment_init(&host->allotment, WINDOW, first);
-	host->allotment.hear_every = NOTE_MS * PIMENTO_MSEC;
+	quota_init(&host->quota, WINDOW, first);
+	host->quota.hear_every = NOTE_MS * PIMENTO_MSEC;
 	host->incarnation = incarnation;
 }
 
 static void restart(host_t *host)
 {
-	allotment_finish(&host->allotment);
+	quota_finish(&host->quota);
 	start(host, host->incarnation + 1, false);
 }
 
@@ -86,18 +86,18 @@
 static void exchange_words(const story_t *story, int step, pimento_usec_t now)
 {
 	for (uint32_t from = 0; from < HOSTS; from++) {
-		allotment_word_t word;
+		quota_report_t word;
 
-		if (!allotment_say(&hosts[from].allotment, &word, 1, now))
+		if (!quota_reports(&hosts[from].quota, &word, 1, now))
 			continue;
 		for (uint32_t to = 0; to < HOSTS; to++) {
 			if (to == from || (is_cut(story, step) &&
 					   hosts[to].side != hosts[from].side))
 				continue;
-			ck_assert_int_eq(allotment_hear(&hosts[to].allotment,
-							from + 1,
-							hosts[from].incarnation,
-							&word, now),
+			ck_assert_int_eq(quota_receive(&hosts[to].quota,
+						       from + 1,
+						       hosts[from].incarnation,
+						       &word, now),
 					 0);
 		}
 	}
@@ -106,16 +106,16 @@
 /* One host is heard by all others. */
 static void exchange_words_of(uint32_t from, pimento_usec_t now)
 {
-	allotment_word_t word;
+	quota_report_t word;
 
-	if (!allotment_say(&hosts[from].allotment, &word, 1, now))
+	if (!quota_reports(&hosts[from].quota, &word, 1, now))
 		return;
 	for (uint32_t to = 0; to < HOSTS; to++)
 		if (to != from)
-			ck_assert_int_eq(allotment_hear(&hosts[to].allotment,
-							from + 1,
-							hosts[from].incarnation,
-							&word, now),
+			ck_assert_int_eq(quota_receive(&hosts[to].quota,
+						       from + 1,
+						       hosts[from].incarnation,
+						       &word, now),
 					 0);
 }
 
@@ -131,8 +131,8 @@
 	for (; owed >= REQUEST_TOKENS; owed -= REQUEST_TOKENS) {
 		host_t *host = &hosts[turn++ % HOSTS];
 
-		if (allotment_admit(&host->allotment, ACCOUNT, rate, 0,
-				    REQUEST_TOKENS, now) == 0)
+		if (quota_admit(&host->quota, ACCOUNT, rate, 0, REQUEST_TOKENS,
+				now) == 0)
 			admitted[step] += REQUEST_TOKENS;
 	}
 }
@@ -158,7 +158,7 @@
 			exchange_words(story, step, now);
 	}
 	for (uint32_t i = 0; i < HOSTS; i++)
-		allotment_finish(&hosts[i].allotment);
+		quota_finish(&hosts[i].quota);
 }
 
 static double most_in_a_window(void)
@@ -221,12 +221,12 @@
 	{ "a surge of ten times the rate", 10, 1 },
 };
 
-static allotment_t many[MANY];
+static quota_t many[MANY];
 
 static void start_many(bool first)
 {
 	for (uint32_t i = 0; i < MANY; i++) {
-		allotment_init(&many[i], WINDOW, first);
+		quota_init(&many[i], WINDOW, first);
 		many[i].hear_every =
 			(1 + MANY / HEARD) * TICK_MS * PIMENTO_MSEC;
 		many[i].hosts = MANY;
@@ -236,7 +236,7 @@
 static void finish_many(void)
 {
 	for (uint32_t i = 0; i < MANY; i++)
-		allotment_finish(&many[i]);
+		quota_finish(&many[i]);
 }
 
 static void exchange_many(int ms, uint64_t incarnation, pimento_usec_t now)
@@ -244,15 +244,15 @@
 	uint32_t turn = (uint32_t)(ms / TICK_MS) * HEARD;
 
 	for (uint32_t from = 0; from < MANY; from++) {
-		allotment_word_t word;
+		quota_report_t word;
 
-		if (!allotment_say(&many[from], &word, 1, now))
+		if (!quota_reports(&many[from], &word, 1, now))
 			continue;
 		for (uint32_t k = 1; k <= HEARD; k++)
 			ck_assert_int_eq(
-				allotment_hear(&many[(from + turn + k) % MANY],
-					       from + 1, incarnation, &word,
-					       now),
+				quota_receive(&many[(from + turn + k) % MANY],
+					      from + 1, incarnation, &word,
+					      now),
 				0);
 	}
 }
@@ -280,9 +280,9 @@
 		}
 		owed += restarts[_i].asked * rate.per_second * STEP_MS / 1000.0;
 		for (; owed >= REQUEST_TOKENS; owed -= REQUEST_TOKENS) {
-			int error = allotment_admit(&many[turn++ * 7 % MANY],
-						    ACCOUNT, rate, 0,
-						    REQUEST_TOKENS, now);
+			int error =
+				quota_admit(&many[turn++ * 7 % MANY], ACCOUNT,
+					    rate, 0, REQUEST_TOKENS, now);
 
 			asked += killed;
 			refused += killed && error;
@@ -345,8 +345,8 @@
 
 		owed += asked * rate.per_second * STEP_MS / 1000.0;
 		for (; owed >= REQUEST_TOKENS; owed -= REQUEST_TOKENS)
-			if (!allotment_admit(&many[turn++ * 7 % MANY], ACCOUNT,
-					     rate, 0, REQUEST_TOKENS, now))
+			if (!quota_admit(&many[turn++ * 7 % MANY], ACCOUNT,
+					 rate, 0, REQUEST_TOKENS, now))
 				admitted[step] += REQUEST_TOKENS;
 		if (ms % TICK_MS == 0)
 			exchange_many(ms, 1, now);
@@ -396,9 +396,9 @@
 			     owed[i] -= REQUEST_TOKENS) {
 				bool counts =
 					!i && step > RESTART_S * 1000 / STEP_MS;
-				int error = allotment_admit(
-					&hosts[i].allotment, ACCOUNT, rate, 0,
-					REQUEST_TOKENS, now);
+				int error = quota_admit(&hosts[i].quota,
+							ACCOUNT, rate, 0,
+							REQUEST_TOKENS, now);
 
 				asked += counts;
 				refused += counts && error;
@@ -409,7 +409,7 @@
 			exchange_words_of((uint32_t)(step / 3) % HOSTS, now);
 	}
 	for (uint32_t i = 0; i < HOSTS; i++)
-		allotment_finish(&hosts[i].allotment);
+		quota_finish(&hosts[i].quota);
 	ck_assert_msg(refused <= rolling[_i].most * asked, "%s: %u of %u",
 		      rolling[_i].name, refused, asked);
 }
@@ -437,8 +437,7 @@
 	static uint32_t turn;
 	host_t *host = &hosts[turn++ % HOSTS];
 
-	return !allotment_admit(&host->allotment, ACCOUNT, rate, rank, tokens,
-				now);
+	return !quota_admit(&host->quota, ACCOUNT, rate, rank, tokens, now);
 }
 
 /* Guards against urgent work refused while its account's other work is served. */
@@ -471,7 +470,7 @@
 			exchange_words(&calm, step, now);
 	}
 	for (uint32_t i = 0; i < HOSTS; i++)
-		allotment_finish(&hosts[i].allotment);
+		quota_finish(&hosts[i].quota);
 	ck_assert_msg(given[0] >= ranked[_i].least * asked[0], "%s: %.2f",
 		      ranked[_i].name, given[0] / asked[0]);
 	ck_assert_msg(given[RANKS - 1] <= ranked[_i].most * asked[RANKS - 1],
@@ -484,56 +483,52 @@
 
 START_TEST(a_refund_gives_the_room_back)
 {
-	allotment_t allotment;
-
-	allotment_init(&allotment, WINDOW, true);
-	ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, rate, 0, 200000,
-					 PIMENTO_SEC),
-			 0);
-	ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, rate, 0, 200000,
-					 PIMENTO_SEC),
-			 PIMENTO_EFULL);
-	ck_assert_int_gt(allotment_wait(&allotment, ACCOUNT, rate, 200000), 0);
-	allotment_refund(&allotment, ACCOUNT, 200000);
-	ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, rate, 0, 200000,
-					 PIMENTO_SEC),
-			 0);
-	allotment_finish(&allotment);
+	quota_t quota;
+
+	quota_init(&quota, WINDOW, true);
+	ck_assert_int_eq(
+		quota_admit(&quota, ACCOUNT, rate, 0, 200000, PIMENTO_SEC), 0);
+	ck_assert_int_eq(
+		quota_admit(&quota, ACCOUNT, rate, 0, 200000, PIMENTO_SEC),
+		PIMENTO_EFULL);
+	ck_assert_int_gt(quota_retry_after(&quota, ACCOUNT, rate, 200000), 0);
+	quota_refund(&quota, ACCOUNT, 200000);
+	ck_assert_int_eq(
+		quota_admit(&quota, ACCOUNT, rate, 0, 200000, PIMENTO_SEC), 0);
+	quota_finish(&quota);
 }
 END_TEST
 
 START_TEST(one_request_beyond_the_burst_waits_for_an_empty_bucket)
 {
-	allotment_t allotment;
+	quota_t quota;
 
-	allotment_init(&allotment, WINDOW, true);
-	ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, rate, 0, 900000,
-					 PIMENTO_SEC),
-			 0);
+	quota_init(&quota, WINDOW, true);
 	ck_assert_int_eq(
-		allotment_admit(&allotment, ACCOUNT, rate, 0, 1, PIMENTO_SEC),
-		PIMENTO_EFULL);
-	allotment_finish(&allotment);
+		quota_admit(&quota, ACCOUNT, rate, 0, 900000, PIMENTO_SEC), 0);
+	ck_assert_int_eq(quota_admit(&quota, ACCOUNT, rate, 0, 1, PIMENTO_SEC),
+			 PIMENTO_EFULL);
+	quota_finish(&quota);
 }
 END_TEST
 
 START_TEST(without_a_rate_there_is_no_limit)
 {
-	const allotment_rate_t none = { 0, 0 };
-	allotment_t allotment;
+	const quota_limit_t none = { 0, 0 };
+	quota_t quota;
 
-	allotment_init(&allotment, WINDOW, true);
+	quota_init(&quota, WINDOW, true);
 	for (int i = 0; i < 100; i++)
-		ck_assert_int_eq(allotment_admit(&allotment, ACCOUNT, none, 0,
-						 1e9, PIMENTO_SEC),
-				 0);
-	allotment_finish(&allotment);
+		ck_assert_int_eq(
+			quota_admit(&quota, ACCOUNT, none, 0, 1e9, PIMENTO_SEC),
+			0);
+	quota_finish(&quota);
 }
 END_TEST
 
 int main(void)
 {
-	Suite *suite = suite_create("allotment");
+	Suite *suite = suite_create("quota");
 	TCase *tests = tcase_create("all");
 	SRunner *runner;
 	int failed;
--- a/test/test_roster.c
+++ b/test/test_roster.c
@@ -187,7 +187,7 @@
 		note.loads[i] = (roster_load_t){ i, i + 1, i * 1000 };
 	for (uint32_t i = 0; i < ROSTER_USES_MAX; i++)
 		note.uses[i] =
-			(allotment_word_t){ i, 1e7 + i, 2e5, 3e4 + i, DAY };
+			(quota_report_t){ i, 1e7 + i, 2e5, 3e4 + i, DAY };
 	note.owned_count = ROSTER_OWNED_MAX;
 	for (uint32_t i = 0; i < ROSTER_OWNED_MAX; i++)
 		note.owned[i] =
