--- a/io/arrival.c
+++ b/io/arrival.c
@@ -14,7 +14,7 @@
 #include <stdlib.h>
 
 /* A caller told to come back while this host itself is not able. */
-#define COME_BACK_SOON (300 * PIMENTO_MSEC)
+#define RETRY_AFTER_SOON (300 * PIMENTO_MSEC)
 
 static gateway_route_t *learnt_of(gateway_t *gateway, pimento_id_t key)
 {
@@ -111,8 +111,8 @@
 			  PIMENTO_MSEC));
 	gateway->counters.outcomes[judgement->outcome]++;
 	if (judgement->outcome == GATEWAY_REFUSED)
-		exchange_come_back(gateway, caller, judgement->status,
-				   COME_BACK_SOON);
+		exchange_retry_after(gateway, caller, judgement->status,
+				     RETRY_AFTER_SOON);
 	else
 		httpd_answer(caller, judgement->status, "", "", 0);
 }
@@ -146,7 +146,7 @@
 }
 
 /* From a free place to the answer, and to its end, at an average endpoint. */
-static void set_expected(const exchange_t *x, waitline_terms_t *terms)
+static void set_expected(const exchange_t *x, wait_queue_terms_t *terms)
 {
 	const directory_service_t *service =
 		directory_service(x->gateway->directory, x->service->key);
@@ -167,7 +167,7 @@
 
 static void set_wait(exchange_t *x)
 {
-	waitline_terms_t terms = {
+	wait_queue_terms_t terms = {
 		.arrived = x->arrived,
 		.spent = x->spent,
 		.goal = x->route->goal,
@@ -177,7 +177,7 @@
 
 	set_expected(x, &terms);
 	x->wait.rank = rank_of(x);
-	waitline_set_times(&x->wait, &terms);
+	wait_queue_set_times(&x->wait, &terms);
 }
 
 static void fill(exchange_t *x)
@@ -263,7 +263,7 @@
 	}
 	retry_budget_request(&x->service->budget, &gateway->bounds.retry, now);
 	set_wait(x);
-	waitline_put(&x->service->line, &x->wait);
+	wait_queue_push(&x->service->line, &x->wait);
 	placing_pump(gateway, x->service);
 }
 
--- a/io/dialect.h
+++ b/io/dialect.h
@@ -48,7 +48,7 @@
 	void (*read_answer)(const head_t *head, const char *id,
 			    dialect_answer_t *answer);
 	/* Adds the header line that tells a caller when to come back. */
-	void (*write_come_back)(text_t *text, pimento_usec_t wait);
+	void (*write_retry_after)(text_t *text, pimento_usec_t wait);
 } dialect_ops_t;
 
 #endif
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -170,7 +170,7 @@
 	gateway_t *gateway = x->gateway;
 	pimento_usec_t now = sys_now();
 
-	waitline_remove(&x->service->line, &x->wait);
+	wait_queue_remove(&x->service->line, &x->wait);
 	placing_leave_lines(x);
 	x->state = EXCHANGE_CONNECTING;
 	x->finding = PACE_NOTHING;
@@ -196,15 +196,15 @@
 /* Its caller waits for the rest of a stream, or for one that ran in vain. */
 static void wait_again(exchange_t *x)
 {
-	const waitline_terms_t terms = {
+	const wait_queue_terms_t terms = {
 		.goal = x->route->goal,
 		.gap_goal = x->route->gap_goal,
 		.end = x->end,
 	};
 
 	if (x->runs && x->engine)
-		waitline_set_begun(&x->wait, &terms,
-				   x->first_at ? x->event_at : x->arrived);
+		wait_queue_set_begun(&x->wait, &terms,
+				     x->first_at ? x->event_at : x->arrived);
 }
 
 static void try_again(exchange_t *x)
@@ -213,7 +213,7 @@
 	wait_again(x);
 	x->resuming = x->streaming;
 	events_restart(&x->events);
-	waitline_put(&x->service->line, &x->wait);
+	wait_queue_push(&x->service->line, &x->wait);
 	placing_pump(x->gateway, x->service);
 }
 
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -82,7 +82,7 @@
 		histogram_add(&gateway->counters.waited,
 			      x->sent_at - x->arrived);
 	if (x->state == EXCHANGE_WAITING && service)
-		waitline_remove(&service->line, &x->wait);
+		wait_queue_remove(&service->line, &x->wait);
 	dispatch_abandon(x);
 	placing_leave_lines(x);
 	if (x->caller)
@@ -103,13 +103,13 @@
 }
 
 /* A "not run, come back" with the time to stay away. */
-void exchange_come_back(gateway_t *gateway, httpd_conn_t *caller, int status,
-			pimento_usec_t wait)
+void exchange_retry_after(gateway_t *gateway, httpd_conn_t *caller, int status,
+			  pimento_usec_t wait)
 {
 	text_t fields;
 
 	text_init(&fields);
-	gateway->dialect->write_come_back(&fields, wait);
+	gateway->dialect->write_retry_after(&fields, wait);
 	httpd_answer(caller, status, text_get(&fields), "", 0);
 	text_finish(&fields);
 }
@@ -134,7 +134,7 @@
 void exchange_refuse(exchange_t *x, int status, const char *why)
 {
 	gateway_t *gateway = x->gateway;
-	pimento_usec_t wait = waitline_come_back(
+	pimento_usec_t wait = wait_queue_retry_after(
 		x->service ? x->service->line.count : 0,
 		x->service ? x->service->per_second : 0, gateway_draw(gateway));
 
@@ -144,8 +144,8 @@
 	}
 	if (x->account)
 		quota_refund(&gateway->quota, x->account->key, x->tokens);
-	exchange_come_back(gateway, part(x, status, GATEWAY_REFUSED, why),
-			   status, wait);
+	exchange_retry_after(gateway, part(x, status, GATEWAY_REFUSED, why),
+			     status, wait);
 }
 
 void exchange_fail(exchange_t *x, int status, const char *why)
@@ -187,5 +187,5 @@
 	      rate.burst, quota_level(&gateway->quota, x->account->key));
 	x->service = NULL; /* it never waited */
 	caller = part(x, status, GATEWAY_OVER_QUOTA, "quota");
-	exchange_come_back(gateway, caller, status, wait);
+	exchange_retry_after(gateway, caller, status, wait);
 }
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -24,7 +24,7 @@
 } exchange_place_t;
 
 typedef struct exchange {
-	waitline_item_t wait; /* first: the line hands out items */
+	wait_queue_item_t wait; /* first: the line hands out items */
 	struct exchange *next;
 	struct exchange *prev;
 	gateway_t *gateway;
@@ -113,8 +113,8 @@
 void exchange_finish(exchange_t *exchange, gateway_outcome_t outcome,
 		     const char *why);
 /* A "not run, come back" to a caller, with the time to stay away. */
-void exchange_come_back(gateway_t *gateway, httpd_conn_t *caller, int status,
-			pimento_usec_t wait);
+void exchange_retry_after(gateway_t *gateway, httpd_conn_t *caller, int status,
+			  pimento_usec_t wait);
 
 /* placing.c */
 void placing_pump(gateway_t *gateway, gateway_service_t *service);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -110,9 +110,9 @@
 static void sweep_line(gateway_t *gateway, gateway_service_t *service,
 		       pimento_usec_t now)
 {
-	waitline_item_t *item;
+	wait_queue_item_t *item;
 
-	while ((item = waitline_expired(&service->line, now))) {
+	while ((item = wait_queue_expired(&service->line, now))) {
 		exchange_t *x = (exchange_t *)item;
 
 		if (x->runs)
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -20,7 +20,7 @@
 #include "../src/placement.h"
 #include "../src/retry_budget.h"
 #include "../src/roster.h"
-#include "../src/waitline.h"
+#include "../src/wait_queue.h"
 
 /* Operators' bounds that the data path keeps. */
 typedef struct gateway_bounds {
@@ -66,7 +66,7 @@
 /* What this host keeps of each service. */
 typedef struct gateway_service {
 	pimento_id_t key;
-	waitline_t line;
+	wait_queue_t line;
 	retry_budget_t budget;
 	double per_second; /* answers, decayed */
 	uint32_t answers; /* since the last tick */
--- a/io/placing.c
+++ b/io/placing.c
@@ -336,7 +336,7 @@
 /* Returns true if a request has left the line, which is then looked at anew. */
 static bool pump_once(gateway_service_t *service, pimento_usec_t now)
 {
-	for (waitline_item_t *item = service->line.first; item;
+	for (wait_queue_item_t *item = service->line.first; item;
 	     item = item->next) {
 		exchange_t *x = (exchange_t *)item;
 		bool first_try = !x->tried_count;
--- a/src/waitline.c
+++ b/src/wait_queue.c
@@ -5,7 +5,7 @@
  * "not run" while its caller still has time to come back.
  */
 
-#include "waitline.h"
+#include "wait_queue.h"
 
 /*
  * A late request may wait this part of the time that its caller had left when
@@ -35,16 +35,16 @@
 #define HOLD_PART 1.0
 
 /* Bounds and spread of the time that a caller is told to stay away. */
-#define COME_BACK_LEAST (200 * PIMENTO_MSEC)
-#define COME_BACK_MOST (5 * PIMENTO_SEC)
+#define RETRY_AFTER_LEAST (200 * PIMENTO_MSEC)
+#define RETRY_AFTER_MOST (5 * PIMENTO_SEC)
 /*
  * Those who were turned away before come back as well, so that the line here is
  * only a part of what is ahead. Without this, callers met the same overload
  * again: worth of four days of high load 0.450 on average, 0.459 with it.
  */
-#define COME_BACK_TIMES 2.5
+#define RETRY_AFTER_TIMES 2.5
 
-static bool goes_before(const waitline_item_t *a, const waitline_item_t *b)
+static bool goes_before(const wait_queue_item_t *a, const wait_queue_item_t *b)
 {
 	if (a->late != b->late)
 		return b->late;
@@ -53,9 +53,9 @@
 	return a->order_at < b->order_at;
 }
 
-void waitline_put(waitline_t *line, waitline_item_t *item)
+void wait_queue_push(wait_queue_t *line, wait_queue_item_t *item)
 {
-	waitline_item_t *before = line->last;
+	wait_queue_item_t *before = line->last;
 
 	while (before && goes_before(item, before))
 		before = before->prev;
@@ -72,7 +72,7 @@
 	line->count++;
 }
 
-void waitline_remove(waitline_t *line, waitline_item_t *item)
+void wait_queue_remove(wait_queue_t *line, wait_queue_item_t *item)
 {
 	if (item->prev)
 		item->prev->next = item->next;
@@ -87,19 +87,19 @@
 	line->count--;
 }
 
-waitline_item_t *waitline_expired(waitline_t *line, pimento_usec_t now)
+wait_queue_item_t *wait_queue_expired(wait_queue_t *line, pimento_usec_t now)
 {
-	waitline_item_t *item = line->first;
+	wait_queue_item_t *item = line->first;
 
 	while (item) {
-		waitline_item_t *next = item->next;
+		wait_queue_item_t *next = item->next;
 
 		if (now >= item->give_up_at)
 			return item;
 		if (!item->late && now >= item->late_at) {
-			waitline_remove(line, item);
+			wait_queue_remove(line, item);
 			item->late = true;
-			waitline_put(line, item);
+			wait_queue_push(line, item);
 		}
 		item = next;
 	}
@@ -107,7 +107,7 @@
 }
 
 /* How long a caller stays with a stream that shows nothing. */
-static pimento_usec_t longest_silence(const waitline_terms_t *terms)
+static pimento_usec_t longest_silence(const wait_queue_terms_t *terms)
 {
 	pimento_usec_t span = SILENCE_LEAST;
 
@@ -118,7 +118,8 @@
 	return (pimento_usec_t)((double)span * SILENCE_PART);
 }
 
-void waitline_set_times(waitline_item_t *item, const waitline_terms_t *terms)
+void wait_queue_set_times(wait_queue_item_t *item,
+			  const wait_queue_terms_t *terms)
 {
 	pimento_usec_t left = terms->end - terms->arrived;
 	pimento_usec_t wait = (pimento_usec_t)((double)left * LATE_WAIT_PART);
@@ -139,8 +140,9 @@
 		item->give_up_at = terms->end;
 }
 
-void waitline_set_begun(waitline_item_t *item, const waitline_terms_t *terms,
-			pimento_usec_t heard_at)
+void wait_queue_set_begun(wait_queue_item_t *item,
+			  const wait_queue_terms_t *terms,
+			  pimento_usec_t heard_at)
 {
 	item->late = false;
 	item->order_at = item->since;
@@ -150,16 +152,16 @@
 	item->late_at = item->give_up_at;
 }
 
-pimento_usec_t waitline_come_back(uint32_t backlog, double per_second,
-				  uint64_t draw)
+pimento_usec_t wait_queue_retry_after(uint32_t backlog, double per_second,
+				      uint64_t draw)
 {
 	double seconds =
-		COME_BACK_TIMES * ((double)backlog + 1) / (per_second + 1);
+		RETRY_AFTER_TIMES * ((double)backlog + 1) / (per_second + 1);
 	pimento_usec_t wait = (pimento_usec_t)(seconds * (double)PIMENTO_SEC);
 
-	if (wait < COME_BACK_LEAST)
-		wait = COME_BACK_LEAST;
-	if (wait > COME_BACK_MOST)
-		wait = COME_BACK_MOST;
+	if (wait < RETRY_AFTER_LEAST)
+		wait = RETRY_AFTER_LEAST;
+	if (wait > RETRY_AFTER_MOST)
+		wait = RETRY_AFTER_MOST;
 	return wait / 2 + (pimento_usec_t)(draw % (uint64_t)wait);
 }
--- a/src/waitline.h
+++ b/src/wait_queue.h
@@ -1,5 +1,5 @@
-#ifndef WAITLINE_H
-#define WAITLINE_H
+#ifndef WAIT_QUEUE_H
+#define WAIT_QUEUE_H
 
 /*
  * Requests that wait at this host for a free place at an endpoint of one
@@ -12,34 +12,34 @@
 
 #include "../pimentoshelf.h"
 
-typedef struct waitline_item {
-	struct waitline_item *next;
-	struct waitline_item *prev;
+typedef struct wait_queue_item {
+	struct wait_queue_item *next;
+	struct wait_queue_item *prev;
 	uint64_t rank; /* urgency: less is more urgent */
 	pimento_usec_t since; /* its caller's first attempt */
 	pimento_usec_t order_at; /* among equals the least goes first */
 	pimento_usec_t late_at; /* past that it cannot be on time any more */
 	pimento_usec_t give_up_at; /* past that it is turned away */
 	bool late;
-} waitline_item_t;
+} wait_queue_item_t;
 
-typedef struct waitline {
-	waitline_item_t *first;
-	waitline_item_t *last;
+typedef struct wait_queue {
+	wait_queue_item_t *first;
+	wait_queue_item_t *last;
 	uint32_t count;
-} waitline_t;
+} wait_queue_t;
 
-void waitline_put(waitline_t *line, waitline_item_t *item);
-void waitline_remove(waitline_t *line, waitline_item_t *item);
+void wait_queue_push(wait_queue_t *line, wait_queue_item_t *item);
+void wait_queue_remove(wait_queue_t *line, wait_queue_item_t *item);
 
 /*
  * Marks items as late and moves them behind. Returns one that is to be turned
  * away, NULL if there is none; call until it returns NULL.
  */
-waitline_item_t *waitline_expired(waitline_t *line, pimento_usec_t now);
+wait_queue_item_t *wait_queue_expired(wait_queue_t *line, pimento_usec_t now);
 
 /* What a request may spend, to set the two times of its item. */
-typedef struct waitline_terms {
+typedef struct wait_queue_terms {
 	pimento_usec_t arrived;
 	pimento_usec_t spent; /* by the caller before, in earlier attempts */
 	pimento_usec_t goal; /* from the first attempt to the answer */
@@ -47,9 +47,10 @@
 	pimento_usec_t hold; /* from a free place to the end of the answer */
 	pimento_usec_t gap_goal; /* of a stream; 0: no stream */
 	pimento_usec_t end; /* caller's deadline or route's timeout */
-} waitline_terms_t;
+} wait_queue_terms_t;
 
-void waitline_set_times(waitline_item_t *item, const waitline_terms_t *terms);
+void wait_queue_set_times(wait_queue_item_t *item,
+			  const wait_queue_terms_t *terms);
 
 /*
  * The same for a request that ran already and lost its endpoint. Its caller
@@ -57,15 +58,16 @@
  * be lost. So it goes before its equals, never counts as late, and waits until
  * its caller, who heard of it last at heard_at, leaves the silent stream.
  */
-void waitline_set_begun(waitline_item_t *item, const waitline_terms_t *terms,
-			pimento_usec_t heard_at);
+void wait_queue_set_begun(wait_queue_item_t *item,
+			  const wait_queue_terms_t *terms,
+			  pimento_usec_t heard_at);
 
 /*
  * How long a caller that is turned away should stay away. backlog is the number
  * that wait here, per_second how many the service answers for this host, draw a
  * random number that spreads the callers.
  */
-pimento_usec_t waitline_come_back(uint32_t backlog, double per_second,
-				  uint64_t draw);
+pimento_usec_t wait_queue_retry_after(uint32_t backlog, double per_second,
+				      uint64_t draw);
 
 #endif
--- a/test/test_waitline.c
+++ b/test/test_wait_queue.c
@@ -1,42 +1,42 @@
 /* Which waiting request goes next, and when one is turned away. */
 
-#include "waitline.h"
+#include "wait_queue.h"
 
 #include <check.h>
 #include <stdlib.h>
 
 #define MS PIMENTO_MSEC
 
-static waitline_t line;
+static wait_queue_t line;
 
 static void setup(void)
 {
-	line = (waitline_t){ 0 };
+	line = (wait_queue_t){ 0 };
 }
 
-static waitline_item_t item(uint64_t rank, pimento_usec_t arrived,
-			    pimento_usec_t late_at, pimento_usec_t give_up_at)
+static wait_queue_item_t item(uint64_t rank, pimento_usec_t arrived,
+			      pimento_usec_t late_at, pimento_usec_t give_up_at)
 {
-	return (waitline_item_t){ .rank = rank,
-				  .since = arrived,
-				  .order_at = arrived,
-				  .late_at = late_at,
-				  .give_up_at = give_up_at };
+	return (wait_queue_item_t){ .rank = rank,
+				    .since = arrived,
+				    .order_at = arrived,
+				    .late_at = late_at,
+				    .give_up_at = give_up_at };
 }
 
 START_TEST(the_more_urgent_goes_first_then_the_earlier)
 {
-	waitline_item_t a = item(1, 10 * MS, 900 * MS, PIMENTO_SEC);
-	waitline_item_t b = item(0, 30 * MS, 900 * MS, PIMENTO_SEC);
-	waitline_item_t c = item(0, 20 * MS, 900 * MS, PIMENTO_SEC);
+	wait_queue_item_t a = item(1, 10 * MS, 900 * MS, PIMENTO_SEC);
+	wait_queue_item_t b = item(0, 30 * MS, 900 * MS, PIMENTO_SEC);
+	wait_queue_item_t c = item(0, 20 * MS, 900 * MS, PIMENTO_SEC);
 
-	waitline_put(&line, &a);
-	waitline_put(&line, &b);
-	waitline_put(&line, &c);
+	wait_queue_push(&line, &a);
+	wait_queue_push(&line, &b);
+	wait_queue_push(&line, &c);
 	ck_assert_ptr_eq(line.first, &c);
 	ck_assert_ptr_eq(c.next, &b);
 	ck_assert_ptr_eq(b.next, &a);
-	waitline_remove(&line, &b);
+	wait_queue_remove(&line, &b);
 	ck_assert_ptr_eq(c.next, &a);
 	ck_assert_uint_eq(line.count, 2);
 }
@@ -49,22 +49,22 @@
  */
 START_TEST(a_long_answer_lets_short_ones_go_first_for_a_while)
 {
-	waitline_terms_t terms = { .goal = 300 * MS,
-				   .end = 10 * PIMENTO_SEC,
-				   .hold = 4 * PIMENTO_SEC };
-	waitline_item_t longer = { 0 };
-	waitline_item_t soon = { 0 };
-	waitline_item_t later = { 0 };
-
-	waitline_set_times(&longer, &terms);
+	wait_queue_terms_t terms = { .goal = 300 * MS,
+				     .end = 10 * PIMENTO_SEC,
+				     .hold = 4 * PIMENTO_SEC };
+	wait_queue_item_t longer = { 0 };
+	wait_queue_item_t soon = { 0 };
+	wait_queue_item_t later = { 0 };
+
+	wait_queue_set_times(&longer, &terms);
 	terms.hold = 200 * MS;
 	terms.arrived = 250 * MS;
-	waitline_set_times(&soon, &terms);
+	wait_queue_set_times(&soon, &terms);
 	terms.arrived = 4 * PIMENTO_SEC;
-	waitline_set_times(&later, &terms);
-	waitline_put(&line, &longer);
-	waitline_put(&line, &soon);
-	waitline_put(&line, &later);
+	wait_queue_set_times(&later, &terms);
+	wait_queue_push(&line, &longer);
+	wait_queue_push(&line, &soon);
+	wait_queue_push(&line, &later);
 	ck_assert_ptr_eq(line.first, &soon);
 	ck_assert_ptr_eq(soon.next, &longer);
 	ck_assert_ptr_eq(longer.next, &later);
@@ -78,17 +78,17 @@
  */
 START_TEST(what_is_late_goes_behind_what_can_be_on_time)
 {
-	waitline_item_t late = item(0, 0, 300 * MS, 900 * MS);
-	waitline_item_t fresh = item(2, 350 * MS, 650 * MS, 900 * MS);
+	wait_queue_item_t late = item(0, 0, 300 * MS, 900 * MS);
+	wait_queue_item_t fresh = item(2, 350 * MS, 650 * MS, 900 * MS);
 
-	waitline_put(&line, &late);
-	waitline_put(&line, &fresh);
-	ck_assert_ptr_null(waitline_expired(&line, 290 * MS));
+	wait_queue_push(&line, &late);
+	wait_queue_push(&line, &fresh);
+	ck_assert_ptr_null(wait_queue_expired(&line, 290 * MS));
 	ck_assert_ptr_eq(line.first, &late);
-	ck_assert_ptr_null(waitline_expired(&line, 400 * MS));
+	ck_assert_ptr_null(wait_queue_expired(&line, 400 * MS));
 	ck_assert_ptr_eq(line.first, &fresh);
 	ck_assert(late.late);
-	ck_assert_ptr_eq(waitline_expired(&line, 901 * MS), &fresh);
+	ck_assert_ptr_eq(wait_queue_expired(&line, 901 * MS), &fresh);
 }
 END_TEST
 
@@ -100,29 +100,30 @@
  */
 START_TEST(an_answer_that_lost_its_engine_waits_for_another)
 {
-	waitline_terms_t terms = { .goal = 300 * MS,
-				   .gap_goal = 300 * MS,
-				   .end = 10 * PIMENTO_SEC,
-				   .hold = 4 * PIMENTO_SEC };
-	waitline_item_t begun = { 0 };
-	waitline_item_t fresh = item(0, 5000 * MS, 5300 * MS, 7 * PIMENTO_SEC);
-
-	waitline_set_times(&begun, &terms);
+	wait_queue_terms_t terms = { .goal = 300 * MS,
+				     .gap_goal = 300 * MS,
+				     .end = 10 * PIMENTO_SEC,
+				     .hold = 4 * PIMENTO_SEC };
+	wait_queue_item_t begun = { 0 };
+	wait_queue_item_t fresh =
+		item(0, 5000 * MS, 5300 * MS, 7 * PIMENTO_SEC);
+
+	wait_queue_set_times(&begun, &terms);
 	begun.late = true;
-	waitline_set_begun(&begun, &terms, 5 * PIMENTO_SEC);
-	waitline_put(&line, &fresh);
-	waitline_put(&line, &begun);
+	wait_queue_set_begun(&begun, &terms, 5 * PIMENTO_SEC);
+	wait_queue_push(&line, &fresh);
+	wait_queue_push(&line, &begun);
 	ck_assert_ptr_eq(line.first, &begun);
-	ck_assert_ptr_null(waitline_expired(&line, 5200 * MS));
+	ck_assert_ptr_null(wait_queue_expired(&line, 5200 * MS));
 	ck_assert(!begun.late);
-	ck_assert_ptr_eq(waitline_expired(&line, 7 * PIMENTO_SEC), &begun);
+	ck_assert_ptr_eq(wait_queue_expired(&line, 7 * PIMENTO_SEC), &begun);
 }
 END_TEST
 
 /* What a request brings, and when it is late and turned away. */
 static const struct {
 	const char *what;
-	waitline_terms_t terms; /* in milliseconds */
+	wait_queue_terms_t terms; /* in milliseconds */
 	int64_t late_at;
 	int64_t give_up_at;
 } times[] = {
@@ -147,8 +148,8 @@
 
 START_TEST(waits_end_while_the_caller_still_cares)
 {
-	waitline_terms_t terms = times[_i].terms;
-	waitline_item_t it = { 0 };
+	wait_queue_terms_t terms = times[_i].terms;
+	wait_queue_item_t it = { 0 };
 
 	terms.arrived *= MS;
 	terms.spent *= MS;
@@ -156,7 +157,7 @@
 	terms.expect *= MS;
 	terms.gap_goal *= MS;
 	terms.end *= MS;
-	waitline_set_times(&it, &terms);
+	wait_queue_set_times(&it, &terms);
 	ck_assert_msg(it.late_at / MS == times[_i].late_at, "%s: late %lld",
 		      times[_i].what, (long long)(it.late_at / MS));
 	ck_assert_msg(it.give_up_at / MS == times[_i].give_up_at,
@@ -173,7 +174,7 @@
 
 	for (uint64_t draw = 0; draw < 1000; draw++) {
 		pimento_usec_t wait =
-			waitline_come_back(40, 19, draw * 7919000);
+			wait_queue_retry_after(40, 19, draw * 7919000);
 
 		least = wait < least ? wait : least;
 		most = wait > most ? wait : most;
@@ -186,7 +187,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("waitline");
+	Suite *suite = suite_create("wait_queue");
 	TCase *tests = tcase_create("all");
 	SRunner *runner;
 	int failed;
