--- a/src/quota.c
+++ b/src/quota.c
@@ -189,7 +189,7 @@
 static double asked_of_all(const quota_t *quota, const quota_usage_t *use,
 			   pimento_usec_t now)
 {
-	double own = share_asked(&use->share, now);
+	double own = quota_share_asked(&use->share, now);
 	double sum = own;
 	uint32_t heard = 1;
 
@@ -220,7 +220,7 @@
 	if (all <= 0)
 		return drains;
 	off = fmin(fmax(off, -CORRECT_MOST), CORRECT_MOST);
-	return drains * (1 + off) * share_asked(&use->share, now) / all;
+	return drains * (1 + off) * quota_share_asked(&use->share, now) / all;
 }
 
 static bool fits(const quota_t *quota, quota_usage_t *use, double level,
@@ -229,13 +229,13 @@
 	double most = room(use->rate);
 	double kept;
 
-	share_fill(&use->share, fair_rate(quota, use, level, now), now);
-	kept = KEPT_PART * share_reserved(&use->share, rank, tokens, now);
+	quota_share_fill(&use->share, fair_rate(quota, use, level, now), now);
+	kept = KEPT_PART * quota_share_reserved(&use->share, rank, tokens, now);
 	/* one that is larger than the whole bucket waits for an empty one */
 	if (level > 0 && level + tokens > most * (1 - kept))
 		return false;
 	return level <= SCARCE_PART * most ||
-	       share_spend(&use->share, rank, tokens, now);
+	       quota_share_spend(&use->share, rank, tokens, now);
 }
 
 int quota_admit(quota_t *quota, pimento_id_t account, quota_limit_t rate,
@@ -250,7 +250,7 @@
 	if (!use->begun)
 		begin(quota, use, rate, now);
 	drain(quota, use, now);
-	share_ask(&use->share, rank, tokens, now);
+	quota_share_ask(&use->share, rank, tokens, now);
 	level = use->level + projected(use, now);
 	if (rate.per_second > 0 && !fits(quota, use, level, rank, tokens, now))
 		return PIMENTO_EFULL;
@@ -266,7 +266,7 @@
 	if (!use)
 		return;
 	use->admitted -= tokens;
-	share_refund(&use->share, tokens);
+	quota_share_refund(&use->share, tokens);
 	use->level = use->level > tokens ? use->level - tokens : 0;
 }
 
@@ -426,7 +426,7 @@
 			.account = (uint32_t)use->account,
 			.admitted = use->admitted,
 			.level = use->level,
-			.asked = share_asked(&use->share, now),
+			.asked = quota_share_asked(&use->share, now),
 			.age = use->since ? now - use->since : 0,
 		};
 	}
--- a/src/quota.h
+++ b/src/quota.h
@@ -9,7 +9,7 @@
  * its peers say that they admitted.
  */
 
-#include "share.h"
+#include "quota_share.h"
 
 typedef struct quota_rate {
 	double per_second; /* tokens; 0 no limit */
@@ -45,7 +45,7 @@
 	bool taken_over; /* from a peer that has known for longer */
 	pimento_usec_t followed_at; /* last took a peer's view for its own */
 	pimento_usec_t settled; /* when level was last drained */
-	share_t share; /* of this host, while the account is scarce */
+	quota_share_t share; /* of this host, while the account is scarce */
 	quota_peer_t *peers;
 	uint32_t peer_count;
 } quota_usage_t;
--- a/src/share.c
+++ b/src/quota_share.c
@@ -1,4 +1,4 @@
-#include "share.h"
+#include "quota_share.h"
 
 #include <math.h>
 
@@ -21,13 +21,13 @@
 	return (double)span / (double)PIMENTO_SEC;
 }
 
-static double fade(const share_t *share, pimento_usec_t now)
+static double fade(const quota_share_t *share, pimento_usec_t now)
 {
 	return exp(-seconds(now - share->asked_at) / ASKED_SECONDS);
 }
 
 /* Asked for lately by requests of the first ranks. */
-static double asked_below(const share_t *share, uint32_t ranks,
+static double asked_below(const quota_share_t *share, uint32_t ranks,
 			  pimento_usec_t now)
 {
 	double sum = 0;
@@ -37,28 +37,30 @@
 	return sum * fade(share, now);
 }
 
-double share_asked(const share_t *share, pimento_usec_t now)
+double quota_share_asked(const quota_share_t *share, pimento_usec_t now)
 {
-	return asked_below(share, SHARE_RANKS, now);
+	return asked_below(share, QUOTA_SHARE_RANKS, now);
 }
 
 static uint32_t least_rank(uint32_t rank)
 {
-	return rank < SHARE_RANKS ? rank : SHARE_RANKS - 1;
+	return rank < QUOTA_SHARE_RANKS ? rank : QUOTA_SHARE_RANKS - 1;
 }
 
-void share_ask(share_t *share, uint32_t rank, double tokens, pimento_usec_t now)
+void quota_share_ask(quota_share_t *share, uint32_t rank, double tokens,
+		     pimento_usec_t now)
 {
 	double part = fade(share, now);
 
-	for (uint32_t i = 0; i < SHARE_RANKS; i++)
+	for (uint32_t i = 0; i < QUOTA_SHARE_RANKS; i++)
 		share->asked[i] *= part;
 	share->asked[least_rank(rank)] += tokens / ASKED_SECONDS;
 	share->asked_at = now;
 	share->size += SIZE_WEIGHT * (tokens - share->size);
 }
 
-void share_fill(share_t *share, double per_second, pimento_usec_t now)
+void quota_share_fill(quota_share_t *share, double per_second,
+		      pimento_usec_t now)
 {
 	share->credit_most = per_second * CREDIT_SECONDS;
 	share->credit += per_second * seconds(now - share->filled_at);
@@ -66,8 +68,8 @@
 	share->filled_at = now;
 }
 
-double share_reserved(const share_t *share, uint32_t rank, double tokens,
-		      pimento_usec_t now)
+double quota_share_reserved(const quota_share_t *share, uint32_t rank,
+			    double tokens, pimento_usec_t now)
 {
 	double urgent = asked_below(share, least_rank(rank), now);
 	double part = share->size > 0 ? fmin(tokens / share->size, 1) : 1;
@@ -77,10 +79,10 @@
 	return fmin(urgent * RESERVE_SECONDS / share->credit_most, 1) * part;
 }
 
-bool share_spend(share_t *share, uint32_t rank, double tokens,
-		 pimento_usec_t now)
+bool quota_share_spend(quota_share_t *share, uint32_t rank, double tokens,
+		       pimento_usec_t now)
 {
-	double kept = share_reserved(share, rank, tokens, now);
+	double kept = quota_share_reserved(share, rank, tokens, now);
 
 	if (share->credit <= 0 || share->credit < kept * share->credit_most)
 		return false;
@@ -88,7 +90,7 @@
 	return true;
 }
 
-void share_refund(share_t *share, double tokens)
+void quota_share_refund(quota_share_t *share, double tokens)
 {
 	share->credit += tokens; /* what is too much goes when it is filled */
 }
--- a/src/share.h
+++ b/src/quota_share.h
@@ -1,5 +1,5 @@
-#ifndef SHARE_H
-#define SHARE_H
+#ifndef QUOTA_SHARE_H
+#define QUOTA_SHARE_H
 
 /*
  * What one host may admit of a thing that all hosts share and that is scarce:
@@ -11,43 +11,44 @@
 #include "../pimentoshelf.h"
 
 /* Ranks that are told apart; 0 is the most urgent, the last takes the rest. */
-#define SHARE_RANKS 4
+#define QUOTA_SHARE_RANKS 4
 
-typedef struct share {
-	double asked[SHARE_RANKS]; /* tokens a second, decayed */
+typedef struct quota_share {
+	double asked[QUOTA_SHARE_RANKS]; /* tokens a second, decayed */
 	double size; /* mean of the requests, tokens; 0 unknown */
 	pimento_usec_t asked_at;
 	double credit_most;
 	double credit; /* tokens that may be admitted; below 0: overdrawn */
 	pimento_usec_t filled_at;
-} share_t;
+} quota_share_t;
 
 /* Callers ask for tokens, admitted or not. */
-void share_ask(share_t *share, uint32_t rank, double tokens,
-	       pimento_usec_t now);
+void quota_share_ask(quota_share_t *share, uint32_t rank, double tokens,
+		     pimento_usec_t now);
 
 /* Tokens a second that callers asked for lately. */
-double share_asked(const share_t *share, pimento_usec_t now);
+double quota_share_asked(const quota_share_t *share, pimento_usec_t now);
 
 /* Credit flows in at this rate; call before each decision. */
-void share_fill(share_t *share, double per_second, pimento_usec_t now);
+void quota_share_fill(quota_share_t *share, double per_second,
+		      pimento_usec_t now);
 
 /*
  * Part of what there is, 0 to 1, that a request leaves to more urgent ones, by
  * what they ask for. One that is small beside the others leaves less: refusing
  * it would save nothing.
  */
-double share_reserved(const share_t *share, uint32_t rank, double tokens,
-		      pimento_usec_t now);
+double quota_share_reserved(const quota_share_t *share, uint32_t rank,
+			    double tokens, pimento_usec_t now);
 
 /*
  * Spends credit if there is any: one large request may overdraw it. The
  * reserved part is left.
  */
-bool share_spend(share_t *share, uint32_t rank, double tokens,
-		 pimento_usec_t now);
+bool quota_share_spend(quota_share_t *share, uint32_t rank, double tokens,
+		       pimento_usec_t now);
 
 /* What was spent was not used after all. */
-void share_refund(share_t *share, double tokens);
+void quota_share_refund(quota_share_t *share, double tokens);
 
 #endif
--- a/test/test_share.c
+++ b/test/test_quota_share.c
@@ -1,6 +1,6 @@
 /* What one host may admit of an account that is scarce. */
 
-#include "share.h"
+#include "quota_share.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -14,7 +14,7 @@
  */
 START_TEST(what_flows_in_is_what_is_spent)
 {
-	share_t share = { 0 };
+	quota_share_t share = { 0 };
 	double spent = 0;
 	uint32_t large = 0;
 
@@ -22,9 +22,9 @@
 		pimento_usec_t now = step * STEP_MS * PIMENTO_MSEC;
 		double tokens = step % 51 ? 100 : 6000;
 
-		share_ask(&share, 0, tokens, now);
-		share_fill(&share, 5000, now);
-		if (!share_spend(&share, 0, tokens, now))
+		quota_share_ask(&share, 0, tokens, now);
+		quota_share_fill(&share, 5000, now);
+		if (!quota_share_spend(&share, 0, tokens, now))
 			continue;
 		spent += tokens;
 		large += tokens > 1000;
@@ -36,33 +36,34 @@
 
 START_TEST(demand_is_known_and_fades)
 {
-	share_t share = { 0 };
+	quota_share_t share = { 0 };
 	pimento_usec_t now = 0;
 
 	for (int i = 0; i < 2000; i++) {
 		now += STEP_MS * PIMENTO_MSEC;
-		share_ask(&share, 0, 50, now); /* 5,000 a second */
+		quota_share_ask(&share, 0, 50, now); /* 5,000 a second */
 	}
-	ck_assert_double_eq_tol(share_asked(&share, now), 5000, 100);
-	ck_assert_double_le(share_asked(&share, now + 30 * PIMENTO_SEC), 1);
+	ck_assert_double_eq_tol(quota_share_asked(&share, now), 5000, 100);
+	ck_assert_double_le(quota_share_asked(&share, now + 30 * PIMENTO_SEC),
+			    1);
 }
 END_TEST
 
 START_TEST(a_refund_can_be_spent_again)
 {
-	share_t share = { 0 };
+	quota_share_t share = { 0 };
 
-	share_fill(&share, 1000, PIMENTO_SEC);
-	ck_assert(share_spend(&share, 0, 2000, PIMENTO_SEC));
-	ck_assert(!share_spend(&share, 0, 1, PIMENTO_SEC));
-	share_refund(&share, 2000);
-	ck_assert(share_spend(&share, 0, 1, PIMENTO_SEC));
+	quota_share_fill(&share, 1000, PIMENTO_SEC);
+	ck_assert(quota_share_spend(&share, 0, 2000, PIMENTO_SEC));
+	ck_assert(!quota_share_spend(&share, 0, 1, PIMENTO_SEC));
+	quota_share_refund(&share, 2000);
+	ck_assert(quota_share_spend(&share, 0, 1, PIMENTO_SEC));
 }
 END_TEST
 
 int main(void)
 {
-	Suite *suite = suite_create("share");
+	Suite *suite = suite_create("quota_share");
 	TCase *tests = tcase_create("all");
 	SRunner *runner;
 	int failed;
