--- a/io/slots.c
+++ b/io/slots.c
@@ -56,9 +56,9 @@
 			     pace_is_failing(&endpoint->pace, &service->pace)),
 	};
 
-	if (endpoint->pace.shunned_until > now)
-		word.shunned_ms =
-			(uint32_t)((endpoint->pace.shunned_until - now) /
+	if (endpoint->pace.ejected_until > now)
+		word.ejected_ms =
+			(uint32_t)((endpoint->pace.ejected_until - now) /
 				   PIMENTO_MSEC);
 	return word;
 }
@@ -101,7 +101,7 @@
 	grants_ask_t ask;
 
 	if (!endpoint || !directory_takes(endpoint, now) ||
-	    endpoint->pace.shunned_until > now)
+	    endpoint->pace.ejected_until > now)
 		return;
 	while (grants_next(&slots->grants, key, places_of(slots, endpoint), now,
 			   &ask)) {
@@ -142,7 +142,7 @@
 		trail(TRAIL_STATE, "endpoint", "left_alone",
 		      "endpoint=%s why=%s in_a_row=%u ms=%lld", endpoint->id,
 		      pace_finding_name(finding), pace->bad,
-		      (long long)((pace->shunned_until - now) / PIMENTO_MSEC));
+		      (long long)((pace->ejected_until - now) / PIMENTO_MSEC));
 	else if (before && !pace->failures)
 		trail(TRAIL_STATE, "endpoint", "answers_again",
 		      "endpoint=%s failures=%u", endpoint->id, before);
--- a/src/directory.c
+++ b/src/directory.c
@@ -139,7 +139,7 @@
 void directory_told(directory_endpoint_t *endpoint,
 		    const directory_word_t *word, pimento_usec_t now)
 {
-	pimento_usec_t shunned = now + word->shunned_ms * PIMENTO_MSEC;
+	pimento_usec_t ejected = now + word->ejected_ms * PIMENTO_MSEC;
 
 	endpoint->told = *word;
 	endpoint->told_own = endpoint->running;
@@ -147,8 +147,8 @@
 	/* The owner hears from all hosts; this one has seen a few streams. */
 	if (word->gap_us)
 		endpoint->pace.gap = word->gap_us;
-	if (word->shunned_ms && endpoint->pace.shunned_until < shunned)
-		endpoint->pace.shunned_until = shunned;
+	if (word->ejected_ms && endpoint->pace.ejected_until < ejected)
+		endpoint->pace.ejected_until = ejected;
 }
 
 void directory_sweep(directory_t *directory, pimento_usec_t now)
--- a/src/directory.h
+++ b/src/directory.h
@@ -14,7 +14,7 @@
 	uint32_t running; /* requests in flight, of all hosts */
 	uint32_t waiting; /* in its line */
 	uint32_t gap_us; /* between events of a stream there; 0 unknown */
-	uint32_t shunned_ms; /* gets no new work for so long */
+	uint32_t ejected_ms; /* gets no new work for so long */
 	bool doubtful; /* was not reached, and has not answered since */
 } directory_word_t;
 
--- a/src/pace.c
+++ b/src/pace.c
@@ -35,10 +35,10 @@
 #define SLOWNESS_MOST 12.0
 
 /* An endpoint that is not reached is tried again after this, doubling. */
-#define SHUN_FIRST (300 * PIMENTO_MSEC)
-#define SHUN_MOST (2 * PIMENTO_SEC)
+#define EJECT_FIRST (300 * PIMENTO_MSEC)
+#define EJECT_MOST (2 * PIMENTO_SEC)
 /* A full endpoint frees places within about an answer's time. */
-#define SHUN_FULL (60 * PIMENTO_MSEC)
+#define EJECT_FULL (60 * PIMENTO_MSEC)
 
 /*
  * An endpoint that fails this often, and so much more often than its service,
@@ -47,7 +47,7 @@
  */
 #define FAILING_LEAST 0.3
 #define FAILING_TIMES 1.6
-#define SHUN_FAILING (700 * PIMENTO_MSEC)
+#define EJECT_FAILING (700 * PIMENTO_MSEC)
 
 /*
  * An engine that is going down and up accepts connections and breaks them; one
@@ -170,7 +170,7 @@
 {
 	pace->failures = 0;
 	pace->bad = 0;
-	pace->shunned_until = 0;
+	pace->ejected_until = 0;
 	learn_failing(pace, service, false);
 }
 
@@ -184,7 +184,7 @@
 {
 	learn_failing(pace, service, true);
 	if (pace_is_failing(pace, service))
-		pace->shunned_until = now + SHUN_FAILING;
+		pace->ejected_until = now + EJECT_FAILING;
 }
 
 void pace_heard(pace_t *pace, pace_service_t *service, pace_finding_t finding,
@@ -198,18 +198,18 @@
 
 void pace_unreachable(pace_t *pace, pimento_usec_t now)
 {
-	pimento_usec_t span = SHUN_FIRST;
+	pimento_usec_t span = EJECT_FIRST;
 
-	for (uint32_t i = 0; i < pace->failures && span < SHUN_MOST; i++)
+	for (uint32_t i = 0; i < pace->failures && span < EJECT_MOST; i++)
 		span *= 2;
 	pace->failures++;
-	pace->shunned_until = now + (span < SHUN_MOST ? span : SHUN_MOST);
+	pace->ejected_until = now + (span < EJECT_MOST ? span : EJECT_MOST);
 }
 
 void pace_full(pace_t *pace, pimento_usec_t now)
 {
-	if (pace->shunned_until < now + SHUN_FULL)
-		pace->shunned_until = now + SHUN_FULL;
+	if (pace->ejected_until < now + EJECT_FULL)
+		pace->ejected_until = now + EJECT_FULL;
 }
 
 const char *pace_finding_name(pace_finding_t finding)
@@ -254,7 +254,7 @@
 	case PACE_UNREACHED:
 		/* one that is left alone already was tried by requests that
 		 * were on their way: they tell nothing new */
-		if (pace->shunned_until <= now)
+		if (pace->ejected_until <= now)
 			pace_unreachable(pace, now);
 		break;
 	case PACE_NOTHING:
--- a/src/pace.h
+++ b/src/pace.h
@@ -16,7 +16,7 @@
 	double failing; /* share of requests that failed, decayed */
 	uint32_t failures; /* in a row without an answer */
 	uint32_t bad; /* PACE_BREAKS and PACE_FAILS in a row */
-	pimento_usec_t shunned_until; /* no new work before that */
+	pimento_usec_t ejected_until; /* no new work before that */
 } pace_t;
 
 /* Decayed sums of a line y = base + slope * x. */
--- a/src/packet.c
+++ b/src/packet.c
@@ -53,7 +53,7 @@
 		packed->owned[i].running = note->owned[i].word.running;
 		packed->owned[i].waiting = note->owned[i].word.waiting;
 		packed->owned[i].gap_us = note->owned[i].word.gap_us;
-		packed->owned[i].shunned_ms = note->owned[i].word.shunned_ms;
+		packed->owned[i].ejected_ms = note->owned[i].word.ejected_ms;
 		packed->owned[i].doubtful = note->owned[i].word.doubtful;
 		packed->owned_pointers[i] = &packed->owned[i];
 	}
@@ -139,7 +139,7 @@
 	said.running = reply->word.running;
 	said.waiting = reply->word.waiting;
 	said.gap_us = reply->word.gap_us;
-	said.shunned_ms = reply->word.shunned_ms;
+	said.ejected_ms = reply->word.ejected_ms;
 	said.doubtful = reply->word.doubtful;
 	message.content_case = PEER__PACKET__CONTENT_REPLY;
 	message.reply = &said;
@@ -217,7 +217,7 @@
 			.word = { .running = message->owned[i]->running,
 				  .waiting = message->owned[i]->waiting,
 				  .gap_us = message->owned[i]->gap_us,
-				  .shunned_ms = message->owned[i]->shunned_ms,
+				  .ejected_ms = message->owned[i]->ejected_ms,
 				  .doubtful =
 					  message->owned[i]->doubtful != 0 },
 		};
@@ -249,7 +249,7 @@
 		.word = { .running = message->running,
 			  .waiting = message->waiting,
 			  .gap_us = message->gap_us,
-			  .shunned_ms = message->shunned_ms,
+			  .ejected_ms = message->ejected_ms,
 			  .doubtful = message->doubtful != 0 },
 	};
 }
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -662,12 +662,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shunned_ms",
+    "ejected_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Owned, shunned_ms),
+    offsetof(Peer__Owned, ejected_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -688,10 +688,10 @@
 };
 static const unsigned peer__owned__field_indices_by_name[] = {
   5,   /* field[5] = doubtful */
+  4,   /* field[4] = ejected_ms */
   0,   /* field[0] = endpoint */
   3,   /* field[3] = gap_us */
   1,   /* field[1] = running */
-  4,   /* field[4] = shunned_ms */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange peer__owned__number_ranges[1 + 1] =
@@ -1215,12 +1215,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "shunned_ms",
+    "ejected_ms",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Reply, shunned_ms),
+    offsetof(Peer__Reply, ejected_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1241,11 +1241,11 @@
 };
 static const unsigned peer__reply__field_indices_by_name[] = {
   7,   /* field[7] = doubtful */
+  6,   /* field[6] = ejected_ms */
   0,   /* field[0] = endpoint */
   5,   /* field[5] = gap_us */
   2,   /* field[2] = granted */
   3,   /* field[3] = running */
-  6,   /* field[6] = shunned_ms */
   1,   /* field[1] = ticket */
   4,   /* field[4] = waiting */
 };
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -98,7 +98,7 @@
   /*
    * gets no new work for so long
    */
-  uint32_t shunned_ms;
+  uint32_t ejected_ms;
   /*
    * was not reached, and has not answered since
    */
@@ -229,7 +229,7 @@
   /*
    * gets no new work for so long
    */
-  uint32_t shunned_ms;
+  uint32_t ejected_ms;
   /*
    * was not reached, and has not answered since
    */
--- a/src/placement.c
+++ b/src/placement.c
@@ -236,9 +236,9 @@
 typedef struct choice {
 	directory_endpoint_t *best;
 	double cost;
-	directory_endpoint_t *trial; /* shunned, with nothing to do */
+	directory_endpoint_t *trial; /* ejected, with nothing to do */
 	bool any; /* that was not tried */
-	bool sound; /* that is not shunned */
+	bool sound; /* that is not ejected */
 	fit_t fit; /* the best of a sound one, full or not */
 } choice_t;
 
@@ -261,7 +261,7 @@
 	double c;
 
 	choice->any = true;
-	if (endpoint->pace.shunned_until > now) {
+	if (endpoint->pace.ejected_until > now) {
 		if (endpoint->running == 0)
 			choice->trial = endpoint;
 		return;
@@ -320,7 +320,7 @@
 		const directory_endpoint_t *e = directory->endpoints[i];
 
 		if (e->service == request->service && directory_takes(e, now) &&
-		    e->pace.shunned_until <= now &&
+		    e->pace.ejected_until <= now &&
 		    !has(request->tried, request->tried_count, e->key) &&
 		    fit_of(e, service, request) > fit)
 			return false;
--- a/src/placement.h
+++ b/src/placement.h
@@ -38,7 +38,7 @@
 } placement_verdict_t;
 
 /*
- * Sets endpoint if PLACEMENT_FOUND. An endpoint that is shunned is used only
+ * Sets endpoint if PLACEMENT_FOUND. An endpoint that is ejected is used only
  * when all are, since it may work again, and for one request at a time.
  */
 placement_verdict_t placement_choose(directory_t *directory,
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -334,7 +334,7 @@
 static const struct {
 	const char *what;
 	pace_finding_t findings[6];
-	bool shunned;
+	bool ejected;
 } findings[] = {
 	{ "four breaks in a row",
 	  { PACE_BREAKS, PACE_BREAKS, PACE_BREAKS, PACE_BREAKS },
@@ -370,8 +370,8 @@
 	for (int i = 0; i < 6; i++)
 		pace_found(pace, service, findings[_i].findings[i],
 			   PIMENTO_SEC);
-	ck_assert_msg((pace->shunned_until > PIMENTO_SEC) ==
-			      findings[_i].shunned,
+	ck_assert_msg((pace->ejected_until > PIMENTO_SEC) ==
+			      findings[_i].ejected,
 		      "%s", findings[_i].what);
 }
 END_TEST
@@ -537,7 +537,7 @@
 
 	for (int i = 0; i < 12; i++)
 		pace_failed(&endpoints[0]->pace, service, PIMENTO_SEC);
-	ck_assert_int_gt(endpoints[0]->pace.shunned_until, PIMENTO_SEC);
+	ck_assert_int_gt(endpoints[0]->pace.ejected_until, PIMENTO_SEC);
 	for (int i = 0; i < 20; i++) {
 		request.draw = (uint64_t)i * 977;
 		ck_assert_int_eq(place(&request, &endpoint), PLACEMENT_FOUND);
@@ -559,7 +559,7 @@
 	pace_unreachable(&endpoints[0]->pace, PIMENTO_SEC);
 	ck_assert_ptr_eq(directory_put(&directory, &record), endpoints[0]);
 	ck_assert_uint_eq(endpoints[0]->life, 1);
-	ck_assert_int_eq(endpoints[0]->pace.shunned_until, 0);
+	ck_assert_int_eq(endpoints[0]->pace.ejected_until, 0);
 }
 END_TEST
 
--- a/test/test_slots.c
+++ b/test/test_slots.c
@@ -134,9 +134,9 @@
 {
 	for (int i = 0; i < 200; i++) {
 		hear_end(endpoint, i % 5 ? PACE_FAILS : PACE_ANSWERS);
-		ck_assert(i < 100 || endpoint->pace.shunned_until <= NOW);
+		ck_assert(i < 100 || endpoint->pace.ejected_until <= NOW);
 		if (i == 99)
-			endpoint->pace.shunned_until = 0;
+			endpoint->pace.ejected_until = 0;
 	}
 }
 END_TEST
@@ -154,14 +154,14 @@
 	int broken = 0;
 
 	ck_assert_ptr_nonnull(sound);
-	for (int i = 0; endpoint->pace.shunned_until <= NOW; i++) {
+	for (int i = 0; endpoint->pace.ejected_until <= NOW; i++) {
 		hear_end(sound, PACE_ANSWERS);
 		hear_end(sound, PACE_ANSWERS);
 		hear_end(endpoint, i % 2 ? PACE_ANSWERS : PACE_BREAKS);
 		broken += !(i % 2);
 		ck_assert_int_le(broken, 8);
 	}
-	ck_assert_int_le(sound->pace.shunned_until, NOW);
+	ck_assert_int_le(sound->pace.ejected_until, NOW);
 	for (uint64_t ticket = 1; ticket <= ASKS; ticket++)
 		ask(ticket, NOW + PIMENTO_SEC);
 	ck_assert_uint_eq(slots.granted, 1);
