--- a/io/gateway.c
+++ b/io/gateway.c
@@ -22,18 +22,15 @@
 #define IDLE_TIMEOUT_DEFAULT (60 * PIMENTO_SEC)
 
 /*
- * An owner's word counts more than the sum of what hosts say of themselves, for
- * as long as the owner's next word may take with a hundred hosts.
+ * An owner's word counts more than the sum of what hosts say of themselves,
+ * for as long as the owner's next word may take with a hundred hosts.
  */
 #define TOLD_AGE (1500 * PIMENTO_MSEC)
 
 /*
- * A host that has just started knows no configuration for some milliseconds. A
- * caller that came then and was told to come back would often have no attempt
- * left, as its first broke when the host before was killed: in the two seconds
- * after all of 58 hosts had lost power, 180 callers met that. So connections
- * wait until the host is able, but not for so long that callers give up, who
- * allow a third of their time and a second at most.
+ * A host that has just started knows no configuration for some milliseconds.
+ * Connections wait until it does, within what callers allow for that: their
+ * first attempt often broke when the host before was killed.
  */
 #define OPEN_WITHIN (400 * PIMENTO_MSEC)
 
--- a/io/placing.c
+++ b/io/placing.c
@@ -1,19 +1,13 @@
 /*
- * Finds places for the requests that wait. With one host there is nobody to
- * agree with. With several, the owner of an engine counts its places: it is
- * told of a request that goes to a calm engine, and asked where places are
- * scarce. It is never waited for beyond a few milliseconds.
+ * Finds slots for the requests that wait. With several hosts the owner of an
+ * endpoint grants its slots; it is never waited for beyond a few milliseconds.
  */
 
 #include "exchange.h"
 
 #include "sys.h"
 
-/*
- * An owner answers within some milliseconds. One that has not after this is
- * frozen, cut off or gone: a request goes by this host's own view then, and
- * the owner is not asked for a while.
- */
+/* Bypass an owner that does not answer, for a while. */
 #define ASK_SILENT (40 * PIMENTO_MSEC)
 #define OWNER_SILENT (1 * PIMENTO_SEC)
 /* Waits so long in one endpoint's line before it looks for a better one. */
@@ -23,18 +17,13 @@
 /* Requests of one service in line at owners; the others wait here. */
 #define ASKS_AT_ONCE 16
 
-/*
- * Events of a stream whose mean pause is told to the owner. Two are one pause:
- * short answers have few more, and are mostly what slow engines get.
- */
+/* Events of a stream whose mean pause is reported; short answers have few. */
 #define EVENTS_TO_JUDGE 2
 
 /*
- * An engine that has just started, or turned slow, shows it to the first streams
- * there. They end after seconds, on a slow one much later than on others, and
- * until then its owner would give out place after place to long answers that
- * cannot be whole in time. So its owner is told after a few events, if it does
- * not know yet.
+ * Streams on an engine that turned slow end after seconds, in which its owner
+ * would go on granting slots to long answers: report its pace after a few
+ * events.
  */
 #define NEWS_EVENTS 4
 /* Paces this many times apart are news; prompts in between make some noise. */
@@ -51,9 +40,9 @@
 }
 
 /*
- * Tells the owner that the place, or the wait for it, is over. This host may be
- * the owner and then gives places to others at once: they may end, and so may
- * the exchange that waited, if it still stood in other lines.
+ * Tells the owner that the place, or the wait for it, is over. This host may
+ * be the owner and then gives places to others at once: they may end, and so
+ * may the exchange that waited, if it still stood in other lines.
  */
 static void release(slots_t *slots, const exchange_place_t *place,
 		    packet_release_t words)
@@ -159,8 +148,8 @@
 }
 
 /*
- * Asks for a place. Returns true if one was given at once, because this host is
- * the owner; x->given is its ticket.
+ * Asks for a place. Returns true if one was given at once, because this host
+ * is the owner; x->given is its ticket.
  */
 static bool ask(exchange_t *x, directory_endpoint_t *endpoint,
 		pimento_usec_t now)
@@ -333,7 +322,9 @@
 	}
 }
 
-/* Returns true if a request has left the line, which is then looked at anew. */
+/*
+ * Returns true if a request has left the line, which is then looked at anew.
+ */
 static bool pump_once(gateway_service_t *service, pimento_usec_t now)
 {
 	for (wait_queue_item_t *item = service->line.first; item;
@@ -398,10 +389,8 @@
 }
 
 /*
- * A place that an owner gives is taken if the endpoint still suits: the owner's
- * word, which came with it, may be the first that this host hears of its speed.
- * Before 90 engines of which a third is slow, long answers went to those first,
- * as they were empty, and were cut at their callers' deadline.
+ * Grants are advisory: the owner's report, which came with it, may be the
+ * first that this host hears of the endpoint's speed.
  */
 static bool is_welcome(const exchange_t *x,
 		       const directory_endpoint_t *endpoint, pimento_usec_t now)
--- a/src/grants.c
+++ b/src/grants.c
@@ -1,6 +1,7 @@
 /*
  * The line of an endpoint is a short unsorted array: a host asks for a few of
- * its most urgent requests only, and looks at them anew several times a second.
+ * its most urgent requests only, and looks at them anew several times a
+ * second.
  */
 
 #include "grants.h"
@@ -14,11 +15,9 @@
 #define WORD_AGE (1500 * PIMENTO_MSEC)
 
 /*
- * Hosts hear of a host's death up to some seconds apart, and ask its successor
- * while that one still takes it for alive. It keeps count as long as anybody asks
- * it: were it to forget at each tick what it does not own, it would give all
- * places anew ten times a second. Of 90 engines 17 had up to 50 requests for two
- * seconds after 12 of 87 hosts had lost power.
+ * Hosts notice a death up to some seconds apart. One that is asked for slots
+ * keeps count before it knows that it is the owner; it would else grant all of
+ * them anew at each tick.
  */
 #define ASKED_LATELY (3 * PIMENTO_SEC)
 
@@ -133,10 +132,10 @@
 }
 
 /*
- * Short answers have a quarter of a second in which a place helps, and stand in
- * line for most of it. Taken for as much on time as when it asked, the one that
- * has waited longest would get the place just too late, one after the other,
- * while those behind it could still be on time.
+ * Short answers have a quarter of a second in which a place helps, and stand
+ * in line for most of it. Taken for as much on time as when it asked, the one
+ * that has waited longest would get the place just too late, one after the
+ * other, while those behind it could still be on time.
  */
 static bool is_late(const grants_entry_t *entry, pimento_usec_t now)
 {
--- a/src/grants.h
+++ b/src/grants.h
@@ -15,12 +15,9 @@
 #include "../pimentoshelf.h"
 
 /*
- * Engines in whose lines a request stands at once. An engine with a dozen
- * places ends some ten answers a second, so that in a single line even the most
- * urgent request waits for a tenth of a second, while less urgent ones get the
- * places that fall free elsewhere; six lines end sixty. Before 90 engines in
- * overload, 6,000 long answers were in time with one line and 6,960 with six.
- * Each line costs three datagrams of a request that has to wait.
+ * Endpoints in whose queues a request waits at once: a single one frees a slot
+ * too rarely for the most urgent. Each costs three datagrams of a request that
+ * has to wait.
  */
 #define GRANTS_LINES 6
 
--- a/src/pace.c
+++ b/src/pace.c
@@ -41,26 +41,20 @@
 #define EJECT_FULL (60 * PIMENTO_MSEC)
 
 /*
- * An endpoint that fails this often, and so much more often than its service,
- * is given no work for a while: it answers at once and would otherwise look the
- * least loaded and draw in more and more requests to fail.
+ * An endpoint that fails this often, and so many times as often as its
+ * service, is ejected: failures come at once and make it look the least
+ * loaded.
  */
 #define FAILING_LEAST 0.3
 #define FAILING_TIMES 1.6
 #define EJECT_FAILING (700 * PIMENTO_MSEC)
 
 /*
- * An engine that is going down and up accepts connections and breaks them; one
- * that is faulty fails whatever it gets, at once, while its health check is
- * good. Each request that it kills frees its place, so that it is given ten
- * times as many as one that works; callers see hundreds of failures a second.
- * So many in a row, over all hosts, and it counts as not reached: with a tenth
- * of 90 engines faulty, 55 of 1,000 requests failed without this and 30 with it.
- * One that fails four requests in ten gets there in 3 of 100 cases (0.4 to the
- * fourth).
+ * Breaks or failures in a row, over all hosts, after which an endpoint counts
+ * as unreachable: each frees its slot at once and draws in the next request.
  */
 #define BAD_MOST 4
-/* Chance of as many in a row at an endpoint that is as good as others. */
+/* Of as many in a row at an endpoint no worse than its service. */
 #define BAD_CHANCE 0.01
 
 void pace_init(pace_t *pace)
--- a/src/placement.c
+++ b/src/placement.c
@@ -1,24 +1,18 @@
 /*
- * Engines admit in order of arrival and know no urgency, so what is sent to a
- * full one waits behind everything. Requests are therefore kept back here while
- * no endpoint has a free place: a later, more urgent one can still overtake.
- * The count of what is in flight elsewhere is as old as the last note of each
- * peer; hosts that see the same free place would all take it, and a small
- * random part in the cost spreads them.
+ * Engines admit in order of arrival, so requests wait here while no endpoint
+ * has a free slot, where a more urgent one can still overtake. Counts of what
+ * is in flight elsewhere are as old as the last report; a random part of the
+ * cost spreads hosts that see the same free slot.
  */
 
 #include "placement.h"
 
 #include <math.h>
 
-/*
- * Requests beyond its slots that an engine may have: the word that a place is
- * free goes from the host whose answer ended to the owner and from there to the
- * next host, some milliseconds in which the engine would idle.
- */
+/* Sent ahead, to bridge the report of a free slot and the way to it. */
 #define ENGINE_BEYOND 1
 
-/* A plain service answers sooner, so that more slots fall free meanwhile. */
+/* The same where answers are short and more slots fall free meanwhile. */
 #define PLAIN_BEYOND 3
 
 /* Cost of a full batch against an empty one, in parts of the first event. */
@@ -35,19 +29,13 @@
 #define CONNECT_COST 1.2
 /* Failing endpoints look quick; a failure costs the whole request. */
 #define FAILING_COST 6.0
-/*
- * Callers' guesses of an answer's length are right in the middle and often off
- * by this factor.
- */
+/* Callers' guesses of an answer's length are often off by this factor. */
 #define GUESS_OFF 2.0
 /* A mean pause this much below the goal leaves room for prompts in between. */
 #define GAP_MARGIN 1.3
 /*
- * An answer that would take this many times its goal longer than on an average
- * engine waits for a better one while it can be on time: waiting costs it one
- * goal at most, but the slow place is taken for all that time. Before 90 engines
- * in overload, a third of them five times slower, long answers held 3,970
- * seconds of slow places in a run of 34 s without this, 2,410 with it.
+ * An answer that takes so many goals longer than usual waits for another
+ * slot.
  */
 #define GOALS_LONGER 2.0
 /* Used when no answer has been seen: microseconds to a first answer. */
@@ -143,11 +131,8 @@
 }
 
 /*
- * True if a place there would be held far longer than elsewhere. Where a third
- * of the engines is five times slower, they have a third of all places. Long
- * answers that take these whenever no other is free hold each for many seconds,
- * mostly with pauses that are too long, and short answers, which could be on
- * time there, are turned away.
+ * True if the answer would hold a slot there far longer than elsewhere, while
+ * short answers, which could be on time there, are turned away.
  */
 static bool is_dear(const directory_endpoint_t *endpoint,
 		    const directory_service_t *service,
@@ -164,10 +149,8 @@
 }
 
 /*
- * True if an answer is expected to begin too late there, though the request can
- * still be on time. Slow engines have room when the fast ones are full for a
- * moment; who went there was late in four of ten cases, and a place that falls
- * free elsewhere some ten milliseconds later is in time.
+ * True if the answer would begin too late there though the request can still
+ * be on time: a slot that falls free elsewhere a little later is in time.
  */
 static bool begins_late(const directory_endpoint_t *endpoint,
 			const directory_service_t *service,
@@ -186,11 +169,9 @@
 } fit_t;
 
 /*
- * A long answer on slow hardware holds a place for seconds and is cut at the
- * caller's deadline: the work is lost, and the place with it. A guess that no
- * endpoint can keep to is often wrong by half, so such answers still try the
- * fast ones; at slow ones, of 204 in a run of 34 s before 90 engines, all but
- * three were cut.
+ * A long answer on slow hardware is cut at the caller's deadline after it
+ * held a slot for all that time. Callers' guesses of its length are often
+ * wrong, so one that fits nowhere is still tried where it is least hopeless.
  */
 static fit_t fit_of(const directory_endpoint_t *endpoint,
 		    const directory_service_t *service,
@@ -242,11 +223,7 @@
 	fit_t fit; /* the best of a sound one, full or not */
 } choice_t;
 
-/*
- * A frozen or cut owner keeps no line. Were its engine chosen all the same, for
- * being the best, a request would stand in no line at all and be turned away
- * while other owners give places, for as long as the owner is left out.
- */
+/* An owner that does not answer keeps no queue to wait in. */
 static bool has_no_line(const directory_endpoint_t *endpoint,
 			const placement_request_t *request, pimento_usec_t now)
 {
--- a/src/quota.c
+++ b/src/quota.c
@@ -31,11 +31,9 @@
 /* Room beside the burst, in seconds of the rate, for views that are late. */
 #define ROOM_SECONDS 0.5
 /*
- * Part of the burst that drains with the rate, and part that may come at once.
- * Together half as much again as the whole, at the expense of the tolerance: in
- * virtual time, with surges of five to ten times the rate over 30, 58 and 87
- * hosts, killed or not, the most that any 8 s held was 1.16 times what is stated.
- * An account that asks for twice its rate all the time gets nine tenths of it.
+ * Part of the burst that drains with the rate, and part that may come at
+ * once. Their sum above 1 uses some of the operators' tolerance for an
+ * account that is over its quota all the time.
  */
 #define DRAIN_PART 0.75
 #define BURST_PART 0.75
@@ -307,12 +305,12 @@
 
 /*
  * The first word of a peer. One that has known for longer holds what was used
- * before this host's time, by all hosts: its view is taken over. One that began
- * when this host did, after a mass restart, tells what it admitted itself, and
- * only that is new. Were its view taken over too, views would climb one upon
- * the other, as each holds what others admitted, and accounts would be turned
- * away for seconds; were nothing taken, each host would give a surge the whole
- * quota anew.
+ * before this host's time, by all hosts: its view is taken over. One that
+ * began when this host did, after a mass restart, tells what it admitted
+ * itself, and only that is new. Were its view taken over too, views would
+ * climb one upon the other, as each holds what others admitted, and accounts
+ * would be turned away for seconds; were nothing taken, each host would give
+ * a surge the whole quota anew.
  */
 static double first_news(const quota_t *quota, quota_usage_t *use,
 			 const quota_report_t *word, pimento_usec_t now)
--- a/src/wait_queue.c
+++ b/src/wait_queue.c
@@ -1,8 +1,8 @@
 /*
- * In an overload the line would grow without end, and in a line that is served
- * in order everybody would be answered just too late. So a request that cannot
- * be on time any more goes behind all that can, and leaves the line with a true
- * "not run" while its caller still has time to come back.
+ * In an overload the line would grow without end, and in a line that is
+ * served in order everybody would be answered just too late. So a request
+ * that cannot be on time any more goes behind all that can, and leaves the
+ * line with a true "not run" while its caller still has time to come back.
  */
 
 #include "wait_queue.h"
@@ -25,12 +25,9 @@
 #define SILENCE_PART 0.8
 
 /*
- * Among equals goes first who would be done first, had it gone in the moment in
- * which it came: this part of its expected stay counts. In an overload one long
- * answer holds a place for as long as twenty short ones, whose callers would all
- * be turned away for it. Its turn comes as it waits, on its caller's next attempt
- * at the latest. Refused before 90 engines on five days of trouble: 0.123 of all
- * without it, 0.110 with a half, 0.109 with the whole.
+ * Among equals goes first who would be done first, had it gone when it came,
+ * with this part of its expected stay: one long answer holds a slot for as
+ * long as twenty short ones. Its turn comes as it waits.
  */
 #define HOLD_PART 1.0
 
@@ -38,9 +35,8 @@
 #define RETRY_AFTER_LEAST (200 * PIMENTO_MSEC)
 #define RETRY_AFTER_MOST (5 * PIMENTO_SEC)
 /*
- * Those who were turned away before come back as well, so that the line here is
- * only a part of what is ahead. Without this, callers met the same overload
- * again: worth of four days of high load 0.450 on average, 0.459 with it.
+ * Those turned away before return too: the queue here is a part of what is
+ * ahead.
  */
 #define RETRY_AFTER_TIMES 2.5
 
--- a/test/test_grants.c
+++ b/test/test_grants.c
@@ -65,9 +65,10 @@
 END_TEST
 
 /*
- * Dozens of hosts wait for places of the same engine. The first host that sees
- * one free would take it for whatever it has, though another host holds a
- * request that is more urgent; the caller of that one sees short jobs overtake.
+ * Dozens of hosts wait for places of the same engine. The first host that
+ * sees one free would take it for whatever it has, though another host holds
+ * a request that is more urgent; the caller of that one sees short jobs
+ * overtake.
  */
 START_TEST(a_place_goes_to_the_most_urgent_of_all_hosts)
 {
@@ -117,10 +118,10 @@
 
 /* Who asked has gone elsewhere, and its word of that was lost. */
 /*
- * In an overload the requests in line are on time when they ask and late a moment
- * later. If the one that has waited longest always got the place, each would get
- * it just too late, and callers see every answer miss its goal although half of
- * them could have been on time.
+ * In an overload the requests in line are on time when they ask and late a
+ * moment later. If the one that has waited longest always got the place, each
+ * would get it just too late, and callers see every answer miss its goal
+ * although half of them could have been on time.
  */
 START_TEST(who_has_become_late_in_line_goes_behind)
 {
@@ -192,7 +193,10 @@
 }
 END_TEST
 
-/* Guards against old notes that take a new owner's slots for finished requests. */
+/*
+ * Guards against old notes that take a new owner's slots for finished
+ * requests.
+ */
 START_TEST(a_new_owner_counts_short_requests_briefly)
 {
 	const pimento_usec_t stay = 300 * PIMENTO_MSEC;
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -189,9 +189,9 @@
 
 /*
  * In a burst the fast engines are full for a moment, and a slow one has room.
- * A request that goes there although its answer will begin too late is late for
- * sure, while a place that falls free elsewhere a little later would have been
- * in time; its caller sees a slow answer that need not have been one.
+ * A request that goes there although its answer will begin too late is late
+ * for sure, while a place that falls free elsewhere a little later would have
+ * been in time; its caller sees a slow answer that need not have been one.
  */
 static const struct {
 	const char *what;
@@ -229,10 +229,11 @@
 END_TEST
 
 /*
- * A host asks for a place at an engine of which it knows nothing, and its owner
- * gives one together with the word that the engine is slow. A long answer that
- * took the place all the same would be cut at its caller's deadline after ten
- * seconds, though fast engines would have had room some milliseconds later.
+ * A host asks for a place at an engine of which it knows nothing, and its
+ * owner gives one together with the word that the engine is slow. A long
+ * answer that took the place all the same would be cut at its caller's
+ * deadline after ten seconds, though fast engines would have had room some
+ * milliseconds later.
  */
 START_TEST(a_place_is_taken_only_where_the_owners_word_lets)
 {
@@ -326,10 +327,10 @@
 END_TEST
 
 /*
- * An engine that goes down and up accepts connections and breaks them; a faulty
- * one fails all that it gets. It is free again at once and would be given one
- * request after the other. Hosts tell its owner what they found: four such in a
- * row, and it is left alone.
+ * An engine that goes down and up accepts connections and breaks them; a
+ * faulty one fails all that it gets. It is free again at once and would be
+ * given one request after the other. Hosts tell its owner what they found:
+ * four such in a row, and it is left alone.
  */
 static const struct {
 	const char *what;
@@ -387,9 +388,10 @@
 
 /*
  * Some callers expect answers that no engine can make in their time. Most of
- * these guesses are too long, and the answers are whole at a fast engine. A slow
- * one, which looks best as it is empty, works on them until their callers leave,
- * and each caller sees an answer that breaks off after ten seconds.
+ * these guesses are too long, and the answers are whole at a fast engine. A
+ * slow one, which looks best as it is empty, works on them until their
+ * callers leave, and each caller sees an answer that breaks off after ten
+ * seconds.
  */
 START_TEST(a_guess_beyond_all_reach_waits_for_a_fast_endpoint)
 {
@@ -490,8 +492,8 @@
 
 /*
  * After a burst only late requests wait. If they were let have a part of the
- * places only, the others would stand empty while callers are turned away; what
- * can be on time overtakes them in line.
+ * places only, the others would stand empty while callers are turned away;
+ * what can be on time overtakes them in line.
  */
 START_TEST(late_requests_may_take_every_place)
 {
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -202,11 +202,12 @@
 END_TEST
 
 /*
- * With many hosts each hears each other less than once a second. All are killed
- * together and start again, and none knows what was used. An account that asks
- * for several times what it may have must not get it twice; one that asks for
- * half must not be turned away for seconds, as it was when each host took what
- * others believe for more use, and views climbed one upon the other.
+ * With many hosts each hears each other less than once a second. All are
+ * killed together and start again, and none knows what was used. An account
+ * that asks for several times what it may have must not get it twice; one
+ * that asks for half must not be turned away for seconds, as it was when each
+ * host took what others believe for more use, and views climbed one upon the
+ * other.
  */
 enum { MANY = 58, HEARD = 8, TICK_MS = 100, KILL_S = 12, MANY_S = 24 };
 
@@ -303,11 +304,11 @@
 
 /*
  * An account asks at many hosts for several times what it may have, for many
- * seconds. Each host hears of what the others admitted a second late. When all
- * admit until their views are full, the account gets three times its rate in
- * one second and nothing in the next two: its callers are turned away although
- * it has used two thirds of what it is owed, and the engines get its requests in
- * heaps.
+ * seconds. Each host hears of what the others admitted a second late. When
+ * all admit until their views are full, the account gets three times its rate
+ * in one second and nothing in the next two: its callers are turned away
+ * although it has used two thirds of what it is owed, and the engines get its
+ * requests in heaps.
  */
 enum { SURGE_AT_S = 2, SETTLED_S = 6 };
 
@@ -440,7 +441,10 @@
 	return !quota_admit(&host->quota, ACCOUNT, rate, rank, tokens, now);
 }
 
-/* Guards against urgent work refused while its account's other work is served. */
+/*
+ * Guards against urgent work refused while its account's other work is
+ * served.
+ */
 START_TEST(a_scarce_account_admits_its_urgent_requests_first)
 {
 	const story_t calm = { 0 };
--- a/test/test_slots.c
+++ b/test/test_slots.c
@@ -67,11 +67,12 @@
 }
 
 /*
- * The owner of an engine has lost power. Other hosts know it already and ask its
- * successor, which heard of that host a moment later and still takes it for
- * alive. If the successor forgot at each of its ticks what it does not own, it
- * would give all places anew ten times a second: callers see streams that do not
- * begin for seconds, as forty requests stand in an engine for eight.
+ * The owner of an engine has lost power. Other hosts know it already and ask
+ * its successor, which heard of that host a moment later and still takes it
+ * for alive. If the successor forgot at each of its ticks what it does not
+ * own, it would give all places anew ten times a second: callers see streams
+ * that do not begin for seconds, as forty requests stand in an engine for
+ * eight.
  */
 START_TEST(a_successor_that_does_not_know_it_yet_keeps_count)
 {
@@ -92,10 +93,10 @@
 END_TEST
 
 /*
- * A new engine is slow, and nobody knows it yet. The first stream there would tell
- * it when it ends, after ten seconds, in which the owner goes on giving its places
- * to long answers. So its host tells the pace early, with a release that gives no
- * place back.
+ * A new engine is slow, and nobody knows it yet. The first stream there would
+ * tell it when it ends, after ten seconds, in which the owner goes on giving
+ * its places to long answers. So its host tells the pace early, with a
+ * release that gives no place back.
  */
 START_TEST(a_pace_is_learnt_before_a_place_is_given_back)
 {
@@ -129,7 +130,10 @@
 	slots_take(&slots, &packet, NOW);
 }
 
-/* Guards against singling out one endpoint of a service that fails everywhere. */
+/*
+ * Guards against singling out one endpoint of a service that fails
+ * everywhere.
+ */
 START_TEST(failures_of_a_whole_service_single_nobody_out)
 {
 	for (int i = 0; i < 200; i++) {
@@ -141,7 +145,9 @@
 }
 END_TEST
 
-/* Guards against an endpoint that breaks half of its requests and gets more. */
+/*
+ * Guards against an endpoint that breaks half of its requests and gets more.
+ */
 START_TEST(an_endpoint_that_breaks_half_is_singled_out)
 {
 	const directory_record_t record = { .id = "sound",
