slots: the only endpoint of a service is not ejected

Each time that some of its answers failed (one lookup in seven does by itself) it was ejected for 0.3 to 0.7 s, and its owner granted nothing; before owners, hosts went there all the same.

Ruled out: load (20 requests a second before six slots).

Change: an owner ejects an endpoint, or tries it by one request at a time, only if its service has another one that is not ejected. One that was not reached is still tried by one at a time.

Test: the_only_endpoint_goes_on_when_it_fails, failed before with 0 of 9.

--- a/io/slots.c
+++ b/io/slots.c
@@ -81,15 +81,35 @@
 		send_packet(slots, ask->address, &packet);
 }
 
-/* One that was not reached, or mostly fails, is tried by one request at a time. */
+/* Ejecting an endpoint serves nobody if its service has no other. */
+static bool has_alternative(const slots_t *slots,
+			    const directory_endpoint_t *endpoint,
+			    pimento_usec_t now)
+{
+	const directory_t *directory = slots->directory;
+
+	for (uint32_t i = 0; i < directory->count; i++) {
+		const directory_endpoint_t *e = directory->endpoints[i];
+
+		if (e != endpoint && e->service == endpoint->service &&
+		    directory_takes(e, now) && e->pace.ejected_until <= now)
+			return true;
+	}
+	return false;
+}
+
+/* One that was not reached, or mostly fails, gets one request at a time. */
 static uint32_t places_of(const slots_t *slots,
-			  const directory_endpoint_t *endpoint)
+			  const directory_endpoint_t *endpoint,
+			  pimento_usec_t now)
 {
 	const directory_service_t *service =
 		directory_service(slots->directory, endpoint->service);
 
-	if (!service || endpoint->pace.failures ||
-	    pace_is_failing(&endpoint->pace, &service->pace))
+	if (!service || endpoint->pace.failures)
+		return 1;
+	if (pace_is_failing(&endpoint->pace, &service->pace) &&
+	    has_alternative(slots, endpoint, now))
 		return 1;
 	return placement_places(service, endpoint);
 }
@@ -100,11 +120,13 @@
 	const directory_endpoint_t *endpoint = endpoint_of(slots, key);
 	grants_ask_t ask;
 
-	if (!endpoint || !directory_takes(endpoint, now) ||
-	    endpoint->pace.ejected_until > now)
+	if (!endpoint || !directory_takes(endpoint, now))
+		return;
+	if (endpoint->pace.ejected_until > now &&
+	    has_alternative(slots, endpoint, now))
 		return;
-	while (grants_next(&slots->grants, key, places_of(slots, endpoint), now,
-			   &ask)) {
+	while (grants_next(&slots->grants, key, places_of(slots, endpoint, now),
+			   now, &ask)) {
 		slots->granted++;
 		reply(slots, &ask, true, now);
 	}
--- a/test/test_slots.c
+++ b/test/test_slots.c
@@ -174,6 +174,18 @@
 }
 END_TEST
 
+/* Guards against a service without endpoints, as its only one was ejected. */
+START_TEST(the_only_endpoint_goes_on_when_it_fails)
+{
+	for (int i = 0; i < 12; i++)
+		hear_end(endpoint, i % 3 ? PACE_FAILS : PACE_ANSWERS);
+	endpoint->pace.ejected_until = NOW + PIMENTO_SEC;
+	for (uint64_t ticket = 1; ticket <= ASKS; ticket++)
+		ask(ticket, NOW);
+	ck_assert_uint_eq(slots.granted, placement_places(service, endpoint));
+}
+END_TEST
+
 /* Nobody asks any more, as all know the owner again: nothing is kept. */
 START_TEST(what_nobody_asks_for_is_forgotten)
 {
@@ -198,6 +210,7 @@
 	tcase_add_test(tests, a_pace_is_learnt_before_a_place_is_given_back);
 	tcase_add_test(tests, failures_of_a_whole_service_single_nobody_out);
 	tcase_add_test(tests, an_endpoint_that_breaks_half_is_singled_out);
+	tcase_add_test(tests, the_only_endpoint_goes_on_when_it_fails);
 	tcase_add_test(tests, what_nobody_asks_for_is_forgotten);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
