catalog: tiers count the priorities in use; a scarce account goes by them

Priorities may be any numbers; the share of a scarce account told apart only 0 to 3, so that with 10, 20, 30 all would have looked alike. Test: tiers_count_the_priorities_in_use.

--- a/io/arrival.c
+++ b/io/arrival.c
@@ -209,7 +209,7 @@
 	if (x->account->by_request)
 		x->tokens = 1;
 	return quota_admit(&x->gateway->quota, x->account->key, rate,
-			   x->route->priority, x->tokens, now);
+			   x->route->tier, x->tokens, now);
 }
 
 static exchange_t *exchange_new(gateway_t *gateway, httpd_conn_t *caller)
--- a/src/catalog.c
+++ b/src/catalog.c
@@ -140,8 +140,42 @@
 	return strcmp(x->prefix, y->prefix);
 }
 
+/* Enters a priority into the sorted ones, the least urgent of which may go. */
+static void enter_priority(uint32_t *tiers, uint32_t *count, uint32_t priority)
+{
+	uint32_t i = 0;
+
+	while (i < *count && tiers[i] < priority)
+		i++;
+	if (i == CATALOG_TIERS_MAX || (i < *count && tiers[i] == priority))
+		return;
+	if (*count < CATALOG_TIERS_MAX)
+		(*count)++;
+	memmove(&tiers[i + 1], &tiers[i], (*count - i - 1) * sizeof(*tiers));
+	tiers[i] = priority;
+}
+
+/* Priorities may be any numbers; tiers count those that are in use. */
+static void set_tiers(catalog_t *catalog)
+{
+	uint32_t tiers[CATALOG_TIERS_MAX];
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < catalog->route_count; i++)
+		enter_priority(tiers, &count, catalog->routes[i].priority);
+	for (uint32_t i = 0; i < catalog->route_count; i++) {
+		catalog_route_t *route = &catalog->routes[i];
+
+		route->tier = 0;
+		while (route->tier + 1 < count &&
+		       tiers[route->tier] < route->priority)
+			route->tier++;
+	}
+}
+
 void catalog_seal(catalog_t *catalog)
 {
+	set_tiers(catalog);
 	if (catalog->key_count)
 		qsort(catalog->keys, catalog->key_count, sizeof(*catalog->keys),
 		      compare_keys);
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -29,6 +29,7 @@
 	bool resumable;
 	bool open; /* needs no key */
 	uint32_t priority; /* 0 is the most urgent */
+	uint32_t tier; /* of the priorities in use, after catalog_seal() */
 	uint32_t attempts_max; /* endpoints that one request may be sent to */
 	pimento_usec_t timeout;
 	pimento_usec_t goal; /* to the answer, or to a stream's first event */
@@ -37,6 +38,9 @@
 	uint32_t target_count;
 } catalog_route_t;
 
+/* Less urgent priorities than so many share the last tier. */
+#define CATALOG_TIERS_MAX 8
+
 typedef struct catalog_service {
 	char *name;
 	pimento_id_t key;
--- a/src/quota.c
+++ b/src/quota.c
@@ -222,22 +222,22 @@
 }
 
 static bool fits(const quota_t *quota, quota_usage_t *use, double level,
-		 uint32_t rank, double tokens, pimento_usec_t now)
+		 uint32_t tier, double tokens, pimento_usec_t now)
 {
 	double most = room(use->rate);
 	double kept;
 
 	quota_share_fill(&use->share, fair_rate(quota, use, level, now), now);
-	kept = KEPT_PART * quota_share_reserved(&use->share, rank, tokens, now);
+	kept = KEPT_PART * quota_share_reserved(&use->share, tier, tokens, now);
 	/* one that is larger than the whole bucket waits for an empty one */
 	if (level > 0 && level + tokens > most * (1 - kept))
 		return false;
 	return level <= SCARCE_PART * most ||
-	       quota_share_spend(&use->share, rank, tokens, now);
+	       quota_share_spend(&use->share, tier, tokens, now);
 }
 
 int quota_admit(quota_t *quota, pimento_id_t account, quota_limit_t rate,
-		uint32_t rank, double tokens, pimento_usec_t now)
+		uint32_t tier, double tokens, pimento_usec_t now)
 {
 	quota_usage_t *use = use_of(quota, account);
 	double level;
@@ -248,9 +248,9 @@
 	if (!use->begun)
 		begin(quota, use, rate, now);
 	drain(quota, use, now);
-	quota_share_ask(&use->share, rank, tokens, now);
+	quota_share_ask(&use->share, tier, tokens, now);
 	level = use->level + projected(use, now);
-	if (rate.per_second > 0 && !fits(quota, use, level, rank, tokens, now))
+	if (rate.per_second > 0 && !fits(quota, use, level, tier, tokens, now))
 		return PIMENTO_EFULL;
 	use->level += tokens;
 	use->admitted += tokens;
--- a/src/quota.h
+++ b/src/quota.h
@@ -67,7 +67,7 @@
  * account is over its quota, or PIMENTO_ENOMEM.
  */
 int quota_admit(quota_t *quota, pimento_id_t account, quota_limit_t rate,
-		uint32_t rank, double tokens, pimento_usec_t now);
+		uint32_t tier, double tokens, pimento_usec_t now);
 
 /* The request was turned away after all and has not run. */
 void quota_refund(quota_t *quota, pimento_id_t account, double tokens);
--- a/src/quota_share.c
+++ b/src/quota_share.c
@@ -26,35 +26,35 @@
 	return exp(-seconds(now - share->asked_at) / ASKED_SECONDS);
 }
 
-/* Asked for lately by requests of the first ranks. */
-static double asked_below(const quota_share_t *share, uint32_t ranks,
+/* Asked for lately by requests of the first tiers. */
+static double asked_below(const quota_share_t *share, uint32_t tiers,
 			  pimento_usec_t now)
 {
 	double sum = 0;
 
-	for (uint32_t i = 0; i < ranks; i++)
+	for (uint32_t i = 0; i < tiers; i++)
 		sum += share->asked[i];
 	return sum * fade(share, now);
 }
 
 double quota_share_asked(const quota_share_t *share, pimento_usec_t now)
 {
-	return asked_below(share, QUOTA_SHARE_RANKS, now);
+	return asked_below(share, QUOTA_SHARE_TIERS, now);
 }
 
-static uint32_t least_rank(uint32_t rank)
+static uint32_t tier_of(uint32_t tier)
 {
-	return rank < QUOTA_SHARE_RANKS ? rank : QUOTA_SHARE_RANKS - 1;
+	return tier < QUOTA_SHARE_TIERS ? tier : QUOTA_SHARE_TIERS - 1;
 }
 
-void quota_share_ask(quota_share_t *share, uint32_t rank, double tokens,
+void quota_share_ask(quota_share_t *share, uint32_t tier, double tokens,
 		     pimento_usec_t now)
 {
 	double part = fade(share, now);
 
-	for (uint32_t i = 0; i < QUOTA_SHARE_RANKS; i++)
+	for (uint32_t i = 0; i < QUOTA_SHARE_TIERS; i++)
 		share->asked[i] *= part;
-	share->asked[least_rank(rank)] += tokens / ASKED_SECONDS;
+	share->asked[tier_of(tier)] += tokens / ASKED_SECONDS;
 	share->asked_at = now;
 	share->size += SIZE_WEIGHT * (tokens - share->size);
 }
@@ -68,10 +68,10 @@
 	share->filled_at = now;
 }
 
-double quota_share_reserved(const quota_share_t *share, uint32_t rank,
+double quota_share_reserved(const quota_share_t *share, uint32_t tier,
 			    double tokens, pimento_usec_t now)
 {
-	double urgent = asked_below(share, least_rank(rank), now);
+	double urgent = asked_below(share, tier_of(tier), now);
 	double part = share->size > 0 ? fmin(tokens / share->size, 1) : 1;
 
 	if (urgent <= 0 || share->credit_most <= 0)
@@ -79,10 +79,10 @@
 	return fmin(urgent * RESERVE_SECONDS / share->credit_most, 1) * part;
 }
 
-bool quota_share_spend(quota_share_t *share, uint32_t rank, double tokens,
+bool quota_share_spend(quota_share_t *share, uint32_t tier, double tokens,
 		       pimento_usec_t now)
 {
-	double kept = quota_share_reserved(share, rank, tokens, now);
+	double kept = quota_share_reserved(share, tier, tokens, now);
 
 	if (share->credit <= 0 || share->credit < kept * share->credit_most)
 		return false;
--- a/src/quota_share.h
+++ b/src/quota_share.h
@@ -10,11 +10,11 @@
 
 #include "../pimentoshelf.h"
 
-/* Ranks that are told apart; 0 is the most urgent, the last takes the rest. */
-#define QUOTA_SHARE_RANKS 4
+/* Tiers that are told apart; 0 is the most urgent, the last takes the rest. */
+#define QUOTA_SHARE_TIERS 8
 
 typedef struct quota_share {
-	double asked[QUOTA_SHARE_RANKS]; /* tokens a second, decayed */
+	double asked[QUOTA_SHARE_TIERS]; /* tokens a second, decayed */
 	double size; /* mean of the requests, tokens; 0 unknown */
 	pimento_usec_t asked_at;
 	double credit_most;
@@ -23,7 +23,7 @@
 } quota_share_t;
 
 /* Callers ask for tokens, admitted or not. */
-void quota_share_ask(quota_share_t *share, uint32_t rank, double tokens,
+void quota_share_ask(quota_share_t *share, uint32_t tier, double tokens,
 		     pimento_usec_t now);
 
 /* Tokens a second that callers asked for lately. */
@@ -38,14 +38,14 @@
  * what they ask for. One that is small beside the others leaves less: refusing
  * it would save nothing.
  */
-double quota_share_reserved(const quota_share_t *share, uint32_t rank,
+double quota_share_reserved(const quota_share_t *share, uint32_t tier,
 			    double tokens, pimento_usec_t now);
 
 /*
  * Spends credit if there is any: one large request may overdraw it. The
  * reserved part is left.
  */
-bool quota_share_spend(quota_share_t *share, uint32_t rank, double tokens,
+bool quota_share_spend(quota_share_t *share, uint32_t tier, double tokens,
 		       pimento_usec_t now);
 
 /* What was spent was not used after all. */
--- a/test/test_catalog.c
+++ b/test/test_catalog.c
@@ -85,6 +85,44 @@
 }
 END_TEST
 
+/* Guards against priorities of other steps than one, which would all look alike. */
+START_TEST(tiers_count_the_priorities_in_use)
+{
+	static const struct {
+		uint32_t priority;
+		uint32_t tier;
+	} routes[] = { { 500, 3 }, { 10, 1 }, { 0, 0 }, { 10, 1 }, { 20, 2 } };
+	enum { COUNT = sizeof(routes) / sizeof(routes[0]) };
+	catalog_t *many = catalog_new(1);
+
+	for (int i = 0; i < COUNT; i++) {
+		char host[8] = { (char)('a' + i) };
+		catalog_route_t *route = catalog_add_route(many);
+
+		route->name = strdup(host);
+		route->host = strdup(host);
+		route->prefix = strdup("/");
+		route->priority = routes[i].priority;
+	}
+	catalog_seal(many);
+	for (int i = 0; i < COUNT; i++)
+		ck_assert_uint_eq(many->routes[i].tier, routes[i].tier);
+	for (uint32_t i = 0; i < 20; i++) {
+		catalog_route_t *route = catalog_add_route(many);
+
+		route->name = strdup("n");
+		route->host = strdup("z");
+		route->prefix = strdup("/");
+		route->priority = 1000 + i;
+	}
+	catalog_seal(many);
+	ck_assert_uint_eq(many->routes[2].tier, 0);
+	ck_assert_uint_eq(many->routes[0].tier, 3);
+	ck_assert_uint_eq(many->routes[COUNT + 19].tier, CATALOG_TIERS_MAX - 1);
+	catalog_release(many);
+}
+END_TEST
+
 START_TEST(services_get_requests_by_weight)
 {
 	enum { DRAWS = 1000 };
@@ -121,6 +159,7 @@
 	tcase_add_loop_test(tests, the_longest_prefix_of_the_host_wins, 0,
 			    sizeof(lookups) / sizeof(lookups[0]));
 	tcase_add_test(tests, each_key_finds_its_account);
+	tcase_add_test(tests, tiers_count_the_priorities_in_use);
 	tcase_add_test(tests, services_get_requests_by_weight);
 	tcase_add_test(tests, a_version_lives_as_long_as_its_last_holder);
 	suite_add_tcase(suite, tests);
