--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -277,7 +277,6 @@
 /* The connection failed, at whatever point. */
 static void on_failed(httpc_t *conn, httpc_failure_t why)
 {
-	static const char *const names[] = { "unreached", "broken", "garbled" };
 	exchange_t *x = conn->user;
 	pimento_verdict_t verdict = PIMENTO_MAY_HAVE_RUN;
 	directory_service_t *service;
@@ -303,7 +302,7 @@
 				    sys_now());
 		}
 	}
-	dispatch_over(x, verdict, 0, names[why]);
+	dispatch_over(x, verdict, 0, httpc_failure_name(why));
 }
 
 static void on_lapsed(httpc_t *conn)
--- a/io/httpc.c
+++ b/io/httpc.c
@@ -19,6 +19,13 @@
 
 static char read_buffer[READ_BYTES];
 
+const char *httpc_failure_name(httpc_failure_t failure)
+{
+	static const char *const names[] = { "unreached", "broken", "garbled" };
+
+	return names[failure];
+}
+
 static void conn_free(httpc_t *conn)
 {
 	head_finish(&conn->head);
--- a/io/httpc.h
+++ b/io/httpc.h
@@ -22,6 +22,9 @@
 	HTTPC_GARBLED /* bytes came that are no answer */
 } httpc_failure_t;
 
+/* Returns the failure's name for log output, as a static string. */
+const char *httpc_failure_name(httpc_failure_t failure);
+
 /* What the connection's user does. */
 typedef struct httpc_ops {
 	void (*opened)(httpc_t *conn);
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -12,6 +12,7 @@
 
 #include "../src/peer.pb-c.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -182,6 +183,7 @@
 		return;
 	}
 	length = pack_snapshot(mesh->mirror, &bytes);
+	mesh->snapshot_bytes_out += length;
 	httpd_answer(conn,
 		     length ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE,
 		     "Content-Type: application/x-protobuf\r\n",
@@ -222,6 +224,27 @@
 
 /* Fetching a snapshot. */
 
+/* Logs the end of a fetch and adds its body bytes to the counter. */
+static void report_fetch(mesh_t *mesh, const char *outcome)
+{
+	const struct in_addr address = { htonl(mesh->fetch_peer) };
+	char peer[INET_ADDRSTRLEN];
+
+	mesh->snapshot_bytes_in += mesh->fetched.length;
+	inet_ntop(AF_INET, &address, peer, sizeof(peer));
+	trail(TRAIL_STATE, "mesh", "fetch",
+	      "peer=%s outcome=%s bytes=%zu ms=%lld", peer, outcome,
+	      mesh->fetched.length,
+	      (long long)((sys_now() - mesh->fetch_started) / PIMENTO_MSEC));
+}
+
+static void fetch_failed(mesh_t *mesh, const char *why)
+{
+	mesh->fetching = NULL;
+	mesh->snapshots_lost++;
+	report_fetch(mesh, why);
+}
+
 static int put_records(mirror_t *mirror, const Peer__Snapshot *snapshot)
 {
 	mirror_list_begin(mirror);
@@ -267,9 +290,7 @@
 		"Connection: close\r\n\r\n";
 
 	if (!httpc_ask(conn, head, sizeof(head) - 1, "", 0, false)) {
-		mesh_t *mesh = conn->user;
-
-		mesh->fetching = NULL;
+		fetch_failed(conn->user, "not_sent");
 		httpc_close(conn);
 	}
 }
@@ -293,6 +314,8 @@
 	mesh_t *mesh = conn->user;
 
 	mesh->fetching = NULL;
+	report_fetch(mesh, conn->status == HTTP_STATUS_OK ? "complete"
+							  : "bad_status");
 	if (conn->status == HTTP_STATUS_OK && !text_error(&mesh->fetched))
 		take_snapshot(mesh);
 	text_finish(&mesh->fetched);
@@ -303,10 +326,7 @@
 
 static void on_failed(httpc_t *conn, httpc_failure_t why)
 {
-	mesh_t *mesh = conn->user;
-
-	(void)why;
-	mesh->fetching = NULL;
+	fetch_failed(conn->user, httpc_failure_name(why));
 }
 
 static void on_lapsed(httpc_t *conn)
@@ -336,6 +356,8 @@
 	net_address_t address = { peer->address, mesh->peer_port };
 
 	mesh->fetched.length = 0;
+	mesh->fetch_peer = peer->address;
+	mesh->fetch_started = sys_now();
 	mesh->fetching = httpc_open(mesh->loop, &address, &mesh->snapshots);
 	if (mesh->fetching)
 		mesh->fetching->user = mesh;
@@ -349,7 +371,7 @@
 		if (now - mesh->fetching->since < FETCH_MOST)
 			return;
 		httpc_close(mesh->fetching);
-		mesh->fetching = NULL;
+		fetch_failed(mesh, "timeout");
 	}
 	peer = newer_peer(mesh, now);
 	if (!peer) {
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -33,11 +33,16 @@
 	slots_t *slots;
 	httpc_t *fetching; /* one snapshot at a time; NULL */
 	text_t fetched;
+	uint32_t fetch_peer; /* IPv4 address, host byte order */
+	pimento_usec_t fetch_started;
 	pimento_usec_t behind_since; /* a peer has had newer records; 0 no */
 	bool reader; /* this host reads the store with success; set by others */
 	uint64_t notes_in; /* counters */
 	uint64_t notes_out;
 	uint64_t snapshots_in;
+	uint64_t snapshots_lost; /* fetches without a complete response */
+	uint64_t snapshot_bytes_in; /* body bytes, failed fetches included */
+	uint64_t snapshot_bytes_out; /* body bytes passed to httpd */
 	/* Writes the metrics page; context is the caller's. */
 	void (*write_metrics)(void *context, text_t *text);
 	void *metrics_context;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -76,6 +76,11 @@
 	counter(text, "notes_in_total", sources->mesh->notes_in);
 	counter(text, "notes_out_total", sources->mesh->notes_out);
 	counter(text, "snapshots_in_total", sources->mesh->snapshots_in);
+	counter(text, "snapshots_lost_total", sources->mesh->snapshots_lost);
+	counter(text, "snapshot_bytes_in_total",
+		sources->mesh->snapshot_bytes_in);
+	counter(text, "snapshot_bytes_out_total",
+		sources->mesh->snapshot_bytes_out);
 	counter(text, "store_calls_total", sources->store_calls);
 	counter(text, "store_errors_total", sources->store_errors);
 	counter(text, "log_lines_total", lines.written);
