test: hosts behind slow links, failing: leaving endpoints, large configurations

test_edge_links runs the store, workers and hosts behind relays of 600 KB/s, half of a link of 10 Mbit/s, with a configuration of 850 KB.

--- a/test/edge.c
+++ b/test/edge.c
@@ -8,7 +8,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { READY_MS = 10000, STOP_MS = 12000, TEXT_BYTES = 4096 };
+enum {
+	READY_MS = 10000,
+	STOP_MS = 12000,
+	TEXT_BYTES = 4096,
+	ROUTE_BYTES = 256,
+	KEY_REVOKE_MS = 3000
+};
 
 static const char settings_format[] =
 	"[host]\nname = \"h%u\"\ndatacentre = \"a\"\naddress = \"127.0.1.%u\"\n"
@@ -18,11 +24,11 @@
 	"[peers]\nseeds = [\"127.0.1.1:%u\", \"127.0.1.2:%u\"]\n"
 	"[store]\naddress = \"127.0.0.1:%u\"\n"
 	"[limits]\nstop_seconds = 8\n"
-	"[bounds]\nkey_revoke_ms = 3000\nretry_ratio = 0.2\nretry_slack = 56\n"
+	"[bounds]\nkey_revoke_ms = %u\nretry_ratio = 0.2\nretry_slack = 56\n"
 	"retry_window_s = 10\nquota_window_s = 8\n";
 
 static const char configuration_format[] =
-	"{\"version\":%u,\"routes\":["
+	"{\"version\":%u,\"routes\":[%s"
 	"{\"name\":\"r1\",\"host\":\"t.example\",\"prefix\":\"/stream/\","
 	"\"route_type\":\"streaming\",\"timeout_ms\":8000,\"goal_ms\":400,"
 	"\"priority\":0,\"service\":\"s\",\"max_attempts\":2,"
@@ -42,6 +48,12 @@
 	"\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
 	"\"tenants\":[{\"name\":\"account-one\",\"api_keys\":%s}]}";
 
+static const char route_format[] =
+	"{\"name\":\"r-%08x\",\"host\":\"%08x.example\","
+	"\"prefix\":\"/%08x/\",\"route_type\":\"idempotent\","
+	"\"timeout_ms\":1500,\"goal_ms\":100,\"priority\":1,"
+	"\"service\":\"s\",\"max_attempts\":2},";
+
 static void store_call(const edge_t *edge, const char *path, const char *body)
 {
 	client_call_t call = { .method = "POST",
@@ -84,14 +96,39 @@
 	store_call(edge, "/test/forget", "");
 }
 
-void edge_configure(const edge_t *edge, uint32_t version, const char *keys,
-		    uint32_t body_bytes_max)
+static void configure(const edge_t *edge, uint32_t version, const char *keys,
+		      uint32_t body_bytes_max, const char *routes)
 {
-	char text[TEXT_BYTES];
+	size_t size = TEXT_BYTES + strlen(routes);
+	char *text = malloc(size);
 
-	snprintf(text, sizeof(text), configuration_format, version,
+	ck_assert_ptr_nonnull(text);
+	snprintf(text, size, configuration_format, version, routes,
 		 edge->engines ? ",\"engine\":{}" : "", body_bytes_max, keys);
 	edge_put(edge, "op/config", text);
+	free(text);
+}
+
+void edge_configure(const edge_t *edge, uint32_t version, const char *keys,
+		    uint32_t body_bytes_max)
+{
+	configure(edge, version, keys, body_bytes_max, "");
+}
+
+/* Names of routes, hosts and paths are of hashes, as unlike as real ones. */
+void edge_configure_routes(const edge_t *edge, uint32_t version,
+			   const char *keys, uint32_t routes)
+{
+	char *text = malloc((size_t)routes * ROUTE_BYTES + 1);
+	char *end = text;
+
+	ck_assert_ptr_nonnull(text);
+	*end = '\0';
+	for (uint32_t i = 0; i < routes; i++)
+		end += snprintf(end, ROUTE_BYTES, route_format, i * 2654435761u,
+				i * 2246822519u, i * 3266489917u);
+	configure(edge, version, keys, 1000, text);
+	free(text);
 }
 
 void edge_list_worker(const edge_t *edge, uint32_t index, const char *state)
@@ -137,9 +174,12 @@
 	const char *args[] = { "-c", path, NULL };
 
 	snprintf(text, sizeof(text), settings_format, index + 1, index + 1,
-		 host->callers, host->health, index + 1, edge->peer_port,
+		 host->callers, host->health, index + 1,
+		 edge->peer_fronts[index] ? edge->peer_fronts[index]
+					  : edge->peer_port,
 		 edge->gossip_port, edge->peer_port, edge->peer_port,
-		 edge->store_front ? edge->store_front : edge->store.port);
+		 edge->store_front ? edge->store_front : edge->store.port,
+		 edge->key_revoke_ms ? edge->key_revoke_ms : KEY_REVOKE_MS);
 	snprintf(name, sizeof(name), "h%u.toml", index + 1);
 	ck_assert_int_eq(process_write_file(path, name, text), 0);
 	snprintf(name, sizeof(name), "h%u", index + 1);
--- a/test/relay.c
+++ b/test/relay.c
@@ -14,15 +14,15 @@
 #include <time.h>
 #include <unistd.h>
 
-#define PIECE 65536
+#define PIECE 16384
 #define BACKLOG 64
 
-static struct sockaddr_in loopback(uint16_t port)
+static struct sockaddr_in socket_address(uint32_t ip, uint16_t port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_port = htons(port) };
 
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_addr.s_addr = htonl(ip);
 	return address;
 }
 
@@ -33,9 +33,9 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 }
 
-static int connect_to(uint16_t port)
+static int connect_to(uint32_t ip, uint16_t port)
 {
-	struct sockaddr_in address = loopback(port);
+	struct sockaddr_in address = socket_address(ip, port);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	if (fd >= 0 &&
@@ -47,6 +47,35 @@
 	return fd;
 }
 
+static int64_t now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+/* Waits until the link has carried what came before, and these bytes. */
+static void take_turn(relay_t *relay, int direction, ssize_t length)
+{
+	int64_t now = now_us();
+	int64_t *busy_until = &relay->busy_until_us[direction - 1];
+	struct timespec pause;
+	int64_t wait = 0;
+
+	pthread_mutex_lock(&relay->mutex);
+	if (relay->rate) {
+		if (*busy_until < now)
+			*busy_until = now;
+		*busy_until += length * 1000000 / relay->rate;
+		wait = *busy_until - now;
+	}
+	pthread_mutex_unlock(&relay->mutex);
+	pause = (struct timespec){ wait / 1000000, wait % 1000000 * 1000 };
+	if (wait)
+		nanosleep(&pause, NULL);
+}
+
 /* Waits while the direction is cut, then for the delay; false: give up. */
 static bool may_pass(relay_t *relay, int direction)
 {
@@ -88,6 +117,8 @@
 
 		if (!may_pass(relay, direction))
 			break;
+		if (length > 0)
+			take_turn(relay, direction, length);
 		if (length <= 0 || !write_all(to, piece, length))
 			break;
 		pthread_mutex_lock(&relay->mutex);
@@ -121,7 +152,7 @@
 
 	if (!may_pass(link->relay, RELAY_TO))
 		return NULL;
-	fd = connect_to(link->relay->target);
+	fd = connect_to(link->relay->address, link->relay->target);
 	pthread_mutex_lock(&link->relay->mutex);
 	link->far_fd = fd;
 	if (fd >= 0 && (link->relay->stopping || link->relay->dropped))
@@ -173,10 +204,16 @@
 
 int relay_init(relay_t *relay, uint16_t target)
 {
-	struct sockaddr_in address = loopback(0);
+	return relay_init_at(relay, INADDR_LOOPBACK, 0, target);
+}
+
+int relay_init_at(relay_t *relay, uint32_t ip, uint16_t port, uint16_t target)
+{
+	struct sockaddr_in address = socket_address(ip, port);
 	socklen_t length = sizeof(address);
 
 	memset(relay, 0, sizeof(*relay));
+	relay->address = ip;
 	relay->target = target;
 	pthread_mutex_init(&relay->mutex, NULL);
 	pthread_cond_init(&relay->changed, NULL);
@@ -262,3 +299,10 @@
 	relay->delay_ms = ms;
 	pthread_mutex_unlock(&relay->mutex);
 }
+
+void relay_rate(relay_t *relay, uint32_t bytes_per_second)
+{
+	pthread_mutex_lock(&relay->mutex);
+	relay->rate = bytes_per_second;
+	pthread_mutex_unlock(&relay->mutex);
+}
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -99,6 +99,22 @@
 }
 END_TEST
 
+/* Guards against a change that is missed between two pages of a listing. */
+START_TEST(a_listing_is_complete_up_to_its_first_page_only)
+{
+	mirror_list_begin(&mirror);
+	put("servers/a", "read before it changed at 6", 2);
+	put("servers/b", "1", 9);
+	ck_assert_int_eq(mirror_list_end(&mirror, 4), 0);
+	mirror_confirm(&mirror, 9, 50); /* a peer that holds both changes */
+	ck_assert_int_eq(mirror_age(&mirror, 100), PIMENTO_NEVER);
+	put("servers/a", "2", 6);
+	put("servers/b", "1", 9);
+	mirror_confirm(&mirror, 9, 50);
+	ck_assert_int_eq(mirror_age(&mirror, 100), 50);
+}
+END_TEST
+
 START_TEST(freshness_only_grows_and_only_for_a_copy_that_is_whole)
 {
 	ck_assert_int_eq(mirror_age(&mirror, 100), PIMENTO_NEVER);
@@ -124,6 +140,7 @@
 	tcase_add_test(tests, a_removed_record_stays_removed);
 	tcase_add_test(tests, a_listing_removes_what_it_does_not_hold);
 	tcase_add_test(tests, a_listing_keeps_what_is_newer_than_itself);
+	tcase_add_test(tests, a_listing_is_complete_up_to_its_first_page_only);
 	tcase_add_test(tests,
 		       freshness_only_grows_and_only_for_a_copy_that_is_whole);
 	suite_add_tcase(suite, tests);
