mirror: treat a listing as complete only up to its first page

The pages of a listing are not read at the same moment, so a record on a later page can be newer than a change that an earlier page missed. The copy counted as complete up to its newest record. Notes from peers then marked it fresh, and peers that fetched it did not request the missed change again. Until the next change, an endpoint could be used after it had left, or a key after it was revoked.

The copy's revision now advances only with changes that arrive in order and with the revision of the listing's first page. Newer records are held, but not sent to peers until the watch has reached them.

--- a/io/mesh.c
+++ b/io/mesh.c
@@ -156,7 +156,7 @@
 		const mirror_record_t *from = &mirror->records[i];
 		Peer__Record *to = &records[message.n_records];
 
-		if (!from->value)
+		if (!from->value || from->revision > mirror->revision)
 			continue;
 		peer__record__init(to);
 		to->key = from->key;
@@ -254,8 +254,10 @@
 				       (const char *)record->value.data,
 				       record->value.len, record->revision);
 
-		if (error)
+		if (error) {
+			mirror_list_cancel(mirror);
 			return error;
+		}
 	}
 	return mirror_list_end(mirror, snapshot->revision);
 }
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -44,6 +44,19 @@
 	return low;
 }
 
+/*
+ * Returns the record with this key, or NULL. Always sets at to the index of the
+ * key in sorted order.
+ */
+static mirror_record_t *find(const mirror_t *mirror, const char *key,
+			     uint32_t *at)
+{
+	*at = place(mirror, key);
+	if (*at == mirror->count || strcmp(mirror->records[*at].key, key) != 0)
+		return NULL;
+	return &mirror->records[*at];
+}
+
 static mirror_record_t *insert(mirror_t *mirror, uint32_t at, const char *key)
 {
 	mirror_record_t *record;
@@ -69,21 +82,28 @@
 	return record;
 }
 
+static void advance(mirror_t *mirror, uint64_t revision)
+{
+	if (!mirror->listing && mirror->revision < revision)
+		mirror->revision = revision;
+}
+
 int mirror_put(mirror_t *mirror, const char *key, const char *value,
 	       size_t length, uint64_t revision)
 {
-	uint32_t at = place(mirror, key);
-	mirror_record_t *record = &mirror->records[at];
+	uint32_t at;
+	mirror_record_t *record = find(mirror, key, &at);
 	char *copy = NULL;
 
-	if (at == mirror->count || strcmp(record->key, key) != 0) {
+	if (!record)
 		record = insert(mirror, at, key);
-		if (!record)
-			return PIMENTO_ENOMEM;
-	}
+	if (!record)
+		return PIMENTO_ENOMEM;
 	record->seen = value != NULL;
-	if (revision <= record->revision)
+	if (revision <= record->revision) {
+		advance(mirror, revision);
 		return 0;
+	}
 	if (value) {
 		copy = malloc(length + 1);
 		if (!copy)
@@ -95,18 +115,23 @@
 	record->value = copy;
 	record->length = value ? length : 0;
 	record->revision = revision;
-	if (mirror->revision < revision)
-		mirror->revision = revision;
+	advance(mirror, revision);
 	mirror->changed(mirror->context, record);
 	return 0;
 }
 
 void mirror_list_begin(mirror_t *mirror)
 {
+	mirror->listing = true;
 	for (uint32_t i = 0; i < mirror->count; i++)
 		mirror->records[i].seen = false;
 }
 
+void mirror_list_cancel(mirror_t *mirror)
+{
+	mirror->listing = false;
+}
+
 int mirror_list_end(mirror_t *mirror, uint64_t revision)
 {
 	for (uint32_t i = 0; i < mirror->count; i++) {
@@ -117,9 +142,13 @@
 		    record->revision > revision)
 			continue;
 		error = mirror_put(mirror, record->key, NULL, 0, revision);
-		if (error)
+		if (error) {
+			mirror_list_cancel(mirror);
 			return error;
+		}
 	}
+	mirror->listing = false;
+	advance(mirror, revision);
 	return 0;
 }
 
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -29,7 +29,8 @@
 	mirror_record_t *records; /* sorted by key, removed ones included */
 	uint32_t count;
 	uint32_t size;
-	uint64_t revision; /* of the newest change that the copy holds */
+	uint64_t revision; /* all changes up to this one are held */
+	bool listing; /* a batch of records is being applied */
 	pimento_usec_t fresh; /* see above; MIRROR_NEVER before the first */
 } mirror_t;
 
@@ -40,17 +41,24 @@
 		 void *context);
 void mirror_finish(mirror_t *mirror);
 
-/* One change; value NULL removes. Returns 0 or PIMENTO_ENOMEM. */
+/*
+ * Applies one change; a NULL value removes the record. Outside of a listing,
+ * changes must be applied in order, without gaps. Returns 0 or PIMENTO_ENOMEM.
+ */
 int mirror_put(mirror_t *mirror, const char *key, const char *value,
 	       size_t length, uint64_t revision);
 
 /*
  * A full listing: between begin and end, each record listed is put; what was
- * not listed and is not newer than revision is then removed. An end without a
- * begin removes nothing.
+ * not listed and is not newer than revision is then removed. Records may be
+ * newer than revision, but the copy counts as complete only up to revision.
+ * Returns 0 or PIMENTO_ENOMEM; an error leaves the revision of the copy
+ * unchanged.
  */
 void mirror_list_begin(mirror_t *mirror);
 int mirror_list_end(mirror_t *mirror, uint64_t revision);
+/* Ends an incomplete batch without advancing the revision. */
+void mirror_list_cancel(mirror_t *mirror);
 
 /* A read that began at start saw everything up to revision. */
 void mirror_confirm(mirror_t *mirror, uint64_t revision, pimento_usec_t start);
