mirror: delay removals only after a store outage for all hosts

Requests reached endpoints that had left 3 to 4 s before. A record removed just after a store outage may only have expired, so it is kept for two seconds. Each host detected outages from its own calls: after a failed call, a slow answer, or a period in which it was not selected to read, it assumed an outage and kept using endpoints that other hosts had dropped.

The copy now records when the store last answered any host, as announced in notes. Only a gap of 2.5 s in these answers counts as an outage.

--- a/io/mesh.c
+++ b/io/mesh.c
@@ -101,8 +101,10 @@
 	mesh->notes_in++;
 	if (!roster_receive(mesh->roster, note, now, &fresh))
 		return;
-	if (fresh != INT64_MIN)
+	if (fresh != INT64_MIN) {
+		mirror_store_answered(mesh->mirror, fresh, now);
 		mirror_confirm(mesh->mirror, note->revision, fresh);
+	}
 	slots_hear(mesh->slots, note, now);
 	for (uint32_t i = 0; i < note->use_count; i++)
 		if (quota_receive(mesh->quota, note->address, note->incarnation,
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -9,13 +9,21 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * Endpoint records expire after three missed heartbeats. Live endpoints rewrite
+ * theirs within two seconds of the end of a store outage.
+ */
+#define STORE_OUTAGE_MIN (2500 * PIMENTO_MSEC)
+#define BACK_WITHIN (2 * PIMENTO_SEC)
+
 void mirror_init(mirror_t *mirror,
 		 void (*changed)(void *context, const mirror_record_t *record),
 		 void *context)
 {
 	*mirror = (mirror_t){ .changed = changed,
 			      .context = context,
-			      .fresh = MIRROR_NEVER };
+			      .fresh = MIRROR_NEVER,
+			      .store_answered_at = MIRROR_NEVER };
 }
 
 void mirror_finish(mirror_t *mirror)
@@ -152,6 +160,23 @@
 	return 0;
 }
 
+void mirror_store_answered(mirror_t *mirror, pimento_usec_t start,
+			   pimento_usec_t now)
+{
+	if (start <= mirror->store_answered_at)
+		return;
+	if (mirror->store_answered_at != MIRROR_NEVER &&
+	    start - mirror->store_answered_at > STORE_OUTAGE_MIN)
+		mirror->removal_grace_until = now + BACK_WITHIN;
+	mirror->store_answered_at = start;
+}
+
+pimento_usec_t mirror_gone_at(const mirror_t *mirror, pimento_usec_t now)
+{
+	return mirror->removal_grace_until > now ? mirror->removal_grace_until
+						 : now;
+}
+
 void mirror_confirm(mirror_t *mirror, uint64_t revision, pimento_usec_t start)
 {
 	if (mirror->revision >= revision && mirror->fresh < start)
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -32,6 +32,9 @@
 	uint64_t revision; /* all changes up to this one are held */
 	bool listing; /* a batch of records is being applied */
 	pimento_usec_t fresh; /* see above; MIRROR_NEVER before the first */
+	/* Start of the latest read, by any host, that the store answered. */
+	pimento_usec_t store_answered_at;
+	pimento_usec_t removal_grace_until; /* see mirror_gone_at(); 0: none */
 } mirror_t;
 
 #define MIRROR_NEVER INT64_MIN
@@ -63,6 +66,20 @@
 /* A read that began at start saw everything up to revision. */
 void mirror_confirm(mirror_t *mirror, uint64_t revision, pimento_usec_t start);
 
+/*
+ * Records that the store answered a read, by this host or a peer, that began at
+ * start. Must be called before the changes from that read are applied.
+ */
+void mirror_store_answered(mirror_t *mirror, pimento_usec_t start,
+			   pimento_usec_t now);
+
+/*
+ * Returns when a record removed now takes effect as gone: immediately, or, after
+ * a store outage for all hosts, at the end of the grace period in which live
+ * endpoints rewrite their expired records.
+ */
+pimento_usec_t mirror_gone_at(const mirror_t *mirror, pimento_usec_t now);
+
 /* Age of the copy; PIMENTO_NEVER before the first read. */
 pimento_usec_t mirror_age(const mirror_t *mirror, pimento_usec_t now);
 
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -99,7 +99,7 @@
 }
 END_TEST
 
-/* Guards against a change that is missed between two pages of a listing. */
+/* Guards against losing a change made between two pages of a listing. */
 START_TEST(a_listing_is_complete_up_to_its_first_page_only)
 {
 	mirror_list_begin(&mirror);
@@ -128,6 +128,40 @@
 }
 END_TEST
 
+static const struct {
+	const char *name;
+	int answered_ms[4]; /* starts of reads that the store answered */
+	int count;
+	int removed_ms;
+	int gone_ms;
+} removal_cases[] = {
+	{ "the first read", { 0 }, 1, 0, 0 },
+	{ "no outage", { 0, 1000, 2000, 3000 }, 4, 3100, 3100 },
+	{ "an outage of three seconds", { 0, 3000 }, 2, 3000, 5000 },
+	{ "a second after it", { 0, 3000, 4000 }, 3, 4000, 5000 },
+	{ "long after it", { 0, 3000, 5000 }, 3, 6000, 6000 },
+	{ "peers were answered meanwhile", { 0, 1500, 3000 }, 3, 3000, 3000 },
+	{ "an older answer is heard late", { 0, 3000, 1500 }, 3, 3000, 5000 },
+};
+
+/* Guards against using removed endpoints and against dropping live ones. */
+START_TEST(a_removed_record_is_kept_only_after_an_outage_for_all)
+{
+	pimento_usec_t gone;
+
+	for (int i = 0; i < removal_cases[_i].count; i++) {
+		pimento_usec_t start =
+			removal_cases[_i].answered_ms[i] * PIMENTO_MSEC;
+
+		mirror_store_answered(&mirror, start, start);
+	}
+	gone = mirror_gone_at(&mirror,
+			      removal_cases[_i].removed_ms * PIMENTO_MSEC);
+	ck_assert_msg(gone == removal_cases[_i].gone_ms * PIMENTO_MSEC, "%s",
+		      removal_cases[_i].name);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("mirror");
@@ -143,6 +177,9 @@
 	tcase_add_test(tests, a_listing_is_complete_up_to_its_first_page_only);
 	tcase_add_test(tests,
 		       freshness_only_grows_and_only_for_a_copy_that_is_whole);
+	tcase_add_loop_test(
+		tests, a_removed_record_is_kept_only_after_an_outage_for_all, 0,
+		sizeof(removal_cases) / sizeof(removal_cases[0]));
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
