--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,9 @@
 CCACHE ?= $(shell command -v ccache 2>/dev/null)
 
 # What pimentoedge needs; the other programs need PKGS beside it.
-EDGE_PKGS = jansson libprotobuf-c libxxhash libsodium
-PKGS = libulfius libmicrohttpd jansson libprotobuf-c libxxhash libsodium libcurl
+EDGE_PKGS = jansson libprotobuf-c libxxhash libsodium zlib
+PKGS = libulfius libmicrohttpd jansson libprotobuf-c libxxhash libsodium libcurl \
+	zlib
 OPT ?= -O2
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wformat=2 -Werror
--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -79,6 +79,7 @@
 	ev_signal term;
 	ev_signal hup;
 	uint64_t ticks;
+	bool reader; /* selected to read the store on behalf of peers */
 	bool able; /* as last told by the health check */
 	pimento_usec_t stopping; /* since; 0 no */
 } edge_t;
@@ -191,14 +192,16 @@
 static void write_metrics(void *context, text_t *text)
 {
 	const edge_t *edge = context;
-	const metrics_sources_t sources = {
+	metrics_sources_t sources = {
 		.gateway = &edge->gateway,
 		.mesh = &edge->mesh,
-		.store_calls = edge->feed.store.calls,
-		.store_errors = edge->feed.store.errors,
 		.now = sys_now(),
 	};
 
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
+		sources.store_calls += edge->feed.stores[kind].calls;
+		sources.store_errors += edge->feed.stores[kind].errors;
+	}
 	metrics_write(text, &sources);
 }
 
@@ -234,6 +237,8 @@
 
 static void watch_ability(edge_t *edge, pimento_usec_t now)
 {
+	const mirror_t *configuration =
+		&edge->feed.mirrors[MIRROR_CONFIGURATION];
 	bool able = is_ready(edge);
 
 	if (able == edge->able)
@@ -242,7 +247,7 @@
 	trail(TRAIL_STATE, "edge", able ? "ready" : "not_ready",
 	      "config=%llu copy_age_ms=%lld endpoints=%u stopping=%d",
 	      (unsigned long long)edge->feed.version,
-	      (long long)(mirror_age(&edge->feed.mirror, now) / PIMENTO_MSEC),
+	      (long long)(mirror_age(configuration, now) / PIMENTO_MSEC),
 	      edge->directory.count, edge->stopping != 0);
 }
 
@@ -254,14 +259,18 @@
  */
 static void share_reading(edge_t *edge, pimento_usec_t now)
 {
-	store_t *store = &edge->feed.store;
+	feed_t *feed = &edge->feed;
 	uint32_t hosts = roster_hosts(&edge->roster, now);
-	bool well = store_is_well(store);
-	bool read = mirror_age(&edge->feed.mirror, now) > READ_AGE ||
-		    roster_should_read(&edge->roster, store->active,
+	bool well = feed_is_well(feed);
+	bool read = roster_should_read(&edge->roster, edge->reader,
 				       sys_random(), now);
 
-	store_set_active(store, read, hosts);
+	edge->reader = read;
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
+		bool old = mirror_age(&feed->mirrors[kind], now) > READ_AGE;
+
+		store_set_active(&feed->stores[kind], read || old, hosts);
+	}
 	edge->mesh.reader = well && read;
 }
 
@@ -379,7 +388,7 @@
 		.first_start = edge->settings.first_start,
 		.directory = &edge->directory,
 		.roster = &edge->roster,
-		.mirror = &edge->feed.mirror,
+		.mirror = &edge->feed.mirrors[MIRROR_CONFIGURATION],
 		.slots = &edge->slots,
 	};
 
@@ -396,7 +405,7 @@
 		.loop = edge->loop,
 		.note_port = edge->settings.gossip_port,
 		.roster = &edge->roster,
-		.mirror = &edge->feed.mirror,
+		.mirrors = edge->feed.mirrors,
 		.directory = &edge->directory,
 		.quota = &edge->gateway.quota,
 		.slots = &edge->slots,
@@ -501,6 +510,7 @@
 	int option;
 	int status;
 
+	edge.reader = true;
 	edge.path = getenv(SETTINGS_VARIABLE);
 	while ((option = getopt_long(argc, argv, "c:thV", options, NULL)) !=
 	       -1) {
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -10,10 +10,11 @@
 #include "sys.h"
 #include "trail.h"
 
-#include "../src/peer.pb-c.h"
+#include "../src/snapshot.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -29,11 +30,12 @@
  * own word is usually on its way.
  */
 #define BEHIND_MOST (150 * PIMENTO_MSEC)
-#define FETCH_MOST (700 * PIMENTO_MSEC)
+/* A fetch is aborted when nothing has been received for this long. */
+#define FETCH_IDLE_MAX (700 * PIMENTO_MSEC)
 /* A snapshot: the largest value of the store, and some. */
 #define SNAPSHOT_BYTES_MAX ((size_t)16 * 1024 * 1024)
 
-#define SNAPSHOT_PATH "/snapshot"
+#define SNAPSHOT_PATH "/snapshot/"
 #define METRICS_PATH "/metrics"
 
 /* Notes. */
@@ -62,7 +64,11 @@
 
 	note->stamp = now;
 	note->echo = peer->their_stamp;
-	note->age = mirror_age(mesh->mirror, now);
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
+		note->copies[kind] = (roster_copy_t){
+			mesh->mirrors[kind].revision,
+			mirror_age(&mesh->mirrors[kind], now),
+		};
 	packet.as.note = *note;
 	length = packet_pack(&packet, bytes, sizeof(bytes));
 	if (length < 0)
@@ -78,7 +84,6 @@
 	roster_note_t note = {
 		.address = mesh->self,
 		.incarnation = mesh->incarnation,
-		.revision = mesh->mirror->revision,
 		.reader = mesh->reader,
 	};
 	uint32_t count;
@@ -96,14 +101,17 @@
 static void take_note(mesh_t *mesh, const roster_note_t *note,
 		      pimento_usec_t now)
 {
-	pimento_usec_t fresh;
+	pimento_usec_t fresh[MIRROR_KIND_COUNT];
 
 	mesh->notes_in++;
-	if (!roster_receive(mesh->roster, note, now, &fresh))
+	if (!roster_receive(mesh->roster, note, now, fresh))
 		return;
-	if (fresh != INT64_MIN) {
-		mirror_store_answered(mesh->mirror, fresh, now);
-		mirror_confirm(mesh->mirror, note->revision, fresh);
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
+		if (fresh[kind] == INT64_MIN)
+			continue;
+		mirror_store_answered(&mesh->mirrors[kind], fresh[kind], now);
+		mirror_confirm(&mesh->mirrors[kind],
+			       note->copies[kind].revision, fresh[kind]);
 	}
 	slots_hear(mesh->slots, note, now);
 	for (uint32_t i = 0; i < note->use_count; i++)
@@ -144,50 +152,39 @@
 
 /* Serving snapshots. */
 
-static size_t pack_snapshot(const mirror_t *mirror, uint8_t **bytes)
+/* Parses "COLLECTION/REVISION"; returns NULL if the collection is unknown. */
+static mirror_t *mirror_of_path(mesh_t *mesh, const char *path, uint64_t *after)
 {
-	Peer__Snapshot message = PEER__SNAPSHOT__INIT;
-	Peer__Record *records = calloc(mirror->count + 1, sizeof(*records));
-	Peer__Record **pointers =
-		calloc(mirror->count + 1, sizeof(Peer__Record *));
-	size_t length = 0;
-
-	message.revision = mirror->revision;
-	message.records = pointers;
-	for (uint32_t i = 0; records && pointers && i < mirror->count; i++) {
-		const mirror_record_t *from = &mirror->records[i];
-		Peer__Record *to = &records[message.n_records];
-
-		if (!from->value || from->revision > mirror->revision)
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
+		const char *name = mirror_kind_name((mirror_kind_t)kind);
+		size_t length = strlen(name);
+
+		if (strncmp(path, name, length) != 0 || path[length] != '/')
 			continue;
-		peer__record__init(to);
-		to->key = from->key;
-		to->value.data = (uint8_t *)from->value;
-		to->value.len = from->length;
-		to->revision = from->revision;
-		pointers[message.n_records++] = to;
+		*after = strtoull(path + length + 1, NULL, 10);
+		return &mesh->mirrors[kind];
 	}
-	*bytes = malloc(peer__snapshot__get_packed_size(&message) + 1);
-	if (*bytes && records && pointers)
-		length = peer__snapshot__pack(&message, *bytes);
-	free(records);
-	free(pointers);
-	return length;
+	return NULL;
 }
 
-static void serve_snapshot(mesh_t *mesh, httpd_conn_t *conn)
+static void serve_snapshot(mesh_t *mesh, httpd_conn_t *conn, const char *path)
 {
+	uint64_t after;
+	mirror_t *mirror = mirror_of_path(mesh, path, &after);
 	uint8_t *bytes;
 	size_t length;
 
-	if (mesh->mirror->fresh == MIRROR_NEVER) {
+	if (!mirror) {
+		httpd_answer(conn, HTTP_STATUS_NOT_FOUND, "", "", 0);
+		return;
+	}
+	if (mirror->fresh == MIRROR_NEVER ||
+	    snapshot_pack(mirror, after, &bytes, &length)) {
 		httpd_answer(conn, HTTP_STATUS_SERVICE_UNAVAILABLE, "", "", 0);
 		return;
 	}
-	length = pack_snapshot(mesh->mirror, &bytes);
 	mesh->snapshot_bytes_out += length;
-	httpd_answer(conn,
-		     length ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE,
+	httpd_answer(conn, HTTP_STATUS_OK,
 		     "Content-Type: application/x-protobuf\r\n",
 		     (const char *)bytes, length);
 	free(bytes);
@@ -211,8 +208,8 @@
 	mesh_t *mesh = conn->server->user;
 	const char *path = conn->target.bytes;
 
-	if (strcmp(path, SNAPSHOT_PATH) == 0)
-		serve_snapshot(mesh, conn);
+	if (strncmp(path, SNAPSHOT_PATH, strlen(SNAPSHOT_PATH)) == 0)
+		serve_snapshot(mesh, conn, path + strlen(SNAPSHOT_PATH));
 	else if (strcmp(path, METRICS_PATH) == 0)
 		serve_metrics(mesh, conn);
 	else
@@ -227,74 +224,59 @@
 /* Fetching a snapshot. */
 
 /* Logs the end of a fetch and adds its body bytes to the counter. */
-static void report_fetch(mesh_t *mesh, const char *outcome)
+static void report_fetch(const mesh_fetch_t *fetch, const char *outcome)
 {
-	const struct in_addr address = { htonl(mesh->fetch_peer) };
+	const struct in_addr address = { htonl(fetch->peer) };
 	char peer[INET_ADDRSTRLEN];
 
-	mesh->snapshot_bytes_in += mesh->fetched.length;
+	fetch->mesh->snapshot_bytes_in += fetch->body.length;
 	inet_ntop(AF_INET, &address, peer, sizeof(peer));
 	trail(TRAIL_STATE, "mesh", "fetch",
-	      "peer=%s outcome=%s bytes=%zu ms=%lld", peer, outcome,
-	      mesh->fetched.length,
-	      (long long)((sys_now() - mesh->fetch_started) / PIMENTO_MSEC));
+	      "collection=%s peer=%s outcome=%s bytes=%zu ms=%lld",
+	      mirror_kind_name(fetch->kind), peer, outcome, fetch->body.length,
+	      (long long)((sys_now() - fetch->progress.started) /
+			  PIMENTO_MSEC));
 }
 
-static void fetch_failed(mesh_t *mesh, const char *why)
+static void fetch_failed(mesh_fetch_t *fetch, const char *why)
 {
-	mesh->fetching = NULL;
-	mesh->snapshots_lost++;
-	report_fetch(mesh, why);
+	fetch->conn = NULL;
+	fetch->mesh->snapshots_lost++;
+	report_fetch(fetch, why);
 }
 
-static int put_records(mirror_t *mirror, const Peer__Snapshot *snapshot)
+static void take_snapshot(mesh_fetch_t *fetch)
 {
-	mirror_list_begin(mirror);
-	for (size_t i = 0; i < snapshot->n_records; i++) {
-		const Peer__Record *record = snapshot->records[i];
-		int error = mirror_put(mirror, record->key,
-				       (const char *)record->value.data,
-				       record->value.len, record->revision);
-
-		if (error) {
-			mirror_list_cancel(mirror);
-			return error;
-		}
-	}
-	return mirror_list_end(mirror, snapshot->revision);
-}
-
-static void take_snapshot(mesh_t *mesh)
-{
-	uint64_t before = mesh->mirror->revision;
-	Peer__Snapshot *snapshot =
-		peer__snapshot__unpack(NULL, mesh->fetched.length,
-				       (const uint8_t *)mesh->fetched.bytes);
-
-	if (!snapshot)
-		return;
-	/* The copy may have caught up meanwhile; an older listing would then
-	 * look as if what is newer had been removed. */
-	if (snapshot->revision > before) {
-		int error = put_records(mesh->mirror, snapshot);
-
-		mesh->snapshots_in++;
-		trail(TRAIL_STATE, "mesh", "snapshot",
-		      "revision=%llu before=%llu records=%zu error=%d",
-		      (unsigned long long)snapshot->revision,
-		      (unsigned long long)before, snapshot->n_records, error);
-	}
-	peer__snapshot__free_unpacked(snapshot, NULL);
+	mirror_t *mirror = &fetch->mesh->mirrors[fetch->kind];
+	uint64_t before = mirror->revision;
+	int result = snapshot_apply(mirror, (const uint8_t *)fetch->body.bytes,
+				    fetch->body.length);
+
+	if (result >= 0 && mirror->revision == before)
+		return; /* the copy was updated during the fetch */
+	if (result >= 0)
+		fetch->mesh->snapshots_in++;
+	trail(TRAIL_STATE, "mesh", "snapshot",
+	      "collection=%s revision=%llu before=%llu records=%d error=%s",
+	      mirror_kind_name(fetch->kind),
+	      (unsigned long long)mirror->revision, (unsigned long long)before,
+	      result < 0 ? 0 : result,
+	      result < 0 ? pimento_strerror(result) : "-");
 }
 
 static void on_opened(httpc_t *conn)
 {
-	static const char head[] =
-		"GET " SNAPSHOT_PATH " HTTP/1.1\r\nHost: peer\r\n"
-		"Connection: close\r\n\r\n";
-
-	if (!httpc_ask(conn, head, sizeof(head) - 1, "", 0, false)) {
-		fetch_failed(conn->user, "not_sent");
+	mesh_fetch_t *fetch = conn->user;
+	const mirror_t *mirror = &fetch->mesh->mirrors[fetch->kind];
+	char head[128];
+	int length = snprintf(head, sizeof(head),
+			      "GET " SNAPSHOT_PATH "%s/%llu HTTP/1.1\r\n"
+			      "Host: peer\r\nConnection: close\r\n\r\n",
+			      mirror_kind_name(fetch->kind),
+			      (unsigned long long)mirror->revision);
+
+	if (!httpc_ask(conn, head, (size_t)length, "", 0, false)) {
+		fetch_failed(fetch, "not_sent");
 		httpc_close(conn);
 	}
 }
@@ -307,23 +289,25 @@
 
 static void on_body(httpc_t *conn, const char *bytes, size_t length)
 {
-	mesh_t *mesh = conn->user;
+	mesh_fetch_t *fetch = conn->user;
 
-	if (mesh->fetched.length + length <= SNAPSHOT_BYTES_MAX)
-		text_add_bytes(&mesh->fetched, bytes, length);
+	if (fetch->body.length + length > SNAPSHOT_BYTES_MAX)
+		return; /* stalls, and is aborted */
+	progress_add(&fetch->progress, length, sys_now());
+	text_add_bytes(&fetch->body, bytes, length);
 }
 
 static void on_end(httpc_t *conn)
 {
-	mesh_t *mesh = conn->user;
-
-	mesh->fetching = NULL;
-	report_fetch(mesh, conn->status == HTTP_STATUS_OK ? "complete"
-							  : "bad_status");
-	if (conn->status == HTTP_STATUS_OK && !text_error(&mesh->fetched))
-		take_snapshot(mesh);
-	text_finish(&mesh->fetched);
-	text_init(&mesh->fetched);
+	mesh_fetch_t *fetch = conn->user;
+
+	fetch->conn = NULL;
+	report_fetch(fetch, conn->status == HTTP_STATUS_OK ? "complete"
+							   : "bad_status");
+	if (conn->status == HTTP_STATUS_OK && !text_error(&fetch->body))
+		take_snapshot(fetch);
+	text_finish(&fetch->body);
+	text_init(&fetch->body);
 	if (conn->reusable)
 		httpc_close(conn);
 }
@@ -339,54 +323,59 @@
 }
 
 /* A peer that holds newer records, by chance; NULL if there is none. */
-static roster_peer_t *newer_peer(mesh_t *mesh, pimento_usec_t now)
+static const roster_peer_t *newer_peer(const mesh_fetch_t *fetch,
+				       pimento_usec_t now)
 {
-	roster_t *roster = mesh->roster;
+	const roster_t *roster = fetch->mesh->roster;
+	uint64_t revision = fetch->mesh->mirrors[fetch->kind].revision;
 	uint32_t start = roster->count ? (uint32_t)sys_random() : 0;
 
 	for (uint32_t i = 0; i < roster->count; i++) {
-		roster_peer_t *peer =
+		const roster_peer_t *peer =
 			roster->peers[(start + i) % roster->count];
 
 		if (roster_believed(peer, now) &&
-		    peer->revision > mesh->mirror->revision)
+		    peer->revisions[fetch->kind] > revision)
 			return peer;
 	}
 	return NULL;
 }
 
-static void fetch(mesh_t *mesh, const roster_peer_t *peer)
+static void begin_fetch(mesh_fetch_t *fetch, const roster_peer_t *peer,
+			pimento_usec_t now)
 {
+	mesh_t *mesh = fetch->mesh;
 	net_address_t address = { peer->address, mesh->peer_port };
 
-	mesh->fetched.length = 0;
-	mesh->fetch_peer = peer->address;
-	mesh->fetch_started = sys_now();
-	mesh->fetching = httpc_open(mesh->loop, &address, &mesh->snapshots);
-	if (mesh->fetching)
-		mesh->fetching->user = mesh;
+	fetch->body.length = 0;
+	fetch->peer = peer->address;
+	progress_begin(&fetch->progress, now);
+	fetch->conn = httpc_open(mesh->loop, &address, &mesh->snapshots);
+	if (fetch->conn)
+		fetch->conn->user = fetch;
 }
 
-static void catch_up(mesh_t *mesh, pimento_usec_t now)
+static void catch_up(mesh_fetch_t *fetch, pimento_usec_t now)
 {
-	roster_peer_t *peer;
+	const mirror_t *mirror = &fetch->mesh->mirrors[fetch->kind];
+	const roster_peer_t *peer;
 
-	if (mesh->fetching) {
-		if (now - mesh->fetching->since < FETCH_MOST)
+	if (fetch->conn) {
+		if (!progress_stalled(&fetch->progress, FETCH_IDLE_MAX, now))
 			return;
-		httpc_close(mesh->fetching);
-		fetch_failed(mesh, "timeout");
+		httpc_close(fetch->conn);
+		fetch_failed(fetch, "timeout");
 	}
-	peer = newer_peer(mesh, now);
+	peer = newer_peer(fetch, now);
 	if (!peer) {
-		mesh->behind_since = 0;
+		fetch->behind_since = 0;
 		return;
 	}
-	if (!mesh->behind_since)
-		mesh->behind_since = now;
-	if (now - mesh->behind_since >= BEHIND_MOST ||
-	    mesh->mirror->fresh == MIRROR_NEVER)
-		fetch(mesh, peer);
+	if (!fetch->behind_since)
+		fetch->behind_since = now;
+	if (now - fetch->behind_since >= BEHIND_MOST ||
+	    mirror->fresh == MIRROR_NEVER)
+		begin_fetch(fetch, peer, now);
 }
 
 void mesh_tick(mesh_t *mesh, pimento_usec_t now)
@@ -396,7 +385,8 @@
 	mesh->quota->hosts = roster_hosts(mesh->roster, now);
 	slots_tick(mesh->slots, now);
 	send_notes(mesh, now);
-	catch_up(mesh, now);
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
+		catch_up(&mesh->fetches[kind], now);
 	httpd_sweep(&mesh->server, now);
 }
 
@@ -438,11 +428,15 @@
 	mesh->peer_port = setup->listen.port;
 	mesh->incarnation = sys_random();
 	mesh->roster = setup->roster;
-	mesh->mirror = setup->mirror;
+	mesh->mirrors = setup->mirrors;
 	mesh->directory = setup->directory;
 	mesh->quota = setup->quota;
 	mesh->slots = setup->slots;
-	text_init(&mesh->fetched);
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
+		mesh->fetches[kind].mesh = mesh;
+		mesh->fetches[kind].kind = (mirror_kind_t)kind;
+		text_init(&mesh->fetches[kind].body);
+	}
 	fd = net_datagram(&notes);
 	if (fd < 0)
 		return fd;
@@ -461,8 +455,10 @@
 {
 	ev_io_stop(mesh->loop, &mesh->datagrams);
 	close(mesh->datagrams.fd);
-	if (mesh->fetching)
-		httpc_close(mesh->fetching);
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
+		if (mesh->fetches[kind].conn)
+			httpc_close(mesh->fetches[kind].conn);
+		text_finish(&mesh->fetches[kind].body);
+	}
 	httpd_finish(&mesh->server);
-	text_finish(&mesh->fetched);
 }
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -3,8 +3,9 @@
 
 /*
  * How entry hosts talk to each other: short notes by datagram several times a
- * second, and a snapshot of the published records by HTTP when one finds that
- * another holds newer ones. The protocol is ours; src/peer.proto describes it.
+ * second, and snapshots of each collection of published records by HTTP when
+ * one finds that another holds newer records. The protocol is ours;
+ * src/peer.proto describes it.
  */
 
 #include "httpc.h"
@@ -14,8 +15,22 @@
 #include "../src/quota.h"
 #include "../src/directory.h"
 #include "../src/mirror.h"
+#include "../src/progress.h"
 #include "../src/roster.h"
 
+struct mesh;
+
+/* Fetch state of one collection; at most one fetch runs at a time. */
+typedef struct mesh_fetch {
+	struct mesh *mesh;
+	mirror_kind_t kind;
+	httpc_t *conn; /* NULL: no fetch in progress */
+	text_t body;
+	uint32_t peer; /* IPv4 address, host byte order */
+	progress_t progress;
+	pimento_usec_t behind_since; /* a peer has had newer records; 0 no */
+} mesh_fetch_t;
+
 typedef struct mesh {
 	httpd_ops_t peers; /* first: the server calls these */
 	httpc_ops_t snapshots;
@@ -27,15 +42,11 @@
 	uint16_t peer_port;
 	uint64_t incarnation;
 	roster_t *roster;
-	mirror_t *mirror;
+	mirror_t *mirrors; /* indexed by mirror_kind_t */
 	directory_t *directory;
 	quota_t *quota;
 	slots_t *slots;
-	httpc_t *fetching; /* one snapshot at a time; NULL */
-	text_t fetched;
-	uint32_t fetch_peer; /* IPv4 address, host byte order */
-	pimento_usec_t fetch_started;
-	pimento_usec_t behind_since; /* a peer has had newer records; 0 no */
+	mesh_fetch_t fetches[MIRROR_KIND_COUNT];
 	bool reader; /* this host reads the store with success; set by others */
 	uint64_t notes_in; /* counters */
 	uint64_t notes_out;
@@ -53,7 +64,7 @@
 	net_address_t listen; /* of peers */
 	uint16_t note_port; /* the same on all hosts */
 	roster_t *roster;
-	mirror_t *mirror;
+	mirror_t *mirrors; /* indexed by mirror_kind_t */
 	directory_t *directory;
 	quota_t *quota;
 	slots_t *slots; /* is given the mesh's socket and port */
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -16,6 +16,13 @@
 #define STORE_OUTAGE_MIN (2500 * PIMENTO_MSEC)
 #define BACK_WITHIN (2 * PIMENTO_SEC)
 
+const char *mirror_kind_name(mirror_kind_t kind)
+{
+	static const char *const names[] = { "configuration", "endpoints" };
+
+	return names[kind];
+}
+
 void mirror_init(mirror_t *mirror,
 		 void (*changed)(void *context, const mirror_record_t *record),
 		 void *context)
@@ -31,6 +38,7 @@
 	for (uint32_t i = 0; i < mirror->count; i++) {
 		free(mirror->records[i].key);
 		free(mirror->records[i].value);
+		free(mirror->records[i].compressed);
 	}
 	free(mirror->records);
 }
@@ -120,6 +128,9 @@
 		copy[length] = '\0';
 	}
 	free(record->value);
+	free(record->compressed);
+	record->compressed = NULL;
+	record->compressed_length = 0;
 	record->value = copy;
 	record->length = value ? length : 0;
 	record->revision = revision;
@@ -128,6 +139,24 @@
 	return 0;
 }
 
+void mirror_cache_compressed(mirror_t *mirror, const char *key,
+			     uint64_t revision, const char *compressed,
+			     size_t length)
+{
+	uint32_t at;
+	mirror_record_t *record = find(mirror, key, &at);
+	char *copy;
+
+	if (!record || record->revision != revision || record->compressed)
+		return;
+	copy = malloc(length);
+	if (!copy)
+		return;
+	memcpy(copy, compressed, length);
+	record->compressed = copy;
+	record->compressed_length = length;
+}
+
 void mirror_list_begin(mirror_t *mirror)
 {
 	mirror->listing = true;
@@ -140,6 +169,12 @@
 	mirror->listing = false;
 }
 
+void mirror_changes_end(mirror_t *mirror, uint64_t revision)
+{
+	mirror->listing = false;
+	advance(mirror, revision);
+}
+
 int mirror_list_end(mirror_t *mirror, uint64_t revision)
 {
 	for (uint32_t i = 0; i < mirror->count; i++) {
@@ -155,8 +190,8 @@
 			return error;
 		}
 	}
-	mirror->listing = false;
-	advance(mirror, revision);
+	mirror_changes_end(mirror, revision);
+	mirror->listing_revision = revision;
 	return 0;
 }
 
--- a/src/packet.c
+++ b/src/packet.c
@@ -97,8 +97,10 @@
 	said.incarnation = note->incarnation;
 	said.stamp = (uint64_t)note->stamp;
 	said.echo = (uint64_t)note->echo;
-	said.fresh_age_ms = age_msec(note->age);
-	said.revision = note->revision;
+	said.fresh_age_ms = age_msec(note->copies[MIRROR_CONFIGURATION].age);
+	said.revision = note->copies[MIRROR_CONFIGURATION].revision;
+	said.endpoints_age_ms = age_msec(note->copies[MIRROR_ENDPOINTS].age);
+	said.endpoints_revision = note->copies[MIRROR_ENDPOINTS].revision;
 	said.reader = note->reader;
 	said.n_members = note->member_count;
 	said.members = (uint32_t *)note->members;
@@ -182,6 +184,12 @@
 	return count < most ? (uint32_t)count : most;
 }
 
+/* Earlier versions do not send an age, which decodes as 0. */
+static pimento_usec_t age_from_msec(uint32_t ms)
+{
+	return ms && ms != AGE_UNKNOWN ? ms * PIMENTO_MSEC : PIMENTO_NEVER;
+}
+
 static void copy_note(roster_note_t *note, const Peer__Note *message)
 {
 	*note = (roster_note_t){
@@ -189,16 +197,20 @@
 		.incarnation = message->incarnation,
 		.stamp = (pimento_usec_t)message->stamp,
 		.echo = (pimento_usec_t)message->echo,
-		.age = PIMENTO_NEVER,
-		.revision = message->revision,
+		.copies = {
+			[MIRROR_CONFIGURATION] = {
+				message->revision,
+				age_from_msec(message->fresh_age_ms) },
+			[MIRROR_ENDPOINTS] = {
+				message->endpoints_revision,
+				age_from_msec(message->endpoints_age_ms) },
+		},
 		.reader = message->reader != 0,
 		.load_count = least(message->n_loads, ROSTER_LOADS_MAX),
 		.use_count = least(message->n_uses, ROSTER_USES_MAX),
 		.owned_count = least(message->n_owned, ROSTER_OWNED_MAX),
 		.member_count = least(message->n_members, ROSTER_MEMBERS_MAX),
 	};
-	if (message->fresh_age_ms != AGE_UNKNOWN)
-		note->age = message->fresh_age_ms * PIMENTO_MSEC;
 	for (uint32_t i = 0; i < note->load_count; i++) {
 		note->loads[i].endpoint = message->loads[i]->endpoint;
 		note->loads[i].running = message->loads[i]->running;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -714,7 +714,7 @@
   (ProtobufCMessageInit) peer__owned__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__note__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer__note__field_descriptors[13] =
 {
   {
     "address",
@@ -848,10 +848,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoints_age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, endpoints_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints_revision",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, endpoints_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__note__field_indices_by_name[] = {
   0,   /* field[0] = address */
   3,   /* field[3] = echo */
+  11,   /* field[11] = endpoints_age_ms */
+  12,   /* field[12] = endpoints_revision */
   4,   /* field[4] = fresh_age_ms */
   1,   /* field[1] = incarnation */
   6,   /* field[6] = loads */
@@ -865,7 +891,7 @@
 static const ProtobufCIntRange peer__note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor peer__note__descriptor =
 {
@@ -875,14 +901,14 @@
   "Peer__Note",
   "peer",
   sizeof(Peer__Note),
-  11,
+  13,
   peer__note__field_descriptors,
   peer__note__field_indices_by_name,
   1,  peer__note__number_ranges,
   (ProtobufCMessageInit) peer__note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__record__field_descriptors[5] =
 {
   {
     "key",
@@ -920,16 +946,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "length",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Record, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Record, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__record__field_indices_by_name[] = {
   0,   /* field[0] = key */
+  3,   /* field[3] = length */
+  4,   /* field[4] = removed */
   2,   /* field[2] = revision */
   1,   /* field[1] = value */
 };
 static const ProtobufCIntRange peer__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__record__descriptor =
 {
@@ -939,14 +991,14 @@
   "Peer__Record",
   "peer",
   sizeof(Peer__Record),
-  3,
+  5,
   peer__record__field_descriptors,
   peer__record__field_indices_by_name,
   1,  peer__record__number_ranges,
   (ProtobufCMessageInit) peer__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__snapshot__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__snapshot__field_descriptors[3] =
 {
   {
     "revision",
@@ -972,15 +1024,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "after",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Snapshot, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__snapshot__field_indices_by_name[] = {
+  2,   /* field[2] = after */
   1,   /* field[1] = records */
   0,   /* field[0] = revision */
 };
 static const ProtobufCIntRange peer__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__snapshot__descriptor =
 {
@@ -990,7 +1055,7 @@
   "Peer__Snapshot",
   "peer",
   sizeof(Peer__Snapshot),
-  2,
+  3,
   peer__snapshot__field_descriptors,
   peer__snapshot__field_indices_by_name,
   1,  peer__snapshot__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -125,9 +125,12 @@
    * the receiver's stamp that came last
    */
   uint64_t echo;
+  /*
+   * age of the sender's configuration copy
+   */
   uint32_t fresh_age_ms;
   /*
-   * of the newest record that the sender holds
+   * revision of the configuration copy
    */
   uint64_t revision;
   size_t n_loads;
@@ -145,34 +148,57 @@
   protobuf_c_boolean reader;
   size_t n_owned;
   Peer__Owned **owned;
+  /*
+   * age of the sender's endpoints copy
+   */
+  uint32_t endpoints_age_ms;
+  uint64_t endpoints_revision;
 };
 #define PEER__NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__note__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0 }
 
 
 struct  Peer__Record
 {
   ProtobufCMessage base;
   char *key;
+  /*
+   * zlib-compressed if length is not 0
+   */
   ProtobufCBinaryData value;
   uint64_t revision;
+  /*
+   * uncompressed length; 0: value is not compressed
+   */
+  uint32_t length;
+  protobuf_c_boolean removed;
 };
 #define PEER__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__record__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0 }
 
 
+/*
+ * All records of one collection, or its changes since a revision.
+ */
 struct  Peer__Snapshot
 {
   ProtobufCMessage base;
+  /*
+   * all changes up to this one are included
+   */
   uint64_t revision;
   size_t n_records;
   Peer__Record **records;
+  /*
+   * holds only later changes; 0: holds all records
+   */
+  uint64_t after;
 };
 #define PEER__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__snapshot__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 /*
--- a/src/roster.c
+++ b/src/roster.c
@@ -85,16 +85,27 @@
 {
 	peer->load_count = note->load_count;
 	memcpy(peer->loads, note->loads, sizeof(peer->loads));
-	peer->revision = note->revision;
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
+		peer->revisions[kind] = note->copies[kind].revision;
 	peer->reader = note->reader;
 }
 
+static pimento_usec_t fresh_since(const roster_note_t *note,
+				  const roster_copy_t *copy, pimento_usec_t now)
+{
+	if (!note->echo || note->echo > now || copy->age == PIMENTO_NEVER)
+		return INT64_MIN;
+	return note->echo - copy->age;
+}
+
 roster_peer_t *roster_receive(roster_t *roster, const roster_note_t *note,
-			      pimento_usec_t now, pimento_usec_t *fresh)
+			      pimento_usec_t now,
+			      pimento_usec_t fresh[MIRROR_KIND_COUNT])
 {
 	roster_peer_t *peer = find(roster, note->address);
 
-	*fresh = INT64_MIN;
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
+		fresh[kind] = INT64_MIN;
 	if (note->address == roster->self)
 		return NULL;
 	if (!peer)
@@ -109,8 +120,8 @@
 	peer->their_stamp = note->stamp;
 	peer->heard_at = now;
 	take_counts(peer, note);
-	if (note->echo && note->echo <= now && note->age != PIMENTO_NEVER)
-		*fresh = note->echo - note->age;
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
+		fresh[kind] = fresh_since(note, &note->copies[kind], now);
 	for (uint32_t i = 0; i < note->member_count; i++)
 		if (roster_add(roster, note->members[i], false, now))
 			return NULL;
--- a/src/roster.h
+++ b/src/roster.h
@@ -9,6 +9,7 @@
 
 #include "quota.h"
 #include "directory.h"
+#include "mirror.h"
 
 /* A note has room for this many; more would not fit one datagram. */
 #define ROSTER_LOADS_MAX 64
@@ -34,13 +35,19 @@
 	directory_word_t word;
 } roster_owned_t;
 
+/* State of a host's copy of one collection, as announced in its notes. */
+typedef struct roster_copy {
+	uint64_t revision;
+	pimento_usec_t age; /* PIMENTO_NEVER: unknown */
+} roster_copy_t;
+
 typedef struct roster_note {
 	uint32_t address; /* IPv4, host byte order */
 	uint64_t incarnation;
 	pimento_usec_t stamp; /* sender's clock */
 	pimento_usec_t echo; /* of the receiver's last stamp; 0 none */
-	pimento_usec_t age; /* of the sender's copy; PIMENTO_NEVER */
-	uint64_t revision; /* of the sender's copy */
+	roster_copy_t
+		copies[MIRROR_KIND_COUNT]; /* of the sender, by collection */
 	bool reader; /* it reads the store, with success */
 	uint32_t load_count;
 	uint32_t use_count;
@@ -60,7 +67,7 @@
 	pimento_usec_t heard_at;
 	pimento_usec_t added_at;
 	pimento_usec_t their_stamp; /* to echo */
-	uint64_t revision;
+	uint64_t revisions[MIRROR_KIND_COUNT];
 	bool reader;
 	uint32_t load_count;
 	roster_load_t loads[ROSTER_LOADS_MAX];
@@ -82,12 +89,14 @@
 	       pimento_usec_t now);
 
 /*
- * Takes a note. Sets fresh to the time, on this host's clock, since which the
- * sender's copy was surely confirmed, or to INT64_MIN. Returns the peer; NULL
- * for a note that is old, from this host itself, or without memory.
+ * Takes a note. For each collection, sets its element of fresh to the time, on
+ * this host's clock, since which the sender's copy was surely confirmed, or to
+ * INT64_MIN. Returns the peer; NULL for a note that is old, from this host
+ * itself, or without memory.
  */
 roster_peer_t *roster_receive(roster_t *roster, const roster_note_t *note,
-			      pimento_usec_t now, pimento_usec_t *fresh);
+			      pimento_usec_t now,
+			      pimento_usec_t fresh[MIRROR_KIND_COUNT]);
 
 /* The next peers in turn; at most most. Returns how many. */
 uint32_t roster_targets(roster_t *roster, pimento_usec_t now, uint32_t most,
--- /dev/null
+++ b/src/snapshot.c
@@ -0,0 +1,166 @@
+#include "snapshot.h"
+
+#include "peer.pb-c.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <zlib.h>
+
+/* Smaller values are sent uncompressed. */
+#define COMPRESSION_MIN_BYTES 4096
+#define COMPRESSION_LEVEL Z_BEST_SPEED
+
+/*
+ * Caches the compressed value if it is smaller. On failure, the value is sent
+ * uncompressed.
+ */
+static void compress_value(mirror_record_t *record)
+{
+	uLongf length = compressBound(record->length);
+	char *compressed;
+
+	if (record->compressed || record->length < COMPRESSION_MIN_BYTES)
+		return;
+	compressed = malloc(length);
+	if (compressed &&
+	    compress2((Bytef *)compressed, &length,
+		      (const Bytef *)record->value, record->length,
+		      COMPRESSION_LEVEL) == Z_OK &&
+	    length < record->length) {
+		record->compressed = compressed;
+		record->compressed_length = length;
+	} else {
+		free(compressed);
+	}
+}
+
+static void fill_record(Peer__Record *to, mirror_record_t *from)
+{
+	peer__record__init(to);
+	to->key = from->key;
+	to->revision = from->revision;
+	to->removed = !from->value;
+	if (!from->value)
+		return;
+	compress_value(from);
+	to->value.data = (uint8_t *)from->value;
+	to->value.len = from->length;
+	if (from->compressed) {
+		to->value.data = (uint8_t *)from->compressed;
+		to->value.len = from->compressed_length;
+		to->length = (uint32_t)from->length;
+	}
+}
+
+/* Excludes records beyond the copy's revision, which may lack earlier changes. */
+static bool is_included(const mirror_t *mirror, const mirror_record_t *record,
+			uint64_t after)
+{
+	if (record->revision > mirror->revision || record->revision <= after)
+		return false;
+	return record->value || after;
+}
+
+int snapshot_pack(mirror_t *mirror, uint64_t after, uint8_t **bytes,
+		  size_t *length)
+{
+	Peer__Snapshot message = PEER__SNAPSHOT__INIT;
+	Peer__Record *records = calloc(mirror->count + 1, sizeof(*records));
+	Peer__Record **pointers =
+		calloc(mirror->count + 1, sizeof(Peer__Record *));
+
+	*bytes = NULL;
+	message.after = after >= mirror->listing_revision ? after : 0;
+	message.revision = mirror->revision;
+	message.records = pointers;
+	for (uint32_t i = 0; records && pointers && i < mirror->count; i++) {
+		Peer__Record *to = &records[message.n_records];
+
+		if (!is_included(mirror, &mirror->records[i], message.after))
+			continue;
+		fill_record(to, &mirror->records[i]);
+		pointers[message.n_records++] = to;
+	}
+	if (records && pointers) {
+		*length = peer__snapshot__get_packed_size(&message);
+		*bytes = malloc(*length + 1);
+	}
+	if (*bytes)
+		peer__snapshot__pack(&message, *bytes);
+	free(records);
+	free(pointers);
+	return *bytes ? 0 : PIMENTO_ENOMEM;
+}
+
+static int put_compressed(mirror_t *mirror, const Peer__Record *record)
+{
+	uLongf length = record->length;
+	char *value;
+	int error = PIMENTO_EPARSE;
+
+	if (record->length > SNAPSHOT_VALUE_MAX)
+		return PIMENTO_EPARSE;
+	value = malloc(record->length);
+	if (!value)
+		return PIMENTO_ENOMEM;
+	if (uncompress((Bytef *)value, &length, record->value.data,
+		       record->value.len) == Z_OK &&
+	    length == record->length)
+		error = mirror_put(mirror, record->key, value, length,
+				   record->revision);
+	free(value);
+	if (!error)
+		mirror_cache_compressed(mirror, record->key, record->revision,
+					(const char *)record->value.data,
+					record->value.len);
+	return error;
+}
+
+static int put_record(mirror_t *mirror, const Peer__Record *record)
+{
+	if (record->removed)
+		return mirror_put(mirror, record->key, NULL, 0,
+				  record->revision);
+	if (record->length)
+		return put_compressed(mirror, record);
+	/* An empty value is not a removal, though it has no bytes. */
+	return mirror_put(mirror, record->key,
+			  record->value.len ? (const char *)record->value.data
+					    : "",
+			  record->value.len, record->revision);
+}
+
+static int apply_records(mirror_t *mirror, const Peer__Snapshot *snapshot)
+{
+	mirror_list_begin(mirror);
+	for (size_t i = 0; i < snapshot->n_records; i++) {
+		int error = put_record(mirror, snapshot->records[i]);
+
+		if (error) {
+			mirror_list_cancel(mirror);
+			return error;
+		}
+	}
+	if (!snapshot->after)
+		return mirror_list_end(mirror, snapshot->revision);
+	mirror_changes_end(mirror, snapshot->revision);
+	return 0;
+}
+
+int snapshot_apply(mirror_t *mirror, const uint8_t *bytes, size_t length)
+{
+	Peer__Snapshot *snapshot = peer__snapshot__unpack(NULL, length, bytes);
+	int result = PIMENTO_EPARSE;
+
+	if (!snapshot)
+		return PIMENTO_EPARSE;
+	/* Records missing from an older snapshot must not be taken for removed. */
+	if (snapshot->revision <= mirror->revision)
+		result = 0;
+	else if (snapshot->after <= mirror->revision)
+		result = apply_records(mirror, snapshot);
+	if (!result)
+		result = (int)snapshot->n_records;
+	peer__snapshot__free_unpacked(snapshot, NULL);
+	return result;
+}
--- a/standin/store.c
+++ b/standin/store.c
@@ -42,6 +42,7 @@
 typedef struct watch {
 	httpd_conn_t *conn;
 	json_int_t after;
+	char prefix[128];
 	pimento_usec_t until;
 } watch_t;
 
@@ -127,13 +128,15 @@
 				    (int)more));
 }
 
-static json_t *events_after(json_int_t after)
+static json_t *events_after(json_int_t after, const char *prefix)
 {
 	json_t *events = json_array();
 
 	for (json_int_t at = after + 1; at <= revision; at++)
 		for (uint32_t i = 0; i < record_count; i++)
-			if (records[i].revision == at)
+			if (records[i].revision == at &&
+			    strncmp(records[i].key, prefix, strlen(prefix)) ==
+				    0)
 				json_array_append_new(events,
 						      item_of(&records[i]));
 	return events;
@@ -148,7 +151,7 @@
 		httpd_answer(watch->conn, HTTP_STATUS_GONE, "", "", 0);
 		return true;
 	}
-	events = events_after(watch->after);
+	events = events_after(watch->after, watch->prefix);
 	if (!json_array_size(events) && !at_end) {
 		json_decref(events);
 		return false;
@@ -185,6 +188,7 @@
 
 	query(conn->target.bytes, "after", after, sizeof(after));
 	query(conn->target.bytes, "wait_ms", wait, sizeof(wait));
+	query(conn->target.bytes, "prefix", watch.prefix, sizeof(watch.prefix));
 	watch.after = strtoll(after, NULL, 10);
 	watch.until = sys_now() + strtoll(wait, NULL, 10) * PIMENTO_MSEC;
 	if (!answer_watch(&watch, false) && watch_count < WATCHES_MAX)
--- a/test/edge.c
+++ b/test/edge.c
@@ -115,7 +115,7 @@
 	configure(edge, version, keys, body_bytes_max, "");
 }
 
-/* Names of routes, hosts and paths are of hashes, as unlike as real ones. */
+/* Uses hashed names, hosts and paths, so that routes compress realistically. */
 void edge_configure_routes(const edge_t *edge, uint32_t version,
 			   const char *keys, uint32_t routes)
 {
--- a/test/edge.h
+++ b/test/edge.h
@@ -34,12 +34,12 @@
 	uint32_t host_count;
 	uint16_t peer_port;
 	uint16_t gossip_port;
-	uint32_t key_revoke_ms; /* of the settings; 0: 3000 */
+	uint32_t key_revoke_ms; /* 0: default of 3000 */
 	bool engines; /* workers are model engines, whose places have owners */
 	/* What hosts are told in place of the ports above; 0: those. */
 	uint16_t store_front;
 	uint16_t worker_fronts[EDGE_WORKERS_MAX];
-	uint16_t peer_fronts[EDGE_HOSTS_MAX]; /* of all peers, by host told */
+	uint16_t peer_fronts[EDGE_HOSTS_MAX]; /* port of peers, per host */
 } edge_t;
 
 /* Starts all of it and waits until each host is ready, or fails the test. */
@@ -64,7 +64,7 @@
 void edge_configure(const edge_t *edge, uint32_t version, const char *keys,
 		    uint32_t body_bytes_max);
 
-/* The same with so many routes more, of 190 bytes or so each. */
+/* Publishes a configuration with additional routes of about 190 bytes each. */
 void edge_configure_routes(const edge_t *edge, uint32_t version,
 			   const char *keys, uint32_t routes);
 
--- a/test/relay.c
+++ b/test/relay.c
@@ -55,8 +55,8 @@
 	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
 }
 
-/* Waits until the link has carried what came before, and these bytes. */
-static void take_turn(relay_t *relay, int direction, ssize_t length)
+/* Delays the caller so that the direction stays within its rate limit. */
+static void wait_for_capacity(relay_t *relay, int direction, ssize_t length)
 {
 	int64_t now = now_us();
 	int64_t *busy_until = &relay->busy_until_us[direction - 1];
@@ -118,7 +118,7 @@
 		if (!may_pass(relay, direction))
 			break;
 		if (length > 0)
-			take_turn(relay, direction, length);
+			wait_for_capacity(relay, direction, length);
 		if (length <= 0 || !write_all(to, piece, length))
 			break;
 		pthread_mutex_lock(&relay->mutex);
--- a/test/relay.h
+++ b/test/relay.h
@@ -30,7 +30,7 @@
 
 typedef struct relay {
 	uint16_t port; /* to connect to */
-	uint32_t address; /* of both sides, host byte order */
+	uint32_t address; /* of both ports: IPv4, host byte order */
 	uint16_t target;
 	int listen_fd;
 	pthread_t acceptor;
@@ -40,8 +40,9 @@
 	bool dropped;
 	bool stopping;
 	int delay_ms; /* for each piece of bytes, in each direction */
-	uint32_t rate; /* bytes a second in each direction; 0: no limit */
-	int64_t busy_until_us[RELAY_BOTH]; /* by direction */
+	uint32_t rate; /* bytes per second in each direction; 0: unlimited */
+	int64_t busy_until_us
+		[RELAY_BOTH]; /* when each direction is next idle */
 	uint64_t bytes;
 	uint32_t link_count;
 	relay_link_t links[RELAY_LINKS_MAX]; /* of the whole run */
@@ -49,7 +50,10 @@
 
 /* Returns 0, or -1. */
 int relay_init(relay_t *relay, uint16_t target);
-/* Relays address:port, host byte order, to another port of that address. */
+/*
+ * Relays a port of an address (host byte order; port 0: any free one) to the
+ * port target of the same address.
+ */
 int relay_init_at(relay_t *relay, uint32_t address, uint16_t port,
 		  uint16_t target);
 void relay_finish(relay_t *relay);
@@ -58,7 +62,7 @@
 void relay_drop(relay_t *relay);
 void relay_mend(relay_t *relay); /* after a cut or a drop */
 void relay_delay(relay_t *relay, int ms);
-/* Bounds what all connections together carry, as a link does. */
+/* Limits the total rate of all connections in each direction. */
 void relay_rate(relay_t *relay, uint32_t bytes_per_second);
 
 #endif
--- a/test/test_edge_links.c
+++ b/test/test_edge_links.c
@@ -1,6 +1,6 @@
 /*
- * What entry hosts take over when their links are slow or the store is out of
- * their reach: endpoints that leave, and large configurations.
+ * Propagation of endpoint changes and large configurations to entry hosts over
+ * slow links or without access to the store.
  */
 
 #include "edge.h"
@@ -9,13 +9,13 @@
 #include <stdio.h>
 
 enum {
-	DRAIN_MS = 3000, /* an endpoint that leaves gets no request after it */
-	TAKES_EFFECT_MS = 6000,
-	STARTS_MS = 8000,
-	HEARD_MS = 500, /* a change, by hosts whose links are not busy */
-	STORE_AWAY_MS = 3000,
-	SLOW_LINK = 600000, /* bytes a second */
-	ROUTES = 4500, /* of 850 KB together */
+	DRAIN_MS = 3000, /* a draining endpoint gets no requests after this */
+	EFFECT_MS = 6000,
+	START_MS = 8000,
+	PROPAGATION_MS = 500, /* of a change over idle links */
+	STORE_OUTAGE_MS = 3000,
+	SLOW_LINK = 600000, /* bytes per second */
+	ROUTES = 4500, /* about 850 KB in total */
 	KEY_REVOKE_MS = 8000,
 	PEERS_IP = 0x7f000100 /* 127.0.1.0 */
 };
@@ -84,7 +84,7 @@
 	return requests;
 }
 
-/* Sends requests to the host; returns how many reach a worker. */
+/* Sends requests to a host; returns how many of them reach a worker. */
 static long requests_through(uint32_t host)
 {
 	long before = requests_of_workers();
@@ -115,7 +115,7 @@
 	}
 }
 
-/* The last host reaches no store, and its peers over slow links. */
+/* The last host cannot reach the store and reaches its peers over slow links. */
 static void slow_peer_links(void)
 {
 	uint16_t front = process_free_port();
@@ -129,66 +129,67 @@
 		relay_rate(link, SLOW_LINK);
 	}
 	edge.peer_fronts[2] = front;
-	edge.store_front = process_free_port(); /* nobody listens there */
+	edge.store_front = process_free_port(); /* nothing listens on it */
 	restart_host(2);
 }
 
-static void (*const slow_links[])(void) = { slow_store_links, slow_peer_links };
+static void (*const link_setups[])(void) = { slow_store_links,
+					     slow_peer_links };
 
-/* Guards against requests to a leaving endpoint behind a large transfer. */
-START_TEST(a_leaving_endpoint_is_heard_beside_a_large_configuration)
+/* Guards against a large transfer that delays endpoint changes. */
+START_TEST(a_draining_endpoint_gets_no_requests_during_a_large_transfer)
 {
-	slow_links[_i]();
-	ck_assert(edge_wait_health(&edge, 2, 200, STARTS_MS));
+	link_setups[_i]();
+	ck_assert(edge_wait_health(&edge, 2, 200, START_MS));
 	edge_configure_routes(&edge, 5, KEYS, ROUTES);
 	list_workers("draining");
 	process_sleep_ms(DRAIN_MS);
 	ck_assert_int_eq(requests_through(2), 0);
 	list_workers("ready");
-	ck_assert(wait_status(2, EDGE_KEY, 200, TAKES_EFFECT_MS));
+	ck_assert(wait_status(2, EDGE_KEY, 200, EFFECT_MS));
 }
 END_TEST
 
-/* Guards against transfers that are cut before they can end. */
+/* Guards against aborting slow transfers that still make progress. */
 START_TEST(a_large_configuration_takes_effect_over_a_slow_link)
 {
-	slow_links[_i]();
-	ck_assert(edge_wait_health(&edge, 2, 200, STARTS_MS));
+	link_setups[_i]();
+	ck_assert(edge_wait_health(&edge, 2, 200, START_MS));
 	edge_configure_routes(&edge, 5, KEYS, ROUTES);
-	ck_assert(wait_status(2, "later-key", 200, TAKES_EFFECT_MS));
+	ck_assert(wait_status(2, "later-key", 200, EFFECT_MS));
 }
 END_TEST
 
-/* Guards against a restarted host that never learns the configuration. */
+/* Guards against a restarted host that never receives the configuration. */
 START_TEST(a_host_starts_under_a_large_configuration_over_a_slow_link)
 {
 	edge_configure_routes(&edge, 5, KEYS, ROUTES);
-	ck_assert(wait_status(0, "later-key", 200, TAKES_EFFECT_MS));
-	ck_assert(wait_status(1, "later-key", 200, TAKES_EFFECT_MS));
-	slow_links[_i]();
-	ck_assert(edge_wait_health(&edge, 2, 200, STARTS_MS));
-	ck_assert(wait_status(2, "later-key", 200, TAKES_EFFECT_MS));
+	ck_assert(wait_status(0, "later-key", 200, EFFECT_MS));
+	ck_assert(wait_status(1, "later-key", 200, EFFECT_MS));
+	link_setups[_i]();
+	ck_assert(edge_wait_health(&edge, 2, 200, START_MS));
+	ck_assert(wait_status(2, "later-key", 200, EFFECT_MS));
 }
 END_TEST
 
-/* Guards against a grace time for removed endpoints that no outage gave. */
+/* Guards against keeping removed endpoints because of one host's lost link. */
 START_TEST(a_host_without_the_store_drops_removed_endpoints_at_once)
 {
 	ck_assert_int_eq(relay_init(&store_links[2], edge.store.port), 0);
 	edge.store_front = store_links[2].port;
 	restart_host(2);
-	ck_assert(edge_wait_health(&edge, 2, 200, STARTS_MS));
+	ck_assert(edge_wait_health(&edge, 2, 200, START_MS));
 	relay_drop(&store_links[2]);
-	process_sleep_ms(STORE_AWAY_MS);
+	process_sleep_ms(STORE_OUTAGE_MS);
 	remove_workers();
-	process_sleep_ms(HEARD_MS);
-	for (uint32_t i = 0; i < 2; i++) /* owners of slots do not answer */
+	process_sleep_ms(PROPAGATION_MS);
+	for (uint32_t i = 0; i < 2; i++) /* keeps slot owners from answering */
 		process_freeze(&edge.hosts[i].process);
 	ck_assert_int_eq(requests_through(2), 0);
 	for (uint32_t i = 0; i < 2; i++)
 		process_thaw(&edge.hosts[i].process);
 	list_workers("ready");
-	ck_assert(wait_status(2, EDGE_KEY, 200, TAKES_EFFECT_MS));
+	ck_assert(wait_status(2, EDGE_KEY, 200, EFFECT_MS));
 }
 END_TEST
 
@@ -196,20 +197,22 @@
 {
 	Suite *suite = suite_create("edge_links");
 	TCase *tests = tcase_create("three hosts");
-	const int kinds = sizeof(slow_links) / sizeof(slow_links[0]);
+	const int link_setup_count =
+		sizeof(link_setups) / sizeof(link_setups[0]);
 
 	tcase_set_timeout(tests, 60);
 	tcase_add_checked_fixture(tests, setup, teardown);
 	tcase_add_loop_test(
-		tests, a_leaving_endpoint_is_heard_beside_a_large_configuration,
-		0, kinds);
+		tests,
+		a_draining_endpoint_gets_no_requests_during_a_large_transfer, 0,
+		link_setup_count);
 	tcase_add_loop_test(tests,
 			    a_large_configuration_takes_effect_over_a_slow_link,
-			    0, kinds);
+			    0, link_setup_count);
 	tcase_add_loop_test(
 		tests,
 		a_host_starts_under_a_large_configuration_over_a_slow_link, 0,
-		kinds);
+		link_setup_count);
 	tcase_add_test(
 		tests,
 		a_host_without_the_store_drops_removed_endpoints_at_once);
--- a/test/test_roster.c
+++ b/test/test_roster.c
@@ -26,7 +26,8 @@
 	return (roster_note_t){ .address = address,
 				.incarnation = 1,
 				.stamp = stamp,
-				.age = PIMENTO_NEVER };
+				.copies = { { .age = PIMENTO_NEVER },
+					    { .age = PIMENTO_NEVER } } };
 }
 
 /*
@@ -38,30 +39,31 @@
 START_TEST(an_old_note_does_not_make_the_copy_fresh)
 {
 	roster_note_t note = note_of(PEER, 50);
-	pimento_usec_t fresh;
+	pimento_usec_t fresh[MIRROR_KIND_COUNT];
 
 	note.echo = 10 * PIMENTO_SEC; /* our stamp before the freeze */
-	note.age = 200 * PIMENTO_MSEC;
+	note.copies[_i].age = 200 * PIMENTO_MSEC;
 	ck_assert_ptr_nonnull(
-		roster_receive(&roster, &note, 14 * PIMENTO_SEC, &fresh));
-	ck_assert_int_eq(fresh, 10 * PIMENTO_SEC - 200 * PIMENTO_MSEC);
+		roster_receive(&roster, &note, 14 * PIMENTO_SEC, fresh));
+	ck_assert_int_eq(fresh[_i], 10 * PIMENTO_SEC - 200 * PIMENTO_MSEC);
+	ck_assert_int_eq(fresh[!_i], INT64_MIN);
 }
 END_TEST
 
 START_TEST(without_an_echo_nothing_is_known_of_the_age)
 {
 	roster_note_t note = note_of(PEER, 50);
-	pimento_usec_t fresh;
+	pimento_usec_t fresh[MIRROR_KIND_COUNT];
 
-	note.age = 0;
+	note.copies[_i].age = 0;
 	ck_assert_ptr_nonnull(
-		roster_receive(&roster, &note, PIMENTO_SEC, &fresh));
-	ck_assert_int_eq(fresh, INT64_MIN);
+		roster_receive(&roster, &note, PIMENTO_SEC, fresh));
+	ck_assert_int_eq(fresh[_i], INT64_MIN);
 	note.stamp++;
 	note.echo = 2 * PIMENTO_SEC; /* of the future: not ours */
 	ck_assert_ptr_nonnull(
-		roster_receive(&roster, &note, PIMENTO_SEC, &fresh));
-	ck_assert_int_eq(fresh, INT64_MIN);
+		roster_receive(&roster, &note, PIMENTO_SEC, fresh));
+	ck_assert_int_eq(fresh[_i], INT64_MIN);
 }
 END_TEST
 
@@ -69,13 +71,13 @@
 {
 	roster_note_t note = note_of(PEER, 100);
 	roster_note_t earlier = note_of(PEER, 90);
-	pimento_usec_t fresh;
+	pimento_usec_t fresh[MIRROR_KIND_COUNT];
 
-	ck_assert_ptr_nonnull(roster_receive(&roster, &note, 200, &fresh));
-	ck_assert_ptr_null(roster_receive(&roster, &earlier, 201, &fresh));
-	ck_assert_ptr_null(roster_receive(&roster, &note, 202, &fresh));
+	ck_assert_ptr_nonnull(roster_receive(&roster, &note, 200, fresh));
+	ck_assert_ptr_null(roster_receive(&roster, &earlier, 201, fresh));
+	ck_assert_ptr_null(roster_receive(&roster, &note, 202, fresh));
 	earlier.incarnation = 2; /* it has restarted: its clock is another */
-	ck_assert_ptr_nonnull(roster_receive(&roster, &earlier, 203, &fresh));
+	ck_assert_ptr_nonnull(roster_receive(&roster, &earlier, 203, fresh));
 }
 END_TEST
 
@@ -83,11 +85,11 @@
 {
 	roster_note_t note = note_of(PEER, 100);
 	roster_load_t load;
-	pimento_usec_t fresh;
+	pimento_usec_t fresh[MIRROR_KIND_COUNT];
 
 	note.loads[0] = (roster_load_t){ 9, 4, 700 };
 	note.load_count = 1;
-	roster_receive(&roster, &note, PIMENTO_SEC, &fresh);
+	roster_receive(&roster, &note, PIMENTO_SEC, fresh);
 	load = roster_load(&roster, 9, 2 * PIMENTO_SEC);
 	ck_assert_uint_eq(load.running, 4);
 	ck_assert_uint_eq(load.reading, 700);
@@ -104,7 +106,7 @@
 {
 	roster_peer_t *targets[8];
 	roster_note_t note = note_of(PEER, 100);
-	pimento_usec_t fresh;
+	pimento_usec_t fresh[MIRROR_KIND_COUNT];
 
 	for (uint32_t seed = 10; seed < 13; seed++)
 		ck_assert_int_eq(roster_add(&roster, seed, true, 0), 0);
@@ -112,7 +114,7 @@
 	ck_assert_uint_eq(roster_targets(&roster, PIMENTO_SEC, 8, targets), 3);
 	note.members[0] = 20;
 	note.member_count = 1;
-	roster_receive(&roster, &note, PIMENTO_SEC, &fresh);
+	roster_receive(&roster, &note, PIMENTO_SEC, fresh);
 	ck_assert_uint_eq(roster_targets(&roster, PIMENTO_SEC, 8, targets), 5);
 }
 END_TEST
@@ -120,10 +122,10 @@
 START_TEST(a_host_that_is_gone_is_forgotten_but_a_seed_is_not)
 {
 	roster_peer_t *targets[8];
-	pimento_usec_t fresh;
+	pimento_usec_t fresh[MIRROR_KIND_COUNT];
 	roster_note_t note = note_of(PEER, 100);
 
-	roster_receive(&roster, &note, PIMENTO_SEC, &fresh);
+	roster_receive(&roster, &note, PIMENTO_SEC, fresh);
 	ck_assert_int_eq(roster_add(&roster, 10, true, 0), 0);
 	ck_assert_uint_eq(roster_hosts(&roster, 2 * PIMENTO_SEC), 3);
 	roster_targets(&roster, 90 * PIMENTO_SEC, 8, targets);
@@ -138,13 +140,13 @@
 	enum { HOSTS = 60, ROUNDS = 50 };
 	pimento_usec_t now = PIMENTO_SEC;
 	uint32_t joined = 0;
-	pimento_usec_t fresh;
+	pimento_usec_t fresh[MIRROR_KIND_COUNT];
 
 	for (uint32_t i = 2; i < HOSTS; i++) {
 		roster_note_t note = note_of(i, 100);
 
 		note.reader = i < 2 + ROSTER_READERS;
-		roster_receive(&roster, &note, now, &fresh);
+		roster_receive(&roster, &note, now, fresh);
 	}
 	for (uint64_t draw = 0; draw < ROUNDS; draw++)
 		joined += roster_should_read(&roster, false, draw, now);
@@ -177,8 +179,11 @@
 	int length;
 
 	note.echo = 99;
-	note.age = 1500 * PIMENTO_MSEC;
-	note.revision = 1u << 20;
+	for (uint32_t kind = 0; kind < MIRROR_KIND_COUNT; kind++)
+		note.copies[kind] = (roster_copy_t){
+			(1u << 20) + kind,
+			(1500 + kind) * PIMENTO_MSEC,
+		};
 	note.reader = true;
 	note.load_count = ROSTER_LOADS_MAX;
 	note.use_count = ROSTER_USES_MAX;
@@ -205,8 +210,12 @@
 	ck_assert_double_eq(read.uses[3].asked, 3e4 + 3);
 	ck_assert_int_eq(read.uses[3].age, DAY);
 	ck_assert_uint_eq(read.owned[15].word.gap_us, 150000);
-	ck_assert_int_ge(read.age, note.age); /* never younger */
-	ck_assert_uint_eq(read.revision, note.revision);
+	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
+		ck_assert_int_ge(read.copies[kind].age,
+				 note.copies[kind].age); /* never younger */
+		ck_assert_uint_eq(read.copies[kind].revision,
+				  note.copies[kind].revision);
+	}
 	ck_assert(read.reader);
 	ck_assert_int_eq(packet_unpack(&packet, bytes, (size_t)length - 1),
 			 PIMENTO_EPARSE);
@@ -221,8 +230,10 @@
 	int failed;
 
 	tcase_add_checked_fixture(tests, setup, teardown);
-	tcase_add_test(tests, an_old_note_does_not_make_the_copy_fresh);
-	tcase_add_test(tests, without_an_echo_nothing_is_known_of_the_age);
+	tcase_add_loop_test(tests, an_old_note_does_not_make_the_copy_fresh, 0,
+			    MIRROR_KIND_COUNT);
+	tcase_add_loop_test(tests, without_an_echo_nothing_is_known_of_the_age,
+			    0, MIRROR_KIND_COUNT);
 	tcase_add_test(tests, notes_that_overtake_each_other_do_no_harm);
 	tcase_add_test(tests, loads_of_silent_peers_are_not_believed);
 	tcase_add_test(tests, seeds_lead_to_the_others);
--- a/test/test_slots.c
+++ b/test/test_slots.c
@@ -22,10 +22,11 @@
 		roster_note_t note = { .address = address,
 				       .incarnation = 1,
 				       .stamp = now,
-				       .age = PIMENTO_NEVER };
-		pimento_usec_t fresh;
+				       .copies = { { .age = PIMENTO_NEVER },
+						   { .age = PIMENTO_NEVER } } };
+		pimento_usec_t fresh[MIRROR_KIND_COUNT];
 
-		roster_receive(&roster, &note, now, &fresh);
+		roster_receive(&roster, &note, now, fresh);
 	}
 }
 
--- /dev/null
+++ b/test/test_snapshot.c
@@ -0,0 +1,252 @@
+/* Exchange of records between the copies of two hosts. */
+
+#include "snapshot.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { LARGE_BYTES = 400000 };
+
+static mirror_t source;
+static mirror_t target;
+static uint32_t changes; /* applied to the target copy */
+
+static void count(void *context, const mirror_record_t *record)
+{
+	(void)context;
+	(void)record;
+	changes++;
+}
+
+static void ignore(void *context, const mirror_record_t *record)
+{
+	(void)context;
+	(void)record;
+}
+
+static void setup(void)
+{
+	changes = 0;
+	mirror_init(&source, ignore, NULL);
+	mirror_init(&target, count, NULL);
+}
+
+static void teardown(void)
+{
+	mirror_finish(&source);
+	mirror_finish(&target);
+}
+
+static void put(mirror_t *mirror, const char *key, const char *value,
+		uint64_t revision)
+{
+	ck_assert_int_eq(mirror_put(mirror, key, value,
+				    value ? strlen(value) : 0, revision),
+			 0);
+}
+
+static const char *value_of(const mirror_t *mirror, const char *key)
+{
+	for (uint32_t i = 0; i < mirror->count; i++)
+		if (!strcmp(mirror->records[i].key, key))
+			return mirror->records[i].value;
+	return NULL;
+}
+
+/* Returns the result of snapshot_apply(); sets length to the encoded size. */
+static int transfer(size_t *length)
+{
+	uint8_t *bytes;
+	int result;
+
+	ck_assert_int_eq(
+		snapshot_pack(&source, target.revision, &bytes, length), 0);
+	result = snapshot_apply(&target, bytes, *length);
+	free(bytes);
+	return result;
+}
+
+/* Returns a text whose compression ratio is similar to that of routes. */
+static char *large_text(void)
+{
+	char *text = malloc(LARGE_BYTES + 1);
+	uint32_t state = 1;
+
+	ck_assert_ptr_nonnull(text);
+	for (uint32_t i = 0; i < LARGE_BYTES; i++) {
+		state = state * 1664525u + 1013904223u;
+		text[i] = (char)(i % 8 ? 'a' + i % 8 : 'a' + (state >> 28));
+	}
+	text[LARGE_BYTES] = '\0';
+	return text;
+}
+
+/* Guards against sending all records for each change. */
+START_TEST(only_changes_are_sent)
+{
+	char *large = large_text();
+	size_t length;
+
+	put(&source, "config", large, 1);
+	put(&source, "a", "here", 2);
+	ck_assert_int_eq(transfer(&length), 2);
+	ck_assert_str_eq(value_of(&target, "config"), large);
+	ck_assert_uint_lt(length, LARGE_BYTES / 2);
+	put(&source, "a", "leaving", 3);
+	ck_assert_int_eq(transfer(&length), 1);
+	ck_assert_uint_lt(length, 100);
+	ck_assert_str_eq(value_of(&target, "a"), "leaving");
+	ck_assert_uint_eq(target.revision, 3);
+	ck_assert_uint_eq(changes, 3);
+	free(large);
+}
+END_TEST
+
+/* Guards against losing a record whose value is empty. */
+START_TEST(an_empty_value_is_not_a_removal)
+{
+	size_t length;
+
+	put(&source, "a", "", 1);
+	ck_assert_int_eq(transfer(&length), 1);
+	ck_assert_str_eq(value_of(&target, "a"), "");
+}
+END_TEST
+
+/* Guards against restoring removed endpoints from a peer's snapshot. */
+START_TEST(removals_are_sent)
+{
+	size_t length;
+
+	put(&source, "a", "1", 1);
+	put(&source, "b", "1", 2);
+	transfer(&length);
+	put(&source, "a", NULL, 3);
+	ck_assert_int_eq(transfer(&length), 1);
+	ck_assert_ptr_null(value_of(&target, "a"));
+	ck_assert_str_eq(value_of(&target, "b"), "1");
+}
+END_TEST
+
+static const struct {
+	uint64_t held; /* revision of the target copy */
+	bool kept; /* the record missing from the listing */
+} listing_cases[] = {
+	{ 3, false }, /* removals before the listing are unknown */
+	{ 7, true }, /* up to date with the listing's removals */
+};
+
+/* Guards against keeping a record whose removal the sender did not observe. */
+START_TEST(a_copy_older_than_the_senders_listing_gets_all_records)
+{
+	size_t length;
+
+	put(&target, "a", "1", listing_cases[_i].held);
+	mirror_list_begin(&source);
+	put(&source, "b", "1", 5);
+	ck_assert_int_eq(mirror_list_end(&source, 7), 0);
+	put(&source, "c", "1", 8);
+	ck_assert_int_gt(transfer(&length), 0);
+	ck_assert_uint_eq(target.revision, 8);
+	ck_assert_int_eq(value_of(&target, "a") != NULL,
+			 listing_cases[_i].kept);
+	ck_assert_int_eq(value_of(&target, "b") != NULL,
+			 !listing_cases[_i].kept);
+	ck_assert_str_eq(value_of(&target, "c"), "1");
+}
+END_TEST
+
+/* Guards against sending a record without the changes that precede it. */
+START_TEST(records_beyond_the_complete_revision_are_not_sent)
+{
+	size_t length;
+
+	mirror_list_begin(&source);
+	put(&source, "a", "1", 2);
+	put(&source, "b", "1", 9);
+	ck_assert_int_eq(mirror_list_end(&source, 4), 0);
+	ck_assert_int_eq(transfer(&length), 1);
+	ck_assert_uint_eq(target.revision, 4);
+	ck_assert_ptr_null(value_of(&target, "b"));
+}
+END_TEST
+
+/* Guards against removing newer records because an older snapshot lacks them. */
+START_TEST(a_snapshot_that_is_not_newer_changes_nothing)
+{
+	size_t length;
+
+	put(&source, "a", "1", 4);
+	put(&target, "b", "1", 4);
+	ck_assert_int_ge(transfer(&length), 0);
+	ck_assert_str_eq(value_of(&target, "b"), "1");
+	ck_assert_ptr_null(value_of(&target, "a"));
+}
+END_TEST
+
+/* Guards against treating a corrupt snapshot as complete. */
+START_TEST(a_damaged_snapshot_leaves_the_copy_incomplete)
+{
+	char *large = large_text();
+	uint8_t *bytes;
+	size_t length;
+
+	put(&source, "a", "1", 1);
+	put(&source, "config", large, 2);
+	ck_assert_int_eq(snapshot_pack(&source, 0, &bytes, &length), 0);
+	bytes[length / 2] ^= 0x55;
+	ck_assert_int_lt(snapshot_apply(&target, bytes, length), 0);
+	ck_assert_uint_eq(target.revision, 0);
+	ck_assert_int_lt(snapshot_apply(&target, bytes, length / 2), 0);
+	free(bytes);
+	ck_assert_int_gt(transfer(&length), 0);
+	ck_assert_str_eq(value_of(&target, "config"), large);
+	free(large);
+}
+END_TEST
+
+/* Guards against compressing a received value a second time. */
+START_TEST(a_compressed_value_is_forwarded_unchanged)
+{
+	char *large = large_text();
+	size_t length;
+
+	put(&source, "config", large, 1);
+	transfer(&length);
+	ck_assert_ptr_nonnull(target.records[0].compressed);
+	ck_assert_uint_eq(target.records[0].compressed_length,
+			  source.records[0].compressed_length);
+	put(&target, "config", "small", 2);
+	ck_assert_ptr_null(target.records[0].compressed);
+	free(large);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("snapshot");
+	TCase *tests = tcase_create("all");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_add_test(tests, only_changes_are_sent);
+	tcase_add_test(tests, an_empty_value_is_not_a_removal);
+	tcase_add_test(tests, removals_are_sent);
+	tcase_add_loop_test(
+		tests, a_copy_older_than_the_senders_listing_gets_all_records,
+		0, sizeof(listing_cases) / sizeof(listing_cases[0]));
+	tcase_add_test(tests,
+		       records_beyond_the_complete_revision_are_not_sent);
+	tcase_add_test(tests, a_snapshot_that_is_not_newer_changes_nothing);
+	tcase_add_test(tests, a_damaged_snapshot_leaves_the_copy_incomplete);
+	tcase_add_test(tests, a_compressed_value_is_forwarded_unchanged);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
