quota: limit a restarted host to its share of an account

Usage per quarter of a second was 0.03M before the hosts were back, then 3.37M and 1.53M. Each host relied on the view that it had started with or taken over from a survivor, and admitted what that view left free before it received the admissions of the 82 others. At that moment, callers that had waited for the hosts requested five million tokens.

For two rounds of notes after an account's first request, a restarted host now admits only from its share, whatever its view holds. This applies to every account while the host is still discovering peers (roster_is_discovering), and afterwards to accounts whose demand exceeds the drain rate. The share starts with a 64th of the bucket and does not grow during discovery. An account first requested more than a window after the host's first request or peer report is not limited.

--- a/io/mesh.c
+++ b/io/mesh.c
@@ -383,6 +383,7 @@
 	mesh->quota->hear_every =
 		TICK * (1 + mesh->roster->count / MESH_TARGETS);
 	mesh->quota->hosts = roster_hosts(mesh->roster, now);
+	mesh->quota->discovering = roster_is_discovering(mesh->roster, now);
 	slots_tick(mesh->slots, now);
 	send_notes(mesh, now);
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
@@ -431,6 +432,7 @@
 	mesh->mirrors = setup->mirrors;
 	mesh->directory = setup->directory;
 	mesh->quota = setup->quota;
+	mesh->quota->discovering = true;
 	mesh->slots = setup->slots;
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
 		mesh->fetches[kind].mesh = mesh;
--- a/src/quota.c
+++ b/src/quota.c
@@ -61,6 +61,13 @@
 #define SILENT_LEAST (1 * PIMENTO_SEC)
 /* Longer than this it is gone, not cut off. */
 #define GONE (20 * PIMENTO_SEC)
+/*
+ * A restarted host is limited to its share of an account for this multiple of
+ * hear_every, counted from the account's first request.
+ */
+#define RESTART_TURNS 2
+/* Part of the bucket that the share holds at that first request. */
+#define RESTART_PART (1.0 / 64)
 /* Weight of a new sample of a peer's rate. */
 #define RATE_WEIGHT 0.5
 
@@ -141,11 +148,19 @@
 		  pimento_usec_t now)
 {
 	double unknown = room(rate) * UNKNOWN_PART;
+	bool after_restart =
+		!quota->first_start && now - quota->started_at <= quota->window;
 	bool known = quota->first_start ||
 		     (use->since && now - use->since > quota->window);
 
 	if (!known && use->level < unknown)
 		use->level = unknown;
+	if (after_restart) {
+		use->share.credit = room(rate) * RESTART_PART;
+		use->share.filled_at = now;
+	}
+	use->after_restart = after_restart;
+	use->begun_at = now;
 	if (!use->since)
 		use->since = now;
 	use->begun = true;
@@ -221,18 +236,38 @@
 	return drains * (1 + off) * quota_share_asked(&use->share, now) / all;
 }
 
+/*
+ * Prevents hosts that restart together from each admitting all the free tokens
+ * in their own view before they receive each other's admissions.
+ */
+static bool limited_to_share(const quota_t *quota, const quota_usage_t *use,
+			     pimento_usec_t now)
+{
+	if (!use->after_restart ||
+	    now - use->begun_at >= quota->hear_every * RESTART_TURNS)
+		return false;
+	return quota->discovering ||
+	       asked_of_all(quota, use, now) > draining(quota, use->rate);
+}
+
 static bool fits(const quota_t *quota, quota_usage_t *use, double level,
 		 uint32_t tier, double tokens, pimento_usec_t now)
 {
 	double most = room(use->rate);
 	double kept;
 
-	quota_share_fill(&use->share, fair_rate(quota, use, level, now), now);
+	/* the share does not grow while the host count may be too low */
+	if (quota->discovering && use->after_restart)
+		use->share.filled_at = now;
+	else
+		quota_share_fill(&use->share, fair_rate(quota, use, level, now),
+				 now);
 	kept = KEPT_PART * quota_share_reserved(&use->share, tier, tokens, now);
 	/* one that is larger than the whole bucket waits for an empty one */
 	if (level > 0 && level + tokens > most * (1 - kept))
 		return false;
-	return level <= SCARCE_PART * most ||
+	return (level <= SCARCE_PART * most &&
+		!limited_to_share(quota, use, now)) ||
 	       quota_share_spend(&use->share, tier, tokens, now);
 }
 
@@ -244,6 +279,8 @@
 
 	if (!use)
 		return PIMENTO_ENOMEM;
+	if (!quota->started_at)
+		quota->started_at = now;
 	use->rate = rate;
 	if (!use->begun)
 		begin(quota, use, rate, now);
@@ -393,6 +430,8 @@
 
 	if (!peer)
 		return PIMENTO_ENOMEM;
+	if (!quota->started_at)
+		quota->started_at = now;
 	if (use->begun)
 		drain(quota, use, now);
 	else
--- a/src/quota.h
+++ b/src/quota.h
@@ -41,6 +41,8 @@
 	double admitted; /* tokens, by this host since its start */
 	double level; /* tokens in the bucket */
 	bool begun; /* it was settled once */
+	bool after_restart; /* it began within a window of a restart */
+	pimento_usec_t begun_at; /* first request to this host */
 	pimento_usec_t since; /* the view holds what was used since; 0 none */
 	bool taken_over; /* from a peer that has known for longer */
 	pimento_usec_t followed_at; /* last took a peer's view for its own */
@@ -53,8 +55,10 @@
 typedef struct quota {
 	bool first_start; /* nothing can have been used before this host */
 	pimento_usec_t window; /* that the operator counts in */
+	pimento_usec_t started_at; /* first request or peer report; 0 none */
 	pimento_usec_t hear_every; /* how often a peer is usually heard */
 	uint32_t hosts; /* that are heard, this one too */
+	bool discovering; /* hosts may be too low to compute a share */
 	quota_usage_t *uses;
 	uint32_t count;
 } quota_t;
--- a/src/roster.c
+++ b/src/roster.c
@@ -17,6 +17,9 @@
 #define QUIET (5 * PIMENTO_SEC)
 /* A host that never answered, or was silent as long, is dropped. */
 #define FORGOTTEN (60 * PIMENTO_SEC)
+/* Discovery ends after DISCOVERY_MOST, or DISCOVERY_IDLE without a new peer. */
+#define DISCOVERY_MOST (5 * PIMENTO_SEC)
+#define DISCOVERY_IDLE (200 * PIMENTO_MSEC)
 /* Quiet hosts are written to in one of so many turns. */
 #define QUIET_TURNS 8
 
@@ -62,6 +65,9 @@
 		return NULL;
 	peer->address = address;
 	peer->added_at = now;
+	roster->last_added_at = now;
+	if (!roster->started_at)
+		roster->started_at = now;
 	grown[roster->count++] = peer;
 	return peer;
 }
@@ -196,6 +202,12 @@
 	return hosts;
 }
 
+bool roster_is_discovering(const roster_t *roster, pimento_usec_t now)
+{
+	return now - roster->started_at < DISCOVERY_MOST &&
+	       now - roster->last_added_at < DISCOVERY_IDLE;
+}
+
 bool roster_believed(const roster_peer_t *peer, pimento_usec_t now)
 {
 	return peer->heard && now - peer->heard_at < BELIEVED;
--- a/src/roster.h
+++ b/src/roster.h
@@ -77,6 +77,8 @@
 	uint32_t self;
 	roster_peer_t **peers;
 	uint32_t count;
+	pimento_usec_t started_at; /* when the first peer was added; 0 none */
+	pimento_usec_t last_added_at; /* when the newest peer was added */
 	uint32_t turn; /* of those to be written to */
 	uint32_t member_turn; /* of those to be passed on */
 } roster_t;
@@ -108,6 +110,12 @@
 /* Hosts that share limits, this one included: heard of within a minute. */
 uint32_t roster_hosts(const roster_t *roster, pimento_usec_t now);
 
+/*
+ * True while a recently started host is still adding peers, so that its host
+ * count may be too low.
+ */
+bool roster_is_discovering(const roster_t *roster, pimento_usec_t now);
+
 /* True if the peer has been heard lately enough to believe its counts. */
 bool roster_believed(const roster_peer_t *peer, pimento_usec_t now);
 
--- a/test/test_roster.c
+++ b/test/test_roster.c
@@ -222,6 +222,32 @@
 }
 END_TEST
 
+static const struct {
+	const char *name;
+	int second_peer_ms; /* time it is added; the first is added at 1000 */
+	int now_ms;
+	bool discovering;
+} discovery_cases[] = {
+	{ "just started", 1100, 1200, true },
+	{ "no more peers", 1100, 1500, false },
+	{ "still more peers", 1900, 2000, true },
+	{ "a peer added long after the start", 60000, 60100, false },
+};
+
+/* Guards against shares computed from an incomplete host count. */
+START_TEST(discovery_ends_when_no_more_peers_are_added)
+{
+	roster_add(&roster, 10, true, 1000 * PIMENTO_MSEC);
+	roster_add(&roster, 11, false,
+		   discovery_cases[_i].second_peer_ms * PIMENTO_MSEC);
+	ck_assert_msg(
+		roster_is_discovering(&roster, discovery_cases[_i].now_ms *
+						       PIMENTO_MSEC) ==
+			discovery_cases[_i].discovering,
+		"%s", discovery_cases[_i].name);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("roster");
@@ -242,6 +268,9 @@
 	tcase_add_test(tests, enough_hosts_read_the_store_and_not_all);
 	tcase_add_test(tests, with_few_hosts_all_read);
 	tcase_add_test(tests, a_note_survives_its_encoding);
+	tcase_add_loop_test(
+		tests, discovery_ends_when_no_more_peers_are_added, 0,
+		sizeof(discovery_cases) / sizeof(discovery_cases[0]));
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
