--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -40,10 +40,11 @@
 #define KEY_MARGIN (400 * PIMENTO_MSEC)
 
 /*
- * A copy that is older than this, half of what keys are honoured for, is not
- * left to peers any more.
+ * A copy older than this part of what keys are honoured for is not left to
+ * peers any more.
  */
-#define READ_AGE (2500 * PIMENTO_MSEC)
+#define READ_AGE_PART 0.6
+#define READ_AGE_SPREAD 0.1
 
 /*
  * After SIGTERM callers are served as before until the balancer has surely
@@ -253,6 +254,32 @@
 
 /* Time passes. */
 
+/*
+ * Age at which this host reads for itself, chosen or not. Hosts differ a
+ * little: what the first ones read reaches the others before their turn.
+ */
+static pimento_usec_t read_age(const edge_t *edge)
+{
+	double lease = (double)edge->gateway.bounds.key_lease;
+	double part = (double)(edge->roster.self * 2654435761u) / UINT32_MAX;
+
+	return (pimento_usec_t)(lease *
+				(READ_AGE_PART + READ_AGE_SPREAD * part));
+}
+
+static void log_reading(const edge_t *edge, const store_t *store, bool active)
+{
+	pimento_usec_t age = mirror_age(store->mirror, sys_now());
+
+	if (active == store->active)
+		return;
+	trail(TRAIL_STATE, "store", active ? "reads" : "rests",
+	      "collection=%s chosen=%d copy_age_ms=%lld readers=%u",
+	      store->name, edge->reader,
+	      age == PIMENTO_NEVER ? -1 : (long long)(age / PIMENTO_MSEC),
+	      edge->roster.reader_count);
+}
+
 /*
  * Leaves reading the store to peers where enough of them do. What they read
  * comes with their notes; when it grows old this host reads for itself.
@@ -262,16 +289,20 @@
 	feed_t *feed = &edge->feed;
 	uint32_t hosts = roster_hosts(&edge->roster, now);
 	bool well = feed_is_well(feed);
-	bool read = roster_should_read(&edge->roster, edge->reader,
-				       sys_random(), now);
 
-	edge->reader = read;
+	/* a host that knows few peers yet would take itself for needed */
+	edge->reader = !roster_is_discovering(&edge->roster, now) &&
+		       roster_should_read(&edge->roster, edge->reader,
+					  sys_random(), now);
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
-		bool old = mirror_age(&feed->mirrors[kind], now) > READ_AGE;
+		store_t *store = &feed->stores[kind];
+		bool old = mirror_age(store->mirror, now) > read_age(edge);
 
-		store_set_active(&feed->stores[kind], read || old, hosts);
+		log_reading(edge, store, edge->reader || old);
+		store_set_active(store, edge->reader || old,
+				 edge->reader ? 0 : hosts);
 	}
-	edge->mesh.reader = well && read;
+	edge->mesh.reader = well && edge->reader;
 }
 
 /* True when nothing is left to do, or time is up. */
@@ -297,6 +328,7 @@
 	(void)events;
 	feed_tick(&edge->feed, now);
 	gateway_tick(&edge->gateway, now);
+	mesh_probe(&edge->mesh, now);
 	if (edge->ticks % MESH_TICKS == 0) {
 		share_reading(edge, now);
 		mesh_tick(&edge->mesh, now);
@@ -322,6 +354,7 @@
 		return; /* one stop is enough */
 	edge->stopping = sys_now();
 	gateway_stop(&edge->gateway, edge->stopping + NOTICE);
+	roster_leave(&edge->roster, edge->stopping);
 	trail(TRAIL_STATE, "edge", "stopping", "pending=%u seconds=%.1f",
 	      gateway_pending(&edge->gateway), edge->settings.stop_seconds);
 }
@@ -347,6 +380,14 @@
 	gateway_replied(&edge->gateway, reply);
 }
 
+static void on_send_quota(void *context, uint32_t address,
+			  const quota_message_t *message)
+{
+	edge_t *edge = context;
+
+	mesh_send_quota(&edge->mesh, address, message);
+}
+
 static const feed_ops_t feed_ops = { .configuration = on_configuration };
 
 /* Start and end. */
@@ -390,6 +431,8 @@
 		.roster = &edge->roster,
 		.mirror = &edge->feed.mirrors[MIRROR_CONFIGURATION],
 		.slots = &edge->slots,
+		.send_quota = on_send_quota,
+		.send_context = edge,
 	};
 
 	if (edge->settings.descriptors < 2 * DESCRIPTORS_KEPT)
@@ -432,7 +475,8 @@
 	if (!edge->loop)
 		return PIMENTO_EIO;
 	directory_init(&edge->directory);
-	roster_init(&edge->roster, self);
+	if (!error)
+		error = roster_init(&edge->roster, self, sys_random());
 	slots_init(&edge->slots, &edge->directory, &edge->roster, self);
 	edge->slots.replied = on_replied;
 	edge->slots.context = edge;
@@ -510,7 +554,6 @@
 	int option;
 	int status;
 
-	edge.reader = true;
 	edge.path = getenv(SETTINGS_VARIABLE);
 	while ((option = getopt_long(argc, argv, "c:thV", options, NULL)) !=
 	       -1) {
--- a/io/arrival.c
+++ b/io/arrival.c
@@ -196,22 +196,6 @@
 	set_ends(x);
 }
 
-static int admit(exchange_t *x, pimento_usec_t now)
-{
-	quota_limit_t rate;
-
-	if (!x->account)
-		return 0;
-	rate.per_second = x->account->tokens_per_second;
-	rate.burst = x->account->burst;
-	x->tokens = x->call.sized ? x->call.prompt + x->call.answer
-				  : x->account->plain_tokens;
-	if (x->account->by_request)
-		x->tokens = 1;
-	return quota_admit(&x->gateway->quota, x->account->key, rate,
-			   x->route->tier, x->tokens, now);
-}
-
 static exchange_t *exchange_new(gateway_t *gateway, httpd_conn_t *caller)
 {
 	exchange_t *x = calloc(1, sizeof(*x));
@@ -247,21 +231,23 @@
 	free(x);
 }
 
-static void start(exchange_t *x, pimento_usec_t now)
+static void start(exchange_t *x)
 {
-	gateway_t *gateway = x->gateway;
-
 	fill(x);
 	link_in(x);
-	if (!x->service) {
+	if (x->service)
+		admission_begin(x);
+	else
 		exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, "memory");
-		return;
-	}
-	if (admit(x, now)) {
-		exchange_over_quota(x);
-		return;
-	}
-	retry_budget_request(&x->service->budget, &gateway->bounds.retry, now);
+}
+
+void arrival_admitted(exchange_t *x)
+{
+	gateway_t *gateway = x->gateway;
+
+	x->state = EXCHANGE_WAITING;
+	retry_budget_request(&x->service->budget, &gateway->bounds.retry,
+			     sys_now());
 	set_wait(x);
 	wait_queue_push(&x->service->line, &x->wait);
 	placing_pump(gateway, x->service);
@@ -293,7 +279,7 @@
 		turn_away(gateway, caller, &call, &judgement);
 		return;
 	}
-	start(x, now);
+	start(x);
 }
 
 void arrival_gone(httpd_conn_t *caller)
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -349,6 +349,8 @@
 
 bool dispatch_sweep(exchange_t *x, pimento_usec_t now)
 {
+	if (x->state == EXCHANGE_ADMITTING)
+		return false;
 	if (x->state == EXCHANGE_WAITING)
 		return placing_sweep(x, now);
 	if (x->state == EXCHANGE_CONNECTING &&
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -9,6 +9,7 @@
 #include "sys.h"
 #include "trail.h"
 
+#include <arpa/inet.h>
 #include <stdlib.h>
 
 const char *gateway_outcome_name(gateway_outcome_t outcome)
@@ -83,6 +84,7 @@
 			      x->sent_at - x->arrived);
 	if (x->state == EXCHANGE_WAITING && service)
 		wait_queue_remove(&service->line, &x->wait);
+	admission_abandon(x);
 	dispatch_abandon(x);
 	placing_leave_lines(x);
 	if (x->caller)
@@ -142,8 +144,7 @@
 		exchange_cut(x, why);
 		return;
 	}
-	if (x->account)
-		quota_refund(&gateway->quota, x->account->key, x->tokens);
+	admission_refund(x);
 	exchange_retry_after(gateway, part(x, status, GATEWAY_REFUSED, why),
 			     status, wait);
 }
@@ -171,20 +172,22 @@
 	httpd_abort(part(x, x->status, GATEWAY_CUT, why));
 }
 
-void exchange_over_quota(exchange_t *x)
+void exchange_over_quota(exchange_t *x, const quota_verdict_t *verdict)
 {
 	const int status = HTTP_STATUS_TOO_MANY_REQUESTS;
+	const struct in_addr judge = { htonl(verdict->judge) };
+	pimento_usec_t wait = verdict->retry_after;
 	gateway_t *gateway = x->gateway;
-	quota_limit_t rate = { .per_second = x->account->tokens_per_second,
-			       .burst = x->account->burst };
-	pimento_usec_t wait = quota_retry_after(
-		&gateway->quota, x->account->key, rate, x->tokens);
+	char text[INET_ADDRSTRLEN] = "";
 	httpd_conn_t *caller;
 
+	inet_ntop(AF_INET, &judge, text, sizeof(text));
 	trail(TRAIL_FAILURE, "quota", "over",
-	      "id=%s account=%s tokens=%.0f rate=%.0f burst=%.0f level=%.0f",
-	      x->call.id, x->account->name, x->tokens, rate.per_second,
-	      rate.burst, quota_level(&gateway->quota, x->account->key));
+	      "id=%s account=%s tokens=%.0f rate=%.0f burst=%.0f level=%.0f "
+	      "judge=%s retry_after_ms=%lld",
+	      x->call.id, x->account->name, x->tokens,
+	      x->account->tokens_per_second, x->account->burst, verdict->level,
+	      verdict->judge ? text : "self_alone", (long long)msec(wait));
 	x->service = NULL; /* it never waited */
 	caller = part(x, status, GATEWAY_OVER_QUOTA, "quota");
 	exchange_retry_after(gateway, caller, status, wait);
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -9,6 +9,7 @@
 #include "gateway.h"
 
 typedef enum exchange_state {
+	EXCHANGE_ADMITTING, /* the owner of its account is asked */
 	EXCHANGE_WAITING, /* for a place */
 	EXCHANGE_CONNECTING, /* nothing has been sent */
 	EXCHANGE_SENT, /* may run; no answer yet */
@@ -35,6 +36,9 @@
 	const catalog_account_t *account; /* NULL: none */
 	dialect_call_t call;
 	double tokens; /* counted against the quota */
+	uint64_t quota_ticket; /* of the ask under way; 0 none */
+	bool counted; /* it was admitted, */
+	uint32_t quota_judge; /* by this host; 0: this one's own part */
 	uint64_t draw;
 	pimento_usec_t arrived; /* its first byte */
 	pimento_usec_t spent; /* by earlier attempts of its caller */
@@ -92,10 +96,24 @@
 gateway_service_t *gateway_service(gateway_t *gateway, pimento_id_t key);
 uint64_t gateway_draw(gateway_t *gateway);
 
+/* admission.c */
+void admission_init(gateway_t *gateway, const gateway_setup_t *setup);
+/*
+ * Asks whether the request is within its account's quota, if it has one; then
+ * it goes on, or is refused and gone.
+ */
+void admission_begin(exchange_t *exchange);
+/* The exchange ends: the ask is cancelled. */
+void admission_abandon(exchange_t *exchange);
+/* It has not run: its tokens are given back. */
+void admission_refund(exchange_t *exchange);
+
 /* arrival.c: what the callers' side of the server tells. */
 void arrival_request(httpd_conn_t *caller);
 void arrival_gone(httpd_conn_t *caller);
 void arrival_written(httpd_conn_t *caller);
+/* The request is within its quota: it waits for a slot. */
+void arrival_admitted(exchange_t *exchange);
 
 /*
  * exchange.c: each of these ends an exchange and frees it. The first two answer
@@ -104,7 +122,7 @@
  */
 void exchange_refuse(exchange_t *exchange, int status, const char *why);
 void exchange_fail(exchange_t *exchange, int status, const char *why);
-void exchange_over_quota(exchange_t *exchange);
+void exchange_over_quota(exchange_t *exchange, const quota_verdict_t *verdict);
 /* Its answer is whole; returns the caller, to whom its end is still owed. */
 httpd_conn_t *exchange_served(exchange_t *exchange);
 /* Breaks an answer off that has begun. */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -14,6 +14,8 @@
 /* Weight of the last second in the rate of answers. */
 #define RATE_WEIGHT 0.3
 #define TICKS_A_SECOND 20.0
+/* Notes come at most this often, in ticks. */
+#define PEER_TICKS 2
 
 /* Without a limit stated by the operator. */
 #define HEAD_BYTES_DEFAULT 16384
@@ -73,6 +75,7 @@
 	const char *why = x->end_is_timeout ? "route_timeout" : "deadline";
 
 	switch (x->state) {
+	case EXCHANGE_ADMITTING:
 	case EXCHANGE_WAITING:
 	case EXCHANGE_CONNECTING:
 		if (x->runs)
@@ -157,7 +160,8 @@
 void gateway_tick(gateway_t *gateway, pimento_usec_t now)
 {
 	open_when_able(gateway, now);
-	add_up_peers(gateway, now);
+	if (gateway->ticks++ % PEER_TICKS == 0)
+		add_up_peers(gateway, now);
 	while (sweep_one(gateway, now))
 		;
 	for (uint32_t i = 0; i < gateway->service_count; i++)
@@ -222,8 +226,9 @@
 	gateway->mirror = setup->mirror;
 	gateway->slots = setup->slots;
 	gateway->draws = sys_random();
-	quota_init(&gateway->quota, setup->bounds.quota_window,
-		   setup->first_start);
+	gateway->send_quota = setup->send_quota;
+	gateway->send_context = setup->send_context;
+	admission_init(gateway, setup);
 	dispatch_init(gateway);
 	error = httpd_init(&gateway->front, setup->loop, &setup->listen,
 			   &gateway->callers, &limits);
@@ -243,7 +248,7 @@
 		free(gateway->services[i]);
 	free(gateway->services);
 	free(gateway->routes);
-	quota_finish(&gateway->quota);
+	quota_fleet_finish(&gateway->quota);
 	catalog_release(gateway->catalog);
 }
 
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -12,7 +12,7 @@
 #include "slots.h"
 #include "pool.h"
 
-#include "../src/quota.h"
+#include "../src/quota_fleet.h"
 #include "../src/catalog.h"
 #include "../src/events.h"
 #include "../src/mirror.h"
@@ -92,7 +92,11 @@
 	roster_t *roster;
 	const mirror_t *mirror;
 	slots_t *slots;
-	quota_t quota;
+	quota_fleet_ops_t quota_ops;
+	quota_fleet_t quota;
+	void (*send_quota)(void *context, uint32_t address,
+			   const quota_message_t *message);
+	void *send_context;
 	catalog_t *catalog; /* in force; NULL before the first */
 	gateway_service_t **services;
 	uint32_t service_count;
@@ -100,6 +104,7 @@
 	uint32_t route_count;
 	struct exchange *exchanges;
 	gateway_counters_t counters;
+	uint64_t ticks;
 	uint64_t draws; /* state of the random numbers */
 	pimento_usec_t started_at;
 	bool open; /* takes connections of callers */
@@ -122,6 +127,10 @@
 	roster_t *roster;
 	const mirror_t *mirror;
 	slots_t *slots;
+	/* Sends a message about quotas to another host. */
+	void (*send_quota)(void *context, uint32_t address,
+			   const quota_message_t *message);
+	void *send_context;
 } gateway_setup_t;
 
 /* Returns 0, or PIMENTO_EIO with errno set. */
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -1,8 +1,8 @@
 /*
  * Notes are lost, late or doubled without harm: each holds the sender's whole
- * state, and the roster takes only the newest. Their number a second is bounded
- * by MESH_TARGETS, however many hosts there are; with many, each hears of each
- * less often.
+ * state, and the roster takes only the newest. Their bytes a second are bounded
+ * by NOTE_BYTES, however many hosts there are; with many, each hears directly
+ * of each less often, and what must not grow old is passed on by others.
  */
 
 #include "mesh.h"
@@ -20,9 +20,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Peers written to in one tick: 80 notes a second at ten ticks. */
+/* Peers written to in one tick, at most, and as far as the bytes reach. */
 #define MESH_TARGETS 8
-#define TICK (100 * PIMENTO_MSEC)
+/* Bytes of notes a second, probes and acks included. */
+#define NOTE_BYTES (16 * 1024)
+/* Loads grow too old in a larger fleet; owners count there. */
+#define LOADS_HOSTS_MAX 64
 /* Notes read in one turn of the loop. */
 #define NOTES_AT_ONCE 64
 /*
@@ -37,6 +40,8 @@
 
 #define SNAPSHOT_PATH "/snapshot/"
 #define METRICS_PATH "/metrics"
+/* Milliseconds since the sender's copy was surely current, rounded up. */
+#define AGE_FIELD "Copy-Age"
 
 /* Notes. */
 
@@ -44,6 +49,8 @@
 {
 	const directory_t *directory = mesh->directory;
 
+	if (mesh->roster->count > LOADS_HOSTS_MAX)
+		return;
 	for (uint32_t i = 0; i < directory->count; i++) {
 		const directory_endpoint_t *e = directory->endpoints[i];
 		roster_load_t load = { (uint32_t)e->key, e->running,
@@ -54,16 +61,33 @@
 	}
 }
 
-static void send_note(mesh_t *mesh, roster_note_t *note, roster_peer_t *peer)
+/* What each note says beside membership; who is written to follows. */
+static void write_note(mesh_t *mesh, roster_note_t *note, pimento_usec_t now)
 {
-	net_address_t to = { peer->address, mesh->note_port };
+	note->address = mesh->self;
+	note->incarnation = mesh->incarnation;
+	note->load_count = 0;
+	note->owned_count = 0;
+	note->quota_count = 0;
+	roster_tell_readers(mesh->roster, mesh->reader, now, note);
+	if (note->membership.count > ROSTER_FACTS_CALM)
+		return; /* after many hosts started, they come first */
+	add_loads(mesh, note);
+	note->quota_count = quota_reports(&mesh->quota->owned, note->quotas,
+					  ROSTER_QUOTAS_MAX, now);
+	slots_say(mesh->slots, note, now);
+}
+
+static void send_note(mesh_t *mesh, roster_note_t *note, uint32_t address)
+{
+	net_address_t to = { address, mesh->note_port };
 	uint8_t bytes[PACKET_BYTES];
 	pimento_usec_t now = sys_now();
 	packet_t packet = { .kind = PACKET_NOTE };
 	int length;
 
 	note->stamp = now;
-	note->echo = peer->their_stamp;
+	note->echo = roster_stamp_of(mesh->roster, address);
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
 		note->copies[kind] = (roster_copy_t){
 			mesh->mirrors[kind].revision,
@@ -73,29 +97,65 @@
 	length = packet_pack(&packet, bytes, sizeof(bytes));
 	if (length < 0)
 		return;
+	mesh->note_bytes_out += (uint64_t)length;
+	mesh->note_credit -= length;
 	/* A note that cannot be sent now is as good as lost on the way. */
 	if (!net_send_to(mesh->datagrams.fd, &to, bytes, (size_t)length))
 		mesh->notes_out++;
 }
 
+/* Bytes that were not sent in a second are not saved. */
+static void fill_credit(mesh_t *mesh, pimento_usec_t now)
+{
+	double passed =
+		(double)(now - mesh->note_credit_at) / (double)PIMENTO_SEC;
+
+	mesh->note_credit += passed * NOTE_BYTES;
+	if (mesh->note_credit > NOTE_BYTES)
+		mesh->note_credit = NOTE_BYTES;
+	mesh->note_credit_at = now;
+}
+
 static void send_notes(mesh_t *mesh, pimento_usec_t now)
 {
 	roster_peer_t *targets[MESH_TARGETS];
-	roster_note_t note = {
-		.address = mesh->self,
-		.incarnation = mesh->incarnation,
-		.reader = mesh->reader,
-	};
+	roster_note_t note = { 0 };
 	uint32_t count;
 
-	add_loads(mesh, &note);
-	note.use_count =
-		quota_reports(mesh->quota, note.uses, ROSTER_USES_MAX, now);
-	slots_say(mesh->slots, &note, now);
-	roster_members(mesh->roster, now, &note);
+	fill_credit(mesh, now);
+	if (mesh->note_credit <= 0)
+		return;
+	roster_tell_members(mesh->roster, &note);
+	write_note(mesh, &note, now);
+	/* an age counts only in an answer: it echoes a stamp that is young */
+	note.pull = true;
 	count = roster_targets(mesh->roster, now, MESH_TARGETS, targets);
-	for (uint32_t i = 0; i < count; i++)
-		send_note(mesh, &note, targets[i]);
+	for (uint32_t i = 0; i < count && mesh->note_credit > 0; i++)
+		send_note(mesh, &note, targets[i]->address);
+}
+
+/* Sends the probes and acks that are due. */
+static void send_probes(mesh_t *mesh, pimento_usec_t now)
+{
+	roster_note_t note = { 0 };
+	uint32_t address;
+
+	while (roster_next_probe(mesh->roster, &address, &note)) {
+		write_note(mesh, &note, now);
+		send_note(mesh, &note, address);
+	}
+}
+
+static void answer_pull(mesh_t *mesh, uint32_t address, pimento_usec_t now)
+{
+	roster_note_t note = { 0 };
+
+	fill_credit(mesh, now);
+	if (mesh->note_credit <= 0)
+		return;
+	roster_tell_members(mesh->roster, &note);
+	write_note(mesh, &note, now);
+	send_note(mesh, &note, address);
 }
 
 static void take_note(mesh_t *mesh, const roster_note_t *note,
@@ -114,10 +174,11 @@
 			       note->copies[kind].revision, fresh[kind]);
 	}
 	slots_hear(mesh->slots, note, now);
-	for (uint32_t i = 0; i < note->use_count; i++)
-		if (quota_receive(mesh->quota, note->address, note->incarnation,
-				  &note->uses[i], now))
-			return; /* no memory; the next note says it again */
+	for (uint32_t i = 0; i < note->quota_count; i++)
+		quota_told(&mesh->quota->owned, note->quotas[i].account,
+			   note->quotas[i].level, now - note->quotas[i].age);
+	if (note->pull)
+		answer_pull(mesh, note->address, now);
 }
 
 static void take_packet(mesh_t *mesh, const uint8_t *bytes, size_t length)
@@ -129,6 +190,8 @@
 		return;
 	if (packet.kind == PACKET_NOTE)
 		take_note(mesh, &packet.as.note, now);
+	else if (packet.kind == PACKET_QUOTA)
+		quota_fleet_receive(mesh->quota, &packet.as.quota, now);
 	else
 		slots_take(mesh->slots, &packet, now);
 }
@@ -145,9 +208,10 @@
 			recv(watcher->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
 
 		if (got < 0)
-			return;
+			break;
 		take_packet(mesh, bytes, (size_t)got);
 	}
+	send_probes(mesh, sys_now());
 }
 
 /* Serving snapshots. */
@@ -171,6 +235,7 @@
 {
 	uint64_t after;
 	mirror_t *mirror = mirror_of_path(mesh, path, &after);
+	char fields[128];
 	uint8_t *bytes;
 	size_t length;
 
@@ -184,9 +249,11 @@
 		return;
 	}
 	mesh->snapshot_bytes_out += length;
-	httpd_answer(conn, HTTP_STATUS_OK,
-		     "Content-Type: application/x-protobuf\r\n",
-		     (const char *)bytes, length);
+	snprintf(fields, sizeof(fields),
+		 "Content-Type: application/x-protobuf\r\n" AGE_FIELD
+		 ": %lld\r\n",
+		 (long long)(mirror_age(mirror, sys_now()) / PIMENTO_MSEC) + 1);
+	httpd_answer(conn, HTTP_STATUS_OK, fields, (const char *)bytes, length);
 	free(bytes);
 }
 
@@ -245,13 +312,26 @@
 	report_fetch(fetch, why);
 }
 
-static void take_snapshot(mesh_fetch_t *fetch)
+/* The sender's copy was current, up to what it sent, when the fetch began. */
+static void confirm_snapshot(const mesh_fetch_t *fetch, const httpc_t *conn)
+{
+	const char *text = head_get(&conn->head, AGE_FIELD);
+	pimento_usec_t age = text ? strtoll(text, NULL, 10) * PIMENTO_MSEC : 0;
+
+	if (age > 0)
+		mirror_confirm(&fetch->mesh->mirrors[fetch->kind], 0,
+			       fetch->progress.started - age);
+}
+
+static void take_snapshot(mesh_fetch_t *fetch, const httpc_t *conn)
 {
 	mirror_t *mirror = &fetch->mesh->mirrors[fetch->kind];
 	uint64_t before = mirror->revision;
 	int result = snapshot_apply(mirror, (const uint8_t *)fetch->body.bytes,
 				    fetch->body.length);
 
+	if (result >= 0)
+		confirm_snapshot(fetch, conn);
 	if (result >= 0 && mirror->revision == before)
 		return; /* the copy was updated during the fetch */
 	if (result >= 0)
@@ -305,7 +385,7 @@
 	report_fetch(fetch, conn->status == HTTP_STATUS_OK ? "complete"
 							   : "bad_status");
 	if (conn->status == HTTP_STATUS_OK && !text_error(&fetch->body))
-		take_snapshot(fetch);
+		take_snapshot(fetch, conn);
 	text_finish(&fetch->body);
 	text_init(&fetch->body);
 	if (conn->reusable)
@@ -373,17 +453,36 @@
 	}
 	if (!fetch->behind_since)
 		fetch->behind_since = now;
-	if (now - fetch->behind_since >= BEHIND_MOST ||
+	if (now - fetch->behind_since >= BEHIND_MOST || !fetch->mesh->reader ||
 	    mirror->fresh == MIRROR_NEVER)
 		begin_fetch(fetch, peer, now);
 }
 
+void mesh_probe(mesh_t *mesh, pimento_usec_t now)
+{
+	roster_tick(mesh->roster, now);
+	send_probes(mesh, now);
+	quota_fleet_tick(mesh->quota, now);
+}
+
+void mesh_send_quota(mesh_t *mesh, uint32_t address,
+		     const quota_message_t *message)
+{
+	net_address_t to = { address, mesh->note_port };
+	uint8_t bytes[PACKET_BYTES];
+	packet_t packet = { .kind = PACKET_QUOTA };
+	int length;
+
+	packet.as.quota = *message;
+	length = packet_pack(&packet, bytes, sizeof(bytes));
+	/* What cannot be sent now is as good as lost on the way. */
+	if (length > 0)
+		(void)net_send_to(mesh->datagrams.fd, &to, bytes,
+				  (size_t)length);
+}
+
 void mesh_tick(mesh_t *mesh, pimento_usec_t now)
 {
-	mesh->quota->hear_every =
-		TICK * (1 + mesh->roster->count / MESH_TARGETS);
-	mesh->quota->hosts = roster_hosts(mesh->roster, now);
-	mesh->quota->discovering = roster_is_discovering(mesh->roster, now);
 	slots_tick(mesh->slots, now);
 	send_notes(mesh, now);
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
@@ -427,12 +526,11 @@
 	mesh->self = setup->listen.ip;
 	mesh->note_port = setup->note_port;
 	mesh->peer_port = setup->listen.port;
-	mesh->incarnation = sys_random();
 	mesh->roster = setup->roster;
+	mesh->incarnation = roster_incarnation(setup->roster);
 	mesh->mirrors = setup->mirrors;
 	mesh->directory = setup->directory;
 	mesh->quota = setup->quota;
-	mesh->quota->discovering = true;
 	mesh->slots = setup->slots;
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
 		mesh->fetches[kind].mesh = mesh;
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -12,7 +12,7 @@
 #include "httpd.h"
 #include "slots.h"
 
-#include "../src/quota.h"
+#include "../src/quota_fleet.h"
 #include "../src/directory.h"
 #include "../src/mirror.h"
 #include "../src/progress.h"
@@ -44,12 +44,15 @@
 	roster_t *roster;
 	mirror_t *mirrors; /* indexed by mirror_kind_t */
 	directory_t *directory;
-	quota_t *quota;
+	quota_fleet_t *quota;
 	slots_t *slots;
 	mesh_fetch_t fetches[MIRROR_KIND_COUNT];
 	bool reader; /* this host reads the store with success; set by others */
 	uint64_t notes_in; /* counters */
 	uint64_t notes_out;
+	uint64_t note_bytes_out;
+	double note_credit; /* bytes of notes that may be sent */
+	pimento_usec_t note_credit_at;
 	uint64_t snapshots_in;
 	uint64_t snapshots_lost; /* fetches without a complete response */
 	uint64_t snapshot_bytes_in; /* body bytes, failed fetches included */
@@ -66,7 +69,7 @@
 	roster_t *roster;
 	mirror_t *mirrors; /* indexed by mirror_kind_t */
 	directory_t *directory;
-	quota_t *quota;
+	quota_fleet_t *quota;
 	slots_t *slots; /* is given the mesh's socket and port */
 } mesh_setup_t;
 
@@ -77,6 +80,13 @@
 /* "10.1.0.25:8229"; what is no address is passed over. */
 void mesh_add_seed(mesh_t *mesh, const char *text, pimento_usec_t now);
 
+/* Sends probes and asks that are due; call some 20 times a second. */
+void mesh_probe(mesh_t *mesh, pimento_usec_t now);
+
+/* Sends another host a question, or an answer, about a quota. */
+void mesh_send_quota(mesh_t *mesh, uint32_t address,
+		     const quota_message_t *message);
+
 /* Sends notes, and fetches what this host lacks; call ten times a second. */
 void mesh_tick(mesh_t *mesh, pimento_usec_t now);
 
--- a/io/slots.c
+++ b/io/slots.c
@@ -2,8 +2,8 @@
 
 #include "trail.h"
 
-#define PLAIN_STAY (300 * PIMENTO_MSEC)
-#define ENGINE_STAY (2 * PIMENTO_SEC)
+/* A report that is older is not passed on. */
+#define RELAY_AGE (1200 * PIMENTO_MSEC)
 
 void slots_init(slots_t *slots, directory_t *directory, roster_t *roster,
 		uint32_t self)
@@ -39,6 +39,23 @@
 	return NULL;
 }
 
+static uint32_t owner_of(slots_t *slots, directory_endpoint_t *endpoint)
+{
+	uint64_t epoch = roster_changes(slots->roster) + 1;
+	uint32_t owner;
+
+	if (endpoint->owner_epoch == epoch)
+		return endpoint->owner;
+	owner = roster_owner(slots->roster, endpoint->key);
+	if (endpoint->owner != owner) {
+		slots->owners_changed++;
+		endpoint->reported_at = 0; /* the new one is to know at once */
+	}
+	endpoint->owner = owner;
+	endpoint->owner_epoch = epoch;
+	return owner;
+}
+
 /* What this host, as the owner, says of an endpoint. */
 static directory_word_t word_of(const slots_t *slots,
 				const directory_endpoint_t *endpoint,
@@ -193,10 +210,10 @@
 	give_places(slots, release->endpoint, now);
 }
 
-void slots_ask(slots_t *slots, const directory_endpoint_t *endpoint,
+void slots_ask(slots_t *slots, directory_endpoint_t *endpoint,
 	       grants_ask_t *ask, pimento_usec_t now)
 {
-	uint32_t owner = roster_owner(slots->roster, endpoint->key, now);
+	uint32_t owner = owner_of(slots, endpoint);
 	packet_t packet = { .kind = PACKET_ASK };
 
 	ask->endpoint = (uint32_t)endpoint->key;
@@ -210,10 +227,10 @@
 	send_packet(slots, owner, &packet);
 }
 
-void slots_release(slots_t *slots, const directory_endpoint_t *endpoint,
+void slots_release(slots_t *slots, directory_endpoint_t *endpoint,
 		   const packet_release_t *release, pimento_usec_t now)
 {
-	uint32_t owner = roster_owner(slots->roster, endpoint->key, now);
+	uint32_t owner = owner_of(slots, endpoint);
 	packet_t packet = { .kind = PACKET_RELEASE };
 
 	packet.as.release = *release;
@@ -237,63 +254,69 @@
 	case PACKET_RELEASE:
 		take_release(slots, &packet->as.release, now);
 		break;
+	case PACKET_REPORT:
+		(void)grants_report(&slots->grants, packet->as.report.endpoint,
+				    packet->as.report.address,
+				    packet->as.report.running, now);
+		break;
 	case PACKET_NOTE:
+	case PACKET_QUOTA:
 		break; /* the mesh's own */
 	}
 }
 
-/* How long requests last at an endpoint, mostly. */
-static pimento_usec_t stay_of(const slots_t *slots,
-			      const directory_endpoint_t *endpoint)
-{
-	const directory_service_t *service =
-		directory_service(slots->directory, endpoint->service);
-
-	return service && service->plain ? PLAIN_STAY : ENGINE_STAY;
-}
-
-static void hear_endpoint(slots_t *slots, directory_endpoint_t *endpoint,
-			  pimento_usec_t now)
-{
-	pimento_usec_t stay = stay_of(slots, endpoint);
-	uint32_t key = (uint32_t)endpoint->key;
-	const roster_t *roster = slots->roster;
-
-	grants_hear_begin(&slots->grants, key, stay, now);
-	grants_hear(&slots->grants, key, slots->self, endpoint->running, now);
-	for (uint32_t i = 0; i < roster->count; i++) {
-		const roster_peer_t *peer = roster->peers[i];
-
-		grants_hear(&slots->grants, key, peer->address,
-			    roster_peer_running(peer, endpoint->key, now), now);
-	}
-}
-
 /* Counts anew what is in flight, and gives what is free. */
 static void keep_endpoint(slots_t *slots, directory_endpoint_t *endpoint,
 			  bool owner, pimento_usec_t now)
 {
+	uint32_t key = (uint32_t)endpoint->key;
 	directory_word_t word;
 
-	hear_endpoint(slots, endpoint, now);
+	grants_expire(&slots->grants, key, now);
 	if (owner) {
+		(void)grants_report(&slots->grants, key, slots->self,
+				    endpoint->running, now);
 		word = word_of(slots, endpoint, now);
 		directory_told(endpoint, &word, now);
 	}
-	give_places(slots, (uint32_t)endpoint->key, now);
+	give_places(slots, key, now);
+}
+
+/*
+ * Tells the owner what this host has in flight. That renews its grants, and
+ * makes up for asks and releases that were lost or went to a former owner.
+ */
+static void report(const slots_t *slots, directory_endpoint_t *endpoint,
+		   pimento_usec_t now)
+{
+	packet_t packet = { .kind = PACKET_REPORT };
+
+	if (!endpoint->running && !endpoint->reported)
+		return;
+	if (endpoint->reported_at &&
+	    now - endpoint->reported_at < GRANTS_REPORT_EVERY)
+		return;
+	endpoint->reported_at = now;
+	endpoint->reported = endpoint->running;
+	packet.as.report = (packet_report_t){
+		.endpoint = (uint32_t)endpoint->key,
+		.address = slots->self,
+		.running = endpoint->running,
+	};
+	send_packet(slots, endpoint->owner, &packet);
 }
 
-void slots_say(const slots_t *slots, roster_note_t *note, pimento_usec_t now)
+static void say_own(slots_t *slots, roster_note_t *note, pimento_usec_t now)
 {
 	const directory_t *directory = slots->directory;
 
 	for (uint32_t i = 0; i < directory->count; i++) {
-		const directory_endpoint_t *e = directory->endpoints[i];
+		directory_endpoint_t *e = directory->endpoints[i];
 		uint32_t key = (uint32_t)e->key;
 
 		if (note->owned_count == ROSTER_OWNED_MAX ||
-		    !grants_is_owned(&slots->grants, key) ||
-		    roster_owner(slots->roster, e->key, now) != slots->self)
+		    owner_of(slots, e) != slots->self ||
+		    !grants_is_owned(&slots->grants, key))
 			continue;
 		note->owned[note->owned_count++] = (roster_owned_t){
 			.endpoint = key,
@@ -302,15 +325,44 @@
 	}
 }
 
+static void relay_others(slots_t *slots, roster_note_t *note,
+			 pimento_usec_t now)
+{
+	const directory_t *directory = slots->directory;
+
+	for (uint32_t i = 0; i < directory->count; i++) {
+		directory_endpoint_t *e =
+			directory->endpoints[slots->relay_turn++ %
+					     directory->count];
+
+		if (note->owned_count == ROSTER_OWNED_MAX)
+			return;
+		if (!e->told_at || now - e->told_at > RELAY_AGE ||
+		    owner_of(slots, e) == slots->self)
+			continue;
+		note->owned[note->owned_count++] = (roster_owned_t){
+			.endpoint = (uint32_t)e->key,
+			.age = now - e->told_at,
+			.word = e->told,
+		};
+	}
+}
+
+void slots_say(slots_t *slots, roster_note_t *note, pimento_usec_t now)
+{
+	say_own(slots, note, now);
+	relay_others(slots, note, now);
+}
+
 void slots_hear(slots_t *slots, const roster_note_t *note, pimento_usec_t now)
 {
 	for (uint32_t i = 0; i < note->owned_count; i++) {
 		const roster_owned_t *owned = &note->owned[i];
 		directory_endpoint_t *e = endpoint_of(slots, owned->endpoint);
+		pimento_usec_t at = now - owned->age;
 
-		if (e &&
-		    roster_owner(slots->roster, e->key, now) == note->address)
-			directory_told(e, &owned->word, now);
+		if (e && at > e->told_at && owner_of(slots, e) != slots->self)
+			directory_told(e, &owned->word, at);
 	}
 }
 
@@ -319,12 +371,13 @@
 	for (uint32_t i = 0; i < slots->directory->count; i++) {
 		directory_endpoint_t *e = slots->directory->endpoints[i];
 		uint32_t key = (uint32_t)e->key;
-		bool owner =
-			roster_owner(slots->roster, e->key, now) == slots->self;
+		bool owner = owner_of(slots, e) == slots->self;
 
 		if (owner || grants_is_asked(&slots->grants, key, now))
 			keep_endpoint(slots, e, owner, now);
 		else
 			grants_forget(&slots->grants, key);
+		if (!owner)
+			report(slots, e, now);
 	}
 }
--- a/io/slots.h
+++ b/io/slots.h
@@ -24,6 +24,8 @@
 	void *context;
 	uint64_t asked; /* counters */
 	uint64_t granted; /* as owner */
+	uint64_t owners_changed; /* of endpoints, as this host sees it */
+	uint32_t relay_turn; /* of endpoints whose reports are passed on */
 } slots_t;
 
 void slots_init(slots_t *slots, directory_t *directory, roster_t *roster,
@@ -31,20 +33,23 @@
 void slots_finish(slots_t *slots);
 
 /* Asks the endpoint's owner; its answer comes by replied(), maybe at once. */
-void slots_ask(slots_t *slots, const directory_endpoint_t *endpoint,
+void slots_ask(slots_t *slots, directory_endpoint_t *endpoint,
 	       grants_ask_t *ask, pimento_usec_t now);
 /* The request is over; ticket, gap and failure are the caller's to fill. */
-void slots_release(slots_t *slots, const directory_endpoint_t *endpoint,
+void slots_release(slots_t *slots, directory_endpoint_t *endpoint,
 		   const packet_release_t *release, pimento_usec_t now);
 
-/* What this host's note says of the endpoints that it keeps. */
-void slots_say(const slots_t *slots, roster_note_t *note, pimento_usec_t now);
+/*
+ * What this host's note says of the endpoints that it keeps, and of others what
+ * their owners reported lately.
+ */
+void slots_say(slots_t *slots, roster_note_t *note, pimento_usec_t now);
 void slots_hear(slots_t *slots, const roster_note_t *note, pimento_usec_t now);
 
 /* A datagram of another host. */
 void slots_take(slots_t *slots, const packet_t *packet, pimento_usec_t now);
 
-/* Compares the grants with what hosts say; call some times a second. */
+/* Reports to owners, and ends grants that lapse; call some times a second. */
 void slots_tick(slots_t *slots, pimento_usec_t now);
 
 /*
--- a/src/directory.c
+++ b/src/directory.c
@@ -137,13 +137,13 @@
 }
 
 void directory_told(directory_endpoint_t *endpoint,
-		    const directory_word_t *word, pimento_usec_t now)
+		    const directory_word_t *word, pimento_usec_t at)
 {
-	pimento_usec_t ejected = now + word->ejected_ms * PIMENTO_MSEC;
+	pimento_usec_t ejected = at + word->ejected_ms * PIMENTO_MSEC;
 
 	endpoint->told = *word;
 	endpoint->told_own = endpoint->running;
-	endpoint->told_at = now;
+	endpoint->told_at = at;
 	/* The owner hears from all hosts; this one has seen a few streams. */
 	if (word->gap_us)
 		endpoint->pace.gap = word->gap_us;
--- a/src/directory.h
+++ b/src/directory.h
@@ -41,6 +41,10 @@
 	uint32_t told_own; /* running from this host, at that moment */
 	pimento_usec_t told_at; /* 0 never */
 	pimento_usec_t owner_silent_until; /* it did not answer lately */
+	uint32_t owner; /* cached address; good for owner_epoch */
+	uint64_t owner_epoch;
+	uint32_t reported; /* running, as last reported to the owner */
+	pimento_usec_t reported_at;
 	pace_t pace;
 	uint32_t idle_connections; /* open, with no request */
 	void *connections; /* of the I/O layer, which alone looks at it */
@@ -96,9 +100,9 @@
 directory_service_t *directory_service(directory_t *directory,
 				       pimento_id_t key);
 
-/* Takes the word of an endpoint's owner. */
+/* Takes the word that an endpoint's owner said at a time. */
 void directory_told(directory_endpoint_t *endpoint,
-		    const directory_word_t *word, pimento_usec_t now);
+		    const directory_word_t *word, pimento_usec_t at);
 
 /* Drops endpoints that are gone and that nobody holds. */
 void directory_sweep(directory_t *directory, pimento_usec_t now);
--- a/src/grants.c
+++ b/src/grants.c
@@ -8,11 +8,8 @@
 
 #include <stdlib.h>
 
-/*
- * A host's word may have been written before it got a grant that is younger
- * than this: a tick, the way, and a note's turn.
- */
-#define WORD_AGE (1500 * PIMENTO_MSEC)
+/* A report may have been written before a grant this young reached its host. */
+#define GRANT_IN_FLIGHT (300 * PIMENTO_MSEC)
 
 /*
  * Hosts notice a death up to some seconds apart. One that is asked for slots
@@ -26,10 +23,16 @@
 	*grants = (grants_t){ 0 };
 }
 
+static void free_endpoint(grants_endpoint_t *e)
+{
+	free(e->entries);
+	free(e->foreign);
+}
+
 void grants_finish(grants_t *grants)
 {
 	for (uint32_t i = 0; i < grants->count; i++)
-		free(grants->endpoints[i].entries);
+		free_endpoint(&grants->endpoints[i]);
 	free(grants->endpoints);
 }
 
@@ -41,8 +44,7 @@
 	return NULL;
 }
 
-static grants_endpoint_t *find_or_add(grants_t *grants, uint32_t endpoint,
-				      pimento_usec_t now)
+static grants_endpoint_t *find_or_add(grants_t *grants, uint32_t endpoint)
 {
 	grants_endpoint_t *e = find(grants, endpoint);
 
@@ -53,7 +55,7 @@
 		return NULL;
 	grants->endpoints = e;
 	e += grants->count++;
-	*e = (grants_endpoint_t){ .endpoint = endpoint, .since = now };
+	*e = (grants_endpoint_t){ .endpoint = endpoint };
 	return e;
 }
 
@@ -83,7 +85,7 @@
 
 int grants_ask(grants_t *grants, const grants_ask_t *ask, pimento_usec_t now)
 {
-	grants_endpoint_t *e = find_or_add(grants, ask->endpoint, now);
+	grants_endpoint_t *e = find_or_add(grants, ask->endpoint);
 	grants_entry_t *entry = e ? add_entry(e) : NULL;
 
 	if (!entry)
@@ -91,7 +93,8 @@
 	e->asked_at = now;
 	*entry = (grants_entry_t){ .ask = *ask,
 				   .granted = ask->sure,
-				   .since = now };
+				   .since = now,
+				   .renewed_at = now };
 	if (ask->sure)
 		e->granted++;
 	else
@@ -110,10 +113,27 @@
 	return false;
 }
 
+static grants_foreign_t *foreign_of(const grants_endpoint_t *e,
+				    uint32_t address)
+{
+	for (uint32_t i = 0; i < e->foreign_count; i++)
+		if (e->foreign[i].address == address)
+			return &e->foreign[i];
+	return NULL;
+}
+
+static void set_foreign(grants_endpoint_t *e, grants_foreign_t *foreign,
+			uint32_t running)
+{
+	e->foreign_running += running - foreign->running;
+	foreign->running = running;
+}
+
 void grants_release(grants_t *grants, uint32_t endpoint, uint32_t address,
 		    uint64_t ticket)
 {
 	grants_endpoint_t *e = find(grants, endpoint);
+	grants_foreign_t *foreign;
 
 	for (uint32_t i = 0; e && i < e->count; i++) {
 		const grants_ask_t *ask = &e->entries[i].ask;
@@ -123,6 +143,9 @@
 			return;
 		}
 	}
+	foreign = e && ticket ? foreign_of(e, address) : NULL;
+	if (foreign && foreign->running)
+		set_foreign(e, foreign, foreign->running - 1);
 }
 
 /* Its place in the order among equals, on this host's clock. */
@@ -190,49 +213,103 @@
 		return false;
 	drop_expired(e, now);
 	first = first_waiting(e, now);
-	if (!first || e->granted + e->uncounted >= places)
+	if (!first || e->granted + e->foreign_running >= places)
 		return false;
 	first->granted = true;
 	first->since = now;
+	first->renewed_at = now;
 	e->granted++;
 	e->waiting--;
 	*granted = first->ask;
 	return true;
 }
 
-void grants_hear_begin(grants_t *grants, uint32_t endpoint, pimento_usec_t stay,
-		       pimento_usec_t now)
+static grants_foreign_t *add_foreign(grants_endpoint_t *e, uint32_t address)
 {
-	grants_endpoint_t *e = find_or_add(grants, endpoint, now);
+	uint32_t size = e->foreign_size ? e->foreign_size * 2 : 8;
+	grants_foreign_t *grown;
 
-	if (!e)
-		return;
-	e->uncounted = 0;
-	e->is_new = now - e->since < stay;
+	if (e->foreign_count == e->foreign_size) {
+		grown = realloc(e->foreign, size * sizeof(*grown));
+		if (!grown)
+			return NULL;
+		e->foreign = grown;
+		e->foreign_size = size;
+	}
+	grown = &e->foreign[e->foreign_count++];
+	*grown = (grants_foreign_t){ .address = address };
+	return grown;
 }
 
-void grants_hear(grants_t *grants, uint32_t endpoint, uint32_t address,
-		 uint32_t running, pimento_usec_t now)
+/* Renews or drops the host's grants; returns how many of them are left. */
+static uint32_t renew(grants_endpoint_t *e, uint32_t address, uint32_t running,
+		      pimento_usec_t now)
 {
-	grants_endpoint_t *e = find_or_add(grants, endpoint, now);
 	uint32_t young = 0;
 	uint32_t old = 0;
 
-	for (uint32_t i = e ? e->count : 0; i-- > 0;) {
-		const grants_entry_t *entry = &e->entries[i];
+	for (uint32_t i = e->count; i-- > 0;) {
+		grants_entry_t *entry = &e->entries[i];
 
 		if (entry->ask.address != address || !entry->granted)
 			continue;
-		if (now - entry->since < WORD_AGE)
+		if (now - entry->since < GRANT_IN_FLIGHT) {
 			young++;
-		else if (old + 1 > running)
+		} else if (old >= running) {
 			drop(e, i);
-		else
+		} else {
+			entry->renewed_at = now;
 			old++;
+		}
+	}
+	return young + old;
+}
+
+int grants_report(grants_t *grants, uint32_t endpoint, uint32_t address,
+		  uint32_t running, pimento_usec_t now)
+{
+	grants_endpoint_t *e = find_or_add(grants, endpoint);
+	grants_foreign_t *foreign;
+	uint32_t own;
+
+	if (!e)
+		return PIMENTO_ENOMEM;
+	own = renew(e, address, running, now);
+	foreign = foreign_of(e, address);
+	if (!foreign && running > own)
+		foreign = add_foreign(e, address);
+	if (!foreign)
+		return running > own ? PIMENTO_ENOMEM : 0;
+	foreign->reported_at = now;
+	set_foreign(e, foreign, running > own ? running - own : 0);
+	return 0;
+}
+
+static void expire_foreign(grants_endpoint_t *e, pimento_usec_t now)
+{
+	for (uint32_t i = e->foreign_count; i-- > 0;) {
+		grants_foreign_t *foreign = &e->foreign[i];
+
+		if (now - foreign->reported_at <= GRANTS_LEASE)
+			continue;
+		set_foreign(e, foreign, 0);
+		*foreign = e->foreign[--e->foreign_count];
+	}
+}
+
+void grants_expire(grants_t *grants, uint32_t endpoint, pimento_usec_t now)
+{
+	grants_endpoint_t *e = find(grants, endpoint);
+
+	if (!e)
+		return;
+	for (uint32_t i = e->count; i-- > 0;) {
+		const grants_entry_t *entry = &e->entries[i];
+
+		if (entry->granted && now - entry->renewed_at > GRANTS_LEASE)
+			drop(e, i);
 	}
-	/* Later its words are older than the releases that came meanwhile. */
-	if (e && e->is_new && running > young + old)
-		e->uncounted += running - young - old;
+	expire_foreign(e, now);
 }
 
 bool grants_is_asked(const grants_t *grants, uint32_t endpoint,
@@ -249,7 +326,7 @@
 
 	if (!e)
 		return;
-	free(e->entries);
+	free_endpoint(e);
 	*e = grants->endpoints[--grants->count];
 }
 
@@ -262,7 +339,7 @@
 {
 	const grants_endpoint_t *e = find(grants, endpoint);
 
-	return e ? e->granted + e->uncounted : 0;
+	return e ? e->granted + e->foreign_running : 0;
 }
 
 uint32_t grants_waiting(const grants_t *grants, uint32_t endpoint)
--- a/src/grants.h
+++ b/src/grants.h
@@ -6,7 +6,8 @@
  * many hosts, notes are a second old; hosts that choose by them all send to
  * what was free a second ago. So each endpoint has one host that counts, its
  * owner: the others ask it for a place, wait there in one line in order of
- * urgency, and say when they have done.
+ * urgency, and say when they have done. A grant is a lease, which the host
+ * renews by reporting what it has in flight.
  *
  * A grant is advice. An owner that is frozen, cut off or gone grants nothing;
  * who asks then goes by its own view.
@@ -21,6 +22,11 @@
  */
 #define GRANTS_LINES 6
 
+/* A host reports this often what it has in flight, */
+#define GRANTS_REPORT_EVERY (1 * PIMENTO_SEC)
+/* and what it did not report for so long is taken for over. */
+#define GRANTS_LEASE (3 * PIMENTO_SEC)
+
 /* Who asks, and for what. */
 typedef struct grants_ask {
 	uint32_t endpoint; /* low half of its key */
@@ -39,19 +45,28 @@
 	grants_ask_t ask;
 	bool granted;
 	pimento_usec_t since; /* of the grant, or of the wait */
+	pimento_usec_t renewed_at; /* its host last reported it */
 } grants_entry_t;
 
+/* Requests of a host that were not granted here: by another owner, or none. */
+typedef struct grants_foreign {
+	uint32_t address;
+	uint32_t running;
+	pimento_usec_t reported_at;
+} grants_foreign_t;
+
 typedef struct grants_endpoint {
 	uint32_t endpoint;
-	pimento_usec_t since; /* this host keeps it */
-	bool is_new; /* requests that others granted are still there */
 	pimento_usec_t asked_at; /* last, by anybody */
-	uint32_t uncounted; /* in flight by hosts' own word, from before that */
+	uint32_t foreign_running; /* of all hosts */
 	uint32_t granted;
 	uint32_t waiting;
 	grants_entry_t *entries;
 	uint32_t count;
 	uint32_t size;
+	grants_foreign_t *foreign;
+	uint32_t foreign_count;
+	uint32_t foreign_size;
 } grants_endpoint_t;
 
 typedef struct grants {
@@ -80,18 +95,15 @@
 		 pimento_usec_t now, grants_ask_t *granted);
 
 /*
- * A host's own word on how many of its requests are in flight at an endpoint.
- * Grants whose release was lost are dropped. For a new owner, what it did not
- * grant counts too.
+ * A host reports how many of its requests are in flight at an endpoint. That
+ * renews its grants, drops those whose release was lost, and tells a new owner
+ * what it did not grant. Returns 0 or PIMENTO_ENOMEM.
  */
-void grants_hear(grants_t *grants, uint32_t endpoint, uint32_t address,
-		 uint32_t running, pimento_usec_t now);
-/*
- * Before the words of all hosts on an endpoint are heard anew. Requests last
- * for stay there, mostly: for so long a new owner counts what it did not grant.
- */
-void grants_hear_begin(grants_t *grants, uint32_t endpoint, pimento_usec_t stay,
-		       pimento_usec_t now);
+int grants_report(grants_t *grants, uint32_t endpoint, uint32_t address,
+		  uint32_t running, pimento_usec_t now);
+
+/* Drops what no host has reported for GRANTS_LEASE. */
+void grants_expire(grants_t *grants, uint32_t endpoint, pimento_usec_t now);
 
 /* True if hosts ask here for its places, or did lately. */
 bool grants_is_asked(const grants_t *grants, uint32_t endpoint,
--- a/src/member.c
+++ b/src/member.c
@@ -36,6 +36,8 @@
 	member->out = out;
 	if (!member->options.period)
 		member->options.period = MEMBER_PERIOD;
+	if (!member->options.facts)
+		member->options.facts = MEMBER_FACTS;
 	pimento_random_init(&member->random, options->seed ^ options->self ^
 						     options->incarnation);
 	/*
@@ -363,32 +365,68 @@
 	}
 }
 
-int member_receive(member_t *member, pimento_usec_t now, pimento_id_t from,
-		   const message_t *message)
+static bool is_sound(const member_t *m, pimento_id_t from,
+		     const message_probe_t *p)
+{
+	return p->count <= MESSAGE_FACTS_MAX && from && from != m->options.self;
+}
+
+static member_host_t *take_facts(member_t *m, pimento_usec_t now,
+				 pimento_id_t from, const message_probe_t *p)
 {
-	const message_probe_t *p = &message->u.probe;
 	member_host_t *h;
 
-	if (message->kind != MESSAGE_PROBE && message->kind != MESSAGE_ACK)
-		return PIMENTO_EINVAL;
-	if (p->count > MESSAGE_FACTS_MAX || !from ||
-	    from == member->options.self)
-		return PIMENTO_EINVAL;
-	notice_pause(member, now);
+	notice_pause(m, now);
 	for (uint32_t i = 0; i < p->count; i++)
-		subject_merge(member, now, &p->facts[i]);
-	member_heard(member, now, from);
-	h = subject_find(member, from);
+		subject_merge(m, now, &p->facts[i]);
+	member_heard(m, now, from);
+	h = subject_find(m, from);
 	if (h)
 		h->disputed = h->incarnation != p->incarnation;
-	if (message->kind == MESSAGE_PROBE)
-		receive_probe(member, from, p);
+	return h;
+}
+
+int member_receive_probe(member_t *member, pimento_usec_t now,
+			 pimento_id_t from, message_kind_t kind,
+			 const message_probe_t *probe)
+{
+	if (kind != MESSAGE_PROBE && kind != MESSAGE_ACK)
+		return PIMENTO_EINVAL;
+	if (!is_sound(member, from, probe))
+		return PIMENTO_EINVAL;
+	take_facts(member, now, from, probe);
+	if (kind == MESSAGE_PROBE)
+		receive_probe(member, from, probe);
 	else
-		receive_ack(member, from, p);
+		receive_ack(member, from, probe);
 	settle_fresh(member);
 	return PIMENTO_OK;
 }
 
+int member_receive(member_t *member, pimento_usec_t now, pimento_id_t from,
+		   const message_t *message)
+{
+	return member_receive_probe(member, now, from, message->kind,
+				    &message->u.probe);
+}
+
+void member_tell(member_t *member, message_probe_t *facts)
+{
+	facts->incarnation = member->options.incarnation;
+	subject_put(facts, subject_self(member));
+	subject_put_rumours(member, facts);
+	subject_put_sweep(member, facts);
+}
+
+int member_learn(member_t *member, pimento_usec_t now, pimento_id_t from,
+		 const message_probe_t *facts)
+{
+	if (!is_sound(member, from, facts))
+		return PIMENTO_EINVAL;
+	take_facts(member, now, from, facts);
+	return PIMENTO_OK;
+}
+
 void member_leave(member_t *member, pimento_usec_t now)
 {
 	notice_pause(member, now);
@@ -513,7 +551,7 @@
 	send(m, MESSAGE_PROBE, target, 0, m->probe_sequence);
 	if (!m->fresh)
 		probe_more(m);
-	else if (m->untold > MESSAGE_FACTS_MAX)
+	else if (m->untold > m->options.facts)
 		tell_more(m);
 }
 
@@ -587,6 +625,12 @@
 }
 
 pimento_id_t member_owner(const member_t *member, pimento_id_t endpoint)
+{
+	return member_successor(member, endpoint, 0);
+}
+
+pimento_id_t member_successor(const member_t *member, pimento_id_t endpoint,
+			      pimento_id_t former)
 {
 	pimento_id_t owner = 0;
 	uint64_t best = 0;
@@ -595,7 +639,7 @@
 		const member_host_t *h = &member->hosts[i];
 		uint64_t w;
 
-		if (!subject_live(h))
+		if (!subject_live(h) || h->id == former)
 			continue;
 		w = weight(endpoint, h->id);
 		if (owner && w <= best)
@@ -606,6 +650,24 @@
 	return owner;
 }
 
+double member_reachable(const member_t *member, pimento_usec_t span,
+			pimento_usec_t now)
+{
+	uint32_t alive = 0;
+	uint32_t lost = 0;
+
+	for (uint32_t i = 0; i < member->count; i++) {
+		const member_host_t *h = &member->hosts[i];
+
+		if (subject_alive(h))
+			alive++;
+		else if (!h->endpoint && h->rank == RANK_DEAD &&
+			 !subject_leaving(h) && now - h->since < span)
+			lost++;
+	}
+	return alive ? (double)alive / (alive + lost) : 1.0;
+}
+
 double member_share(const member_t *member)
 {
 	uint32_t published = 0;
--- a/src/member.h
+++ b/src/member.h
@@ -22,11 +22,13 @@
 	uint64_t incarnation;
 	uint64_t seed;
 	pimento_usec_t period; /* between probes; 0: the default */
+	uint32_t facts; /* on a message, at most; 0: the default */
 } member_options_t;
 
 #define MEMBER_PERIOD (250 * PIMENTO_MSEC)
 #define MEMBER_HOSTS_MAX 4096 /* subjects known, hosts and endpoints */
 #define MEMBER_RELAYS 16
+#define MEMBER_FACTS 16 /* on a message */
 
 typedef struct member_host member_host_t;
 
@@ -102,6 +104,19 @@
 int member_receive(member_t *member, pimento_usec_t now, pimento_id_t from,
 		   const message_t *message);
 
+/* The same for a probe or ack that came by other means than a message_t. */
+int member_receive_probe(member_t *member, pimento_usec_t now,
+			 pimento_id_t from, message_kind_t kind,
+			 const message_probe_t *probe);
+
+/*
+ * Fills a message that is neither probe nor ack with facts, the sender's own
+ * first; member_learn() takes them. They spread as those on probes do.
+ */
+void member_tell(member_t *member, message_probe_t *facts);
+int member_learn(member_t *member, pimento_usec_t now, pimento_id_t from,
+		 const message_probe_t *facts);
+
 /* Any message of a peer shows that it lives. */
 void member_heard(member_t *member, pimento_usec_t now, pimento_id_t from);
 
@@ -152,6 +167,17 @@
  */
 pimento_id_t member_owner(const member_t *member, pimento_id_t endpoint);
 
+/* The owner if the former one were dead; 0 if there is none. */
+pimento_id_t member_successor(const member_t *member, pimento_id_t endpoint,
+			      pimento_id_t former);
+
+/*
+ * Share of the known hosts that live, (0, 1]; those that died within span
+ * count as known. Leaving is no death.
+ */
+double member_reachable(const member_t *member, pimento_usec_t span,
+			pimento_usec_t now);
+
 /*
  * Share of the published entry hosts that this host believes alive, (0, 1];
  * 1 where none are published.
--- a/src/message.h
+++ b/src/message.h
@@ -11,7 +11,7 @@
 #include "../pimentoshelf.h"
 
 #define MESSAGE_SUMMARIES_MAX 16
-#define MESSAGE_FACTS_MAX 16
+#define MESSAGE_FACTS_MAX 48
 #define MESSAGE_PART_MAX 16384
 #define MESSAGE_ANSWER_MAX 4096
 #define MESSAGE_STREAM_MAX 64
--- a/src/packet.h
+++ b/src/packet.h
@@ -7,6 +7,7 @@
  */
 
 #include "grants.h"
+#include "quota_fleet.h"
 #include "roster.h"
 
 /* Bytes of an encoded packet, below the least MTU in use. */
@@ -16,7 +17,9 @@
 	PACKET_NOTE,
 	PACKET_ASK,
 	PACKET_REPLY,
-	PACKET_RELEASE
+	PACKET_RELEASE,
+	PACKET_REPORT,
+	PACKET_QUOTA
 } packet_kind_t;
 
 typedef struct packet_reply {
@@ -34,6 +37,13 @@
 	pace_finding_t finding;
 } packet_release_t;
 
+/* What a host has in flight at an endpoint, for the endpoint's owner. */
+typedef struct packet_report {
+	uint32_t endpoint;
+	uint32_t address;
+	uint32_t running;
+} packet_report_t;
+
 typedef struct packet {
 	packet_kind_t kind;
 	union {
@@ -41,6 +51,8 @@
 		grants_ask_t ask;
 		packet_reply_t reply;
 		packet_release_t release;
+		packet_report_t report;
+		quota_message_t quota;
 	} as;
 } packet_t;
 
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -16,14 +16,18 @@
 
 
 typedef struct Peer__Load Peer__Load;
-typedef struct Peer__Use Peer__Use;
+typedef struct Peer__Quota Peer__Quota;
 typedef struct Peer__Owned Peer__Owned;
+typedef struct Peer__Fact Peer__Fact;
+typedef struct Peer__Reader Peer__Reader;
 typedef struct Peer__Note Peer__Note;
+typedef struct Peer__Report Peer__Report;
 typedef struct Peer__Record Peer__Record;
 typedef struct Peer__Snapshot Peer__Snapshot;
 typedef struct Peer__Ask Peer__Ask;
 typedef struct Peer__Reply Peer__Reply;
 typedef struct Peer__Release Peer__Release;
+typedef struct Peer__QuotaMessage Peer__QuotaMessage;
 typedef struct Peer__Packet Peer__Packet;
 
 
@@ -53,7 +57,10 @@
     , 0, 0, 0 }
 
 
-struct  Peer__Use
+/*
+ * What the owner of an account reports of it.
+ */
+struct  Peer__Quota
 {
   ProtobufCMessage base;
   /*
@@ -61,25 +68,17 @@
    */
   uint32_t account;
   /*
-   * tokens, by the sender since its start
-   */
-  uint64_t admitted;
-  /*
-   * of the account's bucket, as the sender sees it
+   * tokens in its bucket
    */
   uint64_t level;
   /*
-   * of that view
+   * since the owner reported it
    */
   uint32_t age_ms;
-  /*
-   * tokens a second, by the sender's callers lately
-   */
-  uint32_t asked;
 };
-#define PEER__USE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__use__descriptor) \
-    , 0, 0, 0, 0, 0 }
+#define PEER__QUOTA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__quota__descriptor) \
+    , 0, 0, 0 }
 
 
 struct  Peer__Owned
@@ -87,7 +86,7 @@
   ProtobufCMessage base;
   uint32_t endpoint;
   /*
-   * by all hosts, as its owner, the sender, counts
+   * by all hosts, as its owner counts
    */
   uint32_t running;
   uint32_t waiting;
@@ -103,10 +102,50 @@
    * was not reached, and has not answered since
    */
   protobuf_c_boolean doubtful;
+  /*
+   * since the owner reported it; the owner may be another
+   */
+  uint32_t age_ms;
 };
 #define PEER__OWNED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__owned__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * What is known of a host; see src/member.h.
+ */
+struct  Peer__Fact
+{
+  ProtobufCMessage base;
+  uint32_t address;
+  uint64_t incarnation;
+  uint32_t version;
+  /*
+   * host_state_t
+   */
+  uint32_t state;
+};
+#define PEER__FACT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__fact__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * A host that reads the platform's store, with success.
+ */
+struct  Peer__Reader
+{
+  ProtobufCMessage base;
+  uint32_t address;
+  /*
+   * since it said so
+   */
+  uint32_t age_ms;
+};
+#define PEER__READER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__reader__descriptor) \
+    , 0, 0 }
 
 
 struct  Peer__Note
@@ -135,17 +174,6 @@
   uint64_t revision;
   size_t n_loads;
   Peer__Load **loads;
-  size_t n_uses;
-  Peer__Use **uses;
-  /*
-   * some of the addresses that it hears
-   */
-  size_t n_members;
-  uint32_t *members;
-  /*
-   * it reads the platform's store, with success
-   */
-  protobuf_c_boolean reader;
   size_t n_owned;
   Peer__Owned **owned;
   /*
@@ -153,10 +181,51 @@
    */
   uint32_t endpoints_age_ms;
   uint64_t endpoints_revision;
+  /*
+   * The membership protocol: 0 none, 1 probe, 2 ack.
+   */
+  uint32_t probe;
+  uint64_t sequence;
+  /*
+   * to be probed on the sender's behalf; 0 none
+   */
+  uint32_t target;
+  /*
+   * the sender did not stand still lately
+   */
+  protobuf_c_boolean settled;
+  size_t n_facts;
+  Peer__Fact **facts;
+  size_t n_readers;
+  Peer__Reader **readers;
+  size_t n_quotas;
+  Peer__Quota **quotas;
+  /*
+   * the receiver is to answer with a note of its own
+   */
+  protobuf_c_boolean pull;
 };
 #define PEER__NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__note__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * What a host has in flight at an endpoint, for the endpoint's owner.
+ */
+struct  Peer__Report
+{
+  ProtobufCMessage base;
+  uint32_t endpoint;
+  /*
+   * of the sender
+   */
+  uint32_t address;
+  uint32_t running;
+};
+#define PEER__REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__report__descriptor) \
+    , 0, 0, 0 }
 
 
 struct  Peer__Record
@@ -289,12 +358,48 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * Asks the owner of an account whether a request is within its quota; its
+ * answer; and that an admitted request has not run.
+ */
+struct  Peer__QuotaMessage
+{
+  ProtobufCMessage base;
+  /*
+   * quota_message_kind_t
+   */
+  uint32_t kind;
+  /*
+   * of the sender
+   */
+  uint32_t address;
+  uint32_t account;
+  uint64_t ticket;
+  uint64_t tokens;
+  uint32_t tier;
+  /*
+   * the limit, and the configuration that states it
+   */
+  uint64_t per_second;
+  uint64_t burst;
+  uint64_t version;
+  protobuf_c_boolean admitted;
+  uint32_t retry_after_ms;
+  uint64_t level;
+};
+#define PEER__QUOTA_MESSAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__quota_message__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   PEER__PACKET__CONTENT__NOT_SET = 0,
   PEER__PACKET__CONTENT_NOTE = 1,
   PEER__PACKET__CONTENT_ASK = 2,
   PEER__PACKET__CONTENT_REPLY = 3,
-  PEER__PACKET__CONTENT_RELEASE = 4
+  PEER__PACKET__CONTENT_RELEASE = 4,
+  PEER__PACKET__CONTENT_REPORT = 5,
+  PEER__PACKET__CONTENT_QUOTA = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__PACKET__CONTENT__CASE)
 } Peer__Packet__ContentCase;
 
@@ -310,6 +415,8 @@
     Peer__Ask *ask;
     Peer__Reply *reply;
     Peer__Release *release;
+    Peer__Report *report;
+    Peer__QuotaMessage *quota;
   };
 };
 #define PEER__PACKET__INIT \
@@ -336,24 +443,24 @@
 void   peer__load__free_unpacked
                      (Peer__Load *message,
                       ProtobufCAllocator *allocator);
-/* Peer__Use methods */
-void   peer__use__init
-                     (Peer__Use         *message);
-size_t peer__use__get_packed_size
-                     (const Peer__Use   *message);
-size_t peer__use__pack
-                     (const Peer__Use   *message,
+/* Peer__Quota methods */
+void   peer__quota__init
+                     (Peer__Quota         *message);
+size_t peer__quota__get_packed_size
+                     (const Peer__Quota   *message);
+size_t peer__quota__pack
+                     (const Peer__Quota   *message,
                       uint8_t             *out);
-size_t peer__use__pack_to_buffer
-                     (const Peer__Use   *message,
+size_t peer__quota__pack_to_buffer
+                     (const Peer__Quota   *message,
                       ProtobufCBuffer     *buffer);
-Peer__Use *
-       peer__use__unpack
+Peer__Quota *
+       peer__quota__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   peer__use__free_unpacked
-                     (Peer__Use *message,
+void   peer__quota__free_unpacked
+                     (Peer__Quota *message,
                       ProtobufCAllocator *allocator);
 /* Peer__Owned methods */
 void   peer__owned__init
@@ -374,6 +481,44 @@
 void   peer__owned__free_unpacked
                      (Peer__Owned *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Fact methods */
+void   peer__fact__init
+                     (Peer__Fact         *message);
+size_t peer__fact__get_packed_size
+                     (const Peer__Fact   *message);
+size_t peer__fact__pack
+                     (const Peer__Fact   *message,
+                      uint8_t             *out);
+size_t peer__fact__pack_to_buffer
+                     (const Peer__Fact   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Fact *
+       peer__fact__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__fact__free_unpacked
+                     (Peer__Fact *message,
+                      ProtobufCAllocator *allocator);
+/* Peer__Reader methods */
+void   peer__reader__init
+                     (Peer__Reader         *message);
+size_t peer__reader__get_packed_size
+                     (const Peer__Reader   *message);
+size_t peer__reader__pack
+                     (const Peer__Reader   *message,
+                      uint8_t             *out);
+size_t peer__reader__pack_to_buffer
+                     (const Peer__Reader   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Reader *
+       peer__reader__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__reader__free_unpacked
+                     (Peer__Reader *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Note methods */
 void   peer__note__init
                      (Peer__Note         *message);
@@ -393,6 +538,25 @@
 void   peer__note__free_unpacked
                      (Peer__Note *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Report methods */
+void   peer__report__init
+                     (Peer__Report         *message);
+size_t peer__report__get_packed_size
+                     (const Peer__Report   *message);
+size_t peer__report__pack
+                     (const Peer__Report   *message,
+                      uint8_t             *out);
+size_t peer__report__pack_to_buffer
+                     (const Peer__Report   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Report *
+       peer__report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__report__free_unpacked
+                     (Peer__Report *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Record methods */
 void   peer__record__init
                      (Peer__Record         *message);
@@ -488,6 +652,25 @@
 void   peer__release__free_unpacked
                      (Peer__Release *message,
                       ProtobufCAllocator *allocator);
+/* Peer__QuotaMessage methods */
+void   peer__quota_message__init
+                     (Peer__QuotaMessage         *message);
+size_t peer__quota_message__get_packed_size
+                     (const Peer__QuotaMessage   *message);
+size_t peer__quota_message__pack
+                     (const Peer__QuotaMessage   *message,
+                      uint8_t             *out);
+size_t peer__quota_message__pack_to_buffer
+                     (const Peer__QuotaMessage   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__QuotaMessage *
+       peer__quota_message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__quota_message__free_unpacked
+                     (Peer__QuotaMessage *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Packet methods */
 void   peer__packet__init
                      (Peer__Packet         *message);
@@ -512,15 +695,24 @@
 typedef void (*Peer__Load_Closure)
                  (const Peer__Load *message,
                   void *closure_data);
-typedef void (*Peer__Use_Closure)
-                 (const Peer__Use *message,
+typedef void (*Peer__Quota_Closure)
+                 (const Peer__Quota *message,
                   void *closure_data);
 typedef void (*Peer__Owned_Closure)
                  (const Peer__Owned *message,
                   void *closure_data);
+typedef void (*Peer__Fact_Closure)
+                 (const Peer__Fact *message,
+                  void *closure_data);
+typedef void (*Peer__Reader_Closure)
+                 (const Peer__Reader *message,
+                  void *closure_data);
 typedef void (*Peer__Note_Closure)
                  (const Peer__Note *message,
                   void *closure_data);
+typedef void (*Peer__Report_Closure)
+                 (const Peer__Report *message,
+                  void *closure_data);
 typedef void (*Peer__Record_Closure)
                  (const Peer__Record *message,
                   void *closure_data);
@@ -536,6 +728,9 @@
 typedef void (*Peer__Release_Closure)
                  (const Peer__Release *message,
                   void *closure_data);
+typedef void (*Peer__QuotaMessage_Closure)
+                 (const Peer__QuotaMessage *message,
+                  void *closure_data);
 typedef void (*Peer__Packet_Closure)
                  (const Peer__Packet *message,
                   void *closure_data);
@@ -546,14 +741,18 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor peer__load__descriptor;
-extern const ProtobufCMessageDescriptor peer__use__descriptor;
+extern const ProtobufCMessageDescriptor peer__quota__descriptor;
 extern const ProtobufCMessageDescriptor peer__owned__descriptor;
+extern const ProtobufCMessageDescriptor peer__fact__descriptor;
+extern const ProtobufCMessageDescriptor peer__reader__descriptor;
 extern const ProtobufCMessageDescriptor peer__note__descriptor;
+extern const ProtobufCMessageDescriptor peer__report__descriptor;
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
 extern const ProtobufCMessageDescriptor peer__snapshot__descriptor;
 extern const ProtobufCMessageDescriptor peer__ask__descriptor;
 extern const ProtobufCMessageDescriptor peer__reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__release__descriptor;
+extern const ProtobufCMessageDescriptor peer__quota_message__descriptor;
 extern const ProtobufCMessageDescriptor peer__packet__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/roster.c
+++ b/src/roster.c
@@ -23,9 +23,29 @@
 /* Quiet hosts are written to in one of so many turns. */
 #define QUIET_TURNS 8
 
-void roster_init(roster_t *roster, uint32_t self)
+/* Between probes; facts and ages ride on them. */
+#define PROBE_PERIOD (150 * PIMENTO_MSEC)
+/* Probes and acks between two drains. */
+#define OUTBOX 256
+/* Two hosts that are not paused tell each other the same number. */
+#define SETTLED 1
+
+int roster_init(roster_t *roster, uint32_t self, uint64_t incarnation)
 {
-	*roster = (roster_t){ .self = self };
+	const member_options_t options = { .self = self,
+					   .incarnation = incarnation,
+					   .seed = incarnation,
+					   .period = PROBE_PERIOD,
+					   .facts = MESSAGE_FACTS_MAX };
+	int error;
+
+	memset(roster, 0, sizeof(*roster));
+	roster->self = self;
+	error = outbox_init(&roster->out, OUTBOX);
+	if (!error)
+		error = member_init(&roster->member, &options, &roster->out);
+	roster->member.revision = SETTLED;
+	return error;
 }
 
 void roster_finish(roster_t *roster)
@@ -33,6 +53,8 @@
 	for (uint32_t i = 0; i < roster->count; i++)
 		free(roster->peers[i]);
 	free(roster->peers);
+	member_finish(&roster->member);
+	outbox_finish(&roster->out);
 }
 
 /* An order of the hosts in which neighbours lie apart. */
@@ -84,7 +106,7 @@
 	if (!peer)
 		return PIMENTO_ENOMEM;
 	peer->seed = peer->seed || seed;
-	return 0;
+	return member_meet(&roster->member, now, address);
 }
 
 static void take_counts(roster_peer_t *peer, const roster_note_t *note)
@@ -93,7 +115,105 @@
 	memcpy(peer->loads, note->loads, sizeof(peer->loads));
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
 		peer->revisions[kind] = note->copies[kind].revision;
-	peer->reader = note->reader;
+}
+
+/* Takes what a note says of hosts, also if a later one came before it. */
+static int take_membership(roster_t *roster, const roster_note_t *note,
+			   pimento_usec_t now)
+{
+	const message_probe_t *told = &note->membership;
+	member_t *member = &roster->member;
+	int error = 0;
+
+	for (uint32_t i = 0; i < told->count && !error; i++) {
+		const message_fact_t *fact = &told->facts[i];
+
+		if (fact->state != HOST_DEAD &&
+		    member_state(member, fact->subject) == HOST_UNKNOWN)
+			error = roster_add(roster, (uint32_t)fact->subject,
+					   false, now);
+	}
+	if (note->probe == ROSTER_NO_PROBE)
+		member_learn(member, now, note->address, told);
+	else
+		member_receive_probe(member, now, note->address,
+				     note->probe == ROSTER_ACK ? MESSAGE_ACK
+							       : MESSAGE_PROBE,
+				     told);
+	return error;
+}
+
+static bool goes_before(const roster_known_reader_t *a,
+			const roster_known_reader_t *b)
+{
+	return spread(a->address) < spread(b->address);
+}
+
+/* The reader that goes if another is to have its place. */
+static roster_known_reader_t *last_reader(roster_t *roster)
+{
+	roster_known_reader_t *last = &roster->readers[0];
+
+	for (uint32_t i = 1; i < roster->reader_count; i++)
+		if (goes_before(last, &roster->readers[i]))
+			last = &roster->readers[i];
+	return last;
+}
+
+static void add_reader(roster_t *roster, const roster_known_reader_t *reader)
+{
+	for (uint32_t i = 0; i < roster->reader_count; i++) {
+		roster_known_reader_t *known = &roster->readers[i];
+
+		if (known->address != reader->address)
+			continue;
+		if (known->at < reader->at)
+			known->at = reader->at;
+		return;
+	}
+	if (roster->reader_count < ROSTER_READERS_MAX)
+		roster->readers[roster->reader_count++] = *reader;
+	else if (goes_before(reader, last_reader(roster)))
+		*last_reader(roster) = *reader;
+}
+
+static void forget_readers(roster_t *roster, pimento_usec_t now)
+{
+	for (uint32_t i = roster->reader_count; i-- > 0;)
+		if (now - roster->readers[i].at >= BELIEVED)
+			roster->readers[i] =
+				roster->readers[--roster->reader_count];
+}
+
+static void take_readers(roster_t *roster, const roster_note_t *note,
+			 pimento_usec_t now)
+{
+	for (uint32_t i = 0; i < note->reader_count; i++) {
+		const roster_reader_t *told = &note->readers[i];
+		const roster_known_reader_t reader = { told->address,
+						       now - told->age };
+
+		if (told->age < BELIEVED && told->address != roster->self)
+			add_reader(roster, &reader);
+	}
+	forget_readers(roster, now);
+}
+
+void roster_tell_readers(roster_t *roster, bool reader, pimento_usec_t now,
+			 roster_note_t *note)
+{
+	forget_readers(roster, now);
+	note->reader_count = 0;
+	if (reader)
+		note->readers[note->reader_count++] =
+			(roster_reader_t){ roster->self, 0 };
+	for (uint32_t i = 0; i < roster->reader_count &&
+			     note->reader_count < ROSTER_READERS_MAX;
+	     i++)
+		note->readers[note->reader_count++] = (roster_reader_t){
+			roster->readers[i].address,
+			now - roster->readers[i].at,
+		};
 }
 
 static pimento_usec_t fresh_since(const roster_note_t *note,
@@ -112,10 +232,13 @@
 
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
 		fresh[kind] = INT64_MIN;
-	if (note->address == roster->self)
+	if (note->address == roster->self || !note->address)
 		return NULL;
-	if (!peer)
-		peer = add(roster, note->address, now);
+	if (take_membership(roster, note, now))
+		return NULL;
+	take_readers(roster, note, now);
+	if (!peer && !roster_add(roster, note->address, false, now))
+		peer = find(roster, note->address);
 	if (!peer)
 		return NULL;
 	if (peer->heard && peer->incarnation == note->incarnation &&
@@ -128,9 +251,6 @@
 	take_counts(peer, note);
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
 		fresh[kind] = fresh_since(note, &note->copies[kind], now);
-	for (uint32_t i = 0; i < note->member_count; i++)
-		if (roster_add(roster, note->members[i], false, now))
-			return NULL;
 	return peer;
 }
 
@@ -177,18 +297,48 @@
 	return found;
 }
 
-void roster_members(roster_t *roster, pimento_usec_t now, roster_note_t *note)
+void roster_tick(roster_t *roster, pimento_usec_t now)
 {
-	note->member_count = 0;
-	for (uint32_t i = 0; i < roster->count; i++) {
-		roster_peer_t *peer =
-			roster->peers[roster->member_turn++ % roster->count];
+	member_tick(&roster->member, now);
+}
 
-		if (note->member_count == ROSTER_MEMBERS_MAX)
-			return;
-		if (!is_quiet(peer, now))
-			note->members[note->member_count++] = peer->address;
-	}
+bool roster_next_probe(roster_t *roster, uint32_t *address, roster_note_t *note)
+{
+	pimento_id_t to;
+
+	if (!outbox_take(&roster->out, &to, &roster->message))
+		return false;
+	*address = (uint32_t)to;
+	note->probe =
+		roster->message.kind == MESSAGE_ACK ? ROSTER_ACK : ROSTER_PROBE;
+	note->membership = roster->message.u.probe;
+	return true;
+}
+
+pimento_usec_t roster_stamp_of(const roster_t *roster, uint32_t address)
+{
+	const roster_peer_t *peer = find(roster, address);
+
+	return peer ? peer->their_stamp : 0;
+}
+
+uint64_t roster_incarnation(const roster_t *roster)
+{
+	return roster->member.options.incarnation;
+}
+
+void roster_tell_members(roster_t *roster, roster_note_t *note)
+{
+	note->probe = ROSTER_NO_PROBE;
+	note->membership.count = 0;
+	member_tell(&roster->member, &note->membership);
+}
+
+static bool is_live(const roster_t *roster, uint32_t address)
+{
+	host_state_t state = member_state(&roster->member, address);
+
+	return state == HOST_LIVE || state == HOST_SUSPECT;
 }
 
 uint32_t roster_hosts(const roster_t *roster, pimento_usec_t now)
@@ -197,7 +347,8 @@
 
 	for (uint32_t i = 0; i < roster->count; i++)
 		if (roster->peers[i]->seed ||
-		    now - roster->peers[i]->heard_at < FORGOTTEN)
+		    now - roster->peers[i]->heard_at < FORGOTTEN ||
+		    is_live(roster, roster->peers[i]->address))
 			hosts++;
 	return hosts;
 }
@@ -213,20 +364,20 @@
 	return peer->heard && now - peer->heard_at < BELIEVED;
 }
 
-/* Readers that are heard; first counts those that would stay before us. */
+/* Known readers; first counts those that would stay before us. */
 static uint32_t count_readers(const roster_t *roster, pimento_usec_t now,
 			      uint32_t *first)
 {
 	uint32_t readers = 0;
 
 	*first = 0;
-	for (uint32_t i = 0; i < roster->count; i++) {
-		const roster_peer_t *peer = roster->peers[i];
+	for (uint32_t i = 0; i < roster->reader_count; i++) {
+		const roster_known_reader_t *reader = &roster->readers[i];
 
-		if (!peer->reader || !roster_believed(peer, now))
+		if (now - reader->at >= BELIEVED)
 			continue;
 		readers++;
-		if (spread(peer->address) < spread(roster->self))
+		if (spread(reader->address) < spread(roster->self))
 			(*first)++;
 	}
 	return readers;
@@ -246,42 +397,36 @@
 	return draw % roster_hosts(roster, now) < ROSTER_READERS - readers;
 }
 
-/* Mixed so that each endpoint orders the hosts in another way. */
-static uint64_t owner_weight(pimento_id_t endpoint, uint32_t address)
+uint32_t roster_owner(const roster_t *roster, pimento_id_t endpoint)
 {
-	uint64_t z = endpoint ^ (address * 0x9e3779b97f4a7c15u);
+	pimento_id_t owner = member_owner(&roster->member, endpoint);
 
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
-	return z ^ (z >> 31);
+	return owner ? (uint32_t)owner : roster->self;
 }
 
-uint32_t roster_owner(const roster_t *roster, pimento_id_t endpoint,
-		      pimento_usec_t now)
+uint32_t roster_successor(const roster_t *roster, pimento_id_t endpoint,
+			  uint32_t former)
 {
-	uint32_t owner = roster->self;
-	uint64_t most = owner_weight(endpoint, owner);
+	pimento_id_t owner =
+		member_successor(&roster->member, endpoint, former);
 
-	for (uint32_t i = 0; i < roster->count; i++) {
-		const roster_peer_t *peer = roster->peers[i];
-		uint64_t weight = owner_weight(endpoint, peer->address);
+	return owner ? (uint32_t)owner : roster->self;
+}
 
-		if (weight > most && roster_believed(peer, now)) {
-			most = weight;
-			owner = peer->address;
-		}
-	}
-	return owner;
+double roster_part(const roster_t *roster, pimento_usec_t span,
+		   pimento_usec_t now)
+{
+	return member_reachable(&roster->member, span, now);
+}
+
+uint64_t roster_changes(const roster_t *roster)
+{
+	return roster->member.changes;
 }
 
-uint32_t roster_peer_running(const roster_peer_t *peer, pimento_id_t endpoint,
-			     pimento_usec_t now)
+void roster_leave(roster_t *roster, pimento_usec_t now)
 {
-	for (uint32_t i = 0; i < peer->load_count; i++)
-		if (peer->loads[i].endpoint == (uint32_t)endpoint)
-			return roster_believed(peer, now)
-				       ? peer->loads[i].running
-				       : 0;
-	return 0;
+	member_leave(&roster->member, now);
 }
 
 roster_load_t roster_load(const roster_t *roster, pimento_id_t endpoint,
--- a/src/subject.c
+++ b/src/subject.c
@@ -254,7 +254,7 @@
  */
 void subject_put_rumours(member_t *m, message_probe_t *p)
 {
-	uint32_t room = MESSAGE_FACTS_MAX - SWEEP - 1;
+	uint32_t room = m->options.facts - SWEEP - 1;
 
 	m->telling++;
 	while (m->untold && p->count < room) {
