roster, mesh: know the fleet within a second of a mass restart

Cause: requests of accounts wait while a host discovers its peers, as it would take the wrong host for an account's owner. Discovery took 1.4 s: notes were bounded at 16 KB/s also while there was much to tell, and a host whose seeds had not answered yet took discovery for over after 200 ms and began again.

Ruled out: the store and the listing (done 50 ms after the start), connections.

Change: bytes of notes that were not used are saved up to 128 KB, and spent when there is more to tell of hosts than a few notes hold. Discovery is not over before a peer was heard, within half a second.

Tests: test_roster, discovery_lasts_until_a_peer_is_heard (fails before).

--- a/io/mesh.c
+++ b/io/mesh.c
@@ -24,6 +24,8 @@
 #define MESH_TARGETS 8
 /* Bytes of notes a second, probes and acks included. */
 #define NOTE_BYTES (16 * 1024)
+/* Saved for when many hosts start or die, and all are to know it soon. */
+#define NOTE_BYTES_SAVED (128 * 1024)
 /* Loads grow too old in a larger fleet; owners count there. */
 #define LOADS_HOSTS_MAX 64
 /* Notes read in one turn of the loop. */
@@ -104,33 +106,41 @@
 		mesh->notes_out++;
 }
 
-/* Bytes that were not sent in a second are not saved. */
 static void fill_credit(mesh_t *mesh, pimento_usec_t now)
 {
 	double passed =
 		(double)(now - mesh->note_credit_at) / (double)PIMENTO_SEC;
 
 	mesh->note_credit += passed * NOTE_BYTES;
-	if (mesh->note_credit > NOTE_BYTES)
-		mesh->note_credit = NOTE_BYTES;
+	if (mesh->note_credit > NOTE_BYTES_SAVED)
+		mesh->note_credit = NOTE_BYTES_SAVED;
 	mesh->note_credit_at = now;
 }
 
+static bool may_send(mesh_t *mesh, pimento_usec_t now)
+{
+	double kept = roster_has_news(mesh->roster)
+			      ? 0
+			      : NOTE_BYTES_SAVED - NOTE_BYTES;
+
+	fill_credit(mesh, now);
+	return mesh->note_credit > kept;
+}
+
 static void send_notes(mesh_t *mesh, pimento_usec_t now)
 {
 	roster_peer_t *targets[MESH_TARGETS];
 	roster_note_t note = { 0 };
 	uint32_t count;
 
-	fill_credit(mesh, now);
-	if (mesh->note_credit <= 0)
+	if (!may_send(mesh, now))
 		return;
 	roster_tell_members(mesh->roster, &note);
 	write_note(mesh, &note, now);
 	/* an age counts only in an answer: it echoes a stamp that is young */
 	note.pull = true;
 	count = roster_targets(mesh->roster, now, MESH_TARGETS, targets);
-	for (uint32_t i = 0; i < count && mesh->note_credit > 0; i++)
+	for (uint32_t i = 0; i < count && may_send(mesh, now); i++)
 		send_note(mesh, &note, targets[i]->address);
 }
 
@@ -150,8 +160,7 @@
 {
 	roster_note_t note = { 0 };
 
-	fill_credit(mesh, now);
-	if (mesh->note_credit <= 0)
+	if (!may_send(mesh, now))
 		return;
 	roster_tell_members(mesh->roster, &note);
 	write_note(mesh, &note, now);
--- a/src/roster.c
+++ b/src/roster.c
@@ -20,6 +20,8 @@
 /* Discovery ends after DISCOVERY_MOST, or DISCOVERY_IDLE without a new peer. */
 #define DISCOVERY_MOST (5 * PIMENTO_SEC)
 #define DISCOVERY_IDLE (200 * PIMENTO_MSEC)
+/* A host that was started alone waits so long for the first peer. */
+#define DISCOVERY_ALONE (500 * PIMENTO_MSEC)
 /* Quiet hosts are written to in one of so many turns. */
 #define QUIET_TURNS 8
 
@@ -244,6 +246,7 @@
 	if (peer->heard && peer->incarnation == note->incarnation &&
 	    note->stamp <= peer->their_stamp)
 		return NULL;
+	roster->heard_any = true;
 	peer->heard = true;
 	peer->incarnation = note->incarnation;
 	peer->their_stamp = note->stamp;
@@ -341,6 +344,11 @@
 	return state == HOST_LIVE || state == HOST_SUSPECT;
 }
 
+bool roster_has_news(const roster_t *roster)
+{
+	return roster->member.untold > ROSTER_FACTS_CALM;
+}
+
 uint32_t roster_hosts(const roster_t *roster, pimento_usec_t now)
 {
 	uint32_t hosts = 1;
@@ -355,8 +363,11 @@
 
 bool roster_is_discovering(const roster_t *roster, pimento_usec_t now)
 {
-	return now - roster->started_at < DISCOVERY_MOST &&
-	       now - roster->last_added_at < DISCOVERY_IDLE;
+	pimento_usec_t up = now - roster->started_at;
+
+	return (!roster->heard_any && up < DISCOVERY_ALONE) ||
+	       (up < DISCOVERY_MOST &&
+		now - roster->last_added_at < DISCOVERY_IDLE);
 }
 
 bool roster_believed(const roster_peer_t *peer, pimento_usec_t now)
@@ -364,6 +375,16 @@
 	return peer->heard && now - peer->heard_at < BELIEVED;
 }
 
+bool roster_has_copy(const roster_t *roster, mirror_kind_t kind,
+		     pimento_usec_t now)
+{
+	for (uint32_t i = 0; i < roster->count; i++)
+		if (roster->peers[i]->revisions[kind] &&
+		    roster_believed(roster->peers[i], now))
+			return true;
+	return false;
+}
+
 /* Known readers; first counts those that would stay before us. */
 static uint32_t count_readers(const roster_t *roster, pimento_usec_t now,
 			      uint32_t *first)
--- a/src/roster.h
+++ b/src/roster.h
@@ -111,6 +111,7 @@
 	uint32_t reader_count;
 	pimento_usec_t started_at; /* when the first peer was added; 0 none */
 	pimento_usec_t last_added_at; /* when the newest peer was added */
+	bool heard_any;
 	uint32_t turn; /* of those to be written to */
 } roster_t;
 
@@ -157,6 +158,13 @@
 /* Fills a note that is no probe with what is known of hosts. */
 void roster_tell_members(roster_t *roster, roster_note_t *note);
 
+/* True if a peer was heard lately that holds records of a collection. */
+bool roster_has_copy(const roster_t *roster, mirror_kind_t kind,
+		     pimento_usec_t now);
+
+/* True if there is more to tell of hosts than a few notes hold. */
+bool roster_has_news(const roster_t *roster);
+
 /* Fills the readers of a note; reader: this host is one. */
 void roster_tell_readers(roster_t *roster, bool reader, pimento_usec_t now,
 			 roster_note_t *note);
--- a/test/test_roster.c
+++ b/test/test_roster.c
@@ -315,6 +315,24 @@
 }
 END_TEST
 
+/*
+ * Guards against a restarted host that takes itself for the only one, as its
+ * seeds have not answered yet.
+ */
+START_TEST(discovery_lasts_until_a_peer_is_heard)
+{
+	const pimento_usec_t at = 1000 * PIMENTO_MSEC;
+	pimento_usec_t fresh[MIRROR_KIND_COUNT];
+	roster_note_t note = note_of(PEER, 100);
+
+	roster_add(&roster, PEER, true, at);
+	ck_assert(roster_is_discovering(&roster, at + 400 * PIMENTO_MSEC));
+	ck_assert(!roster_is_discovering(&roster, at + 600 * PIMENTO_MSEC));
+	roster_receive(&roster, &note, at + 300 * PIMENTO_MSEC, fresh);
+	ck_assert(!roster_is_discovering(&roster, at + 400 * PIMENTO_MSEC));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("roster");
@@ -339,6 +357,7 @@
 	tcase_add_loop_test(
 		tests, discovery_ends_when_no_more_peers_are_added, 0,
 		sizeof(discovery_cases) / sizeof(discovery_cases[0]));
+	tcase_add_test(tests, discovery_lasts_until_a_peer_is_heard);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
