quota, store: shorter holds after a mass restart, fewer calls while hosts start

Cause: a bucket of which nothing is known started half full, and the callers who come back after a fault ask for twice the rate; the hold that keeps hosts from asking the wrong owner outlasted their discovery of each other.

Ruled out: no hold at all.

Change: requests are held for 400 ms at most, an unknown bucket starts a quarter full. The facts for a note are chosen in two passes over the table instead of one for each fact. Metrics and log lines tell of owners, asks of quotas, hosts that live and who reads the store.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -46,13 +46,6 @@
 #define READ_AGE_PART 0.6
 #define READ_AGE_SPREAD 0.1
 
-/*
- * A host that has started waits so long for the first answer of a peer, and
- * for the records of one that holds them, before it reads the store itself.
- */
-#define START_WAIT (50 * PIMENTO_MSEC)
-#define START_FETCH (500 * PIMENTO_MSEC)
-
 /*
  * After SIGTERM callers are served as before until the balancer has surely
  * noticed: it asks once a second and wants two misses.
@@ -89,7 +82,6 @@
 	uint64_t ticks;
 	bool reader; /* selected to read the store on behalf of peers */
 	bool able; /* as last told by the health check */
-	pimento_usec_t started_at;
 	pimento_usec_t stopping; /* since; 0 no */
 } edge_t;
 
@@ -275,27 +267,14 @@
 				(READ_AGE_PART + READ_AGE_SPREAD * part));
 }
 
-/* True if a copy is too old to be left to peers. */
-static bool is_old(const edge_t *edge, mirror_kind_t kind, pimento_usec_t now)
-{
-	pimento_usec_t age = mirror_age(&edge->feed.mirrors[kind], now);
-	pimento_usec_t up = now - edge->started_at;
-
-	if (age != PIMENTO_NEVER)
-		return age > read_age(edge);
-	if (up < START_WAIT)
-		return false;
-	return up > START_FETCH || !roster_has_copy(&edge->roster, kind, now);
-}
-
 /*
- * Whether this host is to read for all. While it discovers many peers it does
- * not know their readers yet, and would take itself for needed.
+ * Whether this host is to read for all. While it discovers peers it does not
+ * know who reads, but the first of those known are the same for all hosts.
  */
-static bool may_read(const edge_t *edge, uint32_t hosts, pimento_usec_t now)
+static bool may_read(const edge_t *edge, pimento_usec_t now)
 {
-	if (hosts > ROSTER_READERS && roster_is_discovering(&edge->roster, now))
-		return false;
+	if (roster_is_discovering(&edge->roster, now))
+		return roster_is_first(&edge->roster);
 	return roster_should_read(&edge->roster, edge->reader, sys_random(),
 				  now);
 }
@@ -323,10 +302,10 @@
 	uint32_t hosts = roster_hosts(&edge->roster, now);
 	bool well = feed_is_well(feed);
 
-	edge->reader = may_read(edge, hosts, now);
+	edge->reader = may_read(edge, now);
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++) {
 		store_t *store = &feed->stores[kind];
-		bool old = is_old(edge, (mirror_kind_t)kind, now);
+		bool old = mirror_age(store->mirror, now) > read_age(edge);
 
 		log_reading(edge, store, edge->reader || old);
 		store_set_active(store, edge->reader || old,
@@ -356,7 +335,8 @@
 	pimento_usec_t now = sys_now();
 
 	(void)events;
-	share_reading(edge, now);
+	if (edge->ticks % MESH_TICKS == 0)
+		share_reading(edge, now);
 	feed_tick(&edge->feed, now);
 	gateway_tick(&edge->gateway, now);
 	mesh_probe(&edge->mesh, now);
@@ -500,7 +480,6 @@
 	uint32_t self = 0;
 	int error = net_parse_ip(edge->settings.address, &self);
 
-	edge->started_at = sys_now();
 	edge->loop = ev_default_loop(EVFLAG_NOENV);
 	if (!edge->loop)
 		return PIMENTO_EIO;
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -467,6 +467,24 @@
 		begin_fetch(fetch, peer, now);
 }
 
+/* One line a second at most, however many hosts come and go. */
+static void log_members(mesh_t *mesh, pimento_usec_t now)
+{
+	uint64_t changes = roster_changes(mesh->roster);
+
+	if (changes == mesh->changes_logged ||
+	    now - mesh->members_logged_at < PIMENTO_SEC)
+		return;
+	trail(TRAIL_STATE, "mesh", "members",
+	      "live=%u reachable=%.2f changes=%llu owners_changed=%llu",
+	      roster_live(mesh->roster),
+	      roster_part(mesh->roster, MESH_LOST_LATELY, now),
+	      (unsigned long long)(changes - mesh->changes_logged),
+	      (unsigned long long)mesh->slots->owners_changed);
+	mesh->changes_logged = changes;
+	mesh->members_logged_at = now;
+}
+
 void mesh_probe(mesh_t *mesh, pimento_usec_t now)
 {
 	roster_tick(mesh->roster, now);
@@ -493,6 +511,7 @@
 void mesh_tick(mesh_t *mesh, pimento_usec_t now)
 {
 	slots_tick(mesh->slots, now);
+	log_members(mesh, now);
 	send_notes(mesh, now);
 	for (int kind = 0; kind < MIRROR_KIND_COUNT; kind++)
 		catch_up(&mesh->fetches[kind], now);
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -18,6 +18,9 @@
 #include "../src/progress.h"
 #include "../src/roster.h"
 
+/* Hosts that died longer ago do not count as out of reach in what is shown. */
+#define MESH_LOST_LATELY (20 * PIMENTO_SEC)
+
 struct mesh;
 
 /* Fetch state of one collection; at most one fetch runs at a time. */
@@ -48,6 +51,8 @@
 	slots_t *slots;
 	mesh_fetch_t fetches[MIRROR_KIND_COUNT];
 	bool reader; /* this host reads the store with success; set by others */
+	uint64_t changes_logged; /* of the roster */
+	pimento_usec_t members_logged_at;
 	uint64_t notes_in; /* counters */
 	uint64_t notes_out;
 	uint64_t note_bytes_out;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -75,6 +75,13 @@
 	counter(text, "connections_reused_total", gateway->pool.reused);
 	counter(text, "notes_in_total", sources->mesh->notes_in);
 	counter(text, "notes_out_total", sources->mesh->notes_out);
+	counter(text, "note_bytes_out_total", sources->mesh->note_bytes_out);
+	counter(text, "slots_asked_total", gateway->slots->asked);
+	counter(text, "slots_granted_total", gateway->slots->granted);
+	counter(text, "owners_changed_total", gateway->slots->owners_changed);
+	counter(text, "quota_asked_total", gateway->quota.asked);
+	counter(text, "quota_unanswered_total", gateway->quota.unanswered);
+	counter(text, "quota_alone_total", gateway->quota.alone);
 	counter(text, "snapshots_in_total", sources->mesh->snapshots_in);
 	counter(text, "snapshots_lost_total", sources->mesh->snapshots_lost);
 	counter(text, "snapshot_bytes_in_total",
@@ -89,4 +96,8 @@
 	histogram(text, "wait_seconds", &counters->waited);
 	services(text, gateway, sources->now);
 	gauge(text, "peers", roster_hosts(gateway->roster, sources->now));
+	gauge(text, "hosts_live", roster_live(gateway->roster));
+	gauge(text, "hosts_reachable_part",
+	      roster_part(gateway->roster, MESH_LOST_LATELY, sources->now));
+	gauge(text, "store_readers", gateway->roster->reader_count);
 }
--- a/src/quota.c
+++ b/src/quota.c
@@ -7,7 +7,7 @@
  *
  * A host that takes an account over goes on from the level that was last
  * reported. When all hosts were killed together nobody knows one; the bucket
- * then starts half full. The operator's tolerance over a window
+ * then starts a quarter full. The operator's tolerance over a window
  * holds what is used twice then.
  */
 
@@ -26,7 +26,7 @@
 #define DRAIN_PART 0.75
 #define BURST_PART 0.75
 /* Part of the room that counts as used when nothing is known. */
-#define UNKNOWN_PART 0.5
+#define UNKNOWN_PART 0.25
 /*
  * Beyond this part of the bucket the account is scarce: what drains is given
  * out by tier, and the bucket is held at the part aimed at. Up to so much more
--- a/src/quota_fleet.c
+++ b/src/quota_fleet.c
@@ -10,7 +10,7 @@
  * they do. Were each of them to give out a whole limit, a surge would have it
  * many times over.
  */
-#define HOLD_MOST (1200 * PIMENTO_MSEC)
+#define HOLD_MOST (400 * PIMENTO_MSEC)
 /* Part of a limit that a host gives out that is not the owner, but was asked. */
 #define DEPUTY_PART 0.5
 /* Hosts that died this lately may live on behind a cut. */
--- a/src/roster.c
+++ b/src/roster.c
@@ -375,14 +375,14 @@
 	return peer->heard && now - peer->heard_at < BELIEVED;
 }
 
-bool roster_has_copy(const roster_t *roster, mirror_kind_t kind,
-		     pimento_usec_t now)
+bool roster_is_first(const roster_t *roster)
 {
+	uint32_t before = 0;
+
 	for (uint32_t i = 0; i < roster->count; i++)
-		if (roster->peers[i]->revisions[kind] &&
-		    roster_believed(roster->peers[i], now))
-			return true;
-	return false;
+		if (spread(roster->peers[i]->address) < spread(roster->self))
+			before++;
+	return before < ROSTER_READERS;
 }
 
 /* Known readers; first counts those that would stay before us. */
@@ -434,6 +434,11 @@
 	return owner ? (uint32_t)owner : roster->self;
 }
 
+uint32_t roster_live(const roster_t *roster)
+{
+	return member_live(&roster->member, NULL, 0);
+}
+
 double roster_part(const roster_t *roster, pimento_usec_t span,
 		   pimento_usec_t now)
 {
--- a/src/roster.h
+++ b/src/roster.h
@@ -158,10 +158,6 @@
 /* Fills a note that is no probe with what is known of hosts. */
 void roster_tell_members(roster_t *roster, roster_note_t *note);
 
-/* True if a peer was heard lately that holds records of a collection. */
-bool roster_has_copy(const roster_t *roster, mirror_kind_t kind,
-		     pimento_usec_t now);
-
 /* True if there is more to tell of hosts than a few notes hold. */
 bool roster_has_news(const roster_t *roster);
 
@@ -185,6 +181,12 @@
 roster_load_t roster_load(const roster_t *roster, pimento_id_t endpoint,
 			  pimento_usec_t now);
 
+/*
+ * True if this host is among the first ROSTER_READERS of those known, in an
+ * order that is the same for all hosts.
+ */
+bool roster_is_first(const roster_t *roster);
+
 /*
  * Whether this host should read the platform's store, now being a reader or
  * not; draw is random. About ROSTER_READERS hosts do, and pass on what they
@@ -204,6 +206,9 @@
 uint32_t roster_successor(const roster_t *roster, pimento_id_t endpoint,
 			  uint32_t former);
 
+/* Hosts that live and do not leave, this one included. */
+uint32_t roster_live(const roster_t *roster);
+
 /*
  * Part of the known hosts that live, (0, 1]: less on each side of a cut. Hosts
  * that died longer ago than span do not count.
--- a/src/subject.c
+++ b/src/subject.c
@@ -223,50 +223,57 @@
 		put_fact(p, h, HOST_LIVE);
 }
 
-/*
- * The subject told least often that this message does not tell yet, in turn
- * among those told equally often; NULL when there is none.
- */
-static member_host_t *freshest(member_t *m)
+/* Puts what is left to tell at least least and at most most times, in turn. */
+static void put_untold(member_t *m, message_probe_t *p, uint32_t room,
+		       uint32_t least, uint32_t most)
 {
-	member_host_t *best = NULL;
-	uint32_t at = 0;
+	uint32_t from = m->tell_next;
 
-	for (uint32_t i = 0; i < m->count; i++) {
-		uint32_t j = (m->tell_next + i) % m->count;
+	for (uint32_t i = 0; i < m->count && p->count < room; i++) {
+		uint32_t j = (from + i) % m->count;
 		member_host_t *h = &m->hosts[j];
 
-		if (!h->untold || h->told == m->telling)
-			continue;
-		if (best && h->untold <= best->untold)
+		if (h->untold < least || h->untold > most ||
+		    h->told == m->telling)
 			continue;
-		best = h;
-		at = j;
+		subject_put(p, h);
+		h->told = m->telling;
+		m->tell_next = j + 1;
+		if (!--h->untold)
+			m->untold--;
 	}
-	m->tell_next = at + 1;
-	return best;
+}
+
+/* So often or more is left to tell what a message has room for. */
+static uint32_t tell_from(const member_t *m, uint32_t room)
+{
+	uint32_t counts[UINT8_MAX + 1] = { 0 };
+	uint32_t from = UINT8_MAX;
+
+	for (uint32_t i = 0; i < m->count; i++)
+		counts[m->hosts[i].untold]++;
+	for (uint32_t found = counts[from]; found < room && from > 1;)
+		found += counts[--from];
+	return from;
 }
 
 /*
- * The freshest news goes first. When a data centre starts or is lost, word of
- * it fills every message for a minute or more; a death told in turn with the
- * rest would wait that long, and requests with the dead host.
+ * The freshest news goes first: what was told least often, in turn among those
+ * told equally often. When a data centre starts or is lost, word of it fills
+ * every message for a minute or more; a death told in turn with the rest would
+ * wait that long, and requests with the dead host.
  */
 void subject_put_rumours(member_t *m, message_probe_t *p)
 {
 	uint32_t room = m->options.facts - SWEEP - 1;
+	uint32_t from;
 
 	m->telling++;
-	while (m->untold && p->count < room) {
-		member_host_t *h = freshest(m);
-
-		if (!h)
-			break;
-		subject_put(p, h);
-		h->told = m->telling;
-		if (!--h->untold)
-			m->untold--;
-	}
+	if (!m->untold)
+		return;
+	from = tell_from(m, room);
+	put_untold(m, p, room, from + 1, UINT8_MAX);
+	put_untold(m, p, room, from, from);
 }
 
 void subject_put_sweep(member_t *m, message_probe_t *p)
--- a/test/test_roster.c
+++ b/test/test_roster.c
@@ -183,6 +183,26 @@
 }
 END_TEST
 
+/* Guards against a fleet without readers, or with all, while it starts. */
+START_TEST(the_first_hosts_read_while_others_are_discovered)
+{
+	enum { HOSTS = 60 };
+	uint32_t first = 0;
+
+	for (uint32_t self = 1; self <= HOSTS; self++) {
+		roster_t other;
+
+		ck_assert_int_eq(roster_init(&other, self, 7), 0);
+		for (uint32_t i = 1; i <= HOSTS; i++)
+			roster_add(&other, i, false, PIMENTO_SEC);
+		first += roster_is_first(&other);
+		roster_finish(&other);
+	}
+	ck_assert_uint_eq(first, ROSTER_READERS);
+	ck_assert(roster_is_first(&roster));
+}
+END_TEST
+
 START_TEST(with_few_hosts_all_read)
 {
 	ck_assert(roster_should_read(&roster, false, 0, PIMENTO_SEC));
@@ -351,6 +371,7 @@
 	tcase_add_test(tests,
 		       a_host_that_is_gone_is_forgotten_but_a_seed_is_not);
 	tcase_add_test(tests, enough_hosts_read_the_store_and_not_all);
+	tcase_add_test(tests, the_first_hosts_read_while_others_are_discovered);
 	tcase_add_test(tests, with_few_hosts_all_read);
 	tcase_add_test(tests, a_note_survives_its_encoding);
 	tcase_add_test(tests, a_note_full_of_hosts_survives_its_encoding);
