--- a/test/quota_world.h
+++ b/test/quota_world.h
@@ -31,8 +31,7 @@
 	uint32_t step;
 	uint32_t turn; /* of the hosts that callers reach */
 	double owed[QUOTA_WORLD_TIERS]; /* tokens still to be asked for */
-	uint64_t ticket;
-	uint64_t ticket_tiers; /* tier of a ticket: its low bits */
+	uint64_t ticket; /* a multiple of the tiers, and then the tier */
 	double admitted[QUOTA_WORLD_STEPS]; /* tokens */
 	double asked_of[QUOTA_WORLD_TIERS]; /* tokens, counted while counting */
 	double given_to[QUOTA_WORLD_TIERS];
