quota_share: the header tells what it does now

The comment told of hosts that tell each other what they are asked for, which ended with the owners of accounts. A comment only; object code is the same.

--- a/src/quota_share.h
+++ b/src/quota_share.h
@@ -2,10 +2,8 @@
 #define QUOTA_SHARE_H
 
 /*
- * What one host may admit of a thing that all hosts share and that is scarce:
- * the part of it that its own callers ask for, of all that is asked for. Hosts
- * tell each other how much they are asked for, which changes slowly and does
- * not depend on what they admit.
+ * Gives out what is scarce evenly over time and by tier: credit flows in at a
+ * rate, and less urgent requests leave what more urgent ones ask for lately.
  */
 
 #include "../pimentoshelf.h"
