--- a/test/test_quota_fleet.c
+++ b/test/test_quota_fleet.c
@@ -55,6 +55,11 @@
 } cases[] = {
 	{ "half the rate at 87 hosts", 87, 0.5, 0.05, 0.45 },
 	{ "0.9 times the rate at 87 hosts", 87, 0.9, 0.15, 0.75 },
+	{ "half the rate at 58 hosts", 58, 0.5, 0.05, 0.45 },
+	{ "0.9 times the rate at 58 hosts", 58, 0.9, 0.15, 0.75 },
+	{ "five times the rate at 58 hosts", 58, 5, 1, 0.9 },
+	{ "ten times the rate at 58 hosts", 58, 10, 1, 0.9 },
+	{ "four times the rate at 8 hosts", 8, 4, 1, 0.9 },
 	{ "7.5 times the rate at 58 hosts", 58, 7.5, 1, 0.9 },
 	{ "7.5 times the rate at 87 hosts", 87, 7.5, 1, 0.9 },
 	{ "half the rate at 295 hosts", 295, 0.5, 0.05, 0.45 },
@@ -129,11 +134,11 @@
 } troubles[] = {
 	{ "steady at the rate", 8, 0.95, NOTHING, 0.94 },
 	{ "four times the rate", 8, 4, NOTHING, 1.0 },
-	{ "the owner killed, four times", 8, 4, KILL_OWNER, 0.95 },
+	{ "the owner killed, four times", 8, 4, KILL_OWNER, 1.0 },
 	{ "the owner killed, half the rate", 87, 0.5, KILL_OWNER, 0.45 },
 	{ "the owner killed, 7.5 times", 295, 7.5, KILL_OWNER, 0.95 },
 	{ "the owner frozen, 7.5 times", 295, 7.5, FREEZE_OWNER, 0.95 },
-	{ "cut in two, four times", 8, 4, CUT_IN_TWO, 0.8 },
+	{ "cut in two, four times", 8, 4, CUT_IN_TWO, 0.95 },
 	{ "cut in two, 7.5 times", 295, 7.5, CUT_IN_TWO, 0.8 },
 	{ "the limit lowered, 7.5 times", 87, 7.5, LOWER_LIMIT, 0.14 },
 };
