http: judge a request again if the configuration changed before its acceptance

What callers saw: a client account that is no longer configured was served (200). A pimentod that woke from a pause took its request, 1 of 3 to 1 of 15 times in test_platform, woken_daemon_serves_nothing_under_the_old_configuration.

Cause: a caller's thread judges key, contract and tier by the configuration in force; the control thread then accepts the request if the host is confirmed, without asking which configuration it was judged by. If the next one comes into force in between, a request passes under the one before. The window is there at each change, not only after a pause; POST /v1/keys had it too, and no check for a pause at all.

Evidence: test_config_race holds the control thread so that the change is carried out right after the thread has fetched the configuration.

Ruled out: a pause that goes unnoticed (it is noticed, and nothing is accepted before the configuration is confirmed).

Why this works: the request carries the revision that it was judged by, and the control thread, which alone changes the configuration, accepts it only while that revision is in force. Otherwise the thread judges it again, so that nobody is refused for a change: the cases with the account kept are served.

--- a/io/http.c
+++ b/io/http.c
@@ -267,14 +267,9 @@
 	add_identity(response, call, verdict_of(call->status));
 }
 
-static void submit(http_t *http, intake_t *in, struct _u_response *response)
+static void answer(http_t *http, const intake_t *in,
+		   struct _u_response *response)
 {
-	int error = control_submit(http->control, in->call, &in->request);
-
-	if (error) {
-		http_refuse_early(response, error, NULL);
-		return;
-	}
 	if (call_wait(in->call) == CALL_REFUSED)
 		answer_refused(response, in->call);
 	else if (in->call->stream)
@@ -283,50 +278,61 @@
 		answer_whole(http, response, in->call);
 }
 
-static int finish_intake(http_t *http, intake_t *in, int error,
-			 struct _u_response *response)
+static int check_completion(intake_t *in)
 {
-	if (error) {
-		http_refuse_early(response, error, in->detail);
-		http->control->counters.callers_refused++;
-	} else {
-		submit(http, in, response);
+	json_t *body = json_loadb(in->http->binary_body,
+				  in->http->binary_body_length, 0, NULL);
+	int error = json_is_object(body)
+			    ? intake_model(in, body)
+			    : intake_fail(in, PIMENTO_EPARSE,
+					  "the body must be a JSON object");
+
+	json_decref(body);
+	return error;
+}
+
+/*
+ * Checks a request and submits it. If the configuration that it was checked by
+ * is replaced before the control thread accepts it, it is checked again.
+ */
+static int serve(http_t *http, const struct _u_request *request,
+		 struct _u_response *response, int (*check)(intake_t *in))
+{
+	control_t *control = http->control;
+	intake_t in;
+	int error;
+
+	for (;;) {
+		in = (intake_t){ .http = request };
+		error = intake_begin(&in, control);
+		if (!error)
+			error = check(&in);
+		if (error)
+			control->counters.callers_refused++;
+		else
+			error = control_submit(control, in.call, &in.request);
+		if (error != PIMENTO_ESTALE)
+			break;
+		intake_finish(&in);
 	}
-	pimento_config_unref(in->config);
-	call_drop(in->call);
+	if (error)
+		http_refuse_early(response, error, in.detail);
+	else
+		answer(http, &in, response);
+	intake_finish(&in);
 	return U_CALLBACK_COMPLETE;
 }
 
 static int on_completion(const struct _u_request *request,
 			 struct _u_response *response, void *data)
 {
-	http_t *http = data;
-	intake_t in = { .http = request };
-	json_t *body = NULL;
-	int error = intake_begin(&in, http->control);
-
-	if (!error) {
-		body = json_loadb(request->binary_body,
-				  request->binary_body_length, 0, NULL);
-		error = json_is_object(body)
-				? intake_model(&in, body)
-				: intake_fail(&in, PIMENTO_EPARSE,
-					      "the body must be a JSON object");
-	}
-	json_decref(body);
-	return finish_intake(http, &in, error, response);
+	return serve(data, request, response, check_completion);
 }
 
 static int on_service(const struct _u_request *request,
 		      struct _u_response *response, void *data)
 {
-	http_t *http = data;
-	intake_t in = { .http = request };
-	int error = intake_begin(&in, http->control);
-
-	if (!error)
-		error = intake_service(&in);
-	return finish_intake(http, &in, error, response);
+	return serve(data, request, response, intake_service);
 }
 
 typedef struct page {
--- a/io/http_intake.c
+++ b/io/http_intake.c
@@ -260,6 +260,7 @@
 	in->config = control_config(control);
 	if (!in->config)
 		return PIMENTO_EUNREADY;
+	in->request.config_revision = in->config->revision;
 	in->account = http_account(in->config, in->http);
 	if (!in->account)
 		return intake_fail(in, PIMENTO_EAUTH,
@@ -269,3 +270,9 @@
 	in->call = call_new();
 	return in->call ? PIMENTO_OK : PIMENTO_ENOMEM;
 }
+
+void intake_finish(intake_t *in)
+{
+	pimento_config_unref(in->config);
+	call_drop(in->call);
+}
--- a/io/http_intake.h
+++ b/io/http_intake.h
@@ -25,12 +25,13 @@
 
 /*
  * The checks that come before a body is looked at; in->http is set. All four
- * return 0 or a negative error, with in->detail if a sentence is known. The
- * config and the call are the caller's to drop.
+ * return 0 or a negative error, with in->detail if a sentence is known. Each
+ * intake_begin() is followed by intake_finish(), also after an error.
  */
 int intake_begin(intake_t *in, control_t *control);
 int intake_model(intake_t *in, const json_t *body);
 int intake_service(intake_t *in);
 int intake_fail(intake_t *in, int error, const char *detail);
+void intake_finish(intake_t *in);
 
 #endif
--- a/io/http_pages.c
+++ b/io/http_pages.c
@@ -17,6 +17,7 @@
 #define KEYS_PER_CALL 64
 
 typedef struct issue {
+	uint64_t config_revision; /* that lists the caller's account */
 	char text[PIMENTO_KEY_TEXT_SIZE];
 	int result;
 } issue_t;
@@ -25,51 +26,64 @@
 {
 	issue_t *issue = argument;
 
-	issue->result = pimento_host_issue_key(control->host, sys_now(),
-					       sys_wall_msec(), sys_random(),
-					       issue->text);
+	issue->result = pimento_host_check_config(control->host, sys_now(),
+						  issue->config_revision);
+	if (!issue->result)
+		issue->result = pimento_host_issue_key(
+			control->host, sys_now(), sys_wall_msec(), sys_random(),
+			issue->text);
 }
 
-static json_t *issue_keys(http_t *http, json_int_t count, int *error)
+static int issue_keys(http_t *http, uint64_t config_revision, json_int_t count,
+		      json_t *keys)
 {
-	json_t *keys = json_array();
-
-	*error = PIMENTO_OK;
-	for (json_int_t i = 0; i < count && !*error; i++) {
-		issue_t issue = { .result = PIMENTO_ELEAVING };
+	for (json_int_t i = 0; i < count; i++) {
+		issue_t issue = { .config_revision = config_revision,
+				  .result = PIMENTO_ELEAVING };
 
 		control_call(http->control, run_issue, &issue);
 		if (issue.result < 0)
-			*error = issue.result;
-		else
-			json_array_append_new(keys, json_string(issue.text));
+			return issue.result;
+		json_array_append_new(keys, json_string(issue.text));
 	}
-	return keys;
+	return PIMENTO_OK;
 }
 
-int http_keys(const struct _u_request *request, struct _u_response *response,
-	      void *data)
+/* Checks the caller's account and issues keys to it. */
+static int issue_for(http_t *http, const struct _u_request *request,
+		     json_int_t count, json_t *keys)
 {
-	http_t *http = data;
 	pimento_config_t *config = control_config(http->control);
-	json_t *body = json_loadb(request->binary_body,
-				  request->binary_body_length, 0, NULL);
-	const json_t *number = json_object_get(body, "count");
-	json_int_t count =
-		json_is_integer(number) ? json_integer_value(number) : 1;
-	json_t *keys = NULL;
-	int error = PIMENTO_OK;
+	int error;
 
+	json_array_clear(keys);
 	if (!config)
 		error = PIMENTO_EUNREADY;
 	else if (!http_account(config, request))
 		error = PIMENTO_EAUTH;
 	else if (count < 1 || count > KEYS_PER_CALL)
 		error = PIMENTO_EINVAL;
-	if (!error)
-		keys = issue_keys(http, count, &error);
-	json_decref(body);
+	else
+		error = issue_keys(http, config->revision, count, keys);
 	pimento_config_unref(config);
+	return error;
+}
+
+int http_keys(const struct _u_request *request, struct _u_response *response,
+	      void *data)
+{
+	json_t *body = json_loadb(request->binary_body,
+				  request->binary_body_length, 0, NULL);
+	const json_t *number = json_object_get(body, "count");
+	json_int_t count =
+		json_is_integer(number) ? json_integer_value(number) : 1;
+	json_t *keys = json_array();
+	int error;
+
+	json_decref(body);
+	do
+		error = issue_for(data, request, count, keys);
+	while (error == PIMENTO_ESTALE);
 	if (error) {
 		json_decref(keys);
 		return http_refuse_early(response, error, NULL);
--- a/pimentoshelf.h
+++ b/pimentoshelf.h
@@ -169,6 +169,11 @@
 
 /* One request of a caller, with the terms of its contract filled in. */
 typedef struct pimento_request {
+	/*
+	 * revision of the configuration that account, target and tier were
+	 * taken from; 0: not checked
+	 */
+	uint64_t config_revision;
 	pimento_id_t account;
 	bool is_model; /* target is a model, else a plain service */
 	char target[PIMENTO_NAME_MAX]; /* the model's or the service's name */
@@ -269,6 +274,8 @@
  *	PIMENTO_EFULL		requests_max requests are in progress
  *	PIMENTO_EUNREADY	no configuration yet, or one that is unconfirmed
  *				since this process was paused
+ *	PIMENTO_ESTALE		request->config_revision is no longer in force:
+ *				determine the terms again and resubmit
  *	PIMENTO_ELEAVING	this host is leaving
  *	PIMENTO_EAUTH		the key is forged
  *	PIMENTO_EPARSE		the key is malformed
@@ -281,6 +288,14 @@
 			const pimento_request_t *request,
 			pimento_handle_t *handle, pimento_reqid_t *id);
 
+/*
+ * Checks that a decision made under the configuration of this revision may
+ * still be carried out. Returns 0, PIMENTO_EUNREADY or PIMENTO_ESTALE as
+ * pimento_host_submit() does.
+ */
+int pimento_host_check_config(pimento_host_t *host, pimento_usec_t now,
+			      uint64_t revision);
+
 /*
  * Commits a dispatch. To be called when the connection to the endpoint is
  * established, before the first byte is sent. Returns 0: send the request; from
--- a/src/host.c
+++ b/src/host.c
@@ -433,6 +433,21 @@
 	return error;
 }
 
+int pimento_host_check_config(pimento_host_t *host, pimento_usec_t now,
+			      uint64_t revision)
+{
+	host->now = now;
+	/*
+	 * After a pause of this process its configuration may have been
+	 * replaced; it must not serve under it until it is confirmed.
+	 */
+	if (!host->config || !membership_is_fresh(&host->membership, now))
+		return PIMENTO_EUNREADY;
+	if (revision && revision != host->config->revision)
+		return PIMENTO_ESTALE;
+	return PIMENTO_OK;
+}
+
 int pimento_host_submit(pimento_host_t *host, pimento_usec_t now,
 			const pimento_request_t *request,
 			pimento_handle_t *handle, pimento_reqid_t *id)
@@ -445,12 +460,9 @@
 	host->now = now;
 	if (host->leaving)
 		return PIMENTO_ELEAVING;
-	/*
-	 * After a pause of this process its configuration may have been
-	 * replaced; it must not serve under it until it is confirmed.
-	 */
-	if (!host->config || !membership_is_fresh(&host->membership, now))
-		return PIMENTO_EUNREADY;
+	error = pimento_host_check_config(host, now, request->config_revision);
+	if (error)
+		return error;
 	if (request->tier >= PIMENTO_TIERS_MAX || request->client_timeout <= 0)
 		return PIMENTO_EINVAL;
 	if (!request->key)
