soak: report which promise broke, with faults and log lines around it

The check's message now names the first broken promise with the request's id, kind, host, key, status, runs and time. Standard error has the faults and the hosts' log lines around it, also those of a process that was started again since: its earlier output is kept as NAME.out.1 and on. What is drawn from a seed has not changed.

--- a/test/process.c
+++ b/test/process.c
@@ -181,6 +181,18 @@
 	_exit(127);
 }
 
+/* Renames the output of an earlier run of that name to PATH.1, PATH.2 ... */
+static void keep_earlier(const char *path)
+{
+	char kept[PROCESS_PATH_MAX + 16];
+	int number = 0;
+
+	do
+		snprintf(kept, sizeof(kept), "%s.%d", path, ++number);
+	while (access(kept, F_OK) == 0);
+	rename(path, kept);
+}
+
 int process_start(process_t *process, const char *name, const char *program,
 		  const char *const args[])
 {
@@ -190,7 +202,7 @@
 	snprintf(process->name, PROCESS_NAME_MAX, "%s", name);
 	file_path(process->out, name, ".out");
 	file_path(process->err, name, ".err");
-	remove(process->out); /* or an earlier run's line would be found */
+	keep_earlier(process->out); /* or its lines would be found */
 	hold_signals(&before);
 	process->pid = fork();
 	if (process->pid == 0)
--- a/test/process.h
+++ b/test/process.h
@@ -24,7 +24,7 @@
 	pid_t pid; /* 0: not running */
 	uint16_t port; /* from its "listening on" line */
 	char name[PROCESS_NAME_MAX];
-	char out[PROCESS_PATH_MAX];
+	char out[PROCESS_PATH_MAX]; /* of earlier runs: out.1, out.2 ... */
 	char err[PROCESS_PATH_MAX];
 } process_t;
 
--- a/test/soak.c
+++ b/test/soak.c
@@ -2,10 +2,12 @@
 
 #include "edge.h"
 #include "relay.h"
+#include "sys.h"
 
 #include <curl/curl.h>
 #include <pthread.h>
 #include <signal.h>
+#include <stdarg.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -26,6 +28,9 @@
 	/* until a process that was started heeds a request to stop */
 	STARTED_MS = 400,
 	CALLER_PAUSE_MS = 15,
+	EVENTS_MAX = 512,
+	LINE_MAX_BYTES = 1024,
+	AROUND_MS = 3000, /* of a broken promise, for what is printed */
 	PAUSE_MS = 1200 /* between two faults, at most */
 };
 
@@ -72,8 +77,17 @@
 	uint32_t index;
 } heal_t;
 
+/* A fault or its end, for the report of a broken promise. */
+typedef struct soak_event {
+	int64_t at_ms;
+	char what[48];
+} soak_event_t;
+
 typedef struct soak {
 	soak_terms_t terms;
+	soak_event_t events[EVENTS_MAX];
+	uint32_t event_count;
+	int64_t wall_offset_ms; /* wall clock minus process_now_ms() */
 	soak_result_t *result;
 	edge_t edge;
 	relay_t worker_links[EDGE_WORKERS_MAX];
@@ -295,6 +309,23 @@
 
 /* Faults. */
 
+static void add_event(soak_t *soak, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static void add_event(soak_t *soak, const char *format, ...)
+{
+	soak_event_t *event;
+	va_list args;
+
+	if (soak->event_count == EVENTS_MAX)
+		return;
+	event = &soak->events[soak->event_count++];
+	event->at_ms = process_now_ms();
+	va_start(args, format);
+	vsnprintf(event->what, sizeof(event->what), format, args);
+	va_end(args);
+}
+
 static void touch(soak_t *soak, uint32_t host)
 {
 	soak->touched_ms[host] = process_now_ms();
@@ -340,6 +371,7 @@
 	publish(soak);
 	if (old)
 		soak->revoked_ms[old] = process_now_ms();
+	add_event(soak, "key %u replaces key %u", soak->key, old);
 }
 
 static void fault_host(soak_t *soak, uint32_t host)
@@ -353,14 +385,17 @@
 	touch(soak, host);
 	switch (draw_below(&soak->draws, 3)) {
 	case 0:
+		add_event(soak, "host %u killed", host);
 		process_kill(process);
 		heal_later(soak, HEAL_START_HOST, host, 1500);
 		break;
 	case 1:
+		add_event(soak, "host %u frozen", host);
 		process_freeze(process);
 		heal_later(soak, HEAL_THAW_HOST, host, 4000);
 		break;
 	default:
+		add_event(soak, "host %u told to stop", host);
 		kill(process->pid, SIGTERM);
 		heal_later(soak, HEAL_REAP_HOST, host, 500);
 		break;
@@ -372,6 +407,7 @@
 	if (soak->worker_down[worker])
 		return;
 	soak->worker_down[worker] = true;
+	add_event(soak, "worker %u killed", worker);
 	process_kill(&soak->edge.workers[worker]);
 	read_runs(soak, &soak->edge.workers[worker]);
 	heal_later(soak, HEAL_START_WORKER, worker, 1500);
@@ -380,7 +416,11 @@
 static void fault_link(soak_t *soak, relay_t *link, heal_kind_t heal,
 		       uint32_t index)
 {
-	switch (draw_below(&soak->draws, 5)) {
+	static const char *const names[] = { "cut to", "cut from", "cut",
+					     "dropped", "delayed" };
+	uint32_t fault = draw_below(&soak->draws, 5);
+
+	switch (fault) {
 	case 0:
 		relay_cut(link, RELAY_TO);
 		break;
@@ -397,6 +437,9 @@
 		relay_delay(link, (int)draw_below(&soak->draws, 60));
 		break;
 	}
+	add_event(soak, "link of %s %u %s",
+		  heal == HEAL_STORE_LINK ? "store" : "worker", index,
+		  names[fault]);
 	heal_later(soak, heal, index, 2500);
 }
 
@@ -404,12 +447,16 @@
 {
 	static const char *const modes[] = { "busy", "many", "silent",
 					     "rubbish" };
+	const char *mode;
 
 	if (draw_below(&soak->draws, 5) == 0) {
+		add_event(soak, "store forgets");
 		edge_forget(&soak->edge);
 		return;
 	}
-	edge_mode(&soak->edge, modes[draw_below(&soak->draws, 4)]);
+	mode = modes[draw_below(&soak->draws, 4)];
+	add_event(soak, "store is %s", mode);
+	edge_mode(&soak->edge, mode);
 	heal_later(soak, HEAL_STORE, 0, 4000);
 }
 
@@ -455,28 +502,104 @@
 	soak->worker_down[worker] = false;
 }
 
+/* True if a host's log line belongs to the request, or to what went on then. */
+static bool is_line_around(const soak_t *soak, const char *line, const char *id,
+			   int64_t from_ms, int64_t to_ms)
+{
+	const char *at = strstr(line, "at=");
+	int64_t at_ms;
+
+	if (id && strstr(line, id))
+		return true;
+	if (!at || strstr(line, "part=request"))
+		return false;
+	at_ms = (int64_t)(strtod(at + 3, NULL) * 1000) - soak->wall_offset_ms;
+	return at_ms > from_ms && at_ms < to_ms;
+}
+
+static bool print_lines(const soak_t *soak, const char *path, const char *id,
+			int64_t from_ms, int64_t to_ms)
+{
+	FILE *file = fopen(path, "r");
+	char line[LINE_MAX_BYTES];
+
+	if (!file)
+		return false;
+	while (fgets(line, sizeof(line), file))
+		if (is_line_around(soak, line, id, from_ms, to_ms))
+			fprintf(stderr, "  %s", line);
+	fclose(file);
+	return true;
+}
+
+/* What the hosts logged, and which faults there were; id may be NULL. */
+static void print_around(const soak_t *soak, const char *id, int64_t from_ms,
+			 int64_t to_ms)
+{
+	for (uint32_t i = 0; i < soak->event_count; i++) {
+		const soak_event_t *event = &soak->events[i];
+
+		if (event->at_ms > from_ms && event->at_ms < to_ms)
+			fprintf(stderr, "  %+lld ms: %s\n",
+				(long long)(event->at_ms - from_ms),
+				event->what);
+	}
+	for (uint32_t host = 0; host < soak->terms.hosts; host++) {
+		const char *out = soak->edge.hosts[host].process.out;
+		char path[PROCESS_PATH_MAX + 16];
+		int earlier = 0;
+
+		print_lines(soak, out, id, from_ms, to_ms);
+		do
+			snprintf(path, sizeof(path), "%s.%d", out, ++earlier);
+		while (print_lines(soak, path, id, from_ms, to_ms));
+	}
+}
+
+static void report(soak_t *soak, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static void report(soak_t *soak, const char *format, ...)
+{
+	char text[SOAK_TEXT_MAX];
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(text, sizeof(text), format, args);
+	va_end(args);
+	if (!soak->result->broken++)
+		memcpy(soak->result->first, text, sizeof(text));
+	fprintf(stderr, "seed %llu: %s\n", (unsigned long long)soak->terms.seed,
+		text);
+}
+
 static void broke(soak_t *soak, const char *promise, uint32_t number)
 {
 	const record_t *record = &soak->records[number];
+	int64_t revoked = soak->revoked_ms[record->key];
+	char id[24];
 
-	soak->result->broken++;
-	fprintf(stderr,
-		"seed %llu: %s: soak-%u kind=%d host=%d key=%u status=%ld "
-		"runs=%u took=%lld\n",
-		(unsigned long long)soak->terms.seed, promise, number,
-		record->kind, record->host, record->key, record->status,
-		record->runs, (long long)(record->done_ms - record->sent_ms));
+	report(soak,
+	       "%s: soak-%u kind=%d host=%d key=%u status=%ld runs=%u "
+	       "took=%lld since_key_revoked=%lld",
+	       promise, number, record->kind, record->host, record->key,
+	       record->status, record->runs,
+	       (long long)(record->done_ms - record->sent_ms),
+	       revoked ? (long long)(record->sent_ms - revoked) : -1);
+	snprintf(id, sizeof(id), "id=soak-%u ", number);
+	print_around(soak, id, record->sent_ms - AROUND_MS,
+		     record->done_ms + AROUND_MS);
 }
 
 static void reap_host(soak_t *soak, uint32_t host)
 {
 	process_t *process = &soak->edge.hosts[host].process;
+	int64_t now = process_now_ms();
 	int status = process_wait(process, GRACE_MS + 1000);
 
 	if (status) {
-		soak->result->broken++;
-		fprintf(stderr, "seed %llu: host %u did not stop well: %d\n",
-			(unsigned long long)soak->terms.seed, host, status);
+		report(soak, "host %u did not stop well: %d", host, status);
+		print_around(soak, NULL, now - AROUND_MS, now + GRACE_MS);
 	}
 }
 
@@ -485,6 +608,8 @@
 	process_t *process = &soak->edge.hosts[what->index].process;
 
 	touch_all(soak);
+	add_event(soak, "end of fault: kind %d, number %u", what->kind,
+		  what->index);
 	switch (what->kind) {
 	case HEAL_REAP_HOST:
 		reap_host(soak, what->index);
@@ -598,9 +723,10 @@
 			process_sleep_ms(20);
 		}
 		if (in_a_row < 5 || edge_health(&soak->edge, host) != 200) {
-			soak->result->broken++;
-			fprintf(stderr, "seed %llu: host %u does not recover\n",
-				(unsigned long long)soak->terms.seed, host);
+			report(soak, "host %u does not recover: %u in a row",
+			       host, in_a_row);
+			print_around(soak, NULL, until - BACK_MS - AROUND_MS,
+				     until);
 		}
 	}
 }
@@ -657,6 +783,7 @@
 	soak.result = result;
 	soak.draws = terms->seed;
 	soak.version = 10;
+	soak.wall_offset_ms = sys_wall_msec() - process_now_ms();
 	edge_start_engines(&soak.edge, terms->hosts, terms->workers);
 	start_links(&soak);
 	for (uint32_t i = 0; i < terms->callers; i++) {
--- a/test/soak.h
+++ b/test/soak.h
@@ -19,7 +19,7 @@
 	uint32_t callers; /* threads, 1 .. SOAK_CALLERS_MAX */
 } soak_terms_t;
 
-enum { SOAK_CALLERS_MAX = 64 };
+enum { SOAK_CALLERS_MAX = 64, SOAK_TEXT_MAX = 256 };
 
 /* What came of it; a broken promise fails the test with a line for each. */
 typedef struct soak_result {
@@ -29,9 +29,13 @@
 	uint32_t failed; /* a failure, or no whole answer */
 	uint32_t faults;
 	uint32_t broken; /* promises */
+	char first[SOAK_TEXT_MAX]; /* the first of them; "" none */
 } soak_result_t;
 
-/* Plays one seed. Prints each broken promise to standard error. */
+/*
+ * Plays one seed. Prints each broken promise to standard error, with the faults
+ * and the hosts' log lines around it.
+ */
 void soak_play(const soak_terms_t *terms, soak_result_t *result);
 
 #endif
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -47,8 +47,9 @@
 		"%u faults, %u promises broken\n",
 		(unsigned long long)seed, result.requests, result.served,
 		result.refused, result.failed, result.faults, result.broken);
-	ck_assert_msg(result.broken == 0, "seed %llu (%s): %u broken",
-		      (unsigned long long)seed, why, result.broken);
+	ck_assert_msg(result.broken == 0, "seed %llu (%s): %u broken, first %s",
+		      (unsigned long long)seed, why, result.broken,
+		      result.first);
 	ck_assert_uint_gt(result.served, 0);
 }
 
