entry: send nothing to an endpoint that a new configuration has changed

What callers would have seen: a request that runs at another service. Not reported; found while the race of requests with a new configuration was looked for elsewhere.

Cause: a slot is requested at an endpoint by one configuration and used under the next. entry_commit(), the last check before the first byte, asked for deadline and lease only. If the change gives the endpoint's name or address to another service in between, the request is sent there.

Evidence: test_endpoint_change puts the change between grant and commit.

:2: target: commit returned 0 :3: address: commit returned 0 :4: port: commit returned 0 :5: name: commit returned 0 28%: Checks: 7, Failures: 5, Errors: 0

Why this works: the entry keeps a hash of the endpoint's target and address from the moment at which the slot was requested. Another one at the commit means that nothing is sent, the slot is given back and another endpoint is chosen; nobody is refused.

Measured: 7 of 7 now; a change of concurrency alone still uses the slot.

--- a/src/entry.c
+++ b/src/entry.c
@@ -301,6 +301,16 @@
 		entry_abort(table, now, entry, PIMENTO_EDEADLINE, 0);
 		return PIMENTO_EDEADLINE;
 	}
+	/*
+	 * A new configuration may have given the endpoint's name or its address
+	 * to another target since the slot was requested.
+	 */
+	if (entry->endpoint_identity !=
+	    route_endpoint_identity(table->route, entry->endpoint)) {
+		entry_release(table, entry, RELEASE_UNUSED);
+		entry_reroute(table, now, entry);
+		return PIMENTO_ESTALE;
+	}
 	entry->state = ENTRY_DISPATCHED;
 	entry->sent_at = now;
 	entry->progress_sent_at = now;
--- a/src/entry.h
+++ b/src/entry.h
@@ -48,6 +48,8 @@
 	/* Reservation of a slot at an endpoint, made with the endpoint's owner. */
 	uint32_t round; /* sequence number of the current reservation, from 1 */
 	pimento_id_t endpoint;
+	/* of the endpoint when the slot was requested, see route.h */
+	uint64_t endpoint_identity;
 	pimento_id_t owner; /* 0: neither a reservation nor a slot is held */
 	/* number of owners tried before this one, or an OWNER_HOPS_* value */
 	uint8_t hops;
--- a/src/entry_reserve.c
+++ b/src/entry_reserve.c
@@ -65,6 +65,8 @@
 	entry->state = ENTRY_RESERVING;
 	entry->round++;
 	entry->endpoint = endpoint;
+	entry->endpoint_identity =
+		route_endpoint_identity(table->route, endpoint);
 	entry->hops = hops;
 	entry->owner = membership_owner(table->membership, endpoint);
 	if (!entry->owner)
--- a/src/route.c
+++ b/src/route.c
@@ -13,6 +13,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define EWMA_KEEP 0.8 /* weight of the old value in the moving average */
 #define FAILED_AVOID_SPAN (2 * PIMENTO_SEC)
@@ -50,6 +51,7 @@
 	config_target_t target;
 	char target_name[PIMENTO_NAME_MAX];
 	pimento_id_t target_id;
+	uint64_t identity; /* see route_endpoint_identity() */
 	uint32_t concurrency;
 	uint32_t context_tokens;
 	/* latest summary from the owner; its epoch is 0 if none was received */
@@ -118,12 +120,30 @@
 	return (left->id > right->id) - (left->id < right->id);
 }
 
+static uint64_t hash_identity(const config_endpoint_t *endpoint)
+{
+	uint64_t hash = pimento_id(endpoint->target_name);
+
+	hash = XXH3_64bits_withSeed(endpoint->address,
+				    strlen(endpoint->address), hash);
+	hash ^= (uint64_t)endpoint->target << 32 | endpoint->port;
+	return hash ? hash : 1;
+}
+
+uint64_t route_endpoint_identity(const route_t *route, pimento_id_t endpoint)
+{
+	const route_endpoint_t *e = find_endpoint(route, endpoint);
+
+	return e ? e->identity : 0;
+}
+
 static void set_description(route_endpoint_t *e, const config_endpoint_t *from)
 {
 	e->id = from->id;
 	e->target = from->target;
 	memcpy(e->target_name, from->target_name, sizeof(e->target_name));
 	e->target_id = pimento_id(from->target_name);
+	e->identity = hash_identity(from);
 	e->concurrency = from->concurrency ? from->concurrency : 1;
 	e->context_tokens = from->context_tokens;
 }
--- a/src/route.h
+++ b/src/route.h
@@ -81,6 +81,12 @@
 			 pimento_id_t endpoint, uint64_t prefix,
 			 uint32_t prompt_tokens);
 
+/*
+ * Returns a hash of an endpoint's target and address in the configuration in
+ * force, or 0 if that has no such endpoint.
+ */
+uint64_t route_endpoint_identity(const route_t *route, pimento_id_t endpoint);
+
 /* Sets whether an endpoint is leaving. Leaving endpoints are never picked. */
 void route_set_leaving(route_t *route, pimento_id_t endpoint, bool leaving);
 
