soak: series of signals and of configuration changes, larger deployments

A seed may be played with series: two to six SIGHUPs and short stops of a host, also one that was told to stop or is frozen, or as many changes of keys in quick succession, beside whatever fault is going on. They are drawn apart, so that each seed's faults stay the same. SOAK_HOSTS plays up to 48 hosts. One seed with series is part of the checks.

--- a/test/edge.h
+++ b/test/edge.h
@@ -10,7 +10,7 @@
 #include "../standin/client.h"
 #include "process.h"
 
-#define EDGE_HOSTS_MAX 4
+#define EDGE_HOSTS_MAX 48
 #define EDGE_WORKERS_MAX 4
 
 /* Routes of the configuration that edge_start() publishes. */
--- a/test/soak.c
+++ b/test/soak.c
@@ -28,6 +28,8 @@
 	/* until a process that was started heeds a request to stop */
 	STARTED_MS = 400,
 	CALLER_PAUSE_MS = 15,
+	SERIES_MOST = 6, /* signals or changes in one series */
+	SERIES_GAP_MS = 60, /* between two of them, at most */
 	EVENTS_MAX = 512,
 	LINE_MAX_BYTES = 1024,
 	AROUND_MS = 3000, /* of a broken promise, for what is printed */
@@ -93,6 +95,8 @@
 	relay_t worker_links[EDGE_WORKERS_MAX];
 	relay_t store_link;
 	uint64_t draws;
+	uint64_t
+		series_draws; /* apart, so that a seed's faults stay the same */
 	heal_t heals[HEALS_MAX];
 	uint32_t heal_count;
 	uint32_t version;
@@ -402,6 +406,56 @@
 	}
 }
 
+/* Signals that leave a process as it was, or repeat a request to stop. */
+static void signal_series(soak_t *soak, uint32_t host, uint32_t count)
+{
+	process_t *process = &soak->edge.hosts[host].process;
+	bool stopping = soak->host_down[host];
+
+	if (process_now_ms() < soak->started_ms[host] + STARTED_MS ||
+	    !process_running(process))
+		return;
+	add_event(soak, "host %u gets %u signals", host, count);
+	for (uint32_t i = 0; i < count; i++) {
+		switch (draw_below(&soak->series_draws, stopping ? 1 : 2)) {
+		case 0:
+			kill(process->pid, SIGHUP);
+			break;
+		default:
+			process_freeze(process);
+			process_sleep_ms((int)draw_below(&soak->series_draws,
+							 SERIES_GAP_MS));
+			process_thaw(process);
+			break;
+		}
+		process_sleep_ms(
+			(int)draw_below(&soak->series_draws, SERIES_GAP_MS));
+	}
+	touch(soak, host);
+}
+
+static void change_series(soak_t *soak, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		rotate_key(soak);
+		process_sleep_ms(
+			(int)draw_below(&soak->series_draws, SERIES_GAP_MS));
+	}
+	touch_all(soak);
+}
+
+/* A series beside whatever fault is going on. */
+static void play_series(soak_t *soak)
+{
+	uint32_t host = draw_below(&soak->series_draws, soak->terms.hosts);
+	uint32_t count = 2 + draw_below(&soak->series_draws, SERIES_MOST - 1);
+
+	if (draw_below(&soak->series_draws, 3) == 0)
+		change_series(soak, count);
+	else
+		signal_series(soak, host, count);
+}
+
 static void fault_worker(soak_t *soak, uint32_t worker)
 {
 	if (soak->worker_down[worker])
@@ -759,6 +813,8 @@
 
 	while (process_now_ms() < until) {
 		fault(soak);
+		if (soak->terms.series)
+			play_series(soak);
 		process_sleep_ms((int)draw_below(&soak->draws, PAUSE_MS));
 		heal_due(soak, false);
 	}
@@ -782,6 +838,7 @@
 	soak.terms = *terms;
 	soak.result = result;
 	soak.draws = terms->seed;
+	soak.series_draws = terms->seed ^ 0x5e41e5;
 	soak.version = 10;
 	soak.wall_offset_ms = sys_wall_msec() - process_now_ms();
 	edge_start_engines(&soak.edge, terms->hosts, terms->workers);
--- a/test/soak.h
+++ b/test/soak.h
@@ -9,6 +9,7 @@
  * the workers saw is checked against what is promised.
  */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct soak_terms {
@@ -17,6 +18,8 @@
 	uint32_t hosts; /* 1 .. EDGE_HOSTS_MAX */
 	uint32_t workers; /* 1 .. EDGE_WORKERS_MAX */
 	uint32_t callers; /* threads, 1 .. SOAK_CALLERS_MAX */
+	/* also signals and configuration changes in quick succession */
+	bool series;
 } soak_terms_t;
 
 enum { SOAK_CALLERS_MAX = 64, SOAK_TEXT_MAX = 256 };
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -3,6 +3,9 @@
  * that ever failed. By hand:
  *
  *	SOAK_SEED=100 SOAK_COUNT=50 SOAK_MS=8000 build/test/test_soak
+ *
+ * SOAK_SERIES=1 adds series of signals and changes; SOAK_HOSTS and SOAK_CALLERS
+ * play a larger deployment.
  */
 
 #include "edge.h"
@@ -17,10 +20,13 @@
 static const struct {
 	uint64_t seed;
 	const char *why;
+	bool series;
 } seeds[] = {
-	{ 1, "none, a fresh seed" },
-	{ 107, "a host told to stop between fork and exec ended the test" },
-	{ 130, "the same" },
+	{ 1, "none, a fresh seed", false },
+	{ 107, "a host told to stop between fork and exec ended the test",
+	  false },
+	{ 130, "the same", false },
+	{ 2, "none, a fresh seed with series", true },
 };
 
 static uint64_t number_of(const char *name, uint64_t otherwise)
@@ -30,14 +36,15 @@
 	return text ? strtoull(text, NULL, 10) : otherwise;
 }
 
-static void play(uint64_t seed, const char *why)
+static void play(uint64_t seed, const char *why, bool series)
 {
 	soak_terms_t terms = {
 		.seed = seed,
 		.fault_ms = (uint32_t)number_of("SOAK_MS", FAULT_MS),
-		.hosts = HOSTS,
+		.hosts = (uint32_t)number_of("SOAK_HOSTS", HOSTS),
 		.workers = WORKERS,
 		.callers = (uint32_t)number_of("SOAK_CALLERS", CALLERS),
+		.series = series,
 	};
 	soak_result_t result;
 
@@ -62,13 +69,14 @@
  */
 START_TEST(promises_hold_under_overlapping_faults)
 {
-	play(seeds[_i].seed, seeds[_i].why);
+	play(seeds[_i].seed, seeds[_i].why, seeds[_i].series);
 }
 END_TEST
 
 START_TEST(seeds_by_hand)
 {
-	play(number_of("SOAK_SEED", 1) + (uint64_t)_i, "by hand");
+	play(number_of("SOAK_SEED", 1) + (uint64_t)_i, "by hand",
+	     number_of("SOAK_SERIES", 0) != 0);
 }
 END_TEST
 
