slow start of endpoints, counted by their owner for all hosts

What callers saw: answers of an endpoint that is still slow, in the second after it came back.

Cause: a record says how long its endpoint stays slow (cold_left_ms), and nothing read it. To all 82 hosts at once the endpoint looks idle, and it is near.

Evidence, from the logs of all hosts: each of these requests had been granted by the owner (granted=1), at a load of one or two. Short answers, and failures after 8 ms, free a slot so soon that the number in flight bounds nothing. Ruled out: hosts that send without a grant, and chance.

Why this works: the owner sees the requests of all hosts. It lets them begin by a token bucket, no faster than an endpoint that is full takes them. What gets no slot at once goes elsewhere. Hosts that do not know the owners yet use such an endpoint for want of others only, since each of them would take it for idle.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -83,7 +83,12 @@
 void dispatch_done(exchange_t *x)
 {
 	httpc_t *conn = x->conn;
+	registry_service_t *service =
+		registry_get_service(x->gateway->registry, x->service->key);
 
+	if (service && x->status / 100 == 2)
+		latency_add_slot_time(&service->latency,
+				      sys_now() - x->sent_at);
 	if (conn->reusable)
 		pool_rest(conn);
 	else
--- a/io/placing.c
+++ b/io/placing.c
@@ -7,6 +7,8 @@
 
 #include "sys.h"
 
+#include "../src/slow_start.h"
+
 /* Bypass an owner that does not answer, for a while. */
 #define ASK_SILENT (40 * PIMENTO_MSEC)
 #define OWNER_SILENT (1 * PIMENTO_SEC)
@@ -187,6 +189,13 @@
 	       endpoint->owner_unresponsive_until <= now;
 }
 
+/* A host that has just started takes itself for the owner of all endpoints. */
+static bool knows_owners(const peers_t *roster, pimento_usec_t now)
+{
+	return peers_host_count(roster, now) > 1 &&
+	       !peers_is_discovering(roster, now);
+}
+
 /* What placement looks at; the lines that x stands in are left out. */
 static placement_request_t request_of(const exchange_t *x, pimento_usec_t now)
 {
@@ -201,6 +210,7 @@
 		.gap_objective = x->route->gap_objective,
 		.engine_stream = x->engine,
 		.overdue = x->wait.overdue,
+		.unowned = !knows_owners(x->gateway->roster, now),
 		.datacentre = x->gateway->datacentre,
 		.tried = x->tried,
 		.tried_count = x->tried_count,
@@ -416,6 +426,8 @@
 	endpoint = x->lines[index].endpoint;
 	x->lines[index].in_line = true;
 	registry_apply_report(endpoint, &reply->report, now);
+	if (!reply->granted)
+		slow_start_refused(endpoint, now);
 	if (x == gateway->asking) {
 		if (reply->granted)
 			x->given = reply->ticket; /* this host is the owner */
--- a/io/slots.c
+++ b/io/slots.c
@@ -1,5 +1,6 @@
 #include "slots.h"
 
+#include "../src/slow_start.h"
 #include "trail.h"
 
 /* A report that is older is not passed on. */
@@ -137,7 +138,7 @@
 /* Gives free places to those in line. */
 static void give_places(slots_t *slots, uint32_t key, pimento_usec_t now)
 {
-	const registry_endpoint_t *endpoint = endpoint_of(slots, key);
+	registry_endpoint_t *endpoint = endpoint_of(slots, key);
 	grants_request_t ask;
 
 	if (!endpoint || !registry_endpoint_accepts_work(endpoint, now))
@@ -145,9 +146,11 @@
 	if (endpoint->latency.ejected_until > now &&
 	    has_alternative(slots, endpoint, now))
 		return;
-	while (grants_grant_next(&slots->grants, key,
+	while (slow_start_may_begin(slots->registry, endpoint, now) &&
+	       grants_grant_next(&slots->grants, key,
 				 places_of(slots, endpoint, now), now, &ask)) {
 		slots->granted++;
+		slow_start_record(slots->registry, endpoint, now);
 		reply(slots, &ask, true, now);
 	}
 }
@@ -160,10 +163,15 @@
 static void take_ask(slots_t *slots, const grants_request_t *ask,
 		     pimento_usec_t now)
 {
+	registry_endpoint_t *endpoint = endpoint_of(slots, ask->endpoint);
+
 	if (grants_request(&slots->grants, ask, now))
 		return; /* no memory: who asks goes by its own view */
-	if (ask->unconditional)
+	if (ask->unconditional) {
+		if (endpoint)
+			slow_start_record(slots->registry, endpoint, now);
 		return;
+	}
 	give_places(slots, ask->endpoint, now);
 	if (!is_granted(slots, ask))
 		reply(slots, ask, false, now);
--- a/src/latency.c
+++ b/src/latency.c
@@ -25,6 +25,7 @@
 #define SERVICE_FAILURE_RATE_WEIGHT 0.02
 #define REGRESSION_DECAY 0.995
 #define FIRST_EVENT_ERROR_WEIGHT 0.05
+#define SLOT_TIME_WEIGHT 0.02
 /*
  * Nine in ten times to the first event lie below the expected time plus this
  * many mean absolute errors.
@@ -202,6 +203,18 @@
 		SERVICE_FAILURE_RATE_WEIGHT * (sample - service->failure_rate);
 }
 
+void latency_add_slot_time(latency_service_t *service, pimento_usec_t span)
+{
+	double weight = 1.0 / (1 + service->slot_time_count);
+
+	if (weight < SLOT_TIME_WEIGHT)
+		weight = SLOT_TIME_WEIGHT;
+	else
+		service->slot_time_count++;
+	service->slot_time_us +=
+		weight * ((double)span - service->slot_time_us);
+}
+
 void latency_add_success(latency_model_t *latency_model,
 			 latency_service_t *service)
 {
--- a/src/latency.h
+++ b/src/latency.h
@@ -45,6 +45,10 @@
 	latency_regression_t first_event_by_prompt;
 	/* mean absolute error of first_event_by_prompt; 0 unknown */
 	double first_event_error_us;
+	/* mean time from dispatch to the complete answer; 0 unknown */
+	double slot_time_us;
+	/* answers in that mean, up to the number that it reaches back */
+	uint32_t slot_time_count;
 } latency_service_t;
 
 /* Outcome of a request at its endpoint; hosts report it to the owner. */
@@ -82,6 +86,8 @@
  */
 void latency_add_length(latency_service_t *service, uint32_t expected_tokens,
 			uint32_t events);
+/* Adds the time from the dispatch of a request to its complete answer. */
+void latency_add_slot_time(latency_service_t *service, pimento_usec_t span);
 void latency_add_success(latency_model_t *latency_model,
 			 latency_service_t *service);
 /*
--- a/src/placement.c
+++ b/src/placement.c
@@ -8,6 +8,8 @@
 
 #include "placement.h"
 
+#include "slow_start.h"
+
 #include <math.h>
 
 /*
@@ -66,6 +68,11 @@
  * slot at another endpoint.
  */
 #define SLOT_TIME_EXCESS_OBJECTIVES 2.0
+/*
+ * Cost factor of an endpoint in slow start: it answers more slowly, and few
+ * requests may begin there.
+ */
+#define SLOW_START_COST 1.5
 /* Assumed time to the first event while no answer has been seen. */
 #define FIRST_EVENT_DEFAULT_US 50000.0
 
@@ -266,6 +273,15 @@
 typedef struct choice {
 	registry_endpoint_t *best;
 	double cost; /* placement_cost() of best */
+	/*
+	 * an endpoint in slow start with a free slot, whose owner does not
+	 * count this host's requests before they are sent: many hosts would
+	 * choose it at once
+	 */
+	registry_endpoint_t *unguarded;
+	/* an endpoint in slow start whose owner has just refused */
+	registry_endpoint_t *refused;
+	bool any_other; /* one that is neither of these, full or not */
 	/* an ejected endpoint where this host has no request in flight */
 	registry_endpoint_t *ejected_idle;
 	bool any_untried; /* there is a usable endpoint that was not tried */
@@ -285,11 +301,18 @@
 	return request->may_queue && endpoint->owner_unresponsive_until > now;
 }
 
+static bool is_unguarded(const registry_endpoint_t *endpoint,
+			 const placement_request_t *request, pimento_usec_t now)
+{
+	return request->unowned || endpoint->owner_unresponsive_until > now;
+}
+
 static void consider_endpoint(choice_t *choice, registry_endpoint_t *endpoint,
 			      const registry_service_t *service,
 			      const placement_request_t *request,
-			      pimento_usec_t now)
+			      bool slow_start, pimento_usec_t now)
 {
+	uint32_t limit = capacity(service, endpoint, request);
 	fit_t fit;
 	double endpoint_cost;
 
@@ -300,6 +323,17 @@
 		return;
 	}
 	choice->any_not_ejected = true;
+	if (slow_start && endpoint->start_refused_until > now) {
+		choice->refused = endpoint;
+		return;
+	}
+	if (slow_start && is_unguarded(endpoint, request, now)) {
+		if (total_in_flight(endpoint) < limit &&
+		    !cannot_queue_at(endpoint, request, now))
+			choice->unguarded = endpoint;
+		return;
+	}
+	choice->any_other = true;
 	fit = endpoint_fit(endpoint, service, request);
 	if (fit > choice->best_fit) {
 		/* this endpoint fits better than all before: drop those */
@@ -308,9 +342,11 @@
 		choice->cost = INFINITY;
 	}
 	if (fit < choice->best_fit || cannot_queue_at(endpoint, request, now) ||
-	    total_in_flight(endpoint) >= capacity(service, endpoint, request))
+	    total_in_flight(endpoint) >= limit)
 		return;
 	endpoint_cost = placement_cost(endpoint, service, request);
+	if (slow_start)
+		endpoint_cost *= SLOW_START_COST;
 	if (endpoint_cost < choice->cost) {
 		choice->cost = endpoint_cost;
 		choice->best = endpoint;
@@ -332,9 +368,17 @@
 		if (e->service == request->service &&
 		    registry_endpoint_accepts_work(e, now) &&
 		    !is_excluded(request, e->key))
-			consider_endpoint(&choice, e, service, request, now);
+			consider_endpoint(&choice, e, service, request,
+					  slow_start_applies(registry, e, now),
+					  now);
 	}
-	*endpoint = choice.any_not_ejected ? choice.best : choice.ejected_idle;
+	*endpoint = choice.best;
+	if (!choice.any_not_ejected)
+		*endpoint = choice.ejected_idle;
+	else if (!*endpoint)
+		*endpoint = choice.unguarded;
+	if (!*endpoint && !choice.any_other)
+		*endpoint = choice.refused;
 	if (*endpoint)
 		return PLACEMENT_FOUND;
 	return choice.any_untried ? PLACEMENT_FULL : PLACEMENT_NONE;
--- a/src/placement.h
+++ b/src/placement.h
@@ -32,6 +32,8 @@
 	pimento_usec_t gap_objective;
 	bool engine_stream; /* the answer is a stream from a model engine */
 	bool overdue; /* the request can no longer meet its objective */
+	/* this host does not know the owners, which count slots for all hosts */
+	bool unowned;
 	/* data centre of this host; endpoints in it are preferred */
 	const char *datacentre;
 	/* endpoints that the request was already sent to */
--- a/src/registry.h
+++ b/src/registry.h
@@ -32,6 +32,13 @@
 	uint16_t port;
 	char datacentre[PIMENTO_NAME_MAX];
 	uint32_t slots; /* requests that the endpoint can run concurrently */
+	/* When its slow start ends, see slow_start.h; 0: none. */
+	pimento_usec_t starting_until;
+	/* Owner only: requests that may begin in its slow start, and when counted */
+	double start_tokens;
+	pimento_usec_t start_tokens_at;
+	/* In slow start: others are preferred until then, as it had no slot. */
+	pimento_usec_t start_refused_until;
 	int64_t started_at_ms; /* process start, ms since 1970; 0: unknown */
 	/* Incremented when a new process takes over the id. */
 	uint32_t incarnation;
@@ -98,6 +105,8 @@
 	const char *datacentre;
 	uint32_t slots;
 	int64_t started_at_ms;
+	/* time for which it is still slow after its start; 0: none */
+	pimento_usec_t slow_start;
 	uint64_t revision;
 	bool leaving;
 } registry_record_t;
