--- a/test/soak.c
+++ b/test/soak.c
@@ -406,7 +406,7 @@
 	}
 }
 
-/* Signals that leave a process as it was, or repeat a request to stop. */
+/* Signals that leave a process as it was, also one that is stopping. */
 static void signal_series(soak_t *soak, uint32_t host, uint32_t count)
 {
 	process_t *process = &soak->edge.hosts[host].process;
