entry: evacuated data centres

Operators ask that nothing more be sent to the endpoints of a data centre until they take that back.

The records lie beside the configuration in the store, so its collection now covers all that operators write: one watch, one revision, one freshness for both, from the store or a peer. A host that knows a configuration knows what is evacuated. A third collection of its own was ruled out: a third more calls to the store, and a host could know the one without the other. The collection has new fields and a new path between hosts, because an earlier version counts its copy of the configuration as complete.

An endpoint there accepts no new work; what runs ends, its owner goes on counting it, requests in its line go elsewhere at the next tick, and one that was granted a slot is judged again before it is sent. If all endpoints of a service are evacuated, a request is refused at once, not run. After the return endpoints are taken to be in slow start until their records say otherwise.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -239,7 +239,7 @@
 static void watch_ability(edge_t *edge, pimento_usec_t now)
 {
 	const replica_t *configuration =
-		&edge->feed.replicas[REPLICA_CONFIGURATION];
+		&edge->feed.replicas[REPLICA_OPERATOR];
 	bool able = is_ready(edge);
 
 	if (able == edge->able)
@@ -438,7 +438,7 @@
 		.first_start = edge->settings.first_start,
 		.registry = &edge->registry,
 		.roster = &edge->roster,
-		.replica = &edge->feed.replicas[REPLICA_CONFIGURATION],
+		.replica = &edge->feed.replicas[REPLICA_OPERATOR],
 		.slots = &edge->slots,
 		.send_quota = on_send_quota,
 		.send_context = edge,
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -144,7 +144,8 @@
 /* Tells the owner, once, of an engine's pace that it does not know. */
 void placing_tell_pace(exchange_t *exchange);
 /*
- * Leaves lines where no owner has answered, or where it waited long enough.
+ * Leaves lines where no owner has answered, where it waited long enough, and at
+ * endpoints that accept no more work.
  * Returns true if it left any; exchanges may be over then, this one too.
  */
 bool placing_sweep(exchange_t *exchange, pimento_usec_t now);
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -231,7 +231,7 @@
 				 uint64_t *after)
 {
 	for (int kind = 0; kind < REPLICA_KIND_COUNT; kind++) {
-		const char *name = replica_kind_name((replica_kind_t)kind);
+		const char *name = replica_kind_path((replica_kind_t)kind);
 		size_t length = strlen(name);
 
 		if (strncmp(path, name, length) != 0 || path[length] != '/')
@@ -364,7 +364,7 @@
 	int length = snprintf(head, sizeof(head),
 			      "GET " SNAPSHOT_PATH "%s/%llu HTTP/1.1\r\n"
 			      "Host: peer\r\nConnection: close\r\n\r\n",
-			      replica_kind_name(fetch->kind),
+			      replica_kind_path(fetch->kind),
 			      (unsigned long long)replica->revision);
 
 	if (!httpc_ask(conn, head, (size_t)length, "", 0, false)) {
--- a/io/placing.c
+++ b/io/placing.c
@@ -314,6 +314,16 @@
 	return x->line_count ? STEP_ASKS : STEP_STAYS;
 }
 
+/* Refuses at once what could only wait for the end of an evacuation. */
+static bool refuse_evacuated(exchange_t *x, pimento_usec_t now)
+{
+	if (x->runs ||
+	    !registry_is_evacuated(x->gateway->registry, x->service->key, now))
+		return false;
+	exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, "evacuated");
+	return true;
+}
+
 static step_t step(exchange_t *x, pimento_usec_t now)
 {
 	registry_endpoint_t *endpoint = NULL;
@@ -325,6 +335,8 @@
 		return stand_in_lines(x, now);
 	case PLACEMENT_NONE:
 	default:
+		if (refuse_evacuated(x, now))
+			return STEP_MOVED;
 		if (!x->tried_count)
 			return STEP_STAYS;
 		no_more_endpoints(x);
@@ -379,7 +391,8 @@
 		if (!line->in_line && age > ASK_SILENT)
 			line->endpoint->owner_unresponsive_until =
 				now + OWNER_SILENT;
-		else if (age < ASK_MOST)
+		else if (age < ASK_MOST &&
+			 registry_endpoint_accepts_work(line->endpoint, now))
 			continue;
 		left[count++] = take_line(x, i);
 	}
--- a/src/packet.c
+++ b/src/packet.c
@@ -159,9 +159,9 @@
 	out.incarnation = gossip->incarnation;
 	out.stamp = (uint64_t)gossip->stamp;
 	out.echo = (uint64_t)gossip->echo;
-	out.fresh_age_ms =
-		encode_age_ms(gossip->replicas[REPLICA_CONFIGURATION].age);
-	out.revision = gossip->replicas[REPLICA_CONFIGURATION].revision;
+	out.operator_age_ms =
+		encode_age_ms(gossip->replicas[REPLICA_OPERATOR].age);
+	out.operator_revision = gossip->replicas[REPLICA_OPERATOR].revision;
 	out.endpoints_age_ms =
 		encode_age_ms(gossip->replicas[REPLICA_ENDPOINTS].age);
 	out.endpoints_revision = gossip->replicas[REPLICA_ENDPOINTS].revision;
@@ -340,9 +340,9 @@
 		.stamp = (pimento_usec_t)message->stamp,
 		.echo = (pimento_usec_t)message->echo,
 		.replicas = {
-			[REPLICA_CONFIGURATION] = {
-				message->revision,
-				decode_age_ms(message->fresh_age_ms) },
+			[REPLICA_OPERATOR] = {
+				message->operator_revision,
+				decode_age_ms(message->operator_age_ms) },
 			[REPLICA_ENDPOINTS] = {
 				message->endpoints_revision,
 				decode_age_ms(message->endpoints_age_ms) },
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1059,30 +1059,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "fresh_age_ms",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Note, fresh_age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "revision",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Peer__Note, revision),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "loads",
     7,
@@ -1227,31 +1203,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "operator_age_ms",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, operator_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator_revision",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Note, operator_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__note__field_indices_by_name[] = {
   0,   /* field[0] = address */
   3,   /* field[3] = echo */
-  8,   /* field[8] = endpoints_age_ms */
-  9,   /* field[9] = endpoints_revision */
-  14,   /* field[14] = facts */
-  4,   /* field[4] = fresh_age_ms */
+  6,   /* field[6] = endpoints_age_ms */
+  7,   /* field[7] = endpoints_revision */
+  12,   /* field[12] = facts */
   1,   /* field[1] = incarnation */
-  6,   /* field[6] = loads */
-  7,   /* field[7] = owned */
-  10,   /* field[10] = probe */
-  17,   /* field[17] = pull */
-  16,   /* field[16] = quotas */
-  15,   /* field[15] = readers */
-  5,   /* field[5] = revision */
-  11,   /* field[11] = sequence */
-  13,   /* field[13] = settled */
+  4,   /* field[4] = loads */
+  16,   /* field[16] = operator_age_ms */
+  17,   /* field[17] = operator_revision */
+  5,   /* field[5] = owned */
+  8,   /* field[8] = probe */
+  15,   /* field[15] = pull */
+  14,   /* field[14] = quotas */
+  13,   /* field[13] = readers */
+  9,   /* field[9] = sequence */
+  11,   /* field[11] = settled */
   2,   /* field[2] = stamp */
-  12,   /* field[12] = target */
+  10,   /* field[10] = target */
 };
-static const ProtobufCIntRange peer__note__number_ranges[2 + 1] =
+static const ProtobufCIntRange peer__note__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 11, 7 },
+  { 7, 4 },
+  { 11, 5 },
   { 0, 18 }
 };
 const ProtobufCMessageDescriptor peer__note__descriptor =
@@ -1265,7 +1266,7 @@
   18,
   peer__note__field_descriptors,
   peer__note__field_indices_by_name,
-  2,  peer__note__number_ranges,
+  3,  peer__note__number_ranges,
   (ProtobufCMessageInit) peer__note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -179,14 +179,6 @@
    * last stamp received from the receiver; 0 if none
    */
   uint64_t echo;
-  /*
-   * age of the sender's configuration replica
-   */
-  uint32_t fresh_age_ms;
-  /*
-   * revision of the sender's configuration replica
-   */
-  uint64_t revision;
   size_t n_loads;
   Peer__Load **loads;
   size_t n_owned;
@@ -222,10 +214,18 @@
    * the receiver must reply with a gossip message
    */
   protobuf_c_boolean pull;
+  /*
+   * age of the sender's replica of operators' records
+   */
+  uint32_t operator_age_ms;
+  /*
+   * revision of that replica
+   */
+  uint64_t operator_revision;
 };
 #define PEER__NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__note__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/registry.c
+++ b/src/registry.c
@@ -12,6 +12,9 @@
 void registry_init(registry_t *registry)
 {
 	*registry = (registry_t){ 0 };
+	evacuation_init(&registry->evacuation);
+	registry->start_bounds.overrun = 1;
+	registry->start_bounds.live_share = 1;
 }
 
 static void free_endpoint(const registry_t *registry,
@@ -30,6 +33,7 @@
 		free(registry->services[i]);
 	free(registry->endpoints);
 	free(registry->services);
+	evacuation_finish(&registry->evacuation);
 }
 
 registry_endpoint_t *registry_find(const registry_t *registry, pimento_id_t key)
@@ -120,9 +124,88 @@
 	}
 	endpoint->started_at_ms = record->started_at_ms;
 	copy_record(endpoint, record);
+	endpoint->evacuated = evacuation_includes(&registry->evacuation,
+						  endpoint->datacentre);
 	return endpoint;
 }
 
+static uint32_t count_endpoints(const registry_t *registry,
+				const char *datacentre)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < registry->count; i++)
+		if (strcmp(registry->endpoints[i]->datacentre, datacentre) == 0)
+			count++;
+	return count;
+}
+
+int registry_evacuate(registry_t *registry, const char *datacentre,
+		      pimento_usec_t now)
+{
+	int error = evacuation_begin(&registry->evacuation, datacentre, now);
+
+	if (error)
+		return error;
+	for (uint32_t i = 0; i < registry->count; i++) {
+		registry_endpoint_t *endpoint = registry->endpoints[i];
+
+		if (strcmp(endpoint->datacentre, datacentre) == 0)
+			endpoint->evacuated = true;
+	}
+	return (int)count_endpoints(registry, datacentre);
+}
+
+/* Slow start after an evacuation, until the endpoint's record says otherwise. */
+static void assume_slow_start(registry_t *registry,
+			      registry_endpoint_t *endpoint, pimento_usec_t now)
+{
+	const registry_service_t *service =
+		registry_get_service(registry, endpoint->service);
+
+	if (service && endpoint->starting_until < now + service->cold_start)
+		endpoint->starting_until = now + service->cold_start;
+}
+
+int registry_end_evacuation(registry_t *registry, const char *datacentre,
+			    pimento_usec_t now)
+{
+	if (!evacuation_end(&registry->evacuation, datacentre))
+		return 0;
+	for (uint32_t i = 0; i < registry->count; i++) {
+		registry_endpoint_t *endpoint = registry->endpoints[i];
+
+		if (strcmp(endpoint->datacentre, datacentre) != 0)
+			continue;
+		endpoint->evacuated = false;
+		assume_slow_start(registry, endpoint, now);
+	}
+	return (int)count_endpoints(registry, datacentre);
+}
+
+static bool is_open(const registry_endpoint_t *endpoint, pimento_usec_t now)
+{
+	return !endpoint->leaving &&
+	       (endpoint->listed || now < endpoint->removal_at);
+}
+
+bool registry_is_evacuated(const registry_t *registry, pimento_id_t service,
+			   pimento_usec_t now)
+{
+	bool any = false;
+
+	for (uint32_t i = 0; i < registry->count; i++) {
+		const registry_endpoint_t *endpoint = registry->endpoints[i];
+
+		if (endpoint->service != service || !is_open(endpoint, now))
+			continue;
+		if (!endpoint->evacuated)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
 void registry_schedule_removal(registry_t *registry, const char *id,
 			       pimento_usec_t removal_at)
 {
@@ -171,7 +254,5 @@
 bool registry_endpoint_accepts_work(const registry_endpoint_t *endpoint,
 				    pimento_usec_t now)
 {
-	if (endpoint->leaving)
-		return false;
-	return endpoint->listed || now < endpoint->removal_at;
+	return !endpoint->evacuated && is_open(endpoint, now);
 }
--- a/src/registry.h
+++ b/src/registry.h
@@ -9,6 +9,7 @@
  * ended.
  */
 
+#include "evacuation.h"
 #include "latency.h"
 
 /* State of an endpoint as reported by its owner. */
@@ -34,6 +35,8 @@
 	uint32_t slots; /* requests that the endpoint can run concurrently */
 	/* When its slow start ends, see slow_start.h; 0: none. */
 	pimento_usec_t starting_until;
+	/* Since when this host is its owner; 0: it is not. */
+	pimento_usec_t owned_since;
 	/* Owner only: requests that may begin in its slow start, and when counted */
 	double start_tokens;
 	pimento_usec_t start_tokens_at;
@@ -45,6 +48,7 @@
 	uint64_t revision; /* revision of the endpoint's record */
 	bool listed; /* present in the platform's list */
 	bool leaving; /* accepts no new requests */
+	bool evacuated; /* its data centre is evacuated */
 	/* When an unlisted endpoint stops accepting requests; 0: listed. */
 	pimento_usec_t removal_at;
 	uint32_t refs; /* requests and connections that refer to this entry */
@@ -83,15 +87,29 @@
 typedef struct registry_service {
 	pimento_id_t key;
 	bool queues_requests; /* a plain service, whose endpoints queue requests */
+	/* How long an endpoint is slow after its start, at most; 0: unknown. */
+	pimento_usec_t cold_start;
+	/* Requests a second that an endpoint in slow start bears; 0: unknown. */
+	double cold_per_second;
 	latency_service_t latency;
 } registry_service_t;
 
+/* By how much requests may exceed the rate that an endpoint in slow start bears. */
+typedef struct registry_start_bounds {
+	double overrun; /* requests in a second: rate * overrun + slack */
+	double slack;
+	/* Share of the known hosts that are live, and grant slots with this one. */
+	double live_share;
+} registry_start_bounds_t;
+
 typedef struct registry {
 	registry_endpoint_t **endpoints;
 	uint32_t count;
 	uint32_t capacity;
 	registry_service_t **services; /* only a few, never removed */
 	uint32_t service_count;
+	evacuation_t evacuation;
+	registry_start_bounds_t start_bounds;
 	/* Called before an endpoint is freed, to close connections; or NULL. */
 	void (*on_endpoint_free)(registry_endpoint_t *endpoint);
 } registry_t;
@@ -139,6 +157,23 @@
 void registry_apply_report(registry_endpoint_t *endpoint,
 			   const registry_report_t *report, pimento_usec_t at);
 
+/*
+ * Begins or ends the evacuation of a data centre: no new requests are sent to
+ * its endpoints. They may have been restarted meanwhile without a new record,
+ * so after the end they are taken to be in slow start. Returns the number of its
+ * endpoints, or PIMENTO_ENOMEM.
+ */
+int registry_evacuate(registry_t *registry, const char *datacentre,
+		      pimento_usec_t now);
+int registry_end_evacuation(registry_t *registry, const char *datacentre,
+			    pimento_usec_t now);
+/*
+ * True if the service has endpoints that would accept new requests and all of
+ * them are evacuated.
+ */
+bool registry_is_evacuated(const registry_t *registry, pimento_id_t service,
+			   pimento_usec_t now);
+
 /* Frees endpoints whose removal is due and that nothing refers to. */
 void registry_free_removed(registry_t *registry, pimento_usec_t now);
 
--- a/src/replica.c
+++ b/src/replica.c
@@ -25,6 +25,13 @@
 	return names[kind];
 }
 
+const char *replica_kind_path(replica_kind_t kind)
+{
+	static const char *const paths[] = { "operator", "endpoints" };
+
+	return paths[kind];
+}
+
 void replica_init(replica_t *replica,
 		  void (*changed)(void *context,
 				  const replica_record_t *record),
--- a/src/replica.h
+++ b/src/replica.h
@@ -18,13 +18,18 @@
 #include "../pimentoshelf.h"
 
 typedef enum replica_kind {
-	REPLICA_CONFIGURATION,
+	REPLICA_OPERATOR, /* configuration and evacuated data centres */
 	REPLICA_ENDPOINTS,
 	REPLICA_KIND_COUNT
 } replica_kind_t;
 
-/* Returns "configuration" or "endpoints", as used in paths and logs. */
+/* Returns "configuration" or "endpoints", as used in logs. */
 const char *replica_kind_name(replica_kind_t kind);
+/*
+ * Returns "operator" or "endpoints", as used in paths of snapshots. Earlier
+ * versions offer the configuration alone, under its own name.
+ */
+const char *replica_kind_path(replica_kind_t kind);
 
 typedef struct replica_record {
 	char *key;
--- a/test/edge.c
+++ b/test/edge.c
@@ -132,6 +132,12 @@
 }
 
 void edge_list_worker(const edge_t *edge, uint32_t index, const char *state)
+{
+	edge_list_worker_in(edge, index, "a", state);
+}
+
+void edge_list_worker_in(const edge_t *edge, uint32_t index,
+			 const char *datacentre, const char *state)
 {
 	char key[32];
 	char text[256];
@@ -139,10 +145,10 @@
 	snprintf(key, sizeof(key), "servers/w%u", index);
 	snprintf(text, sizeof(text),
 		 "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
-		 "\"zone\":\"a\",\"slots\":8,\"state\":\"%s\",\"born\":1}",
+		 "\"zone\":\"%s\",\"slots\":8,\"state\":\"%s\",\"born\":1}",
 		 edge->worker_fronts[index] ? edge->worker_fronts[index]
 					    : edge->workers[index].port,
-		 state);
+		 datacentre, state);
 	edge_put(edge, key, text);
 }
 
--- a/test/edge.h
+++ b/test/edge.h
@@ -68,8 +68,10 @@
 void edge_configure_routes(const edge_t *edge, uint32_t version,
 			   const char *keys, uint32_t routes);
 
-/* Publishes a worker's record. */
+/* Publishes a worker's record, in data centre "a" or another. */
 void edge_list_worker(const edge_t *edge, uint32_t index, const char *state);
+void edge_list_worker_in(const edge_t *edge, uint32_t index,
+			 const char *datacentre, const char *state);
 
 /* A request with the key, an id and a deadline, and further header fields. */
 client_reply_t edge_ask(const edge_t *edge, uint32_t host, const char *path,
