slow start: keep the rate that operators state

Cause: the rate came from assumed and measured answer times and the slots of an endpoint. With 11 slots that is 11 + 1 at once and as many in the second after, without regard to what is stated; nothing was bounded once all endpoints of a service were cold, nor two owners together.

Ruled out: requests without a grant (none in the log of that second).

Now a service's stated rate and the stated tolerance set the bucket. Only the owner, or a host that is alone, lets a request begin there. A new owner uses a third of the rate while membership settles, each side of a partition its share.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -150,6 +150,12 @@
 	};
 }
 
+static void set_start_bounds(edge_t *edge)
+{
+	edge->registry.start_bounds.overrun = edge->settings.slow_start_overrun;
+	edge->registry.start_bounds.slack = edge->settings.slow_start_slack;
+}
+
 static void add_seeds(edge_t *edge)
 {
 	for (uint32_t i = 0; i < edge->settings.seed_count; i++)
@@ -172,6 +178,7 @@
 	}
 	edge->settings = settings;
 	edge->gateway.bounds = bounds_of(&settings);
+	set_start_bounds(edge);
 	add_seeds(edge);
 	trail(TRAIL_STATE, "edge", "reload", "why=%s outcome=taken seeds=%u",
 	      why, settings.seed_count);
@@ -238,8 +245,7 @@
 
 static void watch_ability(edge_t *edge, pimento_usec_t now)
 {
-	const replica_t *configuration =
-		&edge->feed.replicas[REPLICA_OPERATOR];
+	const replica_t *configuration = &edge->feed.replicas[REPLICA_OPERATOR];
 	bool able = is_ready(edge);
 
 	if (able == edge->able)
@@ -484,6 +490,7 @@
 	if (!edge->loop)
 		return PIMENTO_EIO;
 	registry_init(&edge->registry);
+	set_start_bounds(edge);
 	if (!error)
 		error = peers_init(&edge->roster, self, sys_random());
 	slots_init(&edge->slots, &edge->registry, &edge->roster, self);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -180,8 +180,11 @@
 		registry_service_t *service =
 			registry_get_service(gateway->registry, from->key);
 
-		if (service)
-			service->queues_requests = !from->is_engine;
+		if (!service)
+			continue;
+		service->queues_requests = !from->is_engine;
+		service->cold_start = from->cold_start;
+		service->cold_per_second = from->cold_per_second;
 	}
 }
 
--- a/io/placing.c
+++ b/io/placing.c
@@ -196,6 +196,13 @@
 	       !peers_is_discovering(roster, now);
 }
 
+/* No other host is known, and time enough has passed to hear of one. */
+static bool is_alone(const peers_t *roster, pimento_usec_t now)
+{
+	return peers_host_count(roster, now) <= 1 &&
+	       !peers_is_discovering(roster, now);
+}
+
 /* What placement looks at; the lines that x stands in are left out. */
 static placement_request_t request_of(const exchange_t *x, pimento_usec_t now)
 {
@@ -211,6 +218,7 @@
 		.engine_stream = x->engine,
 		.overdue = x->wait.overdue,
 		.unowned = !knows_owners(x->gateway->roster, now),
+		.alone = is_alone(x->gateway->roster, now),
 		.datacentre = x->gateway->datacentre,
 		.tried = x->tried,
 		.tried_count = x->tried_count,
@@ -287,6 +295,8 @@
 		x->place.endpoint = endpoint;
 		endpoint->refs++;
 		slots_ask(x->gateway->slots, endpoint, &told, now);
+	} else {
+		slow_start_record(x->gateway->registry, endpoint, now);
 	}
 	dispatch_begin(x, endpoint);
 }
--- a/io/slots.c
+++ b/io/slots.c
@@ -3,6 +3,8 @@
 #include "../src/slow_start.h"
 #include "trail.h"
 
+/* Hosts that died longer ago do not lessen a slow start's rate. */
+#define SLOTS_LOST_LATELY (20 * PIMENTO_SEC)
 /* A report that is older is not passed on. */
 #define RELAY_AGE (1200 * PIMENTO_MSEC)
 
@@ -387,11 +389,14 @@
 
 void slots_tick(slots_t *slots, pimento_usec_t now)
 {
+	slots->registry->start_bounds.live_share =
+		peers_known_live_share(slots->roster, SLOTS_LOST_LATELY, now);
 	for (uint32_t i = 0; i < slots->registry->count; i++) {
 		registry_endpoint_t *e = slots->registry->endpoints[i];
 		uint32_t key = (uint32_t)e->key;
 		bool owner = owner_of(slots, e) == slots->self;
 
+		slow_start_set_owner(e, owner, now);
 		if (owner || grants_is_requested(&slots->grants, key, now))
 			keep_endpoint(slots, e, owner, now);
 		else
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -50,6 +50,10 @@
 	/* Connections to one endpoint, over all callers. */
 	uint32_t connections_max;
 	bool is_engine; /* a model engine that streams its answers */
+	/* How long an endpoint is slow after its start; 0: not stated. */
+	pimento_usec_t cold_start;
+	/* Requests a second that it bears until then; 0: not stated. */
+	double cold_per_second;
 } catalog_service_t;
 
 typedef struct catalog_account {
--- a/src/edge_settings.c
+++ b/src/edge_settings.c
@@ -36,6 +36,9 @@
 #define RETRY_RATIO_DEFAULT 0.2
 #define RETRY_SLACK_DEFAULT 50
 
+/* Without a stated tolerance, the rate that a service states is the bound. */
+#define SLOW_START_OVERRUN_DEFAULT 1
+
 static const field_t toplevel_fields[] = {
 	{ "host", FIELD_TABLE, true, 0, 0, 0, NULL },
 	{ "listen", FIELD_TABLE, true, 0, 0, 0, NULL },
@@ -82,6 +85,8 @@
 	NUMBER_FIELD("retry_slack", retry_slack, 0),
 	NUMBER_FIELD("retry_window_s", retry_window_s, 1),
 	NUMBER_FIELD("quota_window_s", quota_window_s, 1),
+	NUMBER_FIELD("slow_start_overrun", slow_start_overrun, 1),
+	NUMBER_FIELD("slow_start_slack", slow_start_slack, 0),
 };
 
 static const struct {
@@ -157,6 +162,7 @@
 		.retry_slack = RETRY_SLACK_DEFAULT,
 		.retry_window_s = WINDOW_S_DEFAULT,
 		.quota_window_s = WINDOW_S_DEFAULT,
+		.slow_start_overrun = SLOW_START_OVERRUN_DEFAULT,
 	};
 	error = toml_parse(&document, text, length);
 	if (error) {
--- a/src/edge_settings.h
+++ b/src/edge_settings.h
@@ -13,7 +13,7 @@
  *	[store]   address ("address:port")
  *	[limits]  memory_mb, descriptors, stop_seconds
  *	[bounds]  key_revoke_ms, retry_ratio, retry_slack, retry_window_s,
- *	          quota_window_s
+ *	          quota_window_s, slow_start_overrun, slow_start_slack
  *
  * [peers], [limits] and [bounds] are optional.
  */
@@ -44,6 +44,12 @@
 	double retry_slack;
 	double retry_window_s; /* window of the retry budget */
 	double quota_window_s; /* window in which quotas are counted */
+	/*
+	 * requests in a second at an endpoint in slow start, over all hosts: the
+	 * rate that its service states, times the overrun, plus the slack
+	 */
+	double slow_start_overrun;
+	double slow_start_slack;
 } edge_settings_t;
 
 /*
--- a/src/placement.c
+++ b/src/placement.c
@@ -307,6 +307,17 @@
 	return request->unowned || endpoint->owner_unresponsive_until > now;
 }
 
+/* True if only the endpoint's owner may let the request begin there. */
+static bool awaits_owner(registry_t *registry, registry_endpoint_t *endpoint,
+			 const placement_request_t *request, pimento_usec_t now)
+{
+	if (!is_unguarded(endpoint, request, now) ||
+	    !slow_start_needs_owner(registry, endpoint, now))
+		return false;
+	return !request->alone ||
+	       !slow_start_may_begin(registry, endpoint, now);
+}
+
 static void consider_endpoint(choice_t *choice, registry_endpoint_t *endpoint,
 			      const registry_service_t *service,
 			      const placement_request_t *request,
@@ -316,7 +327,6 @@
 	fit_t fit;
 	double endpoint_cost;
 
-	choice->any_untried = true;
 	if (endpoint->latency.ejected_until > now) {
 		if (endpoint->running == 0)
 			choice->ejected_idle = endpoint;
@@ -327,7 +337,8 @@
 		choice->refused = endpoint;
 		return;
 	}
-	if (slow_start && is_unguarded(endpoint, request, now)) {
+	if (slow_start && !request->alone &&
+	    is_unguarded(endpoint, request, now)) {
 		if (total_in_flight(endpoint) < limit &&
 		    !cannot_queue_at(endpoint, request, now))
 			choice->unguarded = endpoint;
@@ -365,9 +376,12 @@
 	for (uint32_t i = 0; service && i < registry->count; i++) {
 		registry_endpoint_t *e = registry->endpoints[i];
 
-		if (e->service == request->service &&
-		    registry_endpoint_accepts_work(e, now) &&
-		    !is_excluded(request, e->key))
+		if (e->service != request->service ||
+		    !registry_endpoint_accepts_work(e, now) ||
+		    is_excluded(request, e->key))
+			continue;
+		choice.any_untried = true;
+		if (!awaits_owner(registry, e, request, now))
 			consider_endpoint(&choice, e, service, request,
 					  slow_start_applies(registry, e, now),
 					  now);
--- a/src/placement.h
+++ b/src/placement.h
@@ -34,6 +34,8 @@
 	bool overdue; /* the request can no longer meet its objective */
 	/* this host does not know the owners, which count slots for all hosts */
 	bool unowned;
+	/* there is no other host, so that this one owns all endpoints */
+	bool alone;
 	/* data centre of this host; endpoints in it are preferred */
 	const char *datacentre;
 	/* endpoints that the request was already sent to */
--- a/src/slow_start.c
+++ b/src/slow_start.c
@@ -12,16 +12,45 @@
 #define ASSUMED_ANSWERS 20
 #define REFUSED_SPAN (100 * PIMENTO_MSEC)
 
+/*
+ * Of what a stated tolerance adds to the rate in one second, the part that may
+ * begin at once. The rest covers requests that are granted in one second and
+ * arrive in the next, and a second owner.
+ */
+#define BURST_SHARE 0.25
+/* Hosts may disagree on the owner for this long after a change. */
+#define OWNER_SETTLING (5 * PIMENTO_SEC)
+/* Part of the rate that a new owner uses until then. */
+#define NEW_OWNER_SHARE (1.0 / 3)
+
 static bool is_starting(const registry_endpoint_t *endpoint, pimento_usec_t now)
 {
 	return endpoint->starting_until > now;
 }
 
-bool slow_start_applies(const registry_t *registry,
+static bool states_rate(registry_t *registry,
+			const registry_endpoint_t *endpoint)
+{
+	const registry_service_t *service =
+		registry_get_service(registry, endpoint->service);
+
+	return service && service->cold_per_second > 0;
+}
+
+bool slow_start_needs_owner(registry_t *registry,
+			    const registry_endpoint_t *endpoint,
+			    pimento_usec_t now)
+{
+	return is_starting(endpoint, now) && states_rate(registry, endpoint);
+}
+
+bool slow_start_applies(registry_t *registry,
 			const registry_endpoint_t *endpoint, pimento_usec_t now)
 {
 	if (!is_starting(endpoint, now))
 		return false;
+	if (states_rate(registry, endpoint))
+		return true;
 	for (uint32_t i = 0; i < registry->count; i++) {
 		const registry_endpoint_t *e = registry->endpoints[i];
 
@@ -44,24 +73,80 @@
 	       (ASSUMED_ANSWERS + count);
 }
 
+/* Requests that may begin at once, and then in a second. */
+typedef struct bucket {
+	double burst;
+	double per_second;
+} bucket_t;
+
+/* Part of the stated rate that this owner may use. */
+static double owner_share(const registry_t *registry,
+			  const registry_endpoint_t *endpoint,
+			  pimento_usec_t now)
+{
+	double share = registry->start_bounds.live_share;
+
+	/* not yet known as the owner, or asked by hosts that take it for one */
+	if (!endpoint->owned_since ||
+	    now - endpoint->owned_since < OWNER_SETTLING)
+		share *= NEW_OWNER_SHARE;
+	return share;
+}
+
+static bucket_t stated_bucket(const registry_t *registry,
+			      const registry_endpoint_t *endpoint,
+			      const registry_service_t *service,
+			      pimento_usec_t now)
+{
+	const registry_start_bounds_t *bounds = &registry->start_bounds;
+	double rate = service->cold_per_second;
+	double excess = rate * (bounds->overrun - 1) + bounds->slack;
+	double share = owner_share(registry, endpoint, now);
+	bucket_t bucket = { excess * BURST_SHARE * share, rate * share };
+
+	if (bucket.burst < 1)
+		bucket.burst = 1;
+	return bucket;
+}
+
+static bucket_t estimated_bucket(const registry_endpoint_t *endpoint,
+				 const registry_service_t *service)
+{
+	double limit = placement_in_flight_limit(service, endpoint);
+
+	return (bucket_t){ limit, limit * (double)PIMENTO_SEC /
+					  expected_slot_time_us(service) };
+}
+
 static void fill_bucket(registry_t *registry, registry_endpoint_t *endpoint,
 			pimento_usec_t now)
 {
 	const registry_service_t *service =
 		registry_get_service(registry, endpoint->service);
-	double elapsed_us = (double)(now - endpoint->start_tokens_at);
-	double burst;
+	double seconds =
+		(double)(now - endpoint->start_tokens_at) / (double)PIMENTO_SEC;
+	bucket_t bucket;
 
 	if (!service)
 		return;
-	burst = placement_in_flight_limit(service, endpoint);
-	endpoint->start_tokens +=
-		burst * elapsed_us / expected_slot_time_us(service);
-	if (endpoint->start_tokens > burst)
-		endpoint->start_tokens = burst;
+	bucket = service->cold_per_second > 0
+			 ? stated_bucket(registry, endpoint, service, now)
+			 : estimated_bucket(endpoint, service);
+	endpoint->start_tokens += bucket.per_second * seconds;
+	if (endpoint->start_tokens > bucket.burst)
+		endpoint->start_tokens = bucket.burst;
 	endpoint->start_tokens_at = now;
 }
 
+void slow_start_set_owner(registry_endpoint_t *endpoint, bool owner,
+			  pimento_usec_t now)
+{
+	if (!owner)
+		endpoint->owned_since = 0;
+	else if (!endpoint->owned_since)
+		endpoint->owned_since = now;
+}
+
 bool slow_start_may_begin(registry_t *registry, registry_endpoint_t *endpoint,
 			  pimento_usec_t now)
 {
--- a/test/test_records.c
+++ b/test/test_records.c
@@ -16,7 +16,8 @@
 	"\"goal_ms\":400,\"priority\":1,\"max_attempts\":2,\"resumable\":true," \
 	"\"gap_goal_ms\":300,\"backends\":[{\"service\":\"s1\",\"weight\":90}," \
 	"{\"service\":\"s2\",\"weight\":10}]}],\"services\":[{\"name\":\"s1\"," \
-	"\"max_conns\":370,\"engine\":{\"slots\":12}},{\"name\":\"s2\"}],"      \
+	"\"max_conns\":370,\"cold_start_s\":1.5,\"cold_per_s\":16.0,"           \
+	"\"engine\":{\"slots\":12}},{\"name\":\"s2\"}],"                        \
 	"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"    \
 	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":["   \
 	"{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,"         \
@@ -43,6 +44,10 @@
 	ck_assert_uint_eq(route->targets[1].service, pimento_id("s2"));
 	ck_assert(catalog_find_service(c, pimento_id("s1"))->is_engine);
 	ck_assert(!catalog_find_service(c, pimento_id("s2"))->is_engine);
+	ck_assert_int_eq(catalog_find_service(c, pimento_id("s1"))->cold_start,
+			 1500 * PIMENTO_MSEC);
+	ck_assert_double_eq(
+		catalog_find_service(c, pimento_id("s1"))->cold_per_second, 16);
 	ck_assert_str_eq(catalog_find_account(c, "k2")->name, "t1");
 	ck_assert(!catalog_find_account(c, "k2")->counts_requests);
 	ck_assert_double_eq(catalog_find_account(c, "k2")->tokens_per_second,
@@ -148,6 +153,32 @@
 }
 END_TEST
 
+static const struct {
+	const char *key;
+	const char *value;
+	const char *datacentre; /* NULL: the key names none */
+	const char *reason;
+} evacuations[] = {
+	{ "op/evacuate/muscat-a", "{}", "muscat-a", "" },
+	{ "op/evacuate/muscat-a", "{\"since\":3}", "muscat-a", "" },
+	{ "op/evacuate/muscat-a", "", "muscat-a", "JSON object" },
+	{ "op/evacuate/muscat-a", "7", "muscat-a", "JSON object" },
+	{ "op/evacuate/", "{}", NULL, "no data centre" },
+};
+
+START_TEST(evacuation_is_decoded)
+{
+	char reason[RECORDS_REASON_BYTES] = "";
+	const char *datacentre = records_decode_evacuation(
+		evacuations[_i].key, evacuations[_i].value,
+		strlen(evacuations[_i].value), reason);
+
+	ck_assert_pstr_eq(datacentre, evacuations[_i].datacentre);
+	ck_assert_ptr_nonnull(strstr(reason, evacuations[_i].reason));
+	ck_assert_int_eq(!*reason, !*evacuations[_i].reason);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("records");
@@ -161,6 +192,8 @@
 				    sizeof(invalid_configs[0]));
 	tcase_add_loop_test(tests, invalid_endpoint_record_is_rejected, 0,
 			    sizeof(endpoints) / sizeof(endpoints[0]));
+	tcase_add_loop_test(tests, evacuation_is_decoded, 0,
+			    sizeof(evacuations) / sizeof(evacuations[0]));
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
--- a/test/test_slow_start.c
+++ b/test/test_slow_start.c
@@ -8,6 +8,7 @@
 #include "slow_start.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define SERVICE "engines"
@@ -306,6 +307,123 @@
 }
 END_TEST
 
+/* A service that states what a starting endpoint bears. */
+enum { COLD_PER_SECOND = 16, COLD_SLACK = 5 };
+
+#define COLD_OVERRUN 1.5
+#define COLD_BOUND (COLD_PER_SECOND * COLD_OVERRUN + COLD_SLACK)
+
+static void state_rate(void)
+{
+	service->cold_per_second = COLD_PER_SECOND;
+	registry.start_bounds.overrun = COLD_OVERRUN;
+	registry.start_bounds.slack = COLD_SLACK;
+}
+
+static const struct {
+	pimento_usec_t owned_since;
+	double live_share;
+	bool all_starting;
+	double least; /* requests a second on average */
+} owners[] = {
+	{ 1, 1, false, 0.9 * COLD_PER_SECOND },
+	{ 1, 1, true, 0.9 * COLD_PER_SECOND },
+	{ 1, 0.5, false, 0.4 * COLD_PER_SECOND },
+	{ NOW, 1, false, 0.3 * COLD_PER_SECOND },
+	{ 0, 1, true, 0.3 * COLD_PER_SECOND }, /* no owner by its own view */
+};
+
+#define OWNERS (sizeof(owners) / sizeof(owners[0]))
+
+static void play_owner(play_t *play, size_t index)
+{
+	state_rate();
+	start_all(0);
+	if (owners[index].all_starting)
+		start_all(NOW + 20 * PIMENTO_SEC);
+	endpoints[0]->starting_until = NOW + 20 * PIMENTO_SEC;
+	endpoints[0]->owned_since = owners[index].owned_since;
+	registry.start_bounds.live_share = owners[index].live_share;
+	play_fleet(play, 82);
+}
+
+/*
+ * Guards against a rate that depends on how long answers take, and against one
+ * that is far below what is allowed.
+ */
+START_TEST(stated_rate_holds)
+{
+	static play_t play;
+
+	play_owner(&play, (size_t)_i);
+	ck_assert_uint_le(most_in_a_second(&play), COLD_BOUND);
+	ck_assert(play.count >= owners[_i].least * PLAY_MS / 1000);
+}
+END_TEST
+
+static int compare_times(const void *a, const void *b)
+{
+	const pimento_usec_t *x = a;
+	const pimento_usec_t *y = b;
+
+	return *x < *y ? -1 : *x > *y;
+}
+
+static const size_t pairs[][2] = { { 0, 3 }, { 1, 4 }, { 2, 2 }, { 3, 4 } };
+
+/* Guards against two hosts that both take themselves for the owner. */
+START_TEST(stated_rate_holds_for_two_owners)
+{
+	static play_t first;
+	static play_t second;
+
+	play_owner(&first, pairs[_i][0]);
+	play_owner(&second, pairs[_i][1]);
+	for (uint32_t i = 0; i < second.count && first.count < EVENTS_MAX; i++)
+		first.begun[first.count++] = second.begun[i];
+	qsort(first.begun, first.count, sizeof(first.begun[0]), compare_times);
+	ck_assert_uint_le(most_in_a_second(&first), COLD_BOUND);
+}
+END_TEST
+
+static const struct {
+	bool unowned;
+	bool alone;
+	bool all_starting;
+	placement_result_t result;
+} unguarded[] = {
+	{ true, false, true, PLACEMENT_FULL },
+	{ true, false, false, PLACEMENT_FULL },
+	{ false, false, true, PLACEMENT_FOUND },
+	{ true, true, true, PLACEMENT_FOUND },
+};
+
+/*
+ * Guards against hosts without an owner that each send their requests to the
+ * same starting endpoints, as all others are starting or full.
+ */
+START_TEST(no_request_begins_without_the_owner)
+{
+	placement_request_t request = lone_request(1);
+	registry_endpoint_t *endpoint = NULL;
+
+	state_rate();
+	start_all(unguarded[_i].all_starting ? NOW + PIMENTO_SEC : 0);
+	endpoints[0]->starting_until = NOW + PIMENTO_SEC;
+	for (int i = 1; i < ENDPOINTS; i++)
+		endpoints[i]->running = 2 * SLOTS;
+	request.unowned = unguarded[_i].unowned;
+	request.alone = unguarded[_i].alone;
+	ck_assert_int_eq(placement_choose(&registry, &request, NOW, &endpoint),
+			 unguarded[_i].result);
+	endpoints[0]->latency.ejected_until = NOW + PIMENTO_SEC;
+	if (unguarded[_i].unowned && !unguarded[_i].alone)
+		ck_assert_int_eq(
+			placement_choose(&registry, &request, NOW, &endpoint),
+			PLACEMENT_FULL);
+}
+END_TEST
+
 /*
  * Guards against hosts that flood an endpoint whose record states that it has
  * just been started.
@@ -354,6 +472,11 @@
 	tcase_add_test(virtual, refused_requests_go_elsewhere);
 	tcase_add_test(virtual, one_short_answer_does_not_set_the_rate);
 	tcase_add_test(virtual, endpoint_is_used_fully_after_its_start);
+	tcase_add_loop_test(virtual, stated_rate_holds, 0, OWNERS);
+	tcase_add_loop_test(virtual, stated_rate_holds_for_two_owners, 0,
+			    sizeof(pairs) / sizeof(pairs[0]));
+	tcase_add_loop_test(virtual, no_request_begins_without_the_owner, 0,
+			    sizeof(unguarded) / sizeof(unguarded[0]));
 	suite_add_tcase(suite, virtual);
 	tcase_set_timeout(real, 60);
 	tcase_add_test(real, hosts_spare_endpoint_whose_record_says_so);
