entry: routes and accounts that are limited to regions

Operators may name the regions in which the requests of a route or an account may run. Nothing read that: a request went to any endpoint of its service.

The settings tell each data centre's region; placement passes over endpoints in other regions, and where route and account both name regions, both bind. An endpoint whose region is not known gets no such request. If no endpoint is left for a request, because of its regions or of evacuations, it is refused at once, not run, and the log says which.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -150,10 +150,20 @@
 	};
 }
 
-static void set_start_bounds(edge_t *edge)
+/* What the registry takes from the settings. */
+static void configure_registry(edge_t *edge)
 {
-	edge->registry.start_bounds.overrun = edge->settings.slow_start_overrun;
-	edge->registry.start_bounds.slack = edge->settings.slow_start_slack;
+	const edge_settings_t *settings = &edge->settings;
+
+	for (uint32_t i = 0; i < settings->region_count; i++)
+		if (registry_set_region(&edge->registry,
+					settings->regions[i].datacentre,
+					settings->regions[i].region))
+			trail(TRAIL_STATE, "edge", "region_dropped",
+			      "datacentre=%s why=memory",
+			      settings->regions[i].datacentre);
+	edge->registry.start_bounds.overrun = settings->slow_start_overrun;
+	edge->registry.start_bounds.slack = settings->slow_start_slack;
 }
 
 static void add_seeds(edge_t *edge)
@@ -178,7 +188,7 @@
 	}
 	edge->settings = settings;
 	edge->gateway.bounds = bounds_of(&settings);
-	set_start_bounds(edge);
+	configure_registry(edge);
 	add_seeds(edge);
 	trail(TRAIL_STATE, "edge", "reload", "why=%s outcome=taken seeds=%u",
 	      why, settings.seed_count);
@@ -490,7 +500,7 @@
 	if (!edge->loop)
 		return PIMENTO_EIO;
 	registry_init(&edge->registry);
-	set_start_bounds(edge);
+	configure_registry(edge);
 	if (!error)
 		error = peers_init(&edge->roster, self, sys_random());
 	slots_init(&edge->slots, &edge->registry, &edge->roster, self);
--- a/io/placing.c
+++ b/io/placing.c
@@ -219,6 +219,8 @@
 		.overdue = x->wait.overdue,
 		.unowned = !knows_owners(x->gateway->roster, now),
 		.alone = is_alone(x->gateway->roster, now),
+		.route_regions = &x->route->regions,
+		.account_regions = x->account ? &x->account->regions : NULL,
 		.datacentre = x->gateway->datacentre,
 		.tried = x->tried,
 		.tried_count = x->tried_count,
@@ -324,14 +326,18 @@
 	return x->line_count ? STEP_ASKS : STEP_STAYS;
 }
 
-/* Refuses at once what could only wait for the end of an evacuation. */
-static bool refuse_evacuated(exchange_t *x, pimento_usec_t now)
+/*
+ * No endpoint is to be had before operators change something. What has not run
+ * is refused at once.
+ */
+static step_t refuse_unplaceable(exchange_t *x, const char *why)
 {
-	if (x->runs ||
-	    !registry_is_evacuated(x->gateway->registry, x->service->key, now))
-		return false;
-	exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, "evacuated");
-	return true;
+	if (x->runs) {
+		no_more_endpoints(x);
+		return STEP_MOVED;
+	}
+	exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why);
+	return STEP_MOVED;
 }
 
 static step_t step(exchange_t *x, pimento_usec_t now)
@@ -343,10 +349,12 @@
 		return take_place(x, endpoint, now);
 	case PLACEMENT_FULL:
 		return stand_in_lines(x, now);
+	case PLACEMENT_EVACUATED:
+		return refuse_unplaceable(x, "evacuated");
+	case PLACEMENT_NO_REGION:
+		return refuse_unplaceable(x, "no_endpoint_in_region");
 	case PLACEMENT_NONE:
 	default:
-		if (refuse_evacuated(x, now))
-			return STEP_MOVED;
 		if (!x->tried_count)
 			return STEP_STAYS;
 		no_more_endpoints(x);
--- a/src/catalog.c
+++ b/src/catalog.c
@@ -35,11 +35,14 @@
 		free(catalog->routes[i].host);
 		free(catalog->routes[i].prefix);
 		free(catalog->routes[i].targets);
+		free(catalog->routes[i].regions.ids);
 	}
 	for (uint32_t i = 0; i < catalog->service_count; i++)
 		free(catalog->services[i].name);
-	for (uint32_t i = 0; i < catalog->account_count; i++)
+	for (uint32_t i = 0; i < catalog->account_count; i++) {
 		free(catalog->accounts[i].name);
+		free(catalog->accounts[i].regions.ids);
+	}
 	for (uint32_t i = 0; i < catalog->key_count; i++)
 		free(catalog->keys[i].text);
 	free(catalog->routes);
@@ -119,6 +122,30 @@
 	return 0;
 }
 
+static pimento_id_t *add_region(catalog_regions_t *regions)
+{
+	APPEND(regions->ids, regions->count);
+}
+
+int catalog_add_region(catalog_regions_t *regions, const char *name)
+{
+	pimento_id_t *id = add_region(regions);
+
+	if (!id)
+		return PIMENTO_ENOMEM;
+	*id = pimento_id(name);
+	return 0;
+}
+
+bool catalog_allows_region(const catalog_regions_t *regions,
+			   pimento_id_t region)
+{
+	for (uint32_t i = 0; i < regions->count; i++)
+		if (regions->ids[i] == region)
+			return true;
+	return regions->count == 0;
+}
+
 static int compare_keys(const void *a, const void *b)
 {
 	const catalog_key_t *x = a;
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -16,6 +16,12 @@
 	CATALOG_STREAMING /* non-idempotent unless the route is resumable */
 } catalog_kind_t;
 
+/* Regions in which requests may run, by hash of the name; none: all. */
+typedef struct catalog_regions {
+	pimento_id_t *ids;
+	uint32_t count;
+} catalog_regions_t;
+
 typedef struct catalog_target {
 	pimento_id_t service;
 	uint32_t weight;
@@ -39,6 +45,7 @@
 	pimento_usec_t gap_objective;
 	catalog_target_t *targets;
 	uint32_t target_count;
+	catalog_regions_t regions;
 } catalog_route_t;
 
 /* Maximum number of tiers; all less urgent priorities share the last one. */
@@ -67,6 +74,7 @@
 	/* Tokens charged for a request that does not state its size. */
 	uint32_t default_request_tokens;
 	bool counts_requests; /* the quota counts requests, not tokens */
+	catalog_regions_t regions;
 } catalog_account_t;
 
 typedef struct catalog_key {
@@ -118,6 +126,12 @@
  */
 int catalog_add_key(catalog_t *catalog, const char *text, uint32_t account);
 
+/* Adds a region by its name. Returns 0 or PIMENTO_ENOMEM. */
+int catalog_add_region(catalog_regions_t *regions, const char *name);
+/* True if there are none, or if region is one of them. */
+bool catalog_allows_region(const catalog_regions_t *regions,
+			   pimento_id_t region);
+
 /*
  * Assigns tiers and sorts keys and routes. Call after the last addition and
  * before any lookup.
--- a/src/edge_settings.c
+++ b/src/edge_settings.c
@@ -44,6 +44,7 @@
 	{ "listen", FIELD_TABLE, true, 0, 0, 0, NULL },
 	{ "peers", FIELD_TABLE, false, 0, 0, 0, NULL },
 	{ "store", FIELD_TABLE, true, 0, 0, 0, NULL },
+	{ "regions", FIELD_TABLE, false, 0, 0, 0, NULL },
 	{ "limits", FIELD_TABLE, false, 0, 0, 0, NULL },
 	{ "bounds", FIELD_TABLE, false, 0, 0, 0, NULL },
 };
@@ -145,6 +146,51 @@
 	}
 }
 
+typedef struct region_reader {
+	const fields_source_t *source;
+	edge_settings_t *settings;
+} region_reader_t;
+
+static void read_region(void *context, const char *datacentre,
+			const toml_node_t *value)
+{
+	const region_reader_t *reader = context;
+	const fields_source_t *source = reader->source;
+	edge_settings_t *settings = reader->settings;
+	const char *name = "";
+	size_t length = 0;
+	edge_region_t *region;
+
+	if (!toml_string(value, &name, &length) || !length ||
+	    length >= PIMENTO_NAME_MAX || !*datacentre ||
+	    strlen(datacentre) >= PIMENTO_NAME_MAX) {
+		problems_add(source->problems, source->file, toml_line(value),
+			     "regions",
+			     "\"%s\" is not a data centre with the name of its "
+			     "region",
+			     datacentre);
+		return;
+	}
+	if (settings->region_count == EDGE_DATACENTRES_MAX) {
+		problems_add(source->problems, source->file, toml_line(value),
+			     "regions", "more than %d data centres",
+			     EDGE_DATACENTRES_MAX);
+		return;
+	}
+	region = &settings->regions[settings->region_count++];
+	memcpy(region->datacentre, datacentre, strlen(datacentre) + 1);
+	memcpy(region->region, name, length);
+	region->region[length] = '\0';
+}
+
+static void read_regions(const fields_source_t *source, const toml_node_t *root,
+			 edge_settings_t *settings)
+{
+	region_reader_t reader = { source, settings };
+
+	toml_foreach(toml_get(root, "regions"), read_region, &reader);
+}
+
 int edge_settings_parse(edge_settings_t *settings, const char *text,
 			size_t length, const char *file, problems_t *problems)
 {
@@ -177,6 +223,7 @@
 			    tables[i].key, tables[i].fields, tables[i].count,
 			    settings);
 	read_seeds(&source, document.root, settings);
+	read_regions(&source, document.root, settings);
 	check_address(&source, document.root, "listen", "callers",
 		      settings->callers);
 	check_address(&source, document.root, "listen", "health",
--- a/src/edge_settings.h
+++ b/src/edge_settings.h
@@ -11,17 +11,25 @@
  *	[listen]  callers, health, peers ("address:port"), gossip_port
  *	[peers]   seeds = ["10.1.0.25:8229", ...]
  *	[store]   address ("address:port")
+ *	[regions] DATACENTRE = "region", for each data centre
  *	[limits]  memory_mb, descriptors, stop_seconds
  *	[bounds]  key_revoke_ms, retry_ratio, retry_slack, retry_window_s,
  *	          quota_window_s, slow_start_overrun, slow_start_slack
  *
- * [peers], [limits] and [bounds] are optional.
+ * [peers], [regions], [limits] and [bounds] are optional. Where the region of an
+ * endpoint is not known, requests that are limited to regions are not sent there.
  */
 
 #include "config.h"
 
 #define EDGE_SEEDS_MAX 8
 #define EDGE_ADDRESS_MAX 32
+#define EDGE_DATACENTRES_MAX 64
+
+typedef struct edge_region {
+	char datacentre[PIMENTO_NAME_MAX];
+	char region[PIMENTO_NAME_MAX];
+} edge_region_t;
 
 typedef struct edge_settings {
 	char name[PIMENTO_NAME_MAX];
@@ -35,6 +43,8 @@
 	char seeds[EDGE_SEEDS_MAX][EDGE_ADDRESS_MAX];
 	uint32_t seed_count;
 	char store[EDGE_ADDRESS_MAX];
+	edge_region_t regions[EDGE_DATACENTRES_MAX];
+	uint32_t region_count;
 	double memory_mb; /* memory limit of the process */
 	double descriptors; /* limit of open file descriptors */
 	double stop_seconds; /* from SIGTERM until SIGKILL */
--- a/src/placement.c
+++ b/src/placement.c
@@ -126,6 +126,20 @@
 	return *a == *b;
 }
 
+/* True if the request may run in the endpoint's region. */
+static bool allows_region(const placement_request_t *request,
+			  const registry_endpoint_t *endpoint)
+{
+	const catalog_regions_t *lists[] = { request->route_regions,
+					     request->account_regions };
+
+	for (int i = 0; i < 2; i++)
+		if (lists[i] &&
+		    !catalog_allows_region(lists[i], endpoint->region))
+			return false;
+	return true;
+}
+
 /* A number in [0, 1) that differs by request and endpoint. */
 static double random_fraction(uint64_t random_bits, pimento_id_t key)
 {
@@ -285,6 +299,9 @@
 	/* an ejected endpoint where this host has no request in flight */
 	registry_endpoint_t *ejected_idle;
 	bool any_untried; /* there is a usable endpoint that was not tried */
+	bool any_excluded; /* one that was tried, or in whose queue it waits */
+	bool any_evacuated;
+	bool any_in_other_region;
 	bool any_not_ejected; /* one of the untried endpoints is not ejected */
 	/* best fit among the endpoints that are not ejected, full or not */
 	fit_t best_fit;
@@ -364,6 +381,44 @@
 	}
 }
 
+/* True if the request may be sent to the endpoint, now or when it has a slot. */
+static bool may_use(choice_t *choice, const registry_endpoint_t *endpoint,
+		    const placement_request_t *request, pimento_usec_t now)
+{
+	bool evacuated = registry_endpoint_is_evacuated(endpoint, now);
+
+	if (endpoint->service != request->service ||
+	    (!evacuated && !registry_endpoint_accepts_work(endpoint, now)))
+		return false;
+	if (!allows_region(request, endpoint)) {
+		choice->any_in_other_region = true;
+		return false;
+	}
+	if (evacuated) {
+		choice->any_evacuated = true;
+		return false;
+	}
+	if (is_excluded(request, endpoint->key)) {
+		choice->any_excluded = true;
+		return false;
+	}
+	choice->any_untried = true;
+	return true;
+}
+
+/* Why no endpoint was chosen. */
+static placement_result_t explain_none(const choice_t *choice)
+{
+	if (choice->any_untried)
+		return PLACEMENT_FULL;
+	if (choice->any_excluded)
+		return PLACEMENT_NONE;
+	if (choice->any_evacuated)
+		return PLACEMENT_EVACUATED;
+	return choice->any_in_other_region ? PLACEMENT_NO_REGION
+					   : PLACEMENT_NONE;
+}
+
 placement_result_t placement_choose(registry_t *registry,
 				    const placement_request_t *request,
 				    pimento_usec_t now,
@@ -376,12 +431,8 @@
 	for (uint32_t i = 0; service && i < registry->count; i++) {
 		registry_endpoint_t *e = registry->endpoints[i];
 
-		if (e->service != request->service ||
-		    !registry_endpoint_accepts_work(e, now) ||
-		    is_excluded(request, e->key))
-			continue;
-		choice.any_untried = true;
-		if (!awaits_owner(registry, e, request, now))
+		if (may_use(&choice, e, request, now) &&
+		    !awaits_owner(registry, e, request, now))
 			consider_endpoint(&choice, e, service, request,
 					  slow_start_applies(registry, e, now),
 					  now);
@@ -393,9 +444,7 @@
 		*endpoint = choice.unguarded;
 	if (!*endpoint && !choice.any_other)
 		*endpoint = choice.refused;
-	if (*endpoint)
-		return PLACEMENT_FOUND;
-	return choice.any_untried ? PLACEMENT_FULL : PLACEMENT_NONE;
+	return *endpoint ? PLACEMENT_FOUND : explain_none(&choice);
 }
 
 bool placement_accepts_grant(registry_t *registry,
@@ -415,6 +464,7 @@
 
 		if (e->service == request->service &&
 		    registry_endpoint_accepts_work(e, now) &&
+		    allows_region(request, e) &&
 		    e->latency.ejected_until <= now &&
 		    !contains_key(request->tried, request->tried_count,
 				  e->key) &&
--- a/src/placement.h
+++ b/src/placement.h
@@ -7,6 +7,7 @@
  * the answer, weighted by load, failures and distance.
  */
 
+#include "catalog.h"
 #include "registry.h"
 #include "grants.h"
 
@@ -36,6 +37,9 @@
 	bool unowned;
 	/* there is no other host, so that this one owns all endpoints */
 	bool alone;
+	/* regions that the route, and the account, are limited to; or NULL */
+	const catalog_regions_t *route_regions;
+	const catalog_regions_t *account_regions;
 	/* data centre of this host; endpoints in it are preferred */
 	const char *datacentre;
 	/* endpoints that the request was already sent to */
@@ -55,7 +59,11 @@
 	PLACEMENT_FOUND,
 	/* usable endpoints exist, but none that suits has a free slot */
 	PLACEMENT_FULL,
-	PLACEMENT_NONE /* no usable endpoint is listed, or all were tried */
+	PLACEMENT_NONE, /* no usable endpoint is listed, or all were tried */
+	/* all usable endpoints are in evacuated data centres */
+	PLACEMENT_EVACUATED,
+	/* endpoints are usable, none in a region that the request may go to */
+	PLACEMENT_NO_REGION
 } placement_result_t;
 
 /*
--- a/src/registry.c
+++ b/src/registry.c
@@ -33,6 +33,7 @@
 		free(registry->services[i]);
 	free(registry->endpoints);
 	free(registry->services);
+	free(registry->regions);
 	evacuation_finish(&registry->evacuation);
 }
 
@@ -105,6 +106,45 @@
 	endpoint->removal_at = 0;
 }
 
+static registry_region_t *find_region(const registry_t *registry,
+				      const char *datacentre)
+{
+	for (uint32_t i = 0; i < registry->region_count; i++)
+		if (strcmp(registry->regions[i].datacentre, datacentre) == 0)
+			return &registry->regions[i];
+	return NULL;
+}
+
+static pimento_id_t region_of(const registry_t *registry,
+			      const char *datacentre)
+{
+	const registry_region_t *found = find_region(registry, datacentre);
+
+	return found ? found->region : 0;
+}
+
+int registry_set_region(registry_t *registry, const char *datacentre,
+			const char *region)
+{
+	registry_region_t *found = find_region(registry, datacentre);
+
+	if (!found) {
+		found = realloc(registry->regions,
+				(registry->region_count + 1) * sizeof(*found));
+		if (!found)
+			return PIMENTO_ENOMEM;
+		registry->regions = found;
+		found += registry->region_count++;
+		snprintf(found->datacentre, sizeof(found->datacentre), "%s",
+			 datacentre);
+	}
+	found->region = pimento_id(region);
+	for (uint32_t i = 0; i < registry->count; i++)
+		if (strcmp(registry->endpoints[i]->datacentre, datacentre) == 0)
+			registry->endpoints[i]->region = found->region;
+	return 0;
+}
+
 registry_endpoint_t *registry_put(registry_t *registry,
 				  const registry_record_t *record)
 {
@@ -126,6 +166,7 @@
 	copy_record(endpoint, record);
 	endpoint->evacuated = evacuation_includes(&registry->evacuation,
 						  endpoint->datacentre);
+	endpoint->region = region_of(registry, endpoint->datacentre);
 	return endpoint;
 }
 
@@ -189,21 +230,10 @@
 	       (endpoint->listed || now < endpoint->removal_at);
 }
 
-bool registry_is_evacuated(const registry_t *registry, pimento_id_t service,
-			   pimento_usec_t now)
+bool registry_endpoint_is_evacuated(const registry_endpoint_t *endpoint,
+				    pimento_usec_t now)
 {
-	bool any = false;
-
-	for (uint32_t i = 0; i < registry->count; i++) {
-		const registry_endpoint_t *endpoint = registry->endpoints[i];
-
-		if (endpoint->service != service || !is_open(endpoint, now))
-			continue;
-		if (!endpoint->evacuated)
-			return false;
-		any = true;
-	}
-	return any;
+	return endpoint->evacuated && is_open(endpoint, now);
 }
 
 void registry_schedule_removal(registry_t *registry, const char *id,
--- a/src/registry.h
+++ b/src/registry.h
@@ -29,6 +29,7 @@
 	char id[PIMENTO_NAME_MAX];
 	pimento_id_t key; /* hash of id */
 	pimento_id_t service; /* id of the service's name */
+	pimento_id_t region; /* of its data centre; 0: unknown */
 	char address[24]; /* numeric IPv4 */
 	uint16_t port;
 	char datacentre[PIMENTO_NAME_MAX];
@@ -94,6 +95,12 @@
 	latency_service_t latency;
 } registry_service_t;
 
+/* The region that a data centre lies in. */
+typedef struct registry_region {
+	char datacentre[PIMENTO_NAME_MAX];
+	pimento_id_t region; /* hash of the region's name */
+} registry_region_t;
+
 /* By how much requests may exceed the rate that an endpoint in slow start bears. */
 typedef struct registry_start_bounds {
 	double overrun; /* requests in a second: rate * overrun + slack */
@@ -109,6 +116,8 @@
 	registry_service_t **services; /* only a few, never removed */
 	uint32_t service_count;
 	evacuation_t evacuation;
+	registry_region_t *regions;
+	uint32_t region_count;
 	registry_start_bounds_t start_bounds;
 	/* Called before an endpoint is freed, to close connections; or NULL. */
 	void (*on_endpoint_free)(registry_endpoint_t *endpoint);
@@ -167,12 +176,16 @@
 		      pimento_usec_t now);
 int registry_end_evacuation(registry_t *registry, const char *datacentre,
 			    pimento_usec_t now);
+/* True if the endpoint accepts new requests but for an evacuation. */
+bool registry_endpoint_is_evacuated(const registry_endpoint_t *endpoint,
+				    pimento_usec_t now);
+
 /*
- * True if the service has endpoints that would accept new requests and all of
- * them are evacuated.
+ * Sets the region of a data centre, also of the endpoints there that are known.
+ * Returns 0 or PIMENTO_ENOMEM.
  */
-bool registry_is_evacuated(const registry_t *registry, pimento_id_t service,
-			   pimento_usec_t now);
+int registry_set_region(registry_t *registry, const char *datacentre,
+			const char *region);
 
 /* Frees endpoints whose removal is due and that nothing refers to. */
 void registry_free_removed(registry_t *registry, pimento_usec_t now);
--- a/test/edge.c
+++ b/test/edge.c
@@ -23,6 +23,7 @@
 	"peers = \"127.0.1.%u:%u\"\ngossip_port = %u\n"
 	"[peers]\nseeds = [\"127.0.1.1:%u\", \"127.0.1.2:%u\"]\n"
 	"[store]\naddress = \"127.0.0.1:%u\"\n"
+	"[regions]\na = \"east\"\nb = \"west\"\n"
 	"[limits]\nstop_seconds = 8\n"
 	"[bounds]\nkey_revoke_ms = %u\nretry_ratio = 0.2\nretry_slack = 56\n"
 	"retry_window_s = 10\nquota_window_s = 8\n";
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -213,7 +213,6 @@
 START_TEST(evacuations_overlap)
 {
 	const pimento_usec_t now = 100 * PIMENTO_SEC;
-	const pimento_id_t service = pimento_id("s");
 	registry_t registry;
 	registry_endpoint_t *a;
 	registry_endpoint_t *b;
@@ -225,13 +224,13 @@
 	b = put(&registry, "2", "b");
 	ck_assert(!registry_endpoint_accepts_work(a, now));
 	ck_assert(!registry_endpoint_accepts_work(b, now));
-	ck_assert(registry_is_evacuated(&registry, service, now));
+	ck_assert(registry_endpoint_is_evacuated(a, now));
 	ck_assert_int_eq(registry_evacuate(&registry, "a", now), 1);
 	ck_assert_int_eq(registry_end_evacuation(&registry, "a", now), 1);
 	ck_assert_int_eq(registry_end_evacuation(&registry, "a", now), 0);
 	ck_assert(registry_endpoint_accepts_work(a, now));
 	ck_assert(!registry_endpoint_accepts_work(b, now));
-	ck_assert(!registry_is_evacuated(&registry, service, now));
+	ck_assert(!registry_endpoint_is_evacuated(a, now));
 	ck_assert_int_eq(registry_evacuate(&registry, "", now), PIMENTO_EINVAL);
 	registry_finish(&registry);
 }
