config: evacuated data centres, in the questionnaire too

pimentod had no way to keep new requests from a data centre but to mark each of its endpoints leaving, after which only new processes take work again.

The configuration names evacuated data centres; the questionnaire asks for them, `check` rejects one that has no endpoint, `diff` tells the change, `status` marks the endpoints, `explain` knows the reasons of both daemons' refusals. An owner treats the endpoints like leaving ones until a configuration without the entry is in force. Ruled out: a record of its own beside the configuration; the platform's service publishes one text, and operators change behaviour only by the questionnaire.

test_leaving: last dispatch within 4 s of publishing under load, none lost, none twice, used again afterwards; 4 more cases in test_questionnaire, 1 in test_config. The case did not compile before (no such key).

--- a/io/status.c
+++ b/io/status.c
@@ -89,15 +89,18 @@
 	     i++)
 		json_array_append_new(
 			list,
-			json_pack("{s:s, s:s, s:b, s:i, s:i, s:f, s:f, s:o}",
-				  "name", endpoint->name, "owner",
-				  host_name(host, owner), "own",
-				  owner == host->self, "running",
-				  (int)summary.running, "limit",
-				  (int)summary.limit, "prefill_rate",
-				  (double)summary.prefill_rate, "decode_rate",
-				  (double)summary.decode_rate, "waiting",
-				  waiting(&summary, tiers)));
+			json_pack(
+				"{s:s, s:b, s:s, s:b, s:i, s:i, s:f, s:f, s:o}",
+				"name", endpoint->name, "evacuated",
+				evacuation_includes(&config->evacuated,
+						    endpoint->datacentre),
+				"owner", host_name(host, owner), "own",
+				owner == host->self, "running",
+				(int)summary.running, "limit",
+				(int)summary.limit, "prefill_rate",
+				(double)summary.prefill_rate, "decode_rate",
+				(double)summary.decode_rate, "waiting",
+				waiting(&summary, tiers)));
 	return list;
 }
 
--- a/io/status_table.c
+++ b/io/status_table.c
@@ -157,12 +157,17 @@
 	json_array_foreach(json_object_get(hosts[self], "endpoints"), index,
 			   endpoint)
 	{
+		bool evacuated =
+			json_is_true(json_object_get(endpoint, "evacuated"));
+
 		if (is_owner(hosts[self], endpoint))
-			fill_row(&rows[filled++], endpoint, "");
+			fill_row(&rows[filled++], endpoint,
+				 evacuated ? "  (evacuated)" : "");
 		else if (!shown_elsewhere(hosts, count, self,
 					  string_of(endpoint, "name")))
 			fill_row(&rows[filled++], endpoint,
-				 "  (owner not asked)");
+				 evacuated ? "  (evacuated, owner not asked)"
+					   : "  (owner not asked)");
 	}
 	return filled;
 }
--- a/src/config.c
+++ b/src/config.c
@@ -97,6 +97,7 @@
 	free(config->contracts);
 	free(config->services);
 	free(config->endpoints);
+	evacuation_finish(&config->evacuated);
 	memset(config, 0, sizeof(*config));
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -9,7 +9,7 @@
  * contract it was accepted under by holding a reference to its revision.
  */
 
-#include "../pimentoshelf.h"
+#include "evacuation.h"
 
 #define CONFIG_MAX_BYTES ((size_t)1048576)
 
@@ -82,6 +82,7 @@
 	uint64_t digest; /* see pimento_config_digest() */
 	uint32_t body_max; /* maximum bytes of a request body */
 	pimento_usec_t retention; /* lifetime of idempotency keys */
+	evacuation_t evacuated; /* data centres that get no new requests */
 	uint32_t tier_count;
 	config_tier_t tiers[PIMENTO_TIERS_MAX]; /* indexed by rank */
 	uint32_t account_count;
--- a/src/config_diff.c
+++ b/src/config_diff.c
@@ -91,6 +91,25 @@
 	return NULL;
 }
 
+static void diff_evacuated(diff_t *diff)
+{
+	const evacuation_t *a = &diff->before->evacuated;
+	const evacuation_t *b = &diff->after->evacuated;
+
+	for (uint32_t i = 0; i < b->count; i++)
+		if (!evacuation_includes(a, b->entries[i].datacentre))
+			add_change(
+				diff,
+				"Data centre \"%s\" is evacuated: its endpoints "
+				"get no new requests.",
+				b->entries[i].datacentre);
+	for (uint32_t i = 0; i < a->count; i++)
+		if (!evacuation_includes(b, a->entries[i].datacentre))
+			add_change(diff,
+				   "Data centre \"%s\" is no longer evacuated.",
+				   a->entries[i].datacentre);
+}
+
 static void diff_toplevel(diff_t *diff)
 {
 	const pimento_config_t *a = diff->before;
@@ -113,6 +132,7 @@
 			"instead of %lld s.",
 			(long long)(b->retention / PIMENTO_SEC),
 			(long long)(a->retention / PIMENTO_SEC));
+	diff_evacuated(diff);
 }
 
 static void diff_tier(diff_t *diff, const config_tier_t *tier)
--- a/src/config_parse.c
+++ b/src/config_parse.c
@@ -8,6 +8,7 @@
 
 #include "config.h"
 
+#include "evacuation_field.h"
 #include "fields.h"
 
 #include <sodium.h>
@@ -84,6 +85,7 @@
 	  BODY_MAX_BYTES, NULL },
 	{ "retention_s", FIELD_SEC, false, OFFSET(raw_toplevel_t, retention),
 	  10, RETENTION_MAX_S, NULL },
+	EVACUATION_FIELD,
 	{ "tier", FIELD_TABLE_ARRAY, false, 0, 0, 0, NULL },
 	{ "account", FIELD_TABLE_ARRAY, false, 0, 0, 0, NULL },
 	{ "contract", FIELD_TABLE_ARRAY, false, 0, 0, 0, NULL },
@@ -610,6 +612,17 @@
 	return PIMENTO_OK;
 }
 
+static bool has_endpoint_in(const void *context, const char *datacentre)
+{
+	const parser_t *parser = context;
+
+	for (uint32_t i = 0; i < parser->endpoint_count; i++)
+		if (strcmp(parser->endpoints[i].endpoint.datacentre,
+			   datacentre) == 0)
+			return true;
+	return false;
+}
+
 static int read_document(parser_t *parser, const char *text, size_t length)
 {
 	pimento_config_t *config = parser->config;
@@ -624,6 +637,11 @@
 	if (error)
 		return error;
 	error = check_document(parser);
+	if (error)
+		return error;
+	error = evacuation_field_read(&parser->source, parser->root,
+				      has_endpoint_in, parser,
+				      &config->evacuated);
 	if (error)
 		return error;
 	check_digest(parser, text, length);
--- a/src/explain.c
+++ b/src/explain.c
@@ -38,11 +38,16 @@
 	{ "endpoints_failed",
 	  "the request failed at every endpoint that may be tried" },
 	{ "endpoints_full", "every endpoint that may be tried is full" },
+	{ "evacuated", "all endpoints that may be tried are in data centres "
+		       "that operators have evacuated; nothing was sent" },
 	{ "event_too_big", "an event of the stream exceeded the maximum size" },
 	{ "garbled", "the endpoint sent bytes that are not a valid HTTP "
 		     "response" },
 	{ "memory", "this host ran out of memory" },
 	{ "no_connection", "this host could not open another connection" },
+	{ "no_endpoint_in_region",
+	  "no endpoint is in a region that the route and the account allow; "
+	  "nothing was sent" },
 	{ "no_id", "the request had no id" },
 	{ "no_place", "no endpoint had a free slot in time; look at waiting, "
 		      "late and the load of the service" },
--- a/src/host.c
+++ b/src/host.c
@@ -177,7 +177,11 @@
 	pimento_id_t owner = membership_owner(&host->membership, id);
 	bool was_ours = endpoint->owner == host->self;
 	bool is_ours = owner == host->self;
-	bool leaving = membership_state(&host->membership, id) == HOST_LEAVING;
+	bool leaving =
+		membership_state(&host->membership, id) == HOST_LEAVING ||
+		(host->config &&
+		 evacuation_includes(&host->config->evacuated,
+				     endpoint->config->datacentre));
 
 	endpoint->owner = owner;
 	if (was_ours && !is_ours)
--- a/src/questionnaire.c
+++ b/src/questionnaire.c
@@ -6,6 +6,7 @@
 
 #include "questionnaire.h"
 
+#include "evacuation_field.h"
 #include "fields.h"
 
 #include <stdio.h>
@@ -33,6 +34,7 @@
 static const field_t toplevel_fields[] = {
 	{ "deployment", FIELD_NAME, true, OFFSET(questionnaire_t, deployment),
 	  0, 0, NULL },
+	EVACUATION_FIELD,
 	{ "tier", FIELD_TABLE_ARRAY, false, 0, 0, 0, NULL },
 	{ "caller", FIELD_TABLE_ARRAY, false, 0, 0, 0, NULL },
 	{ "request", FIELD_TABLE_ARRAY, false, 0, 0, 0, NULL },
@@ -528,6 +530,17 @@
 	return PIMENTO_OK;
 }
 
+static bool has_endpoint_in(const void *context, const char *datacentre)
+{
+	const questionnaire_t *questionnaire = context;
+
+	for (uint32_t i = 0; i < questionnaire->endpoint_count; i++)
+		if (strcmp(questionnaire->endpoints[i].datacentre,
+			   datacentre) == 0)
+			return true;
+	return false;
+}
+
 static int read_document(parser_t *parser)
 {
 	uint32_t before = parser->source.problems->count;
@@ -539,6 +552,11 @@
 	if (error)
 		return error;
 	error = check_document(parser);
+	if (error)
+		return error;
+	error = evacuation_field_read(&parser->source, parser->root,
+				      has_endpoint_in, parser->questionnaire,
+				      &parser->questionnaire->evacuated);
 	if (error)
 		return error;
 	return parser->source.problems->count == before ? PIMENTO_OK
@@ -579,5 +597,6 @@
 	free(questionnaire->requests);
 	free(questionnaire->services);
 	free(questionnaire->endpoints);
+	evacuation_finish(&questionnaire->evacuated);
 	memset(questionnaire, 0, sizeof(*questionnaire));
 }
--- a/src/questionnaire.h
+++ b/src/questionnaire.h
@@ -80,6 +80,7 @@
 
 typedef struct questionnaire {
 	char deployment[PIMENTO_NAME_MAX];
+	evacuation_t evacuated; /* data centres that get no new requests */
 	uint32_t tier_count;
 	questionnaire_tier_t *tiers; /* the most urgent first */
 	uint32_t caller_count;
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -107,6 +107,8 @@
 static void build_config(strbuf_t *text, const fleet_t *fleet, const char *more)
 {
 	text->length = 0;
+	if (fleet->options.evacuated)
+		add(text, "evacuated = %s\n", fleet->options.evacuated);
 	add(text, "%s", head);
 	if (fleet->options.services)
 		add(text, "%s", service_contracts);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -42,6 +42,7 @@
 	fleet_engine_t engine[FLEET_ENGINES_MAX];
 	const char *log_level; /* NULL: "info" */
 	const char *config_more; /* TOML put at the end; NULL: none */
+	const char *evacuated; /* TOML array of data centres; NULL: none */
 } fleet_options_t;
 
 typedef struct fleet {
--- a/test/test_config.c
+++ b/test/test_config.c
@@ -147,6 +147,9 @@
 		   "port = 7101\nconcurrency = 1\n",
 	  "endpoint[3].port: endpoint \"e1\" has the same address and port",
 	  1 },
+	{ "evacuated = [\"nowhere\"]\n" COMPLETE,
+	  "c.toml:1: evacuated: no endpoint is in the data centre \"nowhere\"",
+	  1 },
 	{ "digest = \"0123456789abcdef\"\n" COMPLETE,
 	  "c.toml:1: digest: does not match the text", 1 },
 	{ TOPLEVEL "digest = \"0123456789abcdef\"\n" TIERS ACCOUNTS CONTRACTS
--- a/test/test_leaving.c
+++ b/test/test_leaving.c
@@ -131,6 +131,29 @@
 		0);
 }
 
+/*
+ * Guards against requests that are sent to an evacuated data centre, or are lost
+ * because it is, and against one that is never used again.
+ */
+START_TEST(evacuated_datacentre_gets_nothing_new)
+{
+	const fleet_options_t options = { .hosts = HOSTS, .engines = 2 };
+
+	start(&options);
+	loader_start(&loader, &fleet);
+	process_sleep_ms(1500);
+	ck_assert_int_gt(watch_started(leaving_port()), 0);
+	fleet.options.evacuated = "[\"dc0\"]";
+	ck_assert_uint_ne(fleet_publish_config(&fleet, NULL), 0);
+	ck_assert_int_le(last_dispatch(LEAVE_MS + QUIET_MS), LEAVE_MS);
+	fleet.options.evacuated = NULL;
+	ck_assert_uint_ne(fleet_publish_config(&fleet, NULL), 0);
+	ck_assert_int_gt(last_dispatch(LEAVE_MS), 0);
+	check_load();
+	stop();
+}
+END_TEST
+
 static const struct {
 	const char *name;
 	bool by_list; /* else by its own word */
@@ -496,6 +519,7 @@
 	tcase_set_timeout(daemon, 120);
 	tcase_add_loop_test(endpoint, endpoint_leaves, 0,
 			    sizeof(leavings) / sizeof(leavings[0]));
+	tcase_add_test(endpoint, evacuated_datacentre_gets_nothing_new);
 	tcase_add_test(daemon, stop_finishes_a_long_stream);
 	tcase_add_test(daemon, idle_stop_is_told_to_the_peers);
 	tcase_add_loop_test(daemon, stop_waits_for_a_slow_reader, 0,
--- a/test/test_questionnaire.c
+++ b/test/test_questionnaire.c
@@ -138,6 +138,12 @@
 	  1 },
 	{ "127.0.0.1:7201", "127.0.0.1:7101",
 	  "endpoint[2].at: \"127.0.0.1:7101\" is used twice", 1 },
+	{ "# evacuated = [\"second\"]", "evacuated = [\"third\"]",
+	  "evacuated: no endpoint is in the data centre \"third\"", 1 },
+	{ "# evacuated = [\"second\"]", "evacuated = [\"\", 7]",
+	  "evacuated: is not an array of names of data centres", 2 },
+	{ "# evacuated = [\"second\"]", "evacuated = \"second\"",
+	  "evacuated: must be an array of strings", 1 },
 	{ "path = \"/orders\"", "path = \"/status\"",
 	  "service[1].path: is a path that the daemon answers itself", 1 },
 	{ NULL,
@@ -219,6 +225,9 @@
 	  "of 1).\n" },
 	{ "checks_fencing = false", "checks_fencing = true",
 	  "Endpoint \"orders-1\" now checks fencing numbers.\n" },
+	{ "# evacuated = [\"second\"]", "evacuated = [\"second\"]",
+	  "Data centre \"second\" is evacuated: its endpoints get no new "
+	  "requests.\n" },
 	{ "path = \"/orders\"", "path = \"/o\"",
 	  "Service \"orders\" is below /o instead of /orders, for every "
 	  "caller.\n" },
