placement: let long answers go to slow engines that serve them in time

Callers of care-chat waited for a fast engine until they were late and then ran on a slow one that would have served them in time.

Cause: an answer that would stream two objectives longer than on an average engine waited for another one, to keep slow slots for short answers. That fitted a deployment whose short answers were most of the work.

--- a/src/placement.c
+++ b/src/placement.c
@@ -62,12 +62,6 @@
  * this factor, as headroom for prompts that the engine processes in between.
  */
 #define GAP_MARGIN 1.3
-/*
- * An answer whose stream would take longer at an endpoint than at an average
- * one of the service, by more than this many latency objectives, waits for a
- * slot at another endpoint.
- */
-#define SLOT_TIME_EXCESS_OBJECTIVES 2.0
 /*
  * Cost factor of an endpoint in slow start: it answers more slowly, and few
  * requests may begin there.
@@ -191,28 +185,6 @@
 	       gap * GAP_MARGIN <= (double)request->gap_objective;
 }
 
-/*
- * True if the answer would hold a slot of this endpoint far longer than of an
- * average one, while short answers, which could meet their objective here, are
- * rejected for lack of a slot.
- */
-static bool exceeds_slot_time(const registry_endpoint_t *endpoint,
-			      const registry_service_t *service,
-			      const placement_request_t *request)
-{
-	const latency_model_t average = { 0 };
-	double longer =
-		latency_expected_stream_time(&endpoint->latency,
-					     &service->latency,
-					     request->answer_tokens) -
-		latency_expected_stream_time(&average, &service->latency,
-					     request->answer_tokens);
-
-	return request->objective && !request->overdue &&
-	       longer >
-		       SLOT_TIME_EXCESS_OBJECTIVES * (double)request->objective;
-}
-
 /*
  * True if the answer of this endpoint would begin too late although the request
  * can still meet its objective: a slot that falls free at another endpoint a
@@ -255,7 +227,6 @@
 		return FIT_EXCEEDS_TIMEOUT;
 	if (completion > (double)request->time_left ||
 	    !meets_gap_objective(endpoint, service, request) ||
-	    exceeds_slot_time(endpoint, service, request) ||
 	    misses_first_event_objective(endpoint, service, request))
 		return FIT_MARGINAL;
 	return FIT_GOOD;
