slots: free at once what hosts that died held

Cause: owners count what a host was granted until it has not been reported for 3 s. A host that was killed reports nothing, and its new process has nothing to report, while its endpoints ended its requests with their connections.

Now a host reports once after its start that it holds nothing, to the owner of each endpoint that it knows by then, and owners drop what a host holds that membership has declared dead.

Ruled out: a shorter lease. With 400 hosts a report a second may be late; a lease of 1 s would free slots that are in use.

It costs one datagram for each endpoint after a host's start.

--- a/io/slots.c
+++ b/io/slots.c
@@ -5,6 +5,8 @@
 
 /* Hosts that died longer ago do not lessen a slow start's rate. */
 #define SLOTS_LOST_LATELY (20 * PIMENTO_SEC)
+/* Reports of a host without requests in flight are due this long after its start. */
+#define START_SPAN (3 * PIMENTO_SEC)
 /* A report that is older is not passed on. */
 #define RELAY_AGE (1200 * PIMENTO_MSEC)
 
@@ -281,6 +283,13 @@
 	}
 }
 
+static bool is_dead(void *context, uint32_t address)
+{
+	const slots_t *slots = context;
+
+	return address != slots->self && peers_is_dead(slots->roster, address);
+}
+
 /* Counts anew what is in flight, and gives what is free. */
 static void keep_endpoint(slots_t *slots, registry_endpoint_t *endpoint,
 			  bool owner, pimento_usec_t now)
@@ -289,6 +298,7 @@
 	registry_report_t word;
 
 	grants_expire(&slots->grants, key, now);
+	grants_drop_dead(&slots->grants, key, is_dead, slots);
 	if (owner) {
 		(void)grants_report(&slots->grants, key, slots->self,
 				    endpoint->running, now);
@@ -298,6 +308,19 @@
 	give_places(slots, key, now);
 }
 
+/*
+ * A host that has just started reports once that it has nothing in flight: the
+ * owner still counts what a former process of this host held.
+ */
+static bool announces_start(const slots_t *slots,
+			    const registry_endpoint_t *endpoint,
+			    pimento_usec_t now)
+{
+	return !endpoint->running_sent_at &&
+	       now - slots->first_tick_at < START_SPAN &&
+	       !peers_is_discovering(slots->roster, now);
+}
+
 /*
  * Tells the owner what this host has in flight. That renews its grants, and
  * makes up for asks and releases that were lost or went to a former owner.
@@ -307,7 +330,8 @@
 {
 	packet_t packet = { .kind = PACKET_RUNNING_REPORT };
 
-	if (!endpoint->running && !endpoint->sent_running)
+	if (!endpoint->running && !endpoint->sent_running &&
+	    !announces_start(slots, endpoint, now))
 		return;
 	if (endpoint->running_sent_at &&
 	    now - endpoint->running_sent_at < GRANTS_REPORT_INTERVAL)
@@ -389,6 +413,8 @@
 
 void slots_tick(slots_t *slots, pimento_usec_t now)
 {
+	if (!slots->first_tick_at)
+		slots->first_tick_at = now;
 	slots->registry->start_bounds.live_share =
 		peers_known_live_share(slots->roster, SLOTS_LOST_LATELY, now);
 	for (uint32_t i = 0; i < slots->registry->count; i++) {
--- a/io/slots.h
+++ b/io/slots.h
@@ -22,6 +22,7 @@
 	/* An answer to an ask of this host. */
 	void (*replied)(void *context, const packet_slot_reply_t *reply);
 	void *context;
+	pimento_usec_t first_tick_at;
 	uint64_t asked; /* counters */
 	uint64_t granted; /* as owner */
 	uint64_t owners_changed; /* of endpoints, as this host sees it */
--- a/src/grants.c
+++ b/src/grants.c
@@ -305,6 +305,20 @@
 	return 0;
 }
 
+void grants_drop_dead(grants_t *grants, uint32_t endpoint,
+		      grants_is_dead_t *is_dead, void *context)
+{
+	grants_endpoint_t *e = find_endpoint(grants, endpoint);
+
+	for (uint32_t i = e ? e->count : 0; i-- > 0;)
+		if (is_dead(context, e->entries[i].request.address))
+			remove_entry(e, i);
+	for (uint32_t i = 0; e && i < e->foreign_count; i++)
+		if (e->foreign[i].running &&
+		    is_dead(context, e->foreign[i].address))
+			set_foreign_running(e, &e->foreign[i], 0);
+}
+
 static void expire_running_without_grant(grants_endpoint_t *e,
 					 pimento_usec_t now)
 {
--- a/src/grants.h
+++ b/src/grants.h
@@ -133,6 +133,16 @@
 int grants_report(grants_t *grants, uint32_t endpoint, uint32_t address,
 		  uint32_t running, pimento_usec_t now);
 
+/* Tells whether the process that a host's requests came from has ended. */
+typedef bool grants_is_dead_t(void *context, uint32_t address);
+
+/*
+ * Drops all that an endpoint's hosts hold if they are dead: endpoints end the
+ * requests of a host as soon as its connections are closed.
+ */
+void grants_drop_dead(grants_t *grants, uint32_t endpoint,
+		      grants_is_dead_t *is_dead, void *context);
+
 /* Drops grants and running requests that were not reported for GRANTS_LEASE. */
 void grants_expire(grants_t *grants, uint32_t endpoint, pimento_usec_t now);
 
--- a/src/peers.h
+++ b/src/peers.h
@@ -256,6 +256,9 @@
 uint32_t peers_successor(const peers_t *peers, pimento_id_t endpoint,
 			 uint32_t former);
 
+/* True if membership has declared the host dead. */
+bool peers_is_dead(const peers_t *peers, uint32_t address);
+
 /*
  * Number of live hosts that are not leaving, this one included unless it is
  * leaving.
--- a/test/test_grants.c
+++ b/test/test_grants.c
@@ -281,6 +281,32 @@
 }
 END_TEST
 
+static bool is_host_a(void *context, uint32_t address)
+{
+	(void)context;
+	return address == HOST_A;
+}
+
+/* Guards against slots that a dead host holds until its lease expires. */
+START_TEST(slots_of_a_dead_host_are_free)
+{
+	grants_request_t other = { .endpoint = ENGINE,
+				   .address = HOST_B,
+				   .ticket = 50,
+				   .unconditional = true };
+
+	fill_slots(SLOTS - 1, NOW);
+	ck_assert_int_eq(grants_request(&grants, &other, NOW), 0);
+	ck_assert_int_eq(grants_report(&grants, ENGINE, HOST_A, SLOTS + 2, NOW),
+			 0);
+	request_slot(9, 0, false, NOW);
+	ck_assert_uint_eq(next_grant(NOW), 0);
+	grants_drop_dead(&grants, ENGINE, is_host_a, NULL);
+	ck_assert_uint_eq(grants_running(&grants, ENGINE), 1);
+	ck_assert_uint_eq(grants_waiting(&grants, ENGINE), 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("grants");
@@ -299,6 +325,7 @@
 	tcase_add_test(tests, new_owner_frees_foreign_grant_on_release);
 	tcase_add_test(tests, release_without_ticket_frees_nothing);
 	tcase_add_test(tests, unreported_grants_expire);
+	tcase_add_test(tests, slots_of_a_dead_host_are_free);
 	tcase_add_test(tests, report_does_not_count_grants_twice);
 	tcase_add_test(tests, unconditional_request_is_counted);
 	suite_add_tcase(suite, tests);
--- a/test/test_slots.c
+++ b/test/test_slots.c
@@ -104,6 +104,35 @@
 }
 END_TEST
 
+/*
+ * Guards against an owner that counts what a former process of a host held, as
+ * the new process has nothing to report.
+ */
+START_TEST(started_host_reports_that_it_holds_nothing)
+{
+	const pimento_usec_t settled = NOW + 2 * PIMENTO_SEC;
+
+	slots_tick(&slots, NOW);
+	ck_assert_int_eq(endpoint->running_sent_at, 0);
+	hear_peers(settled);
+	slots_tick(&slots, settled);
+	ck_assert(!peers_is_discovering(&roster, settled));
+	ck_assert_int_eq(endpoint->running_sent_at, settled);
+	slots_tick(&slots, settled + 100 * PIMENTO_MSEC);
+	ck_assert_int_eq(endpoint->running_sent_at, settled);
+}
+END_TEST
+
+/* Guards against hosts that each report on every endpoint that is added. */
+START_TEST(host_without_requests_reports_nothing_later)
+{
+	slots_tick(&slots, NOW);
+	hear_peers(NOW + 30 * PIMENTO_SEC);
+	slots_tick(&slots, NOW + 30 * PIMENTO_SEC);
+	ck_assert_int_eq(endpoint->running_sent_at, 0);
+}
+END_TEST
+
 /*
  * A new engine is slow, and nobody knows it yet. The first stream there would
  * tell it when it ends, after ten seconds, in which the owner goes on giving
@@ -223,6 +252,8 @@
 	int failed;
 
 	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_add_test(tests, started_host_reports_that_it_holds_nothing);
+	tcase_add_test(tests, host_without_requests_reports_nothing_later);
 	tcase_add_test(tests,
 		       a_successor_that_does_not_know_it_yet_keeps_count);
 	tcase_add_test(tests, a_pace_is_learnt_before_a_place_is_given_back);
