--- a/test/soak.c
+++ b/test/soak.c
@@ -54,6 +54,7 @@
 	int64_t sent_ms;
 	int64_t done_ms; /* 0: not begun, or it never ended */
 	uint32_t runs; /* at workers */
+	bool ran_evacuated; /* at a worker that it may not have gone to */
 	uint32_t key; /* number of the key; 0 is never taken away */
 	long status; /* 0: no whole answer */
 	uint8_t kind;
@@ -105,6 +106,9 @@
 	int64_t started_ms[EDGE_HOSTS_MAX];
 	bool worker_down[EDGE_WORKERS_MAX];
 	/* shared with callers */
+	uint64_t evacuation_draws; /* apart, too */
+	/* when the data centre of a worker was evacuated; 0: it is not */
+	int64_t evacuated_ms[EDGE_WORKERS_MAX];
 	atomic_bool stopping;
 	atomic_uint key; /* newest that is in force */
 	atomic_uint next;
@@ -297,16 +301,35 @@
 
 /* What ran where. */
 
-static void read_runs(soak_t *soak, const process_t *worker)
+/*
+ * True if the host that judged the request knew of the evacuation: like a key that
+ * was taken away, no copy of the operators' records may be older.
+ */
+static bool was_evacuated(const soak_t *soak, uint32_t worker,
+			  const record_t *record)
 {
-	FILE *file = fopen(worker->out, "r");
+	int64_t since = soak->evacuated_ms[worker];
+
+	return since && record->sent_ms > since + REVOKE_MS;
+}
+
+static void read_runs(soak_t *soak, uint32_t worker)
+{
+	FILE *file = fopen(soak->edge.workers[worker].out, "r");
 	char line[64];
 	unsigned number;
 
-	while (file && fgets(line, sizeof(line), file))
-		if (sscanf(line, "ran soak-%u", &number) == 1 &&
-		    number < REQUESTS_MAX)
-			soak->records[number].runs++;
+	while (file && fgets(line, sizeof(line), file)) {
+		record_t *record;
+
+		if (sscanf(line, "ran soak-%u", &number) != 1 ||
+		    number >= REQUESTS_MAX)
+			continue;
+		record = &soak->records[number];
+		record->runs++;
+		if (was_evacuated(soak, worker, record))
+			record->ran_evacuated = true;
+	}
 	if (file)
 		fclose(file);
 }
@@ -456,6 +479,42 @@
 		signal_series(soak, host, count);
 }
 
+static void evacuation_key(uint32_t worker, char key[32])
+{
+	snprintf(key, 32, "op/evacuate/dc%u", worker);
+}
+
+/* Evacuates the data centre of a worker, or takes that back. */
+static void play_evacuation(soak_t *soak)
+{
+	uint32_t worker =
+		draw_below(&soak->evacuation_draws, soak->terms.workers);
+	char key[32];
+
+	evacuation_key(worker, key);
+	if (!soak->evacuated_ms[worker]) {
+		edge_put(&soak->edge, key, "{}");
+		soak->evacuated_ms[worker] = process_now_ms();
+		add_event(soak, "data centre of worker %u evacuated", worker);
+	} else if (worker) {
+		edge_remove(&soak->edge, key);
+		soak->evacuated_ms[worker] = 0;
+		add_event(soak, "data centre of worker %u returns", worker);
+	}
+}
+
+/* All data centres but that of worker 0, which others serve for. */
+static void end_evacuations(soak_t *soak)
+{
+	char key[32];
+
+	for (uint32_t worker = 1; worker < soak->terms.workers; worker++) {
+		evacuation_key(worker, key);
+		edge_remove(&soak->edge, key);
+		soak->evacuated_ms[worker] = 0;
+	}
+}
+
 static void fault_worker(soak_t *soak, uint32_t worker)
 {
 	if (soak->worker_down[worker])
@@ -463,7 +522,7 @@
 	soak->worker_down[worker] = true;
 	add_event(soak, "worker %u killed", worker);
 	process_kill(&soak->edge.workers[worker]);
-	read_runs(soak, &soak->edge.workers[worker]);
+	read_runs(soak, worker);
 	heal_later(soak, HEAL_START_WORKER, worker, 1500);
 }
 
@@ -739,6 +798,8 @@
 		broke(soak, "a good request was denied", number);
 	if (revoked && record->runs && record->sent_ms > revoked + REVOKE_MS)
 		broke(soak, "a key that was taken away was honoured", number);
+	if (record->ran_evacuated)
+		broke(soak, "it ran in an evacuated data centre", number);
 	if (was_quiet(soak, record) && took > DEADLINE_MS + ANSWER_SLACK_MS)
 		broke(soak, "no answer in time", number);
 }
@@ -789,6 +850,7 @@
 static void start_links(soak_t *soak)
 {
 	edge_t *edge = &soak->edge;
+	char datacentre[16];
 
 	ck_assert_int_eq(relay_init(&soak->store_link, edge->store.port), 0);
 	edge->store_front = soak->store_link.port;
@@ -797,7 +859,10 @@
 					    edge->workers[i].port),
 				 0);
 		edge->worker_fronts[i] = soak->worker_links[i].port;
-		edge_list_worker(edge, i, "ready");
+		snprintf(datacentre, sizeof(datacentre), "dc%u", i);
+		edge_list_worker_in(edge, i,
+				    soak->terms.evacuations ? datacentre : "a",
+				    "ready");
 	}
 	for (uint32_t i = 0; i < soak->terms.hosts; i++) {
 		process_kill(&edge->hosts[i].process);
@@ -815,10 +880,14 @@
 		fault(soak);
 		if (soak->terms.series)
 			play_series(soak);
+		if (soak->terms.evacuations)
+			play_evacuation(soak);
 		process_sleep_ms((int)draw_below(&soak->draws, PAUSE_MS));
 		heal_due(soak, false);
 	}
 	heal_due(soak, true);
+	if (soak->terms.evacuations)
+		end_evacuations(soak);
 }
 
 static void finish_links(soak_t *soak)
@@ -839,6 +908,7 @@
 	soak.result = result;
 	soak.draws = terms->seed;
 	soak.series_draws = terms->seed ^ 0x5e41e5;
+	soak.evacuation_draws = terms->seed ^ 0xe7ac;
 	soak.version = 10;
 	soak.wall_offset_ms = sys_wall_msec() - process_now_ms();
 	edge_start_engines(&soak.edge, terms->hosts, terms->workers);
@@ -856,7 +926,7 @@
 	for (uint32_t i = 0; i < terms->callers; i++)
 		pthread_join(callers[i].thread, NULL);
 	for (uint32_t i = 0; i < terms->workers; i++)
-		read_runs(&soak, &soak.edge.workers[i]);
+		read_runs(&soak, i);
 	check_all(&soak);
 	edge_stop(&soak.edge);
 	finish_links(&soak);
--- a/test/soak.h
+++ b/test/soak.h
@@ -5,7 +5,7 @@
  * A randomized run of the real programs as separate processes, with faults from
  * outside: hosts that are killed, frozen, stopped and restarted, workers that
  * crash, links that are delayed, reset, cut one way or silent, a store that
- * fails, keys that are taken away. Callers go on all the while. What they and
+ * fails, keys that are taken away, data centres that are evacuated. Callers go on all the while. What they and
  * the workers saw is checked against what is promised.
  */
 
@@ -20,6 +20,8 @@
 	uint32_t callers; /* threads, 1 .. SOAK_CALLERS_MAX */
 	/* also signals and configuration changes in quick succession */
 	bool series;
+	/* also evacuations; the data centre of worker 0 stays evacuated */
+	bool evacuations;
 } soak_terms_t;
 
 enum { SOAK_CALLERS_MAX = 64, SOAK_TEXT_MAX = 256 };
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -4,7 +4,8 @@
  *
  *	SOAK_SEED=100 SOAK_COUNT=50 SOAK_MS=8000 build/test/test_soak
  *
- * SOAK_SERIES=1 adds series of signals and changes; SOAK_HOSTS and SOAK_CALLERS
+ * SOAK_SERIES=1 adds series of signals and changes, SOAK_EVACUATIONS=1
+ * evacuations; SOAK_HOSTS and SOAK_CALLERS
  * play a larger deployment.
  */
 
@@ -21,12 +22,14 @@
 	uint64_t seed;
 	const char *why;
 	bool series;
+	bool evacuations;
 } seeds[] = {
-	{ 1, "none, a fresh seed", false },
+	{ 1, "none, a fresh seed", false, false },
 	{ 107, "a host told to stop between fork and exec ended the test",
-	  false },
-	{ 130, "the same", false },
-	{ 2, "none, a fresh seed with series", true },
+	  false, false },
+	{ 130, "the same", false, false },
+	{ 2, "none, a fresh seed with series", true, false },
+	{ 3, "none, a fresh seed with evacuations", false, true },
 };
 
 static uint64_t number_of(const char *name, uint64_t otherwise)
@@ -36,7 +39,7 @@
 	return text ? strtoull(text, NULL, 10) : otherwise;
 }
 
-static void play(uint64_t seed, const char *why, bool series)
+static void play(uint64_t seed, const char *why, bool series, bool evacuations)
 {
 	soak_terms_t terms = {
 		.seed = seed,
@@ -45,6 +48,7 @@
 		.workers = WORKERS,
 		.callers = (uint32_t)number_of("SOAK_CALLERS", CALLERS),
 		.series = series,
+		.evacuations = evacuations,
 	};
 	soak_result_t result;
 
@@ -69,14 +73,16 @@
  */
 START_TEST(promises_hold_under_overlapping_faults)
 {
-	play(seeds[_i].seed, seeds[_i].why, seeds[_i].series);
+	play(seeds[_i].seed, seeds[_i].why, seeds[_i].series,
+	     seeds[_i].evacuations);
 }
 END_TEST
 
 START_TEST(seeds_by_hand)
 {
 	play(number_of("SOAK_SEED", 1) + (uint64_t)_i, "by hand",
-	     number_of("SOAK_SERIES", 0) != 0);
+	     number_of("SOAK_SERIES", 0) != 0,
+	     number_of("SOAK_EVACUATIONS", 0) != 0);
 }
 END_TEST
 
