config: report a value that is no name of a data centre once

A list such as ["", 7] was reported three times, the 7 twice: once for the type of the array and once as a name. Now a value of another type is left to the check of the array; the case expects two errors, and the message for a name says what is wrong with it.

Ruled out: three errors as the case's count; an operator would look for a third mistake.

--- a/src/evacuation_field.c
+++ b/src/evacuation_field.c
@@ -12,10 +12,11 @@
 	const char *text = "";
 	size_t length = 0;
 
-	(void)toml_string(node, &text, &length);
+	if (!toml_string(node, &text, &length))
+		return 0; /* reported with the type of the whole array */
 	if (!length || length >= sizeof(name)) {
 		problems_add(source->problems, source->file, toml_line(node),
-			     KEY, "is not an array of names of data centres");
+			     KEY, "contains a name that is empty or too long");
 		return 0;
 	}
 	snprintf(name, sizeof(name), "%.*s", (int)length, text);
