logs, metrics: which prompt parts a broken request had, and that its endpoint ended

The logs of the users' incident cannot tell a prompt that crashes endpoints from endpoints that crash by themselves: an attempt's line says neither what the prompt consists of, nor how far its answer had come, nor whether the endpoint ended or only a connection.

The dialect now names the parts of a prompt that may be shared; the last one is the request's own. A broken request with such parts has a new connection opened to its endpoint: refused, and no peer reaches it, or another process in its place, is the endpoint's end. Attempts say begun_ms and parts, endpoints say ended, two counters count both. No decision depends on it.

--- /dev/null
+++ b/io/crashes.h
@@ -0,0 +1,51 @@
+#ifndef CRASHES_H
+#define CRASHES_H
+
+/*
+ * Finds out which requests were under way at an endpoint when its process ended.
+ * A connection that breaks does not tell: the endpoint has ended once new
+ * connections are refused and no peer reaches it, or once a new process has
+ * taken its place.
+ */
+
+#include "dialect.h"
+
+#include "../src/registry.h"
+
+struct exchange;
+struct gateway;
+
+/* A request whose connection broke at an endpoint that may have ended. */
+typedef struct crash_candidate {
+	registry_endpoint_t *endpoint; /* held */
+	uint32_t incarnation;
+	pimento_usec_t broke_at;
+	bool begun; /* its answer was well under way */
+	uint32_t part_count;
+	uint64_t parts[DIALECT_PARTS_MAX];
+} crash_candidate_t;
+
+typedef struct crashes {
+	crash_candidate_t *candidates;
+	uint32_t count;
+	uint32_t size;
+	uint64_t ended; /* endpoints found to have ended */
+	uint64_t requests; /* that were under way there */
+} crashes_t;
+
+void crashes_finish(crashes_t *crashes);
+
+/* The connection of the request's attempt broke. */
+void crashes_broken(struct exchange *exchange, pimento_usec_t now);
+
+/* A connection to the endpoint opened that was begun at `since`. */
+void crashes_reached(struct gateway *gateway, registry_endpoint_t *endpoint,
+		     pimento_usec_t since);
+/* New connections are refused, and no peer reaches the endpoint either. */
+void crashes_ended(struct gateway *gateway, registry_endpoint_t *endpoint,
+		   pimento_usec_t now);
+
+/* Call some times a second. */
+void crashes_tick(struct gateway *gateway, pimento_usec_t now);
+
+#endif
--- a/io/dialect.h
+++ b/io/dialect.h
@@ -9,6 +9,9 @@
 
 #include "head.h"
 
+/* Parts of a prompt that are looked at; more are passed on all the same. */
+#define DIALECT_PARTS_MAX 32
+
 /* A caller's request; texts are borrowed from its head. */
 typedef struct dialect_call {
 	const char *id; /* of this attempt; NULL if it has none */
@@ -19,6 +22,12 @@
 	uint32_t answer; /* tokens, at most */
 	uint32_t expected; /* tokens of the answer, as the caller guesses; 0 */
 	pimento_usec_t patience; /* left to the caller; 0 not stated */
+	/*
+	 * Ids of the parts that its prompt may share with others; its last
+	 * part is its own, and left out.
+	 */
+	uint64_t parts[DIALECT_PARTS_MAX];
+	uint32_t part_count;
 } dialect_call_t;
 
 /* A request as it goes to an endpoint. */
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -200,6 +200,7 @@
 		endpoint_path_tunnelled(&x->endpoint->path, conn->via);
 	else
 		endpoint_path_opened(&x->endpoint->path, sys_now());
+	crashes_reached(x->gateway, x->endpoint, conn->begun);
 	commit(x);
 }
 
@@ -334,10 +335,20 @@
 	return x->unreached && x->unreached_count <= UNREACHED_MAX;
 }
 
+/* For how long this attempt's answer had been under way; -1: not begun. */
+static long long begun_ms(const exchange_t *x, pimento_usec_t now)
+{
+	if (x->state < EXCHANGE_SENT || !x->first_event_at ||
+	    x->first_event_at < x->sent_at)
+		return -1;
+	return (long long)((now - x->first_event_at) / PIMENTO_MSEC);
+}
+
 void dispatch_over(exchange_t *x, pimento_verdict_t verdict, int status,
 		   const char *why)
 {
 	bool arrived = x->state >= EXCHANGE_SENT;
+	char parts[EXCHANGE_PARTS_BYTES];
 	char via[INET_ADDRSTRLEN];
 	bool again;
 
@@ -348,11 +359,13 @@
 	again = may_try_again(x, verdict);
 	trail(TRAIL_FAILURE, "attempt", again ? "again" : "over",
 	      "id=%s endpoint=%s why=%s verdict=%s status=%d arrivals=%u "
-	      "load=%u ms=%lld reused=%d rested_ms=%lld events=%u via=%s",
+	      "load=%u ms=%lld reused=%d rested_ms=%lld events=%u begun_ms=%lld "
+	      "parts=%s via=%s",
 	      x->call.id, x->endpoint->id, why, pimento_verdict_name(verdict),
 	      status, x->arrivals, x->load,
 	      (long long)((sys_now() - x->arrived) / PIMENTO_MSEC), x->reused,
 	      (long long)(x->rested / PIMENTO_MSEC), x->events.count,
+	      begun_ms(x, sys_now()), exchange_parts(x, parts),
 	      exchange_via(x, via));
 	if (!again) {
 		give_up(x, status, why);
@@ -370,7 +383,7 @@
 	if (x->conn->via)
 		paths_tunnel_failed(x->gateway, x->conn);
 	else
-		paths_failed(x->gateway, x->endpoint);
+		paths_failed(x->gateway, x->endpoint, x->conn->refused);
 	dispatch_over(x, PIMENTO_NOT_RUN, 0,
 		      x->conn->via ? "tunnel_refused" : why);
 }
@@ -413,6 +426,8 @@
 		learn_break(x, conn->status || why == HTTPC_GARBLED);
 	else
 		paths_broken(x->gateway, x->endpoint, conn->status != 0);
+	if (why == HTTPC_BROKEN)
+		crashes_broken(x, sys_now());
 	dispatch_over(x, PIMENTO_MAY_HAVE_RUN, 0, httpc_failure_name(why));
 }
 
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -10,7 +10,9 @@
 #include "trail.h"
 
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 const char *gateway_outcome_name(gateway_outcome_t outcome)
 {
@@ -51,6 +53,23 @@
 	return buf;
 }
 
+const char *exchange_parts(const exchange_t *x, char buf[EXCHANGE_PARTS_BYTES])
+{
+	int length = 0;
+
+	for (uint32_t i = 0; i < x->call.part_count; i++) {
+		char part[20];
+		int added = snprintf(part, sizeof(part), "%s%llx", i ? "," : "",
+				     (unsigned long long)x->call.parts[i]);
+
+		if (length + added >= EXCHANGE_PARTS_BYTES)
+			break;
+		memcpy(buf + length, part, (size_t)added + 1);
+		length += added;
+	}
+	return length ? buf : "-";
+}
+
 static void log_end(const exchange_t *x, gateway_outcome_t outcome,
 		    const char *why, pimento_usec_t now)
 {
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -132,6 +132,10 @@
 void exchange_refuse(exchange_t *exchange, int status, const char *why);
 void exchange_fail(exchange_t *exchange, int status, const char *why);
 void exchange_over_quota(exchange_t *exchange, const quota_decision_t *verdict);
+/* The first of its prompt's shared parts as text, or "-". */
+#define EXCHANGE_PARTS_BYTES 80
+const char *exchange_parts(const exchange_t *exchange,
+			   char buf[EXCHANGE_PARTS_BYTES]);
 /* The peer of its last attempt as text, or "-"; buf is INET_ADDRSTRLEN long. */
 const char *exchange_via(const exchange_t *exchange, char *buf);
 /* Its answer is whole; returns the caller, to whom its end is still owed. */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -168,6 +168,7 @@
 	if (gateway->ticks++ % PEER_TICKS == 0)
 		add_up_peers(gateway, now);
 	paths_tick(gateway, now);
+	crashes_tick(gateway, now);
 	while (sweep_one(gateway, now))
 		;
 	for (uint32_t i = 0; i < gateway->service_count; i++)
@@ -252,6 +253,7 @@
 void gateway_finish(gateway_t *gateway)
 {
 	httpd_finish(&gateway->front);
+	crashes_finish(&gateway->crashes);
 	for (uint32_t i = 0; i < gateway->registry->count; i++)
 		pool_close(gateway->registry->endpoints[i]);
 	for (uint32_t i = 0; i < gateway->service_count; i++)
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -7,6 +7,7 @@
  * the pure library; what the wire looks like lies in the dialect.
  */
 
+#include "crashes.h"
 #include "dialect.h"
 #include "httpd.h"
 #include "slots.h"
@@ -105,6 +106,7 @@
 	gateway_route_t *routes;
 	uint32_t route_count;
 	struct exchange *exchanges;
+	crashes_t crashes;
 	gateway_counters_t counters;
 	uint64_t ticks;
 	uint64_t draws; /* state of the random numbers */
--- a/io/httpc.c
+++ b/io/httpc.c
@@ -336,7 +336,10 @@
 
 static void connected(httpc_t *conn)
 {
-	if (net_error(conn->fd)) {
+	int error = net_error(conn->fd);
+
+	if (error) {
+		conn->refused = error == ECONNREFUSED;
 		fail(conn, HTTPC_UNREACHED);
 		return;
 	}
@@ -385,6 +388,7 @@
 	conn->ops = ops;
 	conn->fd = fd;
 	conn->since = sys_now();
+	conn->begun = conn->since;
 	head_init(&conn->head);
 	sendbuf_init(&conn->sendbuf);
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
--- a/io/httpc.h
+++ b/io/httpc.h
@@ -74,8 +74,10 @@
 	bool headless; /* the answer to HEAD has no body */
 	bool in_call;
 	bool dead;
+	bool refused; /* unreached, as nothing listens there */
 	uint32_t asked; /* requests that it has carried */
 	pimento_usec_t since; /* start of connecting, resting or asking */
+	pimento_usec_t begun; /* start of connecting */
 	pimento_usec_t keep; /* how long the server lets it rest; 0 unknown */
 	/* Through a tunnel only. */
 	uint32_t via; /* the peer's address; 0: a direct connection */
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -84,6 +84,9 @@
 	counter(text, "repeats_total", counters->repeats);
 	counter(text, "attempts_tunnelled_total", counters->tunnelled);
 	counter(text, "path_probes_total", counters->path_probes);
+	counter(text, "endpoints_ended_total", gateway->crashes.ended);
+	counter(text, "endpoints_ended_requests_total",
+		gateway->crashes.requests);
 	counter(text, "tunnels_opened_total", gateway->pool.tunnels);
 	counter(text, "tunnels_carried_total", sources->mesh->tunnels.opened);
 	counter(text, "tunnels_refused_total", sources->mesh->tunnels.refused);
--- a/io/paths.c
+++ b/io/paths.c
@@ -42,6 +42,16 @@
 	slots_release(gateway->slots, endpoint, &release, now);
 }
 
+/* Neither this host nor a peer reaches the endpoint. */
+static void report_unreachable(gateway_t *gateway,
+			       registry_endpoint_t *endpoint,
+			       pimento_usec_t now)
+{
+	report(gateway, endpoint, LATENCY_OUTCOME_UNREACHABLE, now);
+	if (endpoint->path.refused)
+		crashes_ended(gateway, endpoint, now);
+}
+
 /* Requests that wait for the endpoint may go on. */
 static void pump(gateway_t *gateway, const registry_endpoint_t *endpoint)
 {
@@ -76,7 +86,7 @@
 	if (background->tunnel)
 		background->asked++;
 	else if (background->denied && background->denied < WITNESSES)
-		report(gateway, endpoint, LATENCY_OUTCOME_UNREACHABLE, now);
+		report_unreachable(gateway, endpoint, now);
 }
 
 static void set_next_round(endpoint_path_t *path, pimento_usec_t now)
@@ -113,10 +123,21 @@
 	ask_next_peer(gateway, endpoint, now);
 }
 
-void paths_failed(gateway_t *gateway, registry_endpoint_t *endpoint)
+void paths_verify(gateway_t *gateway, registry_endpoint_t *endpoint)
+{
+	if (endpoint->path.state == ENDPOINT_PATH_LOST)
+		ask_peers(gateway, endpoint, sys_now());
+	else
+		paths_probe(gateway, endpoint);
+}
+
+void paths_failed(gateway_t *gateway, registry_endpoint_t *endpoint,
+		  bool refused)
 {
 	pimento_usec_t now = sys_now();
 
+	endpoint->path.refused = refused;
+
 	if (endpoint_path_failed(&endpoint->path, now))
 		trail(TRAIL_STATE, "path", "lost", "endpoint=%s heard_ms=%lld",
 		      endpoint->id,
@@ -126,12 +147,16 @@
 			      : -1);
 	endpoint->path.resets = 0;
 	endpoint->path.breaks = 0;
-	if (is_alone(gateway, now))
+	if (is_alone(gateway, now)) {
 		slots_learn(gateway->slots, endpoint,
 			    LATENCY_OUTCOME_UNREACHABLE, gateway->slots->self,
 			    now);
-	else if (endpoint_path_is_blocked(&endpoint->path) &&
-		 now >= endpoint->path.ask_at)
+		if (refused)
+			crashes_ended(gateway, endpoint, now);
+		return;
+	}
+	if (endpoint_path_is_blocked(&endpoint->path) &&
+	    now >= endpoint->path.ask_at)
 		ask_peers(gateway, endpoint, now);
 }
 
@@ -223,6 +248,7 @@
 	}
 	if (!broke)
 		reached(gateway, endpoint, now);
+	crashes_reached(gateway, endpoint, conn->begun);
 	pool_release(conn);
 	pump(gateway, endpoint);
 }
@@ -236,7 +262,7 @@
 	if (background->probe == conn) {
 		background->probe = NULL;
 		pool_remove(conn);
-		paths_failed(gateway, endpoint);
+		paths_failed(gateway, endpoint, conn->refused);
 		return;
 	}
 	background->tunnel = NULL;
@@ -244,7 +270,7 @@
 	pool_remove(conn);
 	if (conn->tunnel_status == HTTP_STATUS_BAD_GATEWAY &&
 	    ++background->denied == WITNESSES)
-		report(gateway, endpoint, LATENCY_OUTCOME_UNREACHABLE, now);
+		report_unreachable(gateway, endpoint, now);
 	ask_next_peer(gateway, endpoint, now);
 }
 
--- a/io/paths.h
+++ b/io/paths.h
@@ -10,8 +10,12 @@
 
 #include "gateway.h"
 
-/* A direct connection for a request could not be opened. */
-void paths_failed(gateway_t *gateway, registry_endpoint_t *endpoint);
+/*
+ * A direct connection for a request could not be opened; `refused` if nothing
+ * listens at the endpoint.
+ */
+void paths_failed(gateway_t *gateway, registry_endpoint_t *endpoint,
+		  bool refused);
 /* A tunnel for a request could not be opened. */
 void paths_tunnel_failed(gateway_t *gateway, const httpc_t *conn);
 /*
@@ -23,6 +27,8 @@
 
 /* Finds out whether new connections can be opened. */
 void paths_probe(gateway_t *gateway, registry_endpoint_t *endpoint);
+/* The same, through peers if the path is lost. */
+void paths_verify(gateway_t *gateway, registry_endpoint_t *endpoint);
 
 /* A connection without a request is open, or could not be opened. */
 void paths_opened(gateway_t *gateway, httpc_t *conn);
--- a/io/relay.c
+++ b/io/relay.c
@@ -292,6 +292,7 @@
 
 	if (x->is_events && x->events.partial.length) {
 		/* it ended in the middle of an event: it is not whole */
+		crashes_broken(x, sys_now());
 		dispatch_over(x, PIMENTO_RAN, 0, "stream_torn");
 		return;
 	}
--- a/src/endpoint_path.h
+++ b/src/endpoint_path.h
@@ -28,6 +28,7 @@
 	/* last byte from the endpoint on a direct connection; 0: none */
 	pimento_usec_t heard_at;
 	pimento_usec_t lost_at; /* when it was last found suspect or lost */
+	bool refused; /* the last connection: nothing listens at the endpoint */
 	uint32_t tunnel_peer; /* opened the last tunnel since; 0: none did */
 	pimento_usec_t probe_at; /* when a new connection is tried next */
 	pimento_usec_t probe_interval;
--- a/src/registry.c
+++ b/src/registry.c
@@ -167,6 +167,7 @@
 		latency_init(&endpoint->latency);
 		endpoint_path_init(&endpoint->path);
 		endpoint->answered_at = 0;
+		endpoint->ended_at = 0;
 		endpoint->incarnation++;
 	}
 	endpoint->started_at_ms = record->started_at_ms;
--- a/src/registry.h
+++ b/src/registry.h
@@ -85,6 +85,8 @@
 	endpoint_path_t path; /* of this host alone */
 	/* last answer that any host is known to have got there; 0: none */
 	pimento_usec_t answered_at;
+	/* when this host found that its process has ended; 0: it has not */
+	pimento_usec_t ended_at;
 	uint32_t idle_connections; /* open connections without a request */
 	void *connections; /* connection pool, private to the I/O layer */
 } registry_endpoint_t;
