test: prompts with a part that crashes its endpoint, known red

Three hosts, four workers, sound requests beside requests with one part that crashes whoever begins their answer.

--- a/standin/worker.c
+++ b/standin/worker.c
@@ -16,6 +16,9 @@
  *	half	a stream that stops inside its third event
  *	mute	a stream's head, and a reset before its first event
  *
+ * A prompt part whose id begins with "dead" ("Prefix-Hash: dead01:40,7f:20"; not
+ * the last one) ends this process soon after the head of a stream.
+ *
  * Each run is a line "ran ID" on standard output.
  *
  * GET /test/runs tells {"runs": N, "here": requests that arrived, "open":
@@ -32,12 +35,15 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 enum {
 	RUNS_MAX = 64,
 	EVENTS_DEFAULT = 5,
 	GAP_DEFAULT_MS = 10,
-	MUTE_MS = 100 /* from a stream's head to its reset */
+	MUTE_MS = 100, /* from a stream's head to its reset */
+	CRASH_MS = 20, /* from a stream's head to the end of this process */
+	CRASHED = 3 /* exit status */
 };
 
 /* A stream under way. */
@@ -49,6 +55,7 @@
 	pimento_usec_t due;
 	bool half;
 	bool mute;
+	bool crash;
 } run_t;
 
 static const char *own_id;
@@ -148,6 +155,15 @@
 	strbuf_finish(&fields);
 }
 
+/* True if a part of the prompt crashes this worker; the last one never does. */
+static bool is_crashing(const httpd_conn_t *conn)
+{
+	const char *parts = head_get(&conn->head, "Prefix-Hash");
+	const char *part = parts ? strstr(parts, "dead") : NULL;
+
+	return part && strchr(part, ',') && (part == parts || part[-1] == ',');
+}
+
 static void begin_stream(httpd_conn_t *conn)
 {
 	strbuf_t fields;
@@ -166,6 +182,9 @@
 		runs[i].due = sys_now();
 		runs[i].half = behaves(conn, "half");
 		runs[i].mute = behaves(conn, "mute");
+		runs[i].crash = is_crashing(conn);
+		if (runs[i].crash)
+			runs[i].due += CRASH_MS * PIMENTO_MSEC;
 		if (runs[i].mute) /* its head must have arrived before */
 			runs[i].due += MUTE_MS * PIMENTO_MSEC;
 		break;
@@ -192,6 +211,8 @@
 		event, sizeof(event), "id: %llu\ndata: event %llu\n\n",
 		(unsigned long long)run->next, (unsigned long long)run->next);
 
+	if (run->crash)
+		_exit(CRASHED);
 	if (run->mute) {
 		httpd_conn_t *conn = run->conn;
 
--- /dev/null
+++ b/test/test_crashing_prompts.c
@@ -0,0 +1,253 @@
+/*
+ * Requests with one part in their prompts that crashes the endpoint which begins
+ * their answer, beside sound requests of the same account with the same other
+ * parts. Endpoints that crashed are back after some time.
+ */
+
+#include "edge.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+enum {
+	HOSTS = 3,
+	WORKERS = 4,
+	SOUND_CALLERS = 6,
+	GUILTY_CALLERS = 3,
+	SOUND_PAUSE_MS = 20,
+	GUILTY_PAUSE_MS = 300, /* of each caller */
+	BEFORE_MS = 2000, /* sound requests only */
+	CRASHING_MS = 9000,
+	DOWN_MS = 700, /* of a worker that crashed */
+	DEADLINE_MS = 2000,
+	/* The rules: what counts as found, and how many may follow. */
+	CRASHES_FREE = 5,
+	FOUND_MS = 3000,
+	CRASHES_AFTER = 3,
+	UNHARMED_MS = 6000,
+	CRASHES_MAX = 1000,
+	CALLS_MAX = 4000 /* of one caller */
+};
+
+typedef struct call_record {
+	int64_t sent_ms;
+	long status;
+} call_record_t;
+
+typedef struct caller {
+	pthread_t thread;
+	uint32_t number;
+	bool guilty;
+	uint32_t count;
+	call_record_t calls[CALLS_MAX];
+} caller_t;
+
+static const struct {
+	const char *name;
+	const char *guilty_path;
+	const char *guilty_parts; /* without the last */
+	bool restart; /* of a host */
+} cases[] = {
+	{ "a part in the middle", EDGE_ONCE, "5c1e07a2:60,dead0001:40", false },
+	{ "resumable streams", EDGE_STREAM, "5c1e07a2:60,dead0001:40", false },
+	{ "the first part", EDGE_ONCE, "dead0001:60", false },
+	{ "two such parts, and a host that starts again", EDGE_ONCE,
+	  "5c1e07a2:60,dead0001:40,dead0002:9", true },
+};
+
+static edge_t edge;
+static caller_t callers[SOUND_CALLERS + GUILTY_CALLERS];
+static volatile bool stopping;
+static volatile bool crashing;
+static uint32_t case_number;
+static int64_t crashes[CRASHES_MAX];
+static uint32_t crash_count;
+static int64_t down_since[WORKERS];
+static uint32_t starts;
+
+static void call_once(caller_t *caller)
+{
+	call_record_t *record = &caller->calls[caller->count];
+	uint32_t host = (caller->number + caller->count) % HOSTS;
+	char id[32];
+	char parts[128];
+	client_call_t call = { .method = "GET",
+			       .port = edge.hosts[host].callers,
+			       .path = caller->guilty
+					       ? cases[case_number].guilty_path
+				       : caller->count % 2 ? EDGE_ONCE
+							   : EDGE_STREAM,
+			       .headers = { { "Host", "t.example" },
+					    { "Request-Id", id },
+					    { "Deadline-Ms", "2000" },
+					    { "Key", EDGE_KEY },
+					    { "Prefix-Hash", parts } },
+			       .timeout_s = 4 };
+	client_reply_t reply;
+
+	snprintf(id, sizeof(id), "%s-%u-%u", caller->guilty ? "bad" : "good",
+		 caller->number, caller->count);
+	snprintf(parts, sizeof(parts), "%s,%x%04x:100",
+		 caller->guilty ? cases[case_number].guilty_parts
+				: "5c1e07a2:60",
+		 caller->number + 1, caller->count);
+	record->sent_ms = process_now_ms();
+	client_call(&reply, &call);
+	record->status = reply.status;
+	client_reply_finish(&reply);
+	caller->count++;
+}
+
+static void *run_caller(void *data)
+{
+	caller_t *caller = data;
+
+	while (!stopping && caller->count < CALLS_MAX) {
+		if (!caller->guilty || crashing)
+			call_once(caller);
+		process_sleep_ms(caller->guilty ? GUILTY_PAUSE_MS
+						: SOUND_PAUSE_MS);
+	}
+	return NULL;
+}
+
+static void start_callers(void)
+{
+	memset(callers, 0, sizeof(callers));
+	stopping = false;
+	crashing = false;
+	crash_count = 0;
+	memset(down_since, 0, sizeof(down_since));
+	for (uint32_t i = 0; i < SOUND_CALLERS + GUILTY_CALLERS; i++) {
+		callers[i].number = i;
+		callers[i].guilty = i >= SOUND_CALLERS;
+		ck_assert_int_eq(pthread_create(&callers[i].thread, NULL,
+						run_caller, &callers[i]),
+				 0);
+	}
+}
+
+static void stop_callers(void)
+{
+	stopping = true;
+	for (uint32_t i = 0; i < SOUND_CALLERS + GUILTY_CALLERS; i++)
+		pthread_join(callers[i].thread, NULL);
+}
+
+/* Counts workers that crashed, and starts them again after a while. */
+static void keep_workers(void)
+{
+	for (uint32_t i = 0; i < WORKERS; i++) {
+		char name[16];
+
+		if (down_since[i] &&
+		    process_now_ms() - down_since[i] > DOWN_MS) {
+			snprintf(name, sizeof(name), "w%u-%u", i, ++starts);
+			edge_start_worker(&edge, i, name);
+			edge_list_worker(&edge, i, "ready");
+			down_since[i] = 0;
+		} else if (!down_since[i] &&
+			   !process_running(&edge.workers[i])) {
+			down_since[i] = process_now_ms();
+			ck_assert_uint_lt(crash_count, CRASHES_MAX);
+			crashes[crash_count++] = down_since[i];
+		}
+	}
+}
+
+static void keep_workers_for(int ms)
+{
+	int64_t until = process_now_ms() + ms;
+
+	while (process_now_ms() < until) {
+		keep_workers();
+		process_sleep_ms(5);
+	}
+}
+
+/* Crashes that the rules charge. */
+static uint32_t count_charged(void)
+{
+	uint32_t charged = 0;
+
+	for (uint32_t i = CRASHES_FREE; i < crash_count; i++)
+		charged += crashes[i] > crashes[CRASHES_FREE - 1] + FOUND_MS;
+	return charged;
+}
+
+/* Share of sound requests in a span that were served at the first attempt. */
+static double served_share(int64_t from_ms, int64_t to_ms)
+{
+	uint32_t sent = 0;
+	uint32_t served = 0;
+
+	for (uint32_t i = 0; i < SOUND_CALLERS; i++)
+		for (uint32_t j = 0; j < callers[i].count; j++) {
+			const call_record_t *record = &callers[i].calls[j];
+
+			if (record->sent_ms < from_ms ||
+			    record->sent_ms >= to_ms)
+				continue;
+			sent++;
+			served += record->status == 200;
+		}
+	ck_assert_uint_ge(sent, 20);
+	return (double)served / sent;
+}
+
+static int64_t found_at(void)
+{
+	ck_assert_uint_gt(crash_count, 0);
+	return crashes[crash_count < CRASHES_FREE ? crash_count - 1
+						  : CRASHES_FREE - 1];
+}
+
+/* Requests with one part crash endpoint after endpoint, on and on. */
+START_TEST(a_crashing_part_stops_reaching_endpoints_and_nobody_else_pays)
+{
+	int64_t begin;
+	int64_t end;
+	double before;
+	double after;
+
+	case_number = (uint32_t)_i;
+	edge_start_engines(&edge, HOSTS, WORKERS);
+	start_callers();
+	begin = process_now_ms();
+	keep_workers_for(BEFORE_MS);
+	crashing = true;
+	keep_workers_for(CRASHING_MS / 3);
+	if (cases[_i].restart) {
+		process_kill(&edge.hosts[1].process);
+		edge_start_host(&edge, 1);
+	}
+	keep_workers_for(CRASHING_MS - CRASHING_MS / 3);
+	end = process_now_ms();
+	stop_callers();
+	before = served_share(begin, begin + BEFORE_MS);
+	after = served_share(found_at() + UNHARMED_MS, end);
+	fprintf(stderr,
+		"%s: %u crashes, %u later than %d ms after the fifth; sound "
+		"requests served %.2f before, %.2f after\n",
+		cases[_i].name, crash_count, count_charged(), FOUND_MS, before,
+		after);
+	ck_assert_uint_le(count_charged(), CRASHES_AFTER);
+	ck_assert(after >= before / 2);
+	edge_stop(&edge);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("crashing prompts");
+	TCase *tests = tcase_create("all");
+
+	tcase_set_timeout(tests, 60);
+	tcase_add_loop_test(
+		tests,
+		a_crashing_part_stops_reaching_endpoints_and_nobody_else_pays,
+		0, sizeof(cases) / sizeof(cases[0]));
+	suite_add_tcase(suite, tests);
+	return process_run_suite(suite);
+}
