--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -148,7 +148,12 @@
 			   .ratio = settings->retry_ratio,
 			   .slack = settings->retry_slack },
 		.quota_window = seconds(settings->quota_window_s),
-
+		.quarantine = {
+			.ends = (uint32_t)settings->quarantine_ends,
+			.interval = seconds(settings->quarantine_interval_s),
+			.interval_max =
+				seconds(settings->quarantine_interval_max_s),
+		},
 	};
 }
 
@@ -181,6 +186,7 @@
 static void reload(edge_t *edge, const char *why)
 {
 	edge_settings_t settings;
+	gateway_bounds_t bounds;
 
 	(void)file_time(edge->path, &edge->settings_time);
 	if (load_settings(edge->path, &settings)) {
@@ -189,7 +195,8 @@
 		return;
 	}
 	edge->settings = settings;
-	edge->gateway.bounds = bounds_of(&settings);
+	bounds = bounds_of(&settings);
+	gateway_set_bounds(&edge->gateway, &bounds);
 	configure_registry(edge);
 	add_seeds(edge);
 	trail(TRAIL_STATE, "edge", "reload", "why=%s outcome=taken seeds=%u",
@@ -411,10 +418,29 @@
 
 static void on_send_quota(void *context, uint32_t address,
 			  const quota_message_t *message)
+{
+	edge_t *edge = context;
+	packet_t packet = { .kind = PACKET_QUOTA };
+
+	packet.as.quota = *message;
+	mesh_send(&edge->mesh, address, &packet);
+}
+
+static void on_send_trial(void *context, uint32_t address,
+			  const packet_trial_t *trial)
+{
+	edge_t *edge = context;
+	packet_t packet = { .kind = PACKET_TRIAL };
+
+	packet.as.trial = *trial;
+	mesh_send(&edge->mesh, address, &packet);
+}
+
+static void on_trial(void *context, const packet_trial_t *trial)
 {
 	edge_t *edge = context;
 
-	mesh_send_quota(&edge->mesh, address, message);
+	crashes_receive(&edge->gateway, trial, sys_now());
 }
 
 static const feed_ops_t feed_ops = { .config_updated = on_configuration };
@@ -462,6 +488,7 @@
 		.replica = &edge->feed.replicas[REPLICA_OPERATOR],
 		.slots = &edge->slots,
 		.send_quota = on_send_quota,
+		.send_trial = on_send_trial,
 		.send_context = edge,
 	};
 
@@ -486,6 +513,7 @@
 		.mirrors = edge->feed.replicas,
 		.registry = &edge->registry,
 		.quota = &edge->gateway.quota,
+		.quarantine = &edge->gateway.crashes.quarantine,
 		.slots = &edge->slots,
 	};
 	int error;
@@ -495,6 +523,8 @@
 	error = mesh_init(&edge->mesh, &setup);
 	edge->mesh.write_metrics = write_metrics;
 	edge->mesh.metrics_context = edge;
+	edge->mesh.trial_received = on_trial;
+	edge->mesh.trial_context = edge;
 	if (!error)
 		add_seeds(edge);
 	return error;
--- a/io/arrival.c
+++ b/io/arrival.c
@@ -249,6 +249,10 @@
 {
 	gateway_t *gateway = x->gateway;
 
+	if (crashes_check(x, sys_now()) == CRASH_REJECT) {
+		exchange_reject(x);
+		return;
+	}
 	x->state = EXCHANGE_WAITING;
 	retry_budget_add_request(&x->service->budget, &gateway->bounds.retry,
 				 sys_now());
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -153,6 +153,10 @@
 		dispatch_over(x, PIMENTO_NOT_RUN, 0, "no_time");
 		return;
 	}
+	if (crashes_check(x, now) != CRASH_SEND) {
+		dispatch_over(x, PIMENTO_NOT_RUN, 0, "quarantined");
+		return;
+	}
 	conn->request_id = x->call.id;
 	x->gateway->counters.tunnelled += conn->via != 0;
 	x->reused = conn->asked > 0;
@@ -169,6 +173,7 @@
 		return;
 	}
 	x->state = EXCHANGE_SENT;
+	crashes_sent(x);
 	snprintf(x->sent_to, sizeof(x->sent_to), "%s", x->endpoint->id);
 	x->sent_at = now;
 	x->acknowledged = false;
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -17,8 +17,8 @@
 const char *gateway_outcome_name(gateway_outcome_t outcome)
 {
 	static const char *const names[GATEWAY_OUTCOMES] = {
-		"served", "passed", "refused", "over_quota",
-		"denied", "failed", "cut",     "left",
+		"served", "passed", "refused", "over_quota",  "denied",
+		"failed", "cut",    "left",    "quarantined",
 	};
 
 	return names[outcome];
@@ -114,6 +114,7 @@
 	if (x->state == EXCHANGE_WAITING && service)
 		wait_queue_remove(&service->line, &x->wait);
 	admission_abandon(x);
+	crashes_forget(x);
 	dispatch_abandon(x);
 	placing_leave_lines(x);
 	if (x->caller)
@@ -200,6 +201,38 @@
 			     "", 0);
 }
 
+/*
+ * A request that has not run gets an answer after which no client sends it
+ * again; one that has run gets no such promise.
+ */
+void exchange_reject(exchange_t *x)
+{
+	quarantine_verdict_t verdict =
+		quarantine_judge(&x->gateway->crashes.quarantine, x->call.parts,
+				 x->call.part_count, sys_now());
+	const char *why = "quarantined";
+	char text[96];
+	int length;
+
+	x->gateway->crashes.rejected++;
+	trail(TRAIL_FAILURE, "quarantine", "rejected",
+	      "id=%s part=%llx state=%s ended=%u runs=%u trial_in_ms=%lld",
+	      x->call.id, (unsigned long long)verdict.part,
+	      quarantine_state_name(verdict.state), x->ended, x->runs,
+	      (long long)msec(verdict.trial_at - sys_now()));
+	if (x->runs) {
+		exchange_fail(x, HTTP_STATUS_BAD_GATEWAY, why);
+		return;
+	}
+	length = snprintf(text, sizeof(text),
+			  "Not run: prompt part %llx crashes endpoints.\n",
+			  (unsigned long long)verdict.part);
+	admission_refund(x);
+	httpd_answer(part(x, HTTP_STATUS_BAD_REQUEST, GATEWAY_QUARANTINED, why),
+		     HTTP_STATUS_BAD_REQUEST, "Content-Type: text/plain\r\n",
+		     text, (size_t)length);
+}
+
 httpd_conn_t *exchange_served(exchange_t *x)
 {
 	gateway_outcome_t outcome =
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -50,6 +50,7 @@
 	uint64_t given; /* ticket of a place that was granted while asking */
 	exchange_place_t place; /* that it was given, for this attempt */
 	latency_outcome_t finding; /* of this attempt */
+	crash_trial_t trial;
 
 	/* The attempt under way. */
 	pimento_usec_t begun_at; /* when it got its slot */
@@ -78,6 +79,9 @@
 	uint32_t ahead; /* tokens of prompts that were to be read before */
 	uint32_t reading; /* of its own prompt, until the answer begins */
 	uint32_t events_before; /* this attempt */
+	uint32_t ended; /* endpoints that ended under it */
+	pimento_usec_t
+		broke_at; /* the last attempt's connection; 0: none did */
 	int status;
 	exchange_state_t state;
 
@@ -98,6 +102,8 @@
 	bool streaming; /* the answer is passed on as it comes */
 	bool is_events; /* and split into events */
 	bool told_pace; /* the owner heard how fast this attempt's events come */
+	bool undecided; /* whether the endpoint ended, of the last attempt */
+	bool parts_cleared; /* its answer cleared its parts */
 	bool resuming; /* the head of this attempt is not passed on */
 } exchange_t;
 
@@ -131,6 +137,8 @@
  */
 void exchange_refuse(exchange_t *exchange, int status, const char *why);
 void exchange_fail(exchange_t *exchange, int status, const char *why);
+/* A part of its prompt crashes endpoints: a final answer. */
+void exchange_reject(exchange_t *exchange);
 void exchange_over_quota(exchange_t *exchange, const quota_decision_t *verdict);
 /* The first of its prompt's shared parts as text, or "-". */
 #define EXCHANGE_PARTS_BYTES 80
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -210,6 +210,12 @@
 		front->idle_timeout = limits->idle_timeout;
 }
 
+void gateway_set_bounds(gateway_t *gateway, const gateway_bounds_t *bounds)
+{
+	gateway->bounds = *bounds;
+	gateway->crashes.quarantine.limits = bounds->quarantine;
+}
+
 int gateway_init(gateway_t *gateway, const gateway_setup_t *setup)
 {
 	const httpd_limits_t limits = {
@@ -238,6 +244,9 @@
 	gateway->draws = sys_random();
 	gateway->send_quota = setup->send_quota;
 	gateway->send_context = setup->send_context;
+	crashes_init(&gateway->crashes, &setup->bounds.quarantine);
+	gateway->crashes.send = setup->send_trial;
+	gateway->crashes.send_context = setup->send_context;
 	admission_init(gateway, setup);
 	dispatch_init(gateway);
 	gateway->pool.peer_port = setup->peer_port;
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -28,6 +28,7 @@
 	pimento_usec_t key_lease; /* a copy older than this honours no key */
 	retry_budget_limits_t retry;
 	pimento_usec_t quota_window;
+	quarantine_limits_t quarantine;
 } gateway_bounds_t;
 
 typedef enum gateway_outcome {
@@ -39,6 +40,7 @@
 	GATEWAY_FAILED, /* may have run */
 	GATEWAY_CUT, /* broken off in the middle of the answer */
 	GATEWAY_LEFT, /* the caller left */
+	GATEWAY_QUARANTINED, /* rejected, as its prompt crashes endpoints */
 	GATEWAY_OUTCOMES
 } gateway_outcome_t;
 
@@ -135,6 +137,9 @@
 	/* Sends a message about quotas to another host. */
 	void (*send_quota)(void *context, uint32_t address,
 			   const quota_message_t *message);
+	/* The same for a message about a trial. */
+	void (*send_trial)(void *context, uint32_t address,
+			   const packet_trial_t *trial);
 	void *send_context;
 } gateway_setup_t;
 
@@ -142,6 +147,9 @@
 int gateway_init(gateway_t *gateway, const gateway_setup_t *setup);
 void gateway_finish(gateway_t *gateway);
 
+/* The operator has changed the bounds. */
+void gateway_set_bounds(gateway_t *gateway, const gateway_bounds_t *bounds);
+
 /* A new version is in force; takes over the caller's hold. */
 void gateway_configure(gateway_t *gateway, catalog_t *catalog);
 
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -72,6 +72,10 @@
 	note->load_count = 0;
 	note->owner_report_count = 0;
 	note->quota_count = 0;
+	note->evidence_count = quarantine_report(
+		mesh->quarantine, note->evidence, GOSSIP_EVIDENCE_MAX, now);
+	for (uint32_t i = 0; i < note->evidence_count; i++)
+		quarantine_shift(&note->evidence[i], -now);
 	peers_put_pollers(mesh->roster, mesh->reader, now, note);
 	if (note->membership.count > GOSSIP_FACTS_NORMAL)
 		return; /* after many hosts started, they come first */
@@ -184,6 +188,12 @@
 				note->replicas[kind].revision, fresh[kind]);
 	}
 	slots_hear(mesh->slots, note, now);
+	for (uint32_t i = 0; i < note->evidence_count; i++) {
+		quarantine_evidence_t evidence = note->evidence[i];
+
+		quarantine_shift(&evidence, now);
+		quarantine_merge(mesh->quarantine, &evidence, now);
+	}
 	for (uint32_t i = 0; i < note->quota_count; i++)
 		quota_apply_report(&mesh->quota->owned, note->quotas[i].account,
 				   note->quotas[i].level,
@@ -192,35 +202,51 @@
 		answer_pull(mesh, note->address, now);
 }
 
-static void take_packet(mesh_t *mesh, const uint8_t *bytes, size_t length)
+static void take_packet(mesh_t *mesh, uint32_t from, const uint8_t *bytes,
+			size_t length)
 {
 	pimento_usec_t now = sys_now();
 	packet_t packet;
 
 	if (packet_unpack(&packet, bytes, length))
 		return;
-	if (packet.kind == PACKET_GOSSIP)
+	switch (packet.kind) {
+	case PACKET_GOSSIP:
+		/* evidence can have callers refused: from its sender only */
+		if (packet.as.gossip.address != from)
+			packet.as.gossip.evidence_count = 0;
 		take_note(mesh, &packet.as.gossip, now);
-	else if (packet.kind == PACKET_QUOTA)
+		break;
+	case PACKET_QUOTA:
 		quota_fleet_receive(mesh->quota, &packet.as.quota, now);
-	else
+		break;
+	case PACKET_TRIAL:
+		if (packet.as.trial.address == from &&
+		    peers_is_known(mesh->roster, from) && mesh->trial_received)
+			mesh->trial_received(mesh->trial_context,
+					     &packet.as.trial);
+		break;
+	default:
 		slots_take(mesh->slots, &packet, now);
+		break;
+	}
 }
 
 static void on_datagram(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	mesh_t *mesh = watcher->data;
 	uint8_t bytes[PACKET_BYTES_MAX];
+	uint32_t from;
 
 	(void)loop;
 	(void)events;
 	for (int i = 0; i < NOTES_AT_ONCE; i++) {
-		ssize_t got =
-			recv(watcher->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		ssize_t got = net_receive_from(watcher->fd, &from, bytes,
+					       sizeof(bytes));
 
 		if (got < 0)
 			break;
-		take_packet(mesh, bytes, (size_t)got);
+		take_packet(mesh, from, bytes, (size_t)got);
 	}
 	send_probes(mesh, sys_now());
 }
@@ -496,16 +522,12 @@
 	quota_fleet_tick(mesh->quota, now);
 }
 
-void mesh_send_quota(mesh_t *mesh, uint32_t address,
-		     const quota_message_t *message)
+void mesh_send(mesh_t *mesh, uint32_t address, const packet_t *packet)
 {
 	net_address_t to = { address, mesh->note_port };
 	uint8_t bytes[PACKET_BYTES_MAX];
-	packet_t packet = { .kind = PACKET_QUOTA };
-	int length;
+	int length = packet_pack(packet, bytes, sizeof(bytes));
 
-	packet.as.quota = *message;
-	length = packet_pack(&packet, bytes, sizeof(bytes));
 	/* What cannot be sent now is as good as lost on the way. */
 	if (length > 0)
 		(void)net_send_to(mesh->datagrams.fd, &to, bytes,
@@ -567,6 +589,7 @@
 	mesh->mirrors = setup->mirrors;
 	mesh->registry = setup->registry;
 	mesh->quota = setup->quota;
+	mesh->quarantine = setup->quarantine;
 	mesh->slots = setup->slots;
 	for (int kind = 0; kind < REPLICA_KIND_COUNT; kind++) {
 		mesh->fetches[kind].mesh = mesh;
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -51,6 +51,7 @@
 	replica_t *mirrors; /* indexed by replica_kind_t */
 	registry_t *registry;
 	quota_fleet_t *quota;
+	quarantine_t *quarantine;
 	slots_t *slots;
 	mesh_fetch_t fetches[REPLICA_KIND_COUNT];
 	bool reader; /* this host reads the store with success; set by others */
@@ -68,6 +69,9 @@
 	/* Writes the metrics page; context is the caller's. */
 	void (*write_metrics)(void *context, strbuf_t *text);
 	void *metrics_context;
+	/* Receives messages about trials; context is the caller's. */
+	void (*trial_received)(void *context, const packet_trial_t *trial);
+	void *trial_context;
 } mesh_t;
 
 typedef struct mesh_setup {
@@ -80,6 +84,7 @@
 	replica_t *mirrors; /* indexed by replica_kind_t */
 	registry_t *registry;
 	quota_fleet_t *quota;
+	quarantine_t *quarantine;
 	slots_t *slots; /* is given the mesh's socket and port */
 } mesh_setup_t;
 
@@ -93,9 +98,8 @@
 /* Sends probes and asks that are due; call some 20 times a second. */
 void mesh_probe(mesh_t *mesh, pimento_usec_t now);
 
-/* Sends another host a question, or an answer, about a quota. */
-void mesh_send_quota(mesh_t *mesh, uint32_t address,
-		     const quota_message_t *message);
+/* Sends another host a packet, which may be lost. */
+void mesh_send(mesh_t *mesh, uint32_t address, const packet_t *packet);
 
 /* Sends notes, and fetches what this host lacks; call ten times a second. */
 void mesh_tick(mesh_t *mesh, pimento_usec_t now);
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -56,6 +56,16 @@
 	return lost;
 }
 
+static void quarantine_parts(strbuf_t *text, const quarantine_t *quarantine)
+{
+	uint32_t parts[] = { 0, 0, 0 };
+
+	for (uint32_t i = 0; i < quarantine->count; i++)
+		parts[quarantine_state(quarantine, &quarantine->records[i])]++;
+	gauge(text, "quarantine_parts_suspect", parts[QUARANTINE_SUSPECT]);
+	gauge(text, "quarantine_parts_held", parts[QUARANTINE_HELD]);
+}
+
 static void services(strbuf_t *text, const gateway_t *gateway,
 		     pimento_usec_t now)
 {
@@ -87,6 +97,8 @@
 	counter(text, "endpoints_ended_total", gateway->crashes.ended);
 	counter(text, "endpoints_ended_requests_total",
 		gateway->crashes.requests);
+	counter(text, "quarantine_rejected_total", gateway->crashes.rejected);
+	counter(text, "quarantine_trials_total", gateway->crashes.trials);
 	counter(text, "tunnels_opened_total", gateway->pool.tunnels);
 	counter(text, "tunnels_carried_total", sources->mesh->tunnels.opened);
 	counter(text, "tunnels_refused_total", sources->mesh->tunnels.refused);
@@ -119,6 +131,7 @@
 	histogram(text, "first_byte_seconds", &counters->first);
 	histogram(text, "wait_seconds", &counters->waited);
 	services(text, gateway, sources->now);
+	quarantine_parts(text, &gateway->crashes.quarantine);
 	gauge(text, "paths_lost", paths_lost(gateway->registry));
 	gauge(text, "tunnels_carried", sources->mesh->tunnels.count);
 	gauge(text, "peers", peers_host_count(gateway->roster, sources->now));
--- a/io/net.c
+++ b/io/net.c
@@ -163,6 +163,17 @@
 	return error;
 }
 
+ssize_t net_receive_from(int fd, uint32_t *from, void *bytes, size_t size)
+{
+	struct sockaddr_in name = { 0 };
+	socklen_t length = sizeof(name);
+	ssize_t got = recvfrom(fd, bytes, size, MSG_DONTWAIT,
+			       (struct sockaddr *)&name, &length);
+
+	*from = ntohl(name.sin_addr.s_addr);
+	return got;
+}
+
 void net_reset(int fd)
 {
 	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
--- a/io/net.h
+++ b/io/net.h
@@ -9,6 +9,7 @@
 #include "../pimentoshelf.h"
 
 #include <ev.h>
+#include <sys/types.h>
 
 typedef struct net_address {
 	uint32_t ip; /* host byte order */
@@ -27,6 +28,8 @@
 
 int net_send_to(int fd, const net_address_t *to, const void *bytes,
 		size_t length);
+/* A datagram and its sender's address; -1 if there is none. */
+ssize_t net_receive_from(int fd, uint32_t *from, void *bytes, size_t size);
 
 /* The pending error of a socket, as errno has it; 0 none. */
 int net_error(int fd);
--- a/io/paths.c
+++ b/io/paths.c
@@ -42,16 +42,6 @@
 	slots_release(gateway->slots, endpoint, &release, now);
 }
 
-/* Neither this host nor a peer reaches the endpoint. */
-static void report_unreachable(gateway_t *gateway,
-			       registry_endpoint_t *endpoint,
-			       pimento_usec_t now)
-{
-	report(gateway, endpoint, LATENCY_OUTCOME_UNREACHABLE, now);
-	if (endpoint->path.refused)
-		crashes_ended(gateway, endpoint, now);
-}
-
 /* Requests that wait for the endpoint may go on. */
 static void pump(gateway_t *gateway, const registry_endpoint_t *endpoint)
 {
@@ -62,6 +52,18 @@
 		placing_pump(gateway, service);
 }
 
+/* Neither this host nor a peer reaches the endpoint. */
+static void report_unreachable(gateway_t *gateway,
+			       registry_endpoint_t *endpoint,
+			       pimento_usec_t now)
+{
+	report(gateway, endpoint, LATENCY_OUTCOME_UNREACHABLE, now);
+	if (endpoint->path.refused) {
+		crashes_ended(gateway, endpoint, now);
+		pump(gateway, endpoint);
+	}
+}
+
 void paths_probe(gateway_t *gateway, registry_endpoint_t *endpoint)
 {
 	pool_background_t *background = pool_background(endpoint);
--- a/io/placing.c
+++ b/io/placing.c
@@ -262,6 +262,7 @@
 /* What became of a request that waits. */
 typedef enum step {
 	STEP_STAYS, /* for want of a place */
+	STEP_HELD, /* until another request shows whether its prompt crashes */
 	STEP_ASKS, /* an owner was asked */
 	STEP_MOVED /* it has left the line */
 } step_t;
@@ -343,7 +344,14 @@
 static step_t step(exchange_t *x, pimento_usec_t now)
 {
 	registry_endpoint_t *endpoint = NULL;
+	crash_decision_t decision = crashes_check(x, now);
 
+	if (decision == CRASH_WAIT)
+		return STEP_HELD;
+	if (decision == CRASH_REJECT) {
+		exchange_reject(x);
+		return STEP_MOVED;
+	}
 	switch (place(x, false, now, &endpoint)) {
 	case PLACEMENT_FOUND:
 		return take_place(x, endpoint, now);
--- a/io/relay.c
+++ b/io/relay.c
@@ -245,6 +245,9 @@
 		learn_gap(x, x->events.count - before, now);
 	}
 	x->event_at = now;
+	if (!x->parts_cleared && x->call.part_count &&
+	    crashes_has_begun(x, now))
+		crashes_answered(x, now);
 	placing_tell_pace(x);
 	httpd_write(x->caller, x->events.partial.bytes, (size_t)whole);
 	sse_consume(&x->events, (size_t)whole);
@@ -286,6 +289,13 @@
 		latency_add_length(service, x->call.expected, x->events.count);
 }
 
+/* The end of a connection does not show that the answer was whole. */
+static void clear_parts(exchange_t *x)
+{
+	if (x->call.part_count && x->status / 100 == 2 && !x->conn->until_close)
+		crashes_answered(x, sys_now());
+}
+
 static void end_stream(exchange_t *x)
 {
 	httpd_conn_t *caller;
@@ -297,6 +307,7 @@
 		return;
 	}
 	learn_length(x);
+	clear_parts(x);
 	dispatch_done(x);
 	caller = exchange_served(x);
 	httpd_end(caller);
@@ -310,6 +321,7 @@
 	httpd_conn_t *caller;
 
 	learn_first(x, sys_now());
+	clear_parts(x);
 	strbuf_init(&x->fields);
 	strbuf_init(&x->body);
 	dispatch_done(x);
--- a/io/slots.c
+++ b/io/slots.c
@@ -307,6 +307,7 @@
 		break;
 	case PACKET_GOSSIP:
 	case PACKET_QUOTA:
+	case PACKET_TRIAL:
 		break; /* the mesh's own */
 	}
 }
--- a/src/edge_settings.c
+++ b/src/edge_settings.c
@@ -1,6 +1,7 @@
 #include "edge_settings.h"
 
 #include "fields.h"
+#include "quarantine.h"
 
 #include <string.h>
 
@@ -39,6 +40,10 @@
 /* Without a stated tolerance, the rate that a service states is the bound. */
 #define SLOW_START_OVERRUN_DEFAULT 1
 
+#define QUARANTINE_ENDS_DEFAULT 3
+#define QUARANTINE_INTERVAL_S_DEFAULT 2
+#define QUARANTINE_INTERVAL_MAX_S_DEFAULT 3600
+
 static const field_t toplevel_fields[] = {
 	{ "host", FIELD_TABLE, true, 0, 0, 0, NULL },
 	{ "listen", FIELD_TABLE, true, 0, 0, 0, NULL },
@@ -47,6 +52,7 @@
 	{ "regions", FIELD_TABLE, false, 0, 0, 0, NULL },
 	{ "limits", FIELD_TABLE, false, 0, 0, 0, NULL },
 	{ "bounds", FIELD_TABLE, false, 0, 0, 0, NULL },
+	{ "quarantine", FIELD_TABLE, false, 0, 0, 0, NULL },
 };
 
 static const field_t host_fields[] = {
@@ -90,6 +96,13 @@
 	NUMBER_FIELD("slow_start_slack", slow_start_slack, 0),
 };
 
+static const field_t quarantine_fields[] = {
+	{ "ends", FIELD_DOUBLE, false, OFFSET(quarantine_ends), 2,
+	  QUARANTINE_ENDS_MAX, NULL },
+	NUMBER_FIELD("interval_s", quarantine_interval_s, 1),
+	NUMBER_FIELD("interval_max_s", quarantine_interval_max_s, 1),
+};
+
 static const struct {
 	const char *key;
 	const field_t *fields;
@@ -101,6 +114,7 @@
 	{ "store", store_fields, COUNT(store_fields) },
 	{ "limits", limits_fields, COUNT(limits_fields) },
 	{ "bounds", bounds_fields, COUNT(bounds_fields) },
+	{ "quarantine", quarantine_fields, COUNT(quarantine_fields) },
 };
 
 static void check_address(const fields_source_t *source,
@@ -209,6 +223,9 @@
 		.retry_window_s = WINDOW_S_DEFAULT,
 		.quota_window_s = WINDOW_S_DEFAULT,
 		.slow_start_overrun = SLOW_START_OVERRUN_DEFAULT,
+		.quarantine_ends = QUARANTINE_ENDS_DEFAULT,
+		.quarantine_interval_s = QUARANTINE_INTERVAL_S_DEFAULT,
+		.quarantine_interval_max_s = QUARANTINE_INTERVAL_MAX_S_DEFAULT,
 	};
 	error = toml_parse(&document, text, length);
 	if (error) {
--- a/src/edge_settings.h
+++ b/src/edge_settings.h
@@ -16,7 +16,9 @@
  *	[bounds]  key_revoke_ms, retry_ratio, retry_slack, retry_window_s,
  *	          quota_window_s, slow_start_overrun, slow_start_slack
  *
- * [peers], [regions], [limits] and [bounds] are optional. Where the region of an
+ *	[quarantine] ends, interval_s, interval_max_s
+ *
+ * [peers], [regions], [limits], [bounds] and [quarantine] are optional. Where the region of an
  * endpoint is not known, requests that are limited to regions are not sent there.
  */
 
@@ -60,6 +62,14 @@
 	 */
 	double slow_start_overrun;
 	double slow_start_slack;
+	/*
+	 * ends of endpoints under requests with one prompt part, from which such
+	 * requests are rejected; time to the first trial of one, and the longest
+	 * time between two
+	 */
+	double quarantine_ends;
+	double quarantine_interval_s;
+	double quarantine_interval_max_s;
 } edge_settings_t;
 
 /*
--- a/src/explain.c
+++ b/src/explain.c
@@ -49,6 +49,9 @@
 	  "no endpoint is in a region that the route and the account allow; "
 	  "nothing was sent" },
 	{ "no_id", "the request had no id" },
+	{ "quarantined",
+	  "a part of its prompt crashes endpoints; lines of part=quarantine "
+	  "with the same part= say which ended and when one is tried again" },
 	{ "no_place", "no endpoint had a free slot in time; look at waiting, "
 		      "late and the load of the service" },
 	{ "no_route", "no route of the configuration matches the request; "
--- a/src/packet.c
+++ b/src/packet.c
@@ -6,6 +6,12 @@
 
 #define AGE_MS_UNKNOWN UINT32_MAX
 
+typedef struct evidence_scratch {
+	Peer__Evidence message;
+	uint32_t processes[QUARANTINE_ENDS_MAX];
+	uint32_t ages_ms[QUARANTINE_ENDS_MAX];
+} evidence_scratch_t;
+
 /* The structures that a gossip message can point to while it is packed. */
 typedef struct scratch {
 	Peer__Load loads[GOSSIP_LOADS_MAX];
@@ -18,6 +24,8 @@
 	Peer__Fact *fact_pointers[MESSAGE_FACTS_MAX];
 	Peer__Reader readers[GOSSIP_POLLERS_MAX];
 	Peer__Reader *reader_pointers[GOSSIP_POLLERS_MAX];
+	evidence_scratch_t evidence[GOSSIP_EVIDENCE_MAX];
+	Peer__Evidence *evidence_pointers[GOSSIP_EVIDENCE_MAX];
 } scratch_t;
 
 static uint32_t encode_age_ms(pimento_usec_t age)
@@ -66,6 +74,25 @@
 	message->readers = scratch->reader_pointers;
 }
 
+static void fill_evidence(evidence_scratch_t *scratch,
+			  const quarantine_evidence_t *evidence)
+{
+	Peer__Evidence *message = &scratch->message;
+
+	peer__evidence__init(message);
+	message->part = evidence->part;
+	if (evidence->answered)
+		message->answered_ms = encode_age_ms(-evidence->answered_at);
+	for (uint32_t i = 0; i < evidence->end_count; i++) {
+		scratch->processes[i] = evidence->ends[i].process;
+		scratch->ages_ms[i] = encode_age_ms(-evidence->ends[i].at);
+	}
+	message->n_processes = evidence->end_count;
+	message->processes = scratch->processes;
+	message->n_ages_ms = evidence->end_count;
+	message->ages_ms = scratch->ages_ms;
+}
+
 static void fill_reports(Peer__Note *message, const gossip_message_t *gossip,
 			 scratch_t *scratch)
 {
@@ -102,6 +129,12 @@
 			(uint32_t)(gossip->owner_reports[i].age / PIMENTO_MSEC);
 		scratch->owned_pointers[i] = &scratch->owned[i];
 	}
+	for (uint32_t i = 0; i < gossip->evidence_count; i++) {
+		fill_evidence(&scratch->evidence[i], &gossip->evidence[i]);
+		scratch->evidence_pointers[i] = &scratch->evidence[i].message;
+	}
+	message->n_evidence = gossip->evidence_count;
+	message->evidence = scratch->evidence_pointers;
 	message->n_owned = gossip->owner_report_count;
 	message->owned = scratch->owned_pointers;
 	message->n_loads = gossip->load_count;
@@ -136,7 +169,7 @@
  * not sent for its size, the host would appear unresponsive. After surplus owner
  * reports, loads are dropped first, as owners count the requests that they
  * granted anyway; then the reports of other owners' endpoints, which follow the
- * sender's own; and quotas last.
+ * sender's own; then quotas, and evidence about parts of prompts last.
  */
 static void trim_to_size(Peer__Packet *message, size_t size)
 {
@@ -146,6 +179,7 @@
 	trim_list(message, size, &out->n_loads, 0);
 	trim_list(message, size, &out->n_owned, 0);
 	trim_list(message, size, &out->n_quotas, 0);
+	trim_list(message, size, &out->n_evidence, 0);
 }
 
 static int pack_gossip(const gossip_message_t *gossip, uint8_t *bytes,
@@ -243,6 +277,23 @@
 	return encode(&message, bytes, size);
 }
 
+static int pack_trial(const packet_trial_t *trial, uint8_t *bytes, size_t size)
+{
+	Peer__Packet message = PEER__PACKET__INIT;
+	Peer__Trial out = PEER__TRIAL__INIT;
+	evidence_scratch_t scratch;
+
+	out.kind = trial->kind;
+	out.address = trial->address;
+	out.ticket = trial->ticket;
+	out.suspects = trial->suspects;
+	fill_evidence(&scratch, &trial->evidence);
+	out.evidence = &scratch.message;
+	message.content_case = PEER__PACKET__CONTENT_TRIAL;
+	message.trial = &out;
+	return encode(&message, bytes, size);
+}
+
 static int pack_quota(const quota_message_t *quota, uint8_t *bytes, size_t size)
 {
 	Peer__Packet message = PEER__PACKET__INIT;
@@ -281,6 +332,8 @@
 					   size);
 	case PACKET_QUOTA:
 		return pack_quota(&packet->as.quota, bytes, size);
+	case PACKET_TRIAL:
+		return pack_trial(&packet->as.trial, bytes, size);
 	}
 	return PIMENTO_EINVAL;
 }
@@ -333,6 +386,34 @@
 		};
 }
 
+/* Ages beyond all that evidence is kept for tell nothing more. */
+static pimento_usec_t decode_evidence_age(uint32_t ms)
+{
+	pimento_usec_t age = decode_age_ms(ms);
+
+	return age < QUARANTINE_RETENTION ? age : QUARANTINE_RETENTION;
+}
+
+/* Ages become times before now, so that the receiver only adds its clock. */
+static void copy_evidence(quarantine_evidence_t *evidence,
+			  const Peer__Evidence *message)
+{
+	*evidence = (quarantine_evidence_t){
+		.part = message->part,
+		.answered = message->answered_ms != 0,
+		.answered_at = -decode_evidence_age(message->answered_ms),
+		.end_count =
+			clamp_count(message->n_processes, QUARANTINE_ENDS_MAX),
+	};
+	if (evidence->end_count > message->n_ages_ms)
+		evidence->end_count = (uint32_t)message->n_ages_ms;
+	for (uint32_t i = 0; i < evidence->end_count; i++)
+		evidence->ends[i] = (quarantine_end_t){
+			message->processes[i],
+			-decode_evidence_age(message->ages_ms[i]),
+		};
+}
+
 static void copy_gossip(gossip_message_t *gossip, const Peer__Note *message)
 {
 	*gossip = (gossip_message_t){
@@ -375,6 +456,10 @@
 				    .suspect =
 					    message->owned[i]->doubtful != 0 },
 		};
+	gossip->evidence_count =
+		clamp_count(message->n_evidence, GOSSIP_EVIDENCE_MAX);
+	for (uint32_t i = 0; i < gossip->evidence_count; i++)
+		copy_evidence(&gossip->evidence[i], message->evidence[i]);
 	copy_membership(gossip, message);
 }
 
@@ -459,6 +544,20 @@
 	return 0;
 }
 
+static int copy_trial(packet_trial_t *trial, const Peer__Trial *message)
+{
+	if (message->kind >= PACKET_TRIAL_KINDS || !message->evidence)
+		return PIMENTO_EPARSE;
+	*trial = (packet_trial_t){
+		.kind = (packet_trial_kind_t)message->kind,
+		.address = message->address,
+		.ticket = message->ticket,
+		.suspects = message->suspects,
+	};
+	copy_evidence(&trial->evidence, message->evidence);
+	return 0;
+}
+
 static int copy_content(packet_t *packet, const Peer__Packet *message)
 {
 	switch (message->content_case) {
@@ -486,6 +585,9 @@
 	case PEER__PACKET__CONTENT_QUOTA:
 		packet->kind = PACKET_QUOTA;
 		return copy_quota(&packet->as.quota, message->quota);
+	case PEER__PACKET__CONTENT_TRIAL:
+		packet->kind = PACKET_TRIAL;
+		return copy_trial(&packet->as.trial, message->trial);
 	default:
 		return PIMENTO_EPARSE; /* packet of a newer version, or malformed */
 	}
--- a/src/packet.h
+++ b/src/packet.h
@@ -20,9 +20,27 @@
 	PACKET_SLOT_REPLY,
 	PACKET_SLOT_RELEASE,
 	PACKET_RUNNING_REPORT,
-	PACKET_QUOTA
+	PACKET_QUOTA,
+	PACKET_TRIAL
 } packet_kind_t;
 
+typedef enum packet_trial_kind {
+	PACKET_TRIAL_REQUEST,
+	PACKET_TRIAL_GRANT,
+	PACKET_TRIAL_DENIAL,
+	PACKET_TRIAL_RELEASE,
+	PACKET_TRIAL_KINDS
+} packet_trial_kind_t;
+
+/* A trial of a request with a part that is not clear; see quarantine.h. */
+typedef struct packet_trial {
+	packet_trial_kind_t kind;
+	uint32_t address; /* of the sender */
+	uint64_t ticket;
+	uint32_t suspects;
+	quarantine_evidence_t evidence; /* times in it are negative ages */
+} packet_trial_t;
+
 typedef struct packet_slot_reply {
 	uint32_t endpoint; /* low 32 bits of the endpoint's key */
 	uint64_t ticket; /* ticket of the slot request that is answered */
@@ -56,6 +74,7 @@
 		packet_slot_release_t slot_release;
 		packet_running_report_t running_report;
 		quota_message_t quota;
+		packet_trial_t trial;
 	} as;
 } packet_t;
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &peer__reader__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__evidence__init
+                     (Peer__Evidence         *message)
+{
+  static const Peer__Evidence init_value = PEER__EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t peer__evidence__get_packed_size
+                     (const Peer__Evidence *message)
+{
+  assert(message->base.descriptor == &peer__evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__evidence__pack
+                     (const Peer__Evidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__evidence__pack_to_buffer
+                     (const Peer__Evidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Evidence *
+       peer__evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Evidence *)
+     protobuf_c_message_unpack (&peer__evidence__descriptor,
+                                allocator, len, data);
+}
+void   peer__evidence__free_unpacked
+                     (Peer__Evidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__note__init
                      (Peer__Note         *message)
 {
@@ -592,6 +637,51 @@
   assert(message->base.descriptor == &peer__quota_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__trial__init
+                     (Peer__Trial         *message)
+{
+  static const Peer__Trial init_value = PEER__TRIAL__INIT;
+  *message = init_value;
+}
+size_t peer__trial__get_packed_size
+                     (const Peer__Trial *message)
+{
+  assert(message->base.descriptor == &peer__trial__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__trial__pack
+                     (const Peer__Trial *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__trial__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__trial__pack_to_buffer
+                     (const Peer__Trial *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__trial__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Trial *
+       peer__trial__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Trial *)
+     protobuf_c_message_unpack (&peer__trial__descriptor,
+                                allocator, len, data);
+}
+void   peer__trial__free_unpacked
+                     (Peer__Trial *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__trial__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__packet__init
                      (Peer__Packet         *message)
 {
@@ -1009,7 +1099,84 @@
   (ProtobufCMessageInit) peer__reader__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__note__field_descriptors[19] =
+static const ProtobufCFieldDescriptor peer__evidence__field_descriptors[4] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Evidence, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Evidence, answered_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "processes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Peer__Evidence, n_processes),
+    offsetof(Peer__Evidence, processes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages_ms",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Peer__Evidence, n_ages_ms),
+    offsetof(Peer__Evidence, ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__evidence__field_indices_by_name[] = {
+  3,   /* field[3] = ages_ms */
+  1,   /* field[1] = answered_ms */
+  0,   /* field[0] = part */
+  2,   /* field[2] = processes */
+};
+static const ProtobufCIntRange peer__evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Evidence",
+  "Evidence",
+  "Peer__Evidence",
+  "peer",
+  sizeof(Peer__Evidence),
+  4,
+  peer__evidence__field_descriptors,
+  peer__evidence__field_indices_by_name,
+  1,  peer__evidence__number_ranges,
+  (ProtobufCMessageInit) peer__evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__note__field_descriptors[20] =
 {
   {
     "address",
@@ -1239,6 +1406,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Note, n_evidence),
+    offsetof(Peer__Note, evidence),
+    &peer__evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__note__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -1246,6 +1425,7 @@
   3,   /* field[3] = echo */
   6,   /* field[6] = endpoints_age_ms */
   7,   /* field[7] = endpoints_revision */
+  19,   /* field[19] = evidence */
   12,   /* field[12] = facts */
   1,   /* field[1] = incarnation */
   4,   /* field[4] = loads */
@@ -1266,7 +1446,7 @@
   { 1, 0 },
   { 7, 4 },
   { 11, 5 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor peer__note__descriptor =
 {
@@ -1276,7 +1456,7 @@
   "Peer__Note",
   "peer",
   sizeof(Peer__Note),
-  19,
+  20,
   peer__note__field_descriptors,
   peer__note__field_indices_by_name,
   3,  peer__note__number_ranges,
@@ -2045,7 +2225,97 @@
   (ProtobufCMessageInit) peer__quota_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__packet__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer__trial__field_descriptors[5] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Trial, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Trial, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Trial, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Trial, suspects),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evidence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Trial, evidence),
+    &peer__evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__trial__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  4,   /* field[4] = evidence */
+  0,   /* field[0] = kind */
+  3,   /* field[3] = suspects */
+  2,   /* field[2] = ticket */
+};
+static const ProtobufCIntRange peer__trial__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer__trial__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Trial",
+  "Trial",
+  "Peer__Trial",
+  "peer",
+  sizeof(Peer__Trial),
+  5,
+  peer__trial__field_descriptors,
+  peer__trial__field_indices_by_name,
+  1,  peer__trial__number_ranges,
+  (ProtobufCMessageInit) peer__trial__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__packet__field_descriptors[7] =
 {
   {
     "note",
@@ -2119,6 +2389,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "trial",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Packet, content_case),
+    offsetof(Peer__Packet, trial),
+    &peer__trial__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__packet__field_indices_by_name[] = {
   1,   /* field[1] = ask */
@@ -2127,11 +2409,12 @@
   3,   /* field[3] = release */
   2,   /* field[2] = reply */
   4,   /* field[4] = report */
+  6,   /* field[6] = trial */
 };
 static const ProtobufCIntRange peer__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer__packet__descriptor =
 {
@@ -2141,7 +2424,7 @@
   "Peer__Packet",
   "peer",
   sizeof(Peer__Packet),
-  6,
+  7,
   peer__packet__field_descriptors,
   peer__packet__field_indices_by_name,
   1,  peer__packet__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Peer__Owned Peer__Owned;
 typedef struct Peer__Fact Peer__Fact;
 typedef struct Peer__Reader Peer__Reader;
+typedef struct Peer__Evidence Peer__Evidence;
 typedef struct Peer__Note Peer__Note;
 typedef struct Peer__Report Peer__Report;
 typedef struct Peer__Record Peer__Record;
@@ -28,6 +29,7 @@
 typedef struct Peer__Reply Peer__Reply;
 typedef struct Peer__Release Peer__Release;
 typedef struct Peer__QuotaMessage Peer__QuotaMessage;
+typedef struct Peer__Trial Peer__Trial;
 typedef struct Peer__Packet Peer__Packet;
 
 
@@ -160,6 +162,30 @@
     , 0, 0 }
 
 
+/*
+ * Evidence about a part of prompts under which endpoints ended; src/quarantine.h.
+ */
+struct  Peer__Evidence
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  /*
+   * 1 + age of the last answer; 0: none is known
+   */
+  uint32_t answered_ms;
+  /*
+   * Processes of endpoints that ended since, and when; the lists correspond.
+   */
+  size_t n_processes;
+  uint32_t *processes;
+  size_t n_ages_ms;
+  uint32_t *ages_ms;
+};
+#define PEER__EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__evidence__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
 /*
  * A gossip message.
  */
@@ -226,10 +252,12 @@
    * hash of the name of the sender's data centre
    */
   uint64_t datacentre;
+  size_t n_evidence;
+  Peer__Evidence **evidence;
 };
 #define PEER__NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__note__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -463,6 +491,39 @@
     , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Asks the owner of a part whether a request with it may be tried, the owner's
+ * reply, and the end of a trial.
+ */
+struct  Peer__Trial
+{
+  ProtobufCMessage base;
+  /*
+   * packet_trial_kind_t
+   */
+  uint32_t kind;
+  /*
+   * address of the sender
+   */
+  uint32_t address;
+  /*
+   * identifies the trial; chosen by the host that asks
+   */
+  uint64_t ticket;
+  /*
+   * parts of the request that are not clear
+   */
+  uint32_t suspects;
+  /*
+   * the sender's, about the part
+   */
+  Peer__Evidence *evidence;
+};
+#define PEER__TRIAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__trial__descriptor) \
+    , 0, 0, 0, 0, NULL }
+
+
 typedef enum {
   PEER__PACKET__CONTENT__NOT_SET = 0,
   PEER__PACKET__CONTENT_NOTE = 1,
@@ -470,7 +531,8 @@
   PEER__PACKET__CONTENT_REPLY = 3,
   PEER__PACKET__CONTENT_RELEASE = 4,
   PEER__PACKET__CONTENT_REPORT = 5,
-  PEER__PACKET__CONTENT_QUOTA = 6
+  PEER__PACKET__CONTENT_QUOTA = 6,
+  PEER__PACKET__CONTENT_TRIAL = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__PACKET__CONTENT__CASE)
 } Peer__Packet__ContentCase;
 
@@ -488,6 +550,7 @@
     Peer__Release *release;
     Peer__Report *report;
     Peer__QuotaMessage *quota;
+    Peer__Trial *trial;
   };
 };
 #define PEER__PACKET__INIT \
@@ -590,6 +653,25 @@
 void   peer__reader__free_unpacked
                      (Peer__Reader *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Evidence methods */
+void   peer__evidence__init
+                     (Peer__Evidence         *message);
+size_t peer__evidence__get_packed_size
+                     (const Peer__Evidence   *message);
+size_t peer__evidence__pack
+                     (const Peer__Evidence   *message,
+                      uint8_t             *out);
+size_t peer__evidence__pack_to_buffer
+                     (const Peer__Evidence   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Evidence *
+       peer__evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__evidence__free_unpacked
+                     (Peer__Evidence *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Note methods */
 void   peer__note__init
                      (Peer__Note         *message);
@@ -742,6 +824,25 @@
 void   peer__quota_message__free_unpacked
                      (Peer__QuotaMessage *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Trial methods */
+void   peer__trial__init
+                     (Peer__Trial         *message);
+size_t peer__trial__get_packed_size
+                     (const Peer__Trial   *message);
+size_t peer__trial__pack
+                     (const Peer__Trial   *message,
+                      uint8_t             *out);
+size_t peer__trial__pack_to_buffer
+                     (const Peer__Trial   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Trial *
+       peer__trial__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__trial__free_unpacked
+                     (Peer__Trial *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Packet methods */
 void   peer__packet__init
                      (Peer__Packet         *message);
@@ -778,6 +879,9 @@
 typedef void (*Peer__Reader_Closure)
                  (const Peer__Reader *message,
                   void *closure_data);
+typedef void (*Peer__Evidence_Closure)
+                 (const Peer__Evidence *message,
+                  void *closure_data);
 typedef void (*Peer__Note_Closure)
                  (const Peer__Note *message,
                   void *closure_data);
@@ -802,6 +906,9 @@
 typedef void (*Peer__QuotaMessage_Closure)
                  (const Peer__QuotaMessage *message,
                   void *closure_data);
+typedef void (*Peer__Trial_Closure)
+                 (const Peer__Trial *message,
+                  void *closure_data);
 typedef void (*Peer__Packet_Closure)
                  (const Peer__Packet *message,
                   void *closure_data);
@@ -816,6 +923,7 @@
 extern const ProtobufCMessageDescriptor peer__owned__descriptor;
 extern const ProtobufCMessageDescriptor peer__fact__descriptor;
 extern const ProtobufCMessageDescriptor peer__reader__descriptor;
+extern const ProtobufCMessageDescriptor peer__evidence__descriptor;
 extern const ProtobufCMessageDescriptor peer__note__descriptor;
 extern const ProtobufCMessageDescriptor peer__report__descriptor;
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
@@ -824,6 +932,7 @@
 extern const ProtobufCMessageDescriptor peer__reply__descriptor;
 extern const ProtobufCMessageDescriptor peer__release__descriptor;
 extern const ProtobufCMessageDescriptor peer__quota_message__descriptor;
+extern const ProtobufCMessageDescriptor peer__trial__descriptor;
 extern const ProtobufCMessageDescriptor peer__packet__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/peers.c
+++ b/src/peers.c
@@ -460,6 +460,11 @@
 	return owner ? (uint32_t)owner : peers->self;
 }
 
+bool peers_is_known(const peers_t *peers, uint32_t address)
+{
+	return find_peer(peers, address) != NULL;
+}
+
 bool peers_is_dead(const peers_t *peers, uint32_t address)
 {
 	return membership_state(&peers->membership, address) == HOST_DEAD;
--- a/src/peers.h
+++ b/src/peers.h
@@ -10,6 +10,7 @@
  * permits running a request.
  */
 
+#include "quarantine.h"
 #include "quota.h"
 #include "registry.h"
 #include "membership.h"
@@ -25,6 +26,7 @@
  */
 #define GOSSIP_FACTS_NORMAL 16
 #define GOSSIP_POLLERS_MAX 10
+#define GOSSIP_EVIDENCE_MAX 8
 /*
  * Number of hosts that poll the platform's store. Each change of the store
  * costs one call per poller, and the rate of calls that the store permits grows
@@ -89,11 +91,14 @@
 	uint32_t quota_count;
 	uint32_t poller_count;
 	uint32_t owner_report_count;
+	uint32_t evidence_count;
 	/* the sender's own reports come first */
 	gossip_owner_report_t owner_reports[GOSSIP_OWNER_REPORTS_MAX];
 	peers_endpoint_load_t loads[GOSSIP_LOADS_MAX];
 	quota_report_t quotas[GOSSIP_QUOTAS_MAX];
 	gossip_poller_t pollers[GOSSIP_POLLERS_MAX];
+	/* times in it are negative ages */
+	quarantine_evidence_t evidence[GOSSIP_EVIDENCE_MAX];
 } gossip_message_t;
 
 typedef struct peer {
@@ -289,6 +294,9 @@
 /* Chooses the peer no more for a while. */
 void peers_avoid_tunnel(peers_t *peers, uint32_t address, pimento_usec_t now);
 
+/* True if this host has received from the host, or has it as a seed. */
+bool peers_is_known(const peers_t *peers, uint32_t address);
+
 /* True if membership has declared the host dead. */
 bool peers_is_dead(const peers_t *peers, uint32_t address);
 
--- /dev/null
+++ b/src/quarantine.c
@@ -0,0 +1,422 @@
+#include "quarantine.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Endpoints that end within this of each other are one piece of evidence. */
+#define SAME_MOMENT (200 * PIMENTO_MSEC)
+/* Reports of one end differ by the time that they took. */
+#define SAME_END (1 * PIMENTO_SEC)
+/* Ages that are passed on change a little each time: less than this is no news. */
+#define NO_NEWS (100 * PIMENTO_MSEC)
+/* A part with an answer so lately needs further ends to count as suspect. */
+#define PROVEN_SPAN (600 * PIMENTO_SEC)
+#define PROVEN_ENDS 3
+/* From an end to the next request, while a part is suspect. */
+#define SUSPECT_DELAY (50 * PIMENTO_MSEC)
+#define SUSPECT_DELAY_GROWTH 5
+#define HELD_GROWTH 8
+#define LEASE_SPAN (5 * PIMENTO_SEC)
+/* For how long a part that was cleared is reported. */
+#define CLEARED_SPAN (30 * PIMENTO_SEC)
+/* Records that changed so lately are reported before all others. */
+#define NEWS_SPAN (3 * PIMENTO_SEC)
+
+void quarantine_init(quarantine_t *q, const quarantine_limits_t *limits)
+{
+	memset(q, 0, sizeof(*q));
+	q->limits = *limits;
+}
+
+void quarantine_finish(quarantine_t *q)
+{
+	free(q->records);
+	q->records = NULL;
+	q->count = 0;
+	q->size = 0;
+}
+
+const char *quarantine_state_name(quarantine_state_t state)
+{
+	static const char *const names[] = { "clear", "suspect", "held" };
+
+	return names[state];
+}
+
+/* Evidence of a single part. */
+
+static uint32_t count_moments(const quarantine_evidence_t *evidence)
+{
+	pimento_usec_t last = 0;
+	uint32_t moments = 0;
+
+	for (uint32_t i = 0; i < evidence->end_count; i++) {
+		pimento_usec_t at = evidence->ends[i].at;
+
+		if (moments && at - last < SAME_MOMENT)
+			continue;
+		last = at;
+		moments++;
+	}
+	return moments;
+}
+
+/* Ends that count against a part, beyond those that an answer outweighs. */
+static uint32_t count_weight(const quarantine_evidence_t *evidence)
+{
+	uint32_t moments = count_moments(evidence);
+
+	if (!moments || !evidence->answered ||
+	    evidence->ends[0].at - evidence->answered_at > PROVEN_SPAN)
+		return moments;
+	return moments > PROVEN_ENDS ? moments - PROVEN_ENDS : 0;
+}
+
+static void remove_end(quarantine_evidence_t *evidence, uint32_t index)
+{
+	evidence->end_count--;
+	memmove(&evidence->ends[index], &evidence->ends[index + 1],
+		(evidence->end_count - index) * sizeof(evidence->ends[0]));
+}
+
+static void insert_end(quarantine_evidence_t *evidence,
+		       const quarantine_end_t *end)
+{
+	uint32_t i = evidence->end_count++;
+
+	while (i > 0 && evidence->ends[i - 1].at > end->at) {
+		evidence->ends[i] = evidence->ends[i - 1];
+		i--;
+	}
+	evidence->ends[i] = *end;
+}
+
+static bool is_same_end(const quarantine_end_t *a, const quarantine_end_t *b)
+{
+	pimento_usec_t apart = a->at > b->at ? a->at - b->at : b->at - a->at;
+
+	return a->process == b->process && apart < SAME_END;
+}
+
+/* Returns true if it is news. */
+static bool merge_end(quarantine_evidence_t *evidence,
+		      const quarantine_end_t *end)
+{
+	bool known = false;
+
+	if (evidence->answered && end->at <= evidence->answered_at)
+		return false;
+	for (uint32_t i = evidence->end_count; i-- > 0;) {
+		if (!is_same_end(&evidence->ends[i], end))
+			continue;
+		if (end->at > evidence->ends[i].at - NO_NEWS)
+			return false;
+		remove_end(evidence, i);
+		known = true;
+	}
+	if (evidence->end_count == QUARANTINE_ENDS_MAX) {
+		if (end->at < evidence->ends[0].at)
+			return false;
+		remove_end(evidence, 0);
+	}
+	insert_end(evidence, end);
+	return !known;
+}
+
+static bool merge_answer(quarantine_evidence_t *evidence, pimento_usec_t at)
+{
+	if (evidence->answered && at < evidence->answered_at + NO_NEWS)
+		return false;
+	evidence->answered = true;
+	evidence->answered_at = at;
+	while (evidence->end_count && evidence->ends[0].at <= at)
+		remove_end(evidence, 0);
+	return true;
+}
+
+/* The table. */
+
+static quarantine_answer_t *answer_slot(quarantine_t *q, uint64_t part)
+{
+	uint64_t mixed = part * 0x9e3779b97f4a7c15u;
+
+	return &q->answers[(mixed >> 32) & (QUARANTINE_ANSWERS_MAX - 1)];
+}
+
+static quarantine_record_t *find(const quarantine_t *q, uint64_t part)
+{
+	for (uint32_t i = 0; i < q->count; i++)
+		if (q->records[i].evidence.part == part)
+			return &q->records[i];
+	return NULL;
+}
+
+const quarantine_record_t *quarantine_find(const quarantine_t *q, uint64_t part)
+{
+	return find(q, part);
+}
+
+static void remove_record(quarantine_t *q, uint32_t index)
+{
+	q->records[index] = q->records[--q->count];
+}
+
+/* The record that is missed least: fewest ends, then the oldest. */
+static uint32_t least_record(const quarantine_t *q)
+{
+	uint32_t least = 0;
+
+	for (uint32_t i = 1; i < q->count; i++) {
+		const quarantine_record_t *a = &q->records[i];
+		const quarantine_record_t *b = &q->records[least];
+
+		if (a->evidence.end_count < b->evidence.end_count ||
+		    (a->evidence.end_count == b->evidence.end_count &&
+		     a->changed_at < b->changed_at))
+			least = i;
+	}
+	return least;
+}
+
+static bool grow(quarantine_t *q)
+{
+	uint32_t size = q->size ? q->size * 2 : 8;
+	quarantine_record_t *grown =
+		realloc(q->records, size * sizeof(*q->records));
+
+	if (!grown)
+		return false;
+	q->records = grown;
+	q->size = size;
+	return true;
+}
+
+/* Returns NULL if memory is exhausted. */
+static quarantine_record_t *find_or_add(quarantine_t *q, uint64_t part)
+{
+	const quarantine_answer_t *answer = answer_slot(q, part);
+	quarantine_record_t *record = find(q, part);
+
+	if (record)
+		return record;
+	if (q->count == QUARANTINE_RECORDS_MAX)
+		remove_record(q, least_record(q));
+	if (q->count == q->size && !grow(q))
+		return NULL;
+	record = &q->records[q->count++];
+	*record = (quarantine_record_t){ .evidence.part = part };
+	if (answer->part == part)
+		(void)merge_answer(&record->evidence, answer->at);
+	return record;
+}
+
+static void note_change(quarantine_record_t *record, pimento_usec_t now)
+{
+	record->changed_at = now;
+	record->lease_ticket = 0;
+}
+
+void quarantine_add_end(quarantine_t *q, uint64_t part,
+			const quarantine_end_t *end, pimento_usec_t now)
+{
+	quarantine_record_t *record = find_or_add(q, part);
+
+	if (record && merge_end(&record->evidence, end))
+		note_change(record, now);
+}
+
+void quarantine_add_answer(quarantine_t *q, uint64_t part, pimento_usec_t now)
+{
+	quarantine_record_t *record = q->count ? find(q, part) : NULL;
+
+	*answer_slot(q, part) = (quarantine_answer_t){ part, now };
+	if (record && merge_answer(&record->evidence, now))
+		note_change(record, now);
+}
+
+void quarantine_merge(quarantine_t *q, const quarantine_evidence_t *evidence,
+		      pimento_usec_t now)
+{
+	quarantine_record_t *record = find(q, evidence->part);
+	bool changed = false;
+
+	if (!record && !evidence->end_count)
+		return;
+	record = find_or_add(q, evidence->part);
+	if (!record)
+		return;
+	if (evidence->answered)
+		changed =
+			merge_answer(&record->evidence, evidence->answered_at);
+	for (uint32_t i = 0; i < evidence->end_count; i++)
+		changed |= merge_end(&record->evidence, &evidence->ends[i]);
+	if (changed)
+		note_change(record, now);
+}
+
+void quarantine_shift(quarantine_evidence_t *evidence, pimento_usec_t span)
+{
+	evidence->answered_at += span;
+	for (uint32_t i = 0; i < evidence->end_count; i++)
+		evidence->ends[i].at += span;
+}
+
+/* Decisions. */
+
+quarantine_state_t quarantine_state(const quarantine_t *q,
+				    const quarantine_record_t *record)
+{
+	uint32_t weight = count_weight(&record->evidence);
+
+	if (!weight)
+		return QUARANTINE_CLEAR;
+	return weight < q->limits.ends ? QUARANTINE_SUSPECT : QUARANTINE_HELD;
+}
+
+static pimento_usec_t trial_delay(const quarantine_t *q, uint32_t weight)
+{
+	pimento_usec_t delay = SUSPECT_DELAY;
+
+	if (weight < q->limits.ends) {
+		for (uint32_t i = 1; i < weight; i++)
+			delay *= SUSPECT_DELAY_GROWTH;
+		return delay;
+	}
+	delay = q->limits.interval;
+	for (uint32_t i = q->limits.ends; i < weight; i++)
+		if (delay < q->limits.interval_max)
+			delay *= HELD_GROWTH;
+	return delay < q->limits.interval_max ? delay : q->limits.interval_max;
+}
+
+pimento_usec_t quarantine_trial_at(const quarantine_t *q,
+				   const quarantine_record_t *record,
+				   uint32_t suspects)
+{
+	const quarantine_evidence_t *evidence = &record->evidence;
+	uint32_t weight = count_weight(evidence);
+
+	if (!weight)
+		return evidence->answered_at;
+	/*
+	 * Requests in which this part is the only suspect go first: they tell
+	 * most, and a sound part among crashing ones is cleared by them.
+	 */
+	return evidence->ends[evidence->end_count - 1].at +
+	       trial_delay(q, weight) * suspects;
+}
+
+quarantine_verdict_t quarantine_judge(const quarantine_t *q,
+				      const uint64_t *parts, uint32_t count,
+				      pimento_usec_t now)
+{
+	quarantine_verdict_t verdict = { .state = QUARANTINE_CLEAR,
+					 .trial_at = now };
+	const quarantine_record_t *found[QUARANTINE_RECORDS_MAX];
+	uint32_t most = 0;
+
+	if (!q->count)
+		return verdict;
+	for (uint32_t i = 0; i < count; i++) {
+		const quarantine_record_t *record = find(q, parts[i]);
+		uint32_t weight = record ? count_weight(&record->evidence) : 0;
+
+		if (!weight || verdict.suspects == QUARANTINE_RECORDS_MAX)
+			continue;
+		found[verdict.suspects++] = record;
+		if (weight < most ||
+		    (weight == most && parts[i] > verdict.part))
+			continue;
+		most = weight;
+		verdict.part = parts[i];
+		verdict.state = quarantine_state(q, record);
+	}
+	for (uint32_t i = 0; i < verdict.suspects; i++) {
+		pimento_usec_t at =
+			quarantine_trial_at(q, found[i], verdict.suspects);
+
+		if (at > verdict.trial_at)
+			verdict.trial_at = at;
+	}
+	return verdict;
+}
+
+bool quarantine_lease(quarantine_t *q, uint64_t part, uint32_t suspects,
+		      uint64_t ticket, pimento_usec_t now)
+{
+	quarantine_record_t *record = find(q, part);
+
+	if (!record || quarantine_state(q, record) == QUARANTINE_CLEAR)
+		return true;
+	if (record->lease_ticket && record->lease_ticket != ticket &&
+	    record->lease_until > now)
+		return false;
+	if (quarantine_trial_at(q, record, suspects) > now)
+		return false;
+	record->lease_ticket = ticket;
+	record->lease_until = now + LEASE_SPAN;
+	return true;
+}
+
+void quarantine_release(quarantine_t *q, uint64_t part, uint64_t ticket)
+{
+	quarantine_record_t *record = find(q, part);
+
+	if (record && record->lease_ticket == ticket)
+		record->lease_ticket = 0;
+}
+
+/* Reports. */
+
+static bool is_news(const quarantine_record_t *record, pimento_usec_t now)
+{
+	return now - record->changed_at < NEWS_SPAN;
+}
+
+uint32_t quarantine_report(quarantine_t *q, quarantine_evidence_t *evidence,
+			   uint32_t max, pimento_usec_t now)
+{
+	uint32_t start = q->count ? q->next_report % q->count : 0;
+	uint32_t count = 0;
+
+	for (int news = 1; news >= 0; news--)
+		for (uint32_t i = 0; i < q->count && count < max; i++) {
+			uint32_t index = (start + i) % q->count;
+			const quarantine_record_t *record = &q->records[index];
+
+			if (is_news(record, now) != (news != 0))
+				continue;
+			evidence[count++] = record->evidence;
+			q->next_report = index + 1;
+		}
+	return count;
+}
+
+const quarantine_record_t *quarantine_next_change(quarantine_t *q)
+{
+	for (uint32_t i = 0; i < q->count; i++) {
+		quarantine_record_t *record = &q->records[i];
+		quarantine_state_t state = quarantine_state(q, record);
+
+		if (record->reported == state)
+			continue;
+		record->reported = state;
+		return record;
+	}
+	return NULL;
+}
+
+static bool is_old(const quarantine_evidence_t *evidence, pimento_usec_t now)
+{
+	if (evidence->end_count)
+		return now - evidence->ends[evidence->end_count - 1].at >
+		       QUARANTINE_RETENTION;
+	return now - evidence->answered_at > CLEARED_SPAN;
+}
+
+void quarantine_tick(quarantine_t *q, pimento_usec_t now)
+{
+	for (uint32_t i = q->count; i-- > 0;)
+		if (is_old(&q->records[i].evidence, now))
+			remove_record(q, i);
+}
--- a/test/test_crashing_prompts.c
+++ b/test/test_crashing_prompts.c
@@ -12,6 +12,7 @@
 
 enum {
 	HOSTS = 3,
+	MANY_HOSTS = 24,
 	WORKERS = 4,
 	SOUND_CALLERS = 6,
 	GUILTY_CALLERS = 3,
@@ -25,7 +26,6 @@
 	CRASHES_FREE = 5,
 	FOUND_MS = 3000,
 	CRASHES_AFTER = 3,
-	UNHARMED_MS = 6000,
 	CRASHES_MAX = 1000,
 	CALLS_MAX = 4000 /* of one caller */
 };
@@ -47,13 +47,19 @@
 	const char *name;
 	const char *guilty_path;
 	const char *guilty_parts; /* without the last */
+	uint32_t hosts;
 	bool restart; /* of a host */
 } cases[] = {
-	{ "a part in the middle", EDGE_ONCE, "5c1e07a2:60,dead0001:40", false },
-	{ "resumable streams", EDGE_STREAM, "5c1e07a2:60,dead0001:40", false },
-	{ "the first part", EDGE_ONCE, "dead0001:60", false },
+	{ "a part in the middle", EDGE_ONCE, "5c1e07a2:60,dead0001:40", HOSTS,
+	  false },
+	{ "resumable streams", EDGE_STREAM, "5c1e07a2:60,dead0001:40", HOSTS,
+	  false },
+	{ "the first part", EDGE_ONCE, "dead0001:60", HOSTS, false },
 	{ "two such parts, and a host that starts again", EDGE_ONCE,
-	  "5c1e07a2:60,dead0001:40,dead0002:9", true },
+	  "5c1e07a2:60,dead0001:40,dead0002:9", HOSTS, true },
+	{ "many hosts", EDGE_ONCE, "5c1e07a2:60,dead0001:40", MANY_HOSTS,
+	  false },
+	{ "a host alone", EDGE_STREAM, "5c1e07a2:60,dead0001:40", 1, false },
 };
 
 static edge_t edge;
@@ -69,7 +75,8 @@
 static void call_once(caller_t *caller)
 {
 	call_record_t *record = &caller->calls[caller->count];
-	uint32_t host = (caller->number + caller->count) % HOSTS;
+	uint32_t host =
+		(caller->number + caller->count) % cases[case_number].hosts;
 	char id[32];
 	char parts[128];
 	client_call_t call = { .method = "GET",
@@ -196,11 +203,20 @@
 	return (double)served / sent;
 }
 
-static int64_t found_at(void)
+/* Requests of one kind of caller, sent from a time on, with this status. */
+static uint32_t count_status(bool guilty, int64_t from_ms, long status)
 {
-	ck_assert_uint_gt(crash_count, 0);
-	return crashes[crash_count < CRASHES_FREE ? crash_count - 1
-						  : CRASHES_FREE - 1];
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < SOUND_CALLERS + GUILTY_CALLERS; i++)
+		for (uint32_t j = 0; j < callers[i].count; j++) {
+			const call_record_t *record = &callers[i].calls[j];
+
+			count += callers[i].guilty == guilty &&
+				 record->sent_ms >= from_ms &&
+				 record->status == status;
+		}
+	return count;
 }
 
 /* Requests with one part crash endpoint after endpoint, on and on. */
@@ -212,7 +228,7 @@
 	double after;
 
 	case_number = (uint32_t)_i;
-	edge_start_engines(&edge, HOSTS, WORKERS);
+	edge_start_engines(&edge, cases[_i].hosts, WORKERS);
 	start_callers();
 	begin = process_now_ms();
 	keep_workers_for(BEFORE_MS);
@@ -226,7 +242,8 @@
 	end = process_now_ms();
 	stop_callers();
 	before = served_share(begin, begin + BEFORE_MS);
-	after = served_share(found_at() + UNHARMED_MS, end);
+	ck_assert_uint_gt(crash_count, 0);
+	after = served_share(crashes[0] + FOUND_MS, end);
 	fprintf(stderr,
 		"%s: %u crashes, %u later than %d ms after the fifth; sound "
 		"requests served %.2f before, %.2f after\n",
@@ -234,6 +251,11 @@
 		after);
 	ck_assert_uint_le(count_charged(), CRASHES_AFTER);
 	ck_assert(after >= before / 2);
+	ck_assert_uint_eq(count_status(false, begin, 400), 0);
+	ck_assert_uint_gt(count_status(true, crashes[0] + FOUND_MS, 400), 0);
+	/* no "come again" for what would be refused again */
+	ck_assert(cases[_i].restart ||
+		  !count_status(true, crashes[0] + FOUND_MS, 503));
 	edge_stop(&edge);
 }
 END_TEST
