quarantine: operators see and release parts; trials count as evidence of their own

GET /quarantine on the port of the health check lists parts with their state, the time of the next trial and how long ago endpoints ended; DELETE /quarantine/ID releases one, on all hosts.

The end of a trial fell within 200 ms of the end before, or was taken for a second report of it when a worker came back under its name, and counted for nothing.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -10,6 +10,7 @@
 #include "headers.h"
 #include "mesh.h"
 #include "metrics.h"
+#include "quarantine_page.h"
 #include "sys.h"
 #include "trail.h"
 
@@ -243,6 +244,11 @@
 	edge_t *edge = conn->server->user;
 	strbuf_t text;
 
+	if (strncmp(conn->target.bytes, QUARANTINE_PAGE_PATH,
+		    strlen(QUARANTINE_PAGE_PATH)) == 0) {
+		quarantine_page_serve(&edge->gateway, conn);
+		return;
+	}
 	strbuf_init(&text);
 	if (strcmp(conn->target.bytes, "/metrics") == 0) {
 		write_metrics(edge, &text);
--- a/io/crashes.c
+++ b/io/crashes.c
@@ -255,11 +255,13 @@
 	       x->events.count - x->events_before >= BEGUN_EVENTS;
 }
 
+/* The same on all hosts; another one after each start of the endpoint. */
 static uint32_t process_of(const registry_endpoint_t *endpoint)
 {
-	uint64_t mixed = endpoint->key ^ (uint64_t)endpoint->started_at_ms *
-						 0x9e3779b97f4a7c15u;
+	uint64_t mixed = endpoint->key;
 
+	mixed ^= (uint64_t)endpoint->started_at_ms * 0x9e3779b97f4a7c15u;
+	mixed ^= endpoint->port * 0xbf58476d1ce4e5b9u;
 	return (uint32_t)(mixed ^ mixed >> 32);
 }
 
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* Endpoints that end within this of each other are one piece of evidence. */
-#define SAME_MOMENT (200 * PIMENTO_MSEC)
+#define SAME_MOMENT (50 * PIMENTO_MSEC)
 /* Reports of one end differ by the time that they took. */
 #define SAME_END (1 * PIMENTO_SEC)
 /* Ages that are passed on change a little each time: less than this is no news. */
--- a/test/test_crashing_prompts.c
+++ b/test/test_crashing_prompts.c
@@ -260,6 +260,87 @@
 }
 END_TEST
 
+static long call_page(uint32_t host, const char *method, const char *path,
+		      const char *expected)
+{
+	client_call_t call = { .method = method,
+			       .port = edge.hosts[host].health,
+			       .path = path };
+	client_reply_t reply;
+	long status;
+
+	client_call(&reply, &call);
+	status = reply.status;
+	ck_assert_msg(!expected || strstr(reply.body, expected), "%s",
+		      reply.body);
+	client_reply_finish(&reply);
+	return status;
+}
+
+static bool wait_held(uint32_t host, long parts)
+{
+	int64_t until = process_now_ms() + FOUND_MS;
+
+	while (process_now_ms() < until) {
+		if (edge_metric(&edge, host, "pimento_quarantine_parts_held") ==
+		    parts)
+			return true;
+		keep_workers_for(20);
+	}
+	return false;
+}
+
+/* A part that was repaired stays held until its next trial. */
+START_TEST(operators_see_and_release_a_part)
+{
+	case_number = 0;
+	edge_start_engines(&edge, HOSTS, WORKERS);
+	start_callers();
+	crashing = true;
+	for (uint32_t host = 0; host < HOSTS; host++)
+		ck_assert(wait_held(host, 1));
+	crashing = false;
+	ck_assert_int_eq(call_page(0, "GET", "/quarantine", "dead0001 held"),
+			 200);
+	ck_assert_int_eq(call_page(0, "DELETE", "/quarantine/dead", NULL), 404);
+	ck_assert_int_eq(call_page(0, "DELETE", "/quarantine/x", NULL), 400);
+	ck_assert_int_eq(call_page(0, "POST", "/quarantine", NULL), 405);
+	ck_assert_int_eq(call_page(1, "DELETE", "/quarantine/dead0001", NULL),
+			 200);
+	for (uint32_t host = 0; host < HOSTS; host++)
+		ck_assert(wait_held(host, 0));
+	stop_callers();
+	edge_stop(&edge);
+}
+END_TEST
+
+/* A host that starts sends what the others have found to crash endpoints. */
+START_TEST(a_host_that_starts_learns_of_held_parts_before_it_serves)
+{
+	case_number = 0;
+	edge_start_engines(&edge, HOSTS, WORKERS);
+	start_callers();
+	crashing = true;
+	ck_assert(wait_held(0, 1));
+	keep_workers_for(FOUND_MS); /* the first trial fails */
+	stop_callers();
+	callers[0] = (caller_t){ .number = 1, .guilty = true };
+	for (int i = 0; i < 5; i++) {
+		uint32_t before = crash_count;
+
+		process_kill(&edge.hosts[1].process);
+		edge_start_host(&edge, 1);
+		ck_assert(edge_wait_health(&edge, 1, 200, FOUND_MS));
+		callers[0].count = 0;
+		call_once(&callers[0]);
+		keep_workers();
+		ck_assert_int_eq(callers[0].calls[0].status, 400);
+		ck_assert_uint_eq(crash_count, before);
+	}
+	edge_stop(&edge);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("crashing prompts");
@@ -270,6 +351,10 @@
 		tests,
 		a_crashing_part_stops_reaching_endpoints_and_nobody_else_pays,
 		0, sizeof(cases) / sizeof(cases[0]));
+	tcase_add_test(tests, operators_see_and_release_a_part);
+	tcase_add_test(
+		tests,
+		a_host_that_starts_learns_of_held_parts_before_it_serves);
 	suite_add_tcase(suite, tests);
 	return process_run_suite(suite);
 }
