--- a/test/soak.c
+++ b/test/soak.c
@@ -28,6 +28,7 @@
 	/* until a process that was started heeds a request to stop */
 	STARTED_MS = 400,
 	CALLER_PAUSE_MS = 15,
+	CRASHING_SHARE = 6, /* one in so many streams has such a prompt */
 	SERIES_MOST = 6, /* signals or changes in one series */
 	SERIES_GAP_MS = 60, /* between two of them, at most */
 	EVENTS_MAX = 512,
@@ -59,6 +60,7 @@
 	long status; /* 0: no whole answer */
 	uint8_t kind;
 	uint8_t host;
+	bool crashing; /* its prompt crashes workers */
 	bool out_of_order;
 	bool sealed; /* the answer is a worker's own */
 } record_t;
@@ -113,6 +115,7 @@
 	/* when the data centre of a worker was evacuated; 0: it is not */
 	int64_t evacuated_ms[EDGE_WORKERS_MAX];
 	atomic_bool stopping;
+	atomic_bool crashing; /* callers send such prompts */
 	atomic_uint key; /* newest that is in force */
 	atomic_uint next;
 	_Atomic int64_t touched_ms[EDGE_HOSTS_MAX]; /* last fault there */
@@ -223,6 +226,13 @@
 	fields = add_field(fields, "Test-Events", text);
 	snprintf(text, sizeof(text), "%d", GAP_MS);
 	fields = add_field(fields, "Test-Gap-Ms", text);
+	if (caller->soak->terms.crashing) {
+		char parts[64];
+
+		snprintf(parts, sizeof(parts), "5c1e07a2:60,%s%s:100",
+			 record->crashing ? "dead0001:40,1" : "2", id + 5);
+		fields = add_field(fields, "Prefix-Hash", parts);
+	}
 	if (draw_below(&caller->draws, 10) == 0) {
 		uint32_t count = sizeof(behaviours) / sizeof(behaviours[0]);
 		uint32_t i = draw_below(&caller->draws, count);
@@ -295,6 +305,9 @@
 			(uint8_t)draw_below(&caller->draws, soak->terms.hosts);
 		if (draw_below(&caller->draws, 3) == 0)
 			record->key = soak->key;
+		record->crashing =
+			soak->crashing && record->kind <= ONCE &&
+			draw_below(&caller->draws, CRASHING_SHARE) == 0;
 		call(caller, curl, record, id);
 		process_sleep_ms(CALLER_PAUSE_MS);
 	}
@@ -568,6 +581,22 @@
 	heal_later(soak, HEAL_START_WORKER, worker, 1500);
 }
 
+/* Workers that crashed under a prompt are back after a while. */
+static void find_crashed(soak_t *soak)
+{
+	for (uint32_t i = 0; i < soak->terms.workers; i++) {
+		if (soak->worker_down[i] ||
+		    process_running(&soak->edge.workers[i]) ||
+		    soak->heal_count == HEALS_MAX)
+			continue;
+		soak->worker_down[i] = true;
+		soak->result->crashes++;
+		add_event(soak, "worker %u crashed", i);
+		read_runs(soak, i);
+		heal_later(soak, HEAL_START_WORKER, i, 1500);
+	}
+}
+
 static void fault_link(soak_t *soak, relay_t *link, heal_kind_t heal,
 		       uint32_t index)
 {
@@ -632,7 +661,7 @@
 		fault_worker(soak, worker);
 		break;
 	case 2:
-		if (!soak->terms.paths)
+		if (!soak->terms.paths && !soak->terms.crashing)
 			fault_link(soak, &soak->worker_links[worker],
 				   HEAL_WORKER_LINK, worker);
 		break;
@@ -655,6 +684,8 @@
 
 	snprintf(name, sizeof(name), "w%u-%u", worker, ++soak->starts);
 	edge_start_worker(&soak->edge, worker, name);
+	if (soak->terms.crashing)
+		edge_list_worker(&soak->edge, worker, "ready");
 	soak->worker_links[worker].target = soak->edge.workers[worker].port;
 	for (uint32_t i = 0; soak->terms.paths && i < soak->terms.hosts; i++)
 		soak->edge.paths[i][worker].target =
@@ -848,6 +879,10 @@
 		broke(soak, "a good request was denied", number);
 	if (revoked && record->runs && record->sent_ms > revoked + REVOKE_MS)
 		broke(soak, "a key that was taken away was honoured", number);
+	if (record->status == 400 && !record->crashing)
+		broke(soak, "a sound prompt was rejected", number);
+	if (record->status == 400 && record->runs)
+		broke(soak, "it was rejected as not run, and had run", number);
 	if (record->ran_evacuated)
 		broke(soak, "it ran in an evacuated data centre", number);
 	if (was_quiet(soak, record) && took > DEADLINE_MS + ANSWER_SLACK_MS)
@@ -915,7 +950,8 @@
 
 	ck_assert_int_eq(relay_init(&soak->store_link, edge->store.port), 0);
 	edge->store_front = soak->store_link.port;
-	for (uint32_t i = 0; i < soak->terms.workers; i++) {
+	for (uint32_t i = 0; !soak->terms.crashing && i < soak->terms.workers;
+	     i++) {
 		ck_assert_int_eq(relay_init(&soak->worker_links[i],
 					    edge->workers[i].port),
 				 0);
@@ -930,10 +966,24 @@
 		ck_assert(edge_wait_health(edge, i, 200, BACK_MS));
 }
 
+/* Waits for the last of the requests that crash workers. */
+static void end_crashing(soak_t *soak)
+{
+	int64_t until = process_now_ms() + DEADLINE_MS + ANSWER_SLACK_MS;
+
+	soak->crashing = false;
+	while (process_now_ms() < until) {
+		find_crashed(soak);
+		heal_due(soak, false);
+		process_sleep_ms(20);
+	}
+}
+
 static void play_faults(soak_t *soak)
 {
 	int64_t until = process_now_ms() + soak->terms.fault_ms;
 
+	soak->crashing = soak->terms.crashing;
 	while (process_now_ms() < until) {
 		fault(soak);
 		if (soak->terms.series)
@@ -943,8 +993,12 @@
 		if (soak->terms.paths)
 			play_paths(soak);
 		process_sleep_ms((int)draw_below(&soak->draws, PAUSE_MS));
+		if (soak->terms.crashing)
+			find_crashed(soak);
 		heal_due(soak, false);
 	}
+	if (soak->terms.crashing)
+		end_crashing(soak);
 	heal_due(soak, true);
 	if (soak->terms.evacuations)
 		end_evacuations(soak);
@@ -955,7 +1009,8 @@
 	if (soak->terms.paths)
 		return;
 	relay_finish(&soak->store_link);
-	for (uint32_t i = 0; i < soak->terms.workers; i++)
+	for (uint32_t i = 0; !soak->terms.crashing && i < soak->terms.workers;
+	     i++)
 		relay_finish(&soak->worker_links[i]);
 }
 
--- a/test/soak.h
+++ b/test/soak.h
@@ -6,7 +6,7 @@
  * outside: hosts that are killed, frozen, stopped and restarted, workers that
  * crash, links that are delayed, reset, cut one way or silent, a store that
  * fails, keys that are taken away, data centres that are evacuated, hosts that
- * lose their paths to workers. Callers go on all the while. What they and
+ * lose their paths to workers, prompts that crash workers. Callers go on all the while. What they and
  * the workers saw is checked against what is promised.
  */
 
@@ -29,6 +29,11 @@
 	 * at most
 	 */
 	bool paths;
+	/*
+	 * also requests with a prompt part that crashes the worker which begins
+	 * their answer, in place of faults of the links to workers
+	 */
+	bool crashing;
 } soak_terms_t;
 
 enum { SOAK_CALLERS_MAX = 64, SOAK_TEXT_MAX = 256 };
@@ -40,6 +45,7 @@
 	uint32_t refused;
 	uint32_t failed; /* a failure, or no whole answer */
 	uint32_t faults;
+	uint32_t crashes; /* of workers, under such requests */
 	uint32_t broken; /* promises */
 	char first[SOAK_TEXT_MAX]; /* the first of them; "" none */
 } soak_result_t;
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -4,6 +4,7 @@
 #include "quarantine.h"
 
 #include <check.h>
+#include <stdlib.h>
 
 enum { PART = 7, OTHER = 8, STEPS_MAX = 10, HOSTS = 6, ROUNDS = 2000 };
 
@@ -264,5 +265,5 @@
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
-	return failed != 0;
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -6,7 +6,7 @@
  *
  * SOAK_SERIES=1 adds series of signals and changes, SOAK_EVACUATIONS=1
  * evacuations, SOAK_PATHS=1 hosts without a path to any worker (6 hosts at
- * most); SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
+ * most), SOAK_CRASHING=1 prompts that crash workers; SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
  */
 
 #include "edge.h"
@@ -24,16 +24,19 @@
 	bool series;
 	bool evacuations;
 	bool paths;
+	bool crashing;
 } seeds[] = {
-	{ 1, "none, a fresh seed", false, false, false },
+	{ 1, "none, a fresh seed", false, false, false, false },
 	{ 107, "a host told to stop between fork and exec ended the test",
-	  false, false, false },
-	{ 130, "the same", false, false, false },
-	{ 2, "none, a fresh seed with series", true, false, false },
-	{ 3, "none, a fresh seed with evacuations", false, true, false },
-	{ 4, "none, a fresh seed with lost paths", true, true, true },
+	  false, false, false, false },
+	{ 130, "the same", false, false, false, false },
+	{ 2, "none, a fresh seed with series", true, false, false, false },
+	{ 3, "none, a fresh seed with evacuations", false, true, false, false },
+	{ 4, "none, a fresh seed with lost paths", true, true, true, false },
 	{ 7101, "the relay of a lost path did not listen again", true, false,
-	  true },
+	  true, false },
+	{ 5, "none, a fresh seed with prompts that crash workers", true, false,
+	  false, true },
 };
 
 static uint64_t number_of(const char *name, uint64_t otherwise)
@@ -44,7 +47,7 @@
 }
 
 static void play(uint64_t seed, const char *why, bool series, bool evacuations,
-		 bool paths)
+		 bool paths, bool crashing)
 {
 	soak_terms_t terms = {
 		.seed = seed,
@@ -55,15 +58,17 @@
 		.series = series,
 		.evacuations = evacuations,
 		.paths = paths,
+		.crashing = crashing,
 	};
 	soak_result_t result;
 
 	soak_play(&terms, &result);
 	fprintf(stderr,
 		"seed %llu: %u requests, %u served, %u refused, %u failed, "
-		"%u faults, %u promises broken\n",
+		"%u faults, %u crashes, %u promises broken\n",
 		(unsigned long long)seed, result.requests, result.served,
-		result.refused, result.failed, result.faults, result.broken);
+		result.refused, result.failed, result.faults, result.crashes,
+		result.broken);
 	ck_assert_msg(result.broken == 0, "seed %llu (%s): %u broken, first %s",
 		      (unsigned long long)seed, why, result.broken,
 		      result.first);
@@ -80,7 +85,7 @@
 START_TEST(promises_hold_under_overlapping_faults)
 {
 	play(seeds[_i].seed, seeds[_i].why, seeds[_i].series,
-	     seeds[_i].evacuations, seeds[_i].paths);
+	     seeds[_i].evacuations, seeds[_i].paths, seeds[_i].crashing);
 }
 END_TEST
 
@@ -89,7 +94,8 @@
 	play(number_of("SOAK_SEED", 1) + (uint64_t)_i, "by hand",
 	     number_of("SOAK_SERIES", 0) != 0,
 	     number_of("SOAK_EVACUATIONS", 0) != 0,
-	     number_of("SOAK_PATHS", 0) != 0);
+	     number_of("SOAK_PATHS", 0) != 0,
+	     number_of("SOAK_CRASHING", 0) != 0);
 }
 END_TEST
 
