trials: holding requests back is a file of its own

crashes.c finds ends of endpoints, trials.c keeps requests from endpoints and asks owners for trials.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -446,7 +446,7 @@
 {
 	edge_t *edge = context;
 
-	crashes_receive(&edge->gateway, trial, sys_now());
+	trials_receive(&edge->gateway, trial, sys_now());
 }
 
 static const feed_ops_t feed_ops = { .config_updated = on_configuration };
@@ -519,7 +519,7 @@
 		.mirrors = edge->feed.replicas,
 		.registry = &edge->registry,
 		.quota = &edge->gateway.quota,
-		.quarantine = &edge->gateway.crashes.quarantine,
+		.quarantine = &edge->gateway.trials.quarantine,
 		.slots = &edge->slots,
 	};
 	int error;
--- a/io/arrival.c
+++ b/io/arrival.c
@@ -249,7 +249,7 @@
 {
 	gateway_t *gateway = x->gateway;
 
-	if (crashes_check(x, sys_now()) == CRASH_REJECT) {
+	if (trials_check(x, sys_now()) == TRIAL_REJECT) {
 		exchange_reject(x);
 		return;
 	}
--- a/io/crashes.c
+++ b/io/crashes.c
@@ -8,14 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A request whose endpoint may have ended waits so long to know. */
-#define UNDECIDED_WAIT (100 * PIMENTO_MSEC)
-/* An owner that does not answer within this is asked again. */
-#define TRIAL_ANSWER (100 * PIMENTO_MSEC)
-/* Less than the owner's lease. */
-#define TRIAL_SPAN (4 * PIMENTO_SEC)
-/* Endpoints that may end under one request. */
-#define ENDS_MAX 2
 /* What is not known after this is not taken for an end of the endpoint. */
 #define DECIDED_WITHIN (3 * PIMENTO_SEC)
 /* An answer that has gone on for so long does not end its endpoint. */
@@ -23,17 +15,10 @@
 #define BEGUN_EVENTS 4
 #define CANDIDATES_MAX 256
 
-void crashes_init(crashes_t *crashes, const quarantine_limits_t *limits)
-{
-	*crashes = (crashes_t){ 0 };
-	quarantine_init(&crashes->quarantine, limits);
-}
-
 void crashes_finish(crashes_t *crashes)
 {
 	while (crashes->count)
 		crashes->candidates[--crashes->count].endpoint->refs--;
-	quarantine_finish(&crashes->quarantine);
 	free(crashes->candidates);
 	crashes->candidates = NULL;
 	crashes->size = 0;
@@ -56,198 +41,6 @@
 	return &grown[crashes->count++];
 }
 
-/* Trials. */
-
-static void send_trial(gateway_t *gateway, uint32_t address,
-		       packet_trial_kind_t kind, uint64_t part, uint64_t ticket,
-		       uint32_t suspects, pimento_usec_t now)
-{
-	const crashes_t *crashes = &gateway->crashes;
-	const quarantine_record_t *record =
-		quarantine_find(&crashes->quarantine, part);
-	packet_trial_t trial = {
-		.kind = kind,
-		.address = gateway->roster->self,
-		.ticket = ticket,
-		.suspects = suspects,
-		.evidence.part = part,
-	};
-
-	if (record)
-		trial.evidence = record->evidence;
-	quarantine_shift(&trial.evidence, -now);
-	if (crashes->send)
-		crashes->send(crashes->send_context, address, &trial);
-}
-
-/* Tells the part's owner that a trial is over, and what came of it. */
-static void release_trial(gateway_t *gateway, uint64_t part, uint64_t ticket,
-			  pimento_usec_t now)
-{
-	uint32_t owner = peers_owner(gateway->roster, part);
-
-	if (owner == gateway->roster->self)
-		quarantine_release(&gateway->crashes.quarantine, part, ticket);
-	else
-		send_trial(gateway, owner, PACKET_TRIAL_RELEASE, part, ticket,
-			   0, now);
-}
-
-static void granted(exchange_t *x, pimento_usec_t now)
-{
-	x->trial.granted = true;
-	x->trial.until = now + TRIAL_SPAN;
-	x->gateway->crashes.trials++;
-	trail(TRAIL_STATE, "quarantine", "trial", "part=%llx id=%s",
-	      (unsigned long long)x->trial.part, x->call.id);
-}
-
-static void ask_for_trial(exchange_t *x, const quarantine_verdict_t *verdict,
-			  pimento_usec_t now)
-{
-	gateway_t *gateway = x->gateway;
-	uint32_t owner = peers_owner(gateway->roster, verdict->part);
-	bool renewed = x->trial.granted && x->trial.part == verdict->part;
-
-	if (x->trial.granted && !renewed)
-		release_trial(gateway, x->trial.part, x->trial.ticket, now);
-	x->trial = (crash_trial_t){
-		.part = verdict->part,
-		.ticket = renewed ? x->trial.ticket : gateway_draw(gateway) | 1,
-		.asked_at = now,
-		.granted = renewed,
-	};
-	if (owner != gateway->roster->self)
-		send_trial(gateway, owner, PACKET_TRIAL_REQUEST, verdict->part,
-			   x->trial.ticket, verdict->suspects, now);
-	else if (quarantine_lease(&gateway->crashes.quarantine, verdict->part,
-				  verdict->suspects, x->trial.ticket, now))
-		granted(x, now);
-	else
-		x->trial.denied = true;
-}
-
-static crash_decision_t check_trial(exchange_t *x,
-				    const quarantine_verdict_t *verdict,
-				    pimento_usec_t now)
-{
-	crash_trial_t *trial = &x->trial;
-	bool asked = trial->ticket && trial->part == verdict->part &&
-		     now - trial->asked_at < TRIAL_ANSWER;
-
-	if (!asked)
-		ask_for_trial(x, verdict, now);
-	if (trial->until > now)
-		return CRASH_SEND;
-	return verdict->state == QUARANTINE_HELD && trial->denied ? CRASH_REJECT
-								  : CRASH_WAIT;
-}
-
-crash_decision_t crashes_check(exchange_t *x, pimento_usec_t now)
-{
-	const quarantine_t *quarantine = &x->gateway->crashes.quarantine;
-	quarantine_verdict_t verdict;
-
-	if (x->undecided && now - x->broke_at < UNDECIDED_WAIT)
-		return CRASH_WAIT;
-	verdict = quarantine_judge(quarantine, x->call.parts,
-				   x->call.part_count, now);
-	if (verdict.state == QUARANTINE_CLEAR)
-		return CRASH_SEND;
-	if (x->ended >= ENDS_MAX)
-		return CRASH_REJECT;
-	if (x->trial.until > now && x->trial.part == verdict.part)
-		return CRASH_SEND;
-	if (verdict.trial_at > now)
-		return verdict.state == QUARANTINE_HELD ? CRASH_REJECT
-							: CRASH_WAIT;
-	return check_trial(x, &verdict, now);
-}
-
-void crashes_sent(exchange_t *x)
-{
-	x->trial.until = 0; /* the next attempt needs another trial */
-}
-
-void crashes_answered(exchange_t *x, pimento_usec_t now)
-{
-	gateway_t *gateway = x->gateway;
-
-	x->parts_cleared = true;
-	for (uint32_t i = 0; i < x->call.part_count; i++)
-		quarantine_add_answer(&gateway->crashes.quarantine,
-				      x->call.parts[i], now);
-	if (x->trial.granted)
-		release_trial(gateway, x->trial.part, x->trial.ticket, now);
-	x->trial = (crash_trial_t){ 0 };
-}
-
-void crashes_forget(exchange_t *x)
-{
-	crashes_t *crashes = &x->gateway->crashes;
-
-	for (uint32_t i = 0; i < crashes->count; i++)
-		if (crashes->candidates[i].request == x)
-			crashes->candidates[i].request = NULL;
-	if (x->trial.granted)
-		release_trial(x->gateway, x->trial.part, x->trial.ticket,
-			      sys_now());
-}
-
-static exchange_t *find_trial(const gateway_t *gateway, uint64_t ticket)
-{
-	for (exchange_t *x = gateway->exchanges; x; x = x->next)
-		if (x->trial.ticket == ticket)
-			return x;
-	return NULL;
-}
-
-static void take_answer(gateway_t *gateway, const packet_trial_t *trial,
-			pimento_usec_t now)
-{
-	exchange_t *x = find_trial(gateway, trial->ticket);
-
-	if (!x) {
-		if (trial->kind == PACKET_TRIAL_GRANT)
-			release_trial(gateway, trial->evidence.part,
-				      trial->ticket, now);
-		return;
-	}
-	if (trial->kind == PACKET_TRIAL_GRANT)
-		granted(x, now);
-	else
-		x->trial.denied = true;
-	placing_pump(gateway, x->service);
-}
-
-void crashes_receive(gateway_t *gateway, const packet_trial_t *trial,
-		     pimento_usec_t now)
-{
-	quarantine_t *quarantine = &gateway->crashes.quarantine;
-	quarantine_evidence_t evidence = trial->evidence;
-	bool lease;
-
-	quarantine_shift(&evidence, now);
-	quarantine_merge(quarantine, &evidence, now);
-	switch (trial->kind) {
-	case PACKET_TRIAL_REQUEST:
-		lease = quarantine_lease(quarantine, evidence.part,
-					 trial->suspects, trial->ticket, now);
-		send_trial(gateway, trial->address,
-			   lease ? PACKET_TRIAL_GRANT : PACKET_TRIAL_DENIAL,
-			   evidence.part, trial->ticket, 0, now);
-		break;
-	case PACKET_TRIAL_RELEASE:
-		quarantine_release(quarantine, evidence.part, trial->ticket);
-		break;
-	default:
-		take_answer(gateway, trial, now);
-		break;
-	}
-}
-
-/* Ends of endpoints. */
-
 bool crashes_has_begun(const exchange_t *x, pimento_usec_t now)
 {
 	return x->first_event_at && x->first_event_at >= x->sent_at &&
@@ -290,7 +83,7 @@
 	endpoint->refs++;
 	x->undecided = true;
 	x->broke_at = now;
-	x->trial = (crash_trial_t){ 0 }; /* the candidate has it now */
+	x->trial = (trial_t){ 0 }; /* the candidate has it now */
 	if (endpoint->ended_at)
 		crashes_ended(x->gateway, endpoint, now);
 	else
@@ -304,7 +97,7 @@
 static void charge(gateway_t *gateway, const crash_candidate_t *candidate,
 		   pimento_usec_t now)
 {
-	quarantine_t *quarantine = &gateway->crashes.quarantine;
+	quarantine_t *quarantine = &gateway->trials.quarantine;
 	const quarantine_end_t end = { candidate->process,
 				       candidate->broke_at };
 	quarantine_verdict_t verdict = quarantine_judge(
@@ -332,8 +125,8 @@
 	if (candidate->request)
 		candidate->request->undecided = false;
 	if (candidate->trial_ticket)
-		release_trial(gateway, candidate->trial_part,
-			      candidate->trial_ticket, now);
+		trials_release(gateway, candidate->trial_part,
+			       candidate->trial_ticket, now);
 	candidate->endpoint->refs--;
 	*candidate = crashes->candidates[--crashes->count];
 }
@@ -396,30 +189,18 @@
 	conclude(gateway, endpoint, endpoint->incarnation, now);
 }
 
-static void log_change(const quarantine_t *quarantine,
-		       const quarantine_record_t *record, pimento_usec_t now)
+void crashes_forget(exchange_t *x)
 {
-	const quarantine_evidence_t *evidence = &record->evidence;
+	crashes_t *crashes = &x->gateway->crashes;
 
-	trail(TRAIL_STATE, "quarantine",
-	      quarantine_state_name(record->reported),
-	      "part=%llx ends=%u answered_ms=%lld trial_in_ms=%lld",
-	      (unsigned long long)evidence->part, evidence->end_count,
-	      evidence->answered ? (long long)((now - evidence->answered_at) /
-					       PIMENTO_MSEC)
-				 : -1,
-	      (long long)((quarantine_trial_at(quarantine, record, 1) - now) /
-			  PIMENTO_MSEC));
+	for (uint32_t i = 0; i < crashes->count; i++)
+		if (crashes->candidates[i].request == x)
+			crashes->candidates[i].request = NULL;
 }
 
 void crashes_tick(gateway_t *gateway, pimento_usec_t now)
 {
 	crashes_t *crashes = &gateway->crashes;
-	const quarantine_record_t *record;
-
-	while ((record = quarantine_next_change(&crashes->quarantine)))
-		log_change(&crashes->quarantine, record, now);
-	quarantine_tick(&crashes->quarantine, now);
 
 	for (uint32_t i = crashes->count; i-- > 0;) {
 		const crash_candidate_t *candidate;
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -153,7 +153,7 @@
 		dispatch_over(x, PIMENTO_NOT_RUN, 0, "no_time");
 		return;
 	}
-	if (crashes_check(x, now) != CRASH_SEND) {
+	if (trials_check(x, now) != TRIAL_SEND) {
 		dispatch_over(x, PIMENTO_NOT_RUN, 0, "quarantined");
 		return;
 	}
@@ -173,7 +173,7 @@
 		return;
 	}
 	x->state = EXCHANGE_SENT;
-	crashes_sent(x);
+	trials_sent(x);
 	snprintf(x->sent_to, sizeof(x->sent_to), "%s", x->endpoint->id);
 	x->sent_at = now;
 	x->acknowledged = false;
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -115,6 +115,7 @@
 		wait_queue_remove(&service->line, &x->wait);
 	admission_abandon(x);
 	crashes_forget(x);
+	trials_forget(x);
 	dispatch_abandon(x);
 	placing_leave_lines(x);
 	if (x->caller)
@@ -208,13 +209,13 @@
 void exchange_reject(exchange_t *x)
 {
 	quarantine_verdict_t verdict =
-		quarantine_judge(&x->gateway->crashes.quarantine, x->call.parts,
+		quarantine_judge(&x->gateway->trials.quarantine, x->call.parts,
 				 x->call.part_count, sys_now());
 	const char *why = "quarantined";
 	char text[96];
 	int length;
 
-	x->gateway->crashes.rejected++;
+	x->gateway->trials.rejected++;
 	trail(TRAIL_FAILURE, "quarantine", "rejected",
 	      "id=%s part=%llx state=%s ended=%u runs=%u trial_in_ms=%lld",
 	      x->call.id, (unsigned long long)verdict.part,
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -50,7 +50,7 @@
 	uint64_t given; /* ticket of a place that was granted while asking */
 	exchange_place_t place; /* that it was given, for this attempt */
 	latency_outcome_t finding; /* of this attempt */
-	crash_trial_t trial;
+	trial_t trial;
 
 	/* The attempt under way. */
 	pimento_usec_t begun_at; /* when it got its slot */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -169,6 +169,7 @@
 		add_up_peers(gateway, now);
 	paths_tick(gateway, now);
 	crashes_tick(gateway, now);
+	trials_tick(gateway, now);
 	while (sweep_one(gateway, now))
 		;
 	for (uint32_t i = 0; i < gateway->service_count; i++)
@@ -213,7 +214,7 @@
 void gateway_set_bounds(gateway_t *gateway, const gateway_bounds_t *bounds)
 {
 	gateway->bounds = *bounds;
-	gateway->crashes.quarantine.limits = bounds->quarantine;
+	gateway->trials.quarantine.limits = bounds->quarantine;
 }
 
 int gateway_init(gateway_t *gateway, const gateway_setup_t *setup)
@@ -244,9 +245,9 @@
 	gateway->draws = sys_random();
 	gateway->send_quota = setup->send_quota;
 	gateway->send_context = setup->send_context;
-	crashes_init(&gateway->crashes, &setup->bounds.quarantine);
-	gateway->crashes.send = setup->send_trial;
-	gateway->crashes.send_context = setup->send_context;
+	trials_init(&gateway->trials, &setup->bounds.quarantine);
+	gateway->trials.send = setup->send_trial;
+	gateway->trials.send_context = setup->send_context;
 	admission_init(gateway, setup);
 	dispatch_init(gateway);
 	gateway->pool.peer_port = setup->peer_port;
@@ -263,6 +264,7 @@
 {
 	httpd_finish(&gateway->front);
 	crashes_finish(&gateway->crashes);
+	trials_finish(&gateway->trials);
 	for (uint32_t i = 0; i < gateway->registry->count; i++)
 		pool_close(gateway->registry->endpoints[i]);
 	for (uint32_t i = 0; i < gateway->service_count; i++)
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -11,6 +11,7 @@
 #include "dialect.h"
 #include "httpd.h"
 #include "slots.h"
+#include "trials.h"
 #include "pool.h"
 
 #include "../src/quota_fleet.h"
@@ -109,6 +110,7 @@
 	uint32_t route_count;
 	struct exchange *exchanges;
 	crashes_t crashes;
+	trials_t trials;
 	gateway_counters_t counters;
 	uint64_t ticks;
 	uint64_t draws; /* state of the random numbers */
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -97,8 +97,8 @@
 	counter(text, "endpoints_ended_total", gateway->crashes.ended);
 	counter(text, "endpoints_ended_requests_total",
 		gateway->crashes.requests);
-	counter(text, "quarantine_rejected_total", gateway->crashes.rejected);
-	counter(text, "quarantine_trials_total", gateway->crashes.trials);
+	counter(text, "quarantine_rejected_total", gateway->trials.rejected);
+	counter(text, "quarantine_trials_total", gateway->trials.granted);
 	counter(text, "tunnels_opened_total", gateway->pool.tunnels);
 	counter(text, "tunnels_carried_total", sources->mesh->tunnels.opened);
 	counter(text, "tunnels_refused_total", sources->mesh->tunnels.refused);
@@ -131,7 +131,7 @@
 	histogram(text, "first_byte_seconds", &counters->first);
 	histogram(text, "wait_seconds", &counters->waited);
 	services(text, gateway, sources->now);
-	quarantine_parts(text, &gateway->crashes.quarantine);
+	quarantine_parts(text, &gateway->trials.quarantine);
 	gauge(text, "paths_lost", paths_lost(gateway->registry));
 	gauge(text, "tunnels_carried", sources->mesh->tunnels.count);
 	gauge(text, "peers", peers_host_count(gateway->roster, sources->now));
--- a/io/placing.c
+++ b/io/placing.c
@@ -344,11 +344,11 @@
 static step_t step(exchange_t *x, pimento_usec_t now)
 {
 	registry_endpoint_t *endpoint = NULL;
-	crash_decision_t decision = crashes_check(x, now);
+	trial_decision_t decision = trials_check(x, now);
 
-	if (decision == CRASH_WAIT)
+	if (decision == TRIAL_WAIT)
 		return STEP_HELD;
-	if (decision == CRASH_REJECT) {
+	if (decision == TRIAL_REJECT) {
 		exchange_reject(x);
 		return STEP_MOVED;
 	}
--- a/io/quarantine_page.c
+++ b/io/quarantine_page.c
@@ -56,7 +56,7 @@
 
 void quarantine_page_serve(gateway_t *gateway, httpd_conn_t *conn)
 {
-	quarantine_t *quarantine = &gateway->crashes.quarantine;
+	quarantine_t *quarantine = &gateway->trials.quarantine;
 	const char *rest = conn->target.bytes + strlen(QUARANTINE_PAGE_PATH);
 	int method = conn->parser.method;
 
--- a/io/relay.c
+++ b/io/relay.c
@@ -247,7 +247,7 @@
 	x->event_at = now;
 	if (!x->parts_cleared && x->call.part_count &&
 	    crashes_has_begun(x, now))
-		crashes_answered(x, now);
+		trials_answered(x, now);
 	placing_tell_pace(x);
 	httpd_write(x->caller, x->events.partial.bytes, (size_t)whole);
 	sse_consume(&x->events, (size_t)whole);
@@ -293,7 +293,7 @@
 static void clear_parts(exchange_t *x)
 {
 	if (x->call.part_count && x->status / 100 == 2 && !x->conn->until_close)
-		crashes_answered(x, sys_now());
+		trials_answered(x, sys_now());
 }
 
 static void end_stream(exchange_t *x)
