--- a/test/soak.c
+++ b/test/soak.c
@@ -678,6 +678,16 @@
 	}
 }
 
+static void list_worker(soak_t *soak, uint32_t worker)
+{
+	char datacentre[16];
+
+	snprintf(datacentre, sizeof(datacentre), "dc%u", worker);
+	edge_list_worker_in(&soak->edge, worker,
+			    soak->terms.evacuations ? datacentre : "a",
+			    "ready");
+}
+
 static void start_worker(soak_t *soak, uint32_t worker)
 {
 	char name[16];
@@ -685,7 +695,7 @@
 	snprintf(name, sizeof(name), "w%u-%u", worker, ++soak->starts);
 	edge_start_worker(&soak->edge, worker, name);
 	if (soak->terms.crashing)
-		edge_list_worker(&soak->edge, worker, "ready");
+		list_worker(soak, worker);
 	soak->worker_links[worker].target = soak->edge.workers[worker].port;
 	for (uint32_t i = 0; soak->terms.paths && i < soak->terms.hosts; i++)
 		soak->edge.paths[i][worker].target =
@@ -933,14 +943,8 @@
 
 static void list_workers(soak_t *soak)
 {
-	char datacentre[16];
-
-	for (uint32_t i = 0; i < soak->terms.workers; i++) {
-		snprintf(datacentre, sizeof(datacentre), "dc%u", i);
-		edge_list_worker_in(&soak->edge, i,
-				    soak->terms.evacuations ? datacentre : "a",
-				    "ready");
-	}
+	for (uint32_t i = 0; i < soak->terms.workers; i++)
+		list_worker(soak, i);
 }
 
 /* Hosts are told the relays' ports in place of the programs' own. */
