test: crashed workers whose listener outlives their connections, known red

Seen while ends were counted at 40 hosts: two workers ended 20 ms apart under one request that was to be tried once. Its host's log: trial, broken, and a second trial 1 ms later. A process that ends may have its connections closed before its listener; the probe that a break opens connects, and the end is taken for a reset: no evidence, and the request goes to the next worker as a victim. Ruled out: two owners (one host asked, twice) and late evidence (there was none).

--- a/standin/worker.c
+++ b/standin/worker.c
@@ -17,7 +17,8 @@
  *	mute	a stream's head, and a reset before its first event
  *
  * A prompt part whose id begins with "dead" ("Prefix-Hash: dead01:40,7f:20"; not
- * the last one) ends this process soon after the head of a stream.
+ * the last one) ends this process soon after the head of a stream; with "dead5"
+ * its listener is open for a moment longer than its connections.
  *
  * Each run is a line "ran ID" on standard output.
  *
@@ -28,6 +29,7 @@
 #include "httpd.h"
 #include "sys.h"
 
+#include <arpa/inet.h>
 #include <jansson.h>
 #include <signal.h>
 #include <sodium.h>
@@ -39,10 +41,12 @@
 
 enum {
 	RUNS_MAX = 64,
+	DESCRIPTORS_MAX = 1024,
 	EVENTS_DEFAULT = 5,
 	GAP_DEFAULT_MS = 10,
 	MUTE_MS = 100, /* from a stream's head to its reset */
 	CRASH_MS = 20, /* from a stream's head to the end of this process */
+	LISTENER_MS = 5, /* from the end of its connections to that */
 	CRASHED = 3 /* exit status */
 };
 
@@ -56,6 +60,7 @@
 	bool half;
 	bool mute;
 	bool crash;
+	bool crash_slowly;
 } run_t;
 
 static const char *own_id;
@@ -155,15 +160,35 @@
 	strbuf_finish(&fields);
 }
 
-/* True if a part of the prompt crashes this worker; the last one never does. */
-static bool is_crashing(const httpd_conn_t *conn)
+/* True if a part of the prompt, but for the last one, begins with this text. */
+static bool has_part(const httpd_conn_t *conn, const char *text)
 {
 	const char *parts = head_get(&conn->head, "Prefix-Hash");
-	const char *part = parts ? strstr(parts, "dead") : NULL;
+	const char *part = parts ? strstr(parts, text) : NULL;
 
 	return part && strchr(part, ',') && (part == parts || part[-1] == ',');
 }
 
+static bool is_connection(int fd)
+{
+	struct sockaddr_in peer;
+	socklen_t length = sizeof(peer);
+
+	return getpeername(fd, (struct sockaddr *)&peer, &length) == 0;
+}
+
+/* Ends as a process may whose sockets are closed one after the other. */
+static void crash(bool slowly)
+{
+	if (slowly) {
+		for (int fd = 3; fd < DESCRIPTORS_MAX; fd++)
+			if (is_connection(fd))
+				close(fd);
+		usleep(LISTENER_MS * 1000);
+	}
+	_exit(CRASHED);
+}
+
 static void begin_stream(httpd_conn_t *conn)
 {
 	strbuf_t fields;
@@ -182,7 +207,8 @@
 		runs[i].due = sys_now();
 		runs[i].half = behaves(conn, "half");
 		runs[i].mute = behaves(conn, "mute");
-		runs[i].crash = is_crashing(conn);
+		runs[i].crash = has_part(conn, "dead");
+		runs[i].crash_slowly = has_part(conn, "dead5");
 		if (runs[i].crash)
 			runs[i].due += CRASH_MS * PIMENTO_MSEC;
 		if (runs[i].mute) /* its head must have arrived before */
@@ -212,7 +238,7 @@
 		(unsigned long long)run->next, (unsigned long long)run->next);
 
 	if (run->crash)
-		_exit(CRASHED);
+		crash(run->crash_slowly);
 	if (run->mute) {
 		httpd_conn_t *conn = run->conn;
 
--- a/test/test_crashing_prompts.c
+++ b/test/test_crashing_prompts.c
@@ -57,6 +57,8 @@
 	{ "the first part", EDGE_ONCE, "dead0001:60", HOSTS, false },
 	{ "two such parts, and a host that starts again", EDGE_ONCE,
 	  "5c1e07a2:60,dead0001:40,dead0002:9", HOSTS, true },
+	{ "listeners that outlive the connections", EDGE_STREAM,
+	  "5c1e07a2:60,dead5001:40", HOSTS, false },
 	{ "many hosts", EDGE_ONCE, "5c1e07a2:60,dead0001:40", MANY_HOSTS,
 	  false },
 	{ "a host alone", EDGE_STREAM, "5c1e07a2:60,dead0001:40", 1, false },
