crashes: an endpoint lives only if its new connection stays open

Callers saw requests that crash endpoints sent on, as before there was a quarantine, where crashed processes close their connections before their listener: the probe that a break opens connected, the end was taken for a reset, no evidence was kept, and the trial's lease went back to its owner.

A connection that opened since the break now counts only once it has been open for 50 ms. If an idle one ends meanwhile, the endpoint is looked into again. Requests wait for the verdict only if one of their parts has no answer of the last ten minutes; all others are tried again at once, as one end makes no such part suspect. Some comments say more plainly what a constant bounds.

--- a/io/crashes.c
+++ b/io/crashes.c
@@ -8,9 +8,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* What is not known after this is not taken for an end of the endpoint. */
+/* A break that is not explained within this counts against nothing. */
 #define DECIDED_WITHIN (3 * PIMENTO_SEC)
-/* An answer that has gone on for so long does not end its endpoint. */
+/* An endpoint whose new connection is open for so long has not ended. */
+#define ALIVE_AFTER (50 * PIMENTO_MSEC)
+/* A stream that has gone on for this long did not crash its endpoint by beginning. */
 #define BEGUN_SPAN (500 * PIMENTO_MSEC)
 #define BEGUN_EVENTS 4
 #define CANDIDATES_MAX 256
@@ -115,7 +117,7 @@
 	}
 }
 
-/* It is known what became of the endpoint, or never will be. */
+/* The break is explained, or has stayed unexplained for too long. */
 static void drop_candidate(gateway_t *gateway, uint32_t index,
 			   pimento_usec_t now)
 {
@@ -135,16 +137,33 @@
 		     pimento_usec_t since)
 {
 	crashes_t *crashes = &gateway->crashes;
-	bool undecided = false;
+	bool earlier = false;
 
 	endpoint->ended_at = 0;
-	for (uint32_t i = crashes->count; i-- > 0;) {
-		if (crashes->candidates[i].endpoint != endpoint)
+	for (uint32_t i = 0; i < crashes->count; i++) {
+		crash_candidate_t *candidate = &crashes->candidates[i];
+
+		if (candidate->endpoint != endpoint || candidate->reached_at)
 			continue;
-		if (crashes->candidates[i].broke_at <= since)
-			drop_candidate(gateway, i, sys_now());
+		if (candidate->broke_at <= since)
+			candidate->reached_at = sys_now();
 		else
-			undecided = true;
+			earlier = true;
+	}
+	if (earlier)
+		paths_verify(gateway, endpoint);
+}
+
+void crashes_lapsed(gateway_t *gateway, registry_endpoint_t *endpoint)
+{
+	crashes_t *crashes = &gateway->crashes;
+	bool undecided = false;
+
+	for (uint32_t i = 0; i < crashes->count; i++) {
+		if (crashes->candidates[i].endpoint != endpoint)
+			continue;
+		crashes->candidates[i].reached_at = 0;
+		undecided = true;
 	}
 	if (undecided)
 		paths_verify(gateway, endpoint);
@@ -211,7 +230,9 @@
 		if (candidate->incarnation != candidate->endpoint->incarnation)
 			conclude(gateway, candidate->endpoint,
 				 candidate->incarnation, now);
-		else if (now - candidate->broke_at > DECIDED_WITHIN)
+		else if (now - candidate->broke_at > DECIDED_WITHIN ||
+			 (candidate->reached_at &&
+			  now - candidate->reached_at > ALIVE_AFTER))
 			drop_candidate(gateway, i, now);
 	}
 }
--- a/io/crashes.h
+++ b/io/crashes.h
@@ -5,7 +5,9 @@
  * Finds out which requests were under way at an endpoint when its process ended;
  * that is evidence about their prompts' parts, see src/quarantine.h. A connection
  * that breaks does not tell: the endpoint has ended once new connections are
- * refused and no peer reaches it, or once a new process has taken its place.
+ * refused and no peer reaches it, or once a new process has taken its place. It
+ * lives if a connection that was opened since then stays open for a moment: a
+ * process that ends may accept connections for some milliseconds more.
  */
 
 #include "dialect.h"
@@ -22,6 +24,7 @@
 	uint32_t incarnation;
 	uint32_t process; /* for quarantine_end_t */
 	pimento_usec_t broke_at;
+	pimento_usec_t reached_at; /* a connection opened since; 0: none did */
 	struct exchange *request; /* NULL: it is over */
 	uint64_t trial_part; /* of which it was a trial; 0: of none */
 	uint64_t trial_ticket;
@@ -40,7 +43,7 @@
 
 void crashes_finish(crashes_t *crashes);
 
-/* True if the answer under way has gone on for too long to end its endpoint. */
+/* True if the answer under way did not crash the endpoint by beginning. */
 bool crashes_has_begun(const struct exchange *exchange, pimento_usec_t now);
 /* The exchange is over. */
 void crashes_forget(struct exchange *exchange);
@@ -51,6 +54,8 @@
 /* A connection to the endpoint opened that was begun at `since`. */
 void crashes_reached(struct gateway *gateway, registry_endpoint_t *endpoint,
 		     pimento_usec_t since);
+/* A connection to the endpoint ended while it was idle. */
+void crashes_lapsed(struct gateway *gateway, registry_endpoint_t *endpoint);
 /* New connections are refused, and no peer reaches the endpoint either. */
 void crashes_ended(struct gateway *gateway, registry_endpoint_t *endpoint,
 		   pimento_usec_t now);
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -438,7 +438,10 @@
 
 static void on_lapsed(httpc_t *conn)
 {
+	registry_endpoint_t *endpoint = conn->owner;
+
 	pool_remove(conn);
+	crashes_lapsed(gateway_of(conn), endpoint);
 }
 
 /* Silence. */
--- a/io/trials.c
+++ b/io/trials.c
@@ -4,13 +4,13 @@
 #include "sys.h"
 #include "trail.h"
 
-/* A request whose endpoint may have ended waits so long to know. */
-#define UNDECIDED_WAIT (100 * PIMENTO_MSEC)
+/* A request waits this long to learn whether its endpoint has ended. */
+#define UNDECIDED_WAIT (200 * PIMENTO_MSEC)
 /* An owner that does not answer within this is asked again. */
 #define OWNER_TIMEOUT (100 * PIMENTO_MSEC)
-/* Less than the owner's lease. */
+/* A granted trial is sent within this; the owner's lease lasts longer. */
 #define TRIAL_SPAN (4 * PIMENTO_SEC)
-/* Endpoints that may end under one request. */
+/* A request under which so many endpoints have ended is sent to no other. */
 #define ENDS_MAX 2
 
 void trials_init(trials_t *trials, const quarantine_limits_t *limits)
@@ -113,7 +113,9 @@
 	const quarantine_t *quarantine = &x->gateway->trials.quarantine;
 	quarantine_verdict_t verdict;
 
-	if (x->undecided && now - x->broke_at < UNDECIDED_WAIT)
+	if (x->undecided && now - x->broke_at < UNDECIDED_WAIT &&
+	    !quarantine_is_proven(quarantine, x->call.parts, x->call.part_count,
+				  now))
 		return TRIAL_WAIT;
 	verdict = quarantine_judge(quarantine, x->call.parts,
 				   x->call.part_count, now);
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -5,19 +5,19 @@
 
 /* Endpoints that end within this of each other are one piece of evidence. */
 #define SAME_MOMENT (50 * PIMENTO_MSEC)
-/* Reports of one end differ by the time that they took. */
+/* Hosts may report one end of a process up to this far apart. */
 #define SAME_END (1 * PIMENTO_SEC)
-/* Ages that are passed on change a little each time: less than this is no news. */
+/* Times drift as ages are passed from host to host: smaller changes are ignored. */
 #define NO_NEWS (100 * PIMENTO_MSEC)
 /* A part with an answer so lately needs further ends to count as suspect. */
 #define PROVEN_SPAN (600 * PIMENTO_SEC)
 #define PROVEN_ENDS 3
-/* From an end to the next request, while a part is suspect. */
+/* From the first end to the next trial of a suspect part; grows with each end. */
 #define SUSPECT_DELAY (50 * PIMENTO_MSEC)
 #define SUSPECT_DELAY_GROWTH 5
 #define HELD_GROWTH 8
 #define LEASE_SPAN (5 * PIMENTO_SEC)
-/* For how long a part that was cleared is reported. */
+/* Other hosts are told of a cleared part for this long. */
 #define CLEARED_SPAN (30 * PIMENTO_SEC)
 /* Records that changed so lately are reported before all others. */
 #define NEWS_SPAN (3 * PIMENTO_SEC)
@@ -136,11 +136,29 @@
 
 /* The table. */
 
-static quarantine_answer_t *answer_slot(quarantine_t *q, uint64_t part)
+static uint32_t answer_index(uint64_t part)
 {
 	uint64_t mixed = part * 0x9e3779b97f4a7c15u;
 
-	return &q->answers[(mixed >> 32) & (QUARANTINE_ANSWERS_MAX - 1)];
+	return (uint32_t)(mixed >> 32) & (QUARANTINE_ANSWERS_MAX - 1);
+}
+
+static quarantine_answer_t *answer_slot(quarantine_t *q, uint64_t part)
+{
+	return &q->answers[answer_index(part)];
+}
+
+bool quarantine_is_proven(const quarantine_t *q, const uint64_t *parts,
+			  uint32_t count, pimento_usec_t now)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		const quarantine_answer_t *answer =
+			&q->answers[answer_index(parts[i])];
+
+		if (answer->part != parts[i] || now - answer->at > PROVEN_SPAN)
+			return false;
+	}
+	return true;
 }
 
 static quarantine_record_t *find(const quarantine_t *q, uint64_t part)
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -120,6 +120,9 @@
 					   uint64_t part);
 quarantine_state_t quarantine_state(const quarantine_t *quarantine,
 				    const quarantine_record_t *record);
+/* True if each of the parts was answered lately: one more end makes none suspect. */
+bool quarantine_is_proven(const quarantine_t *quarantine, const uint64_t *parts,
+			  uint32_t count, pimento_usec_t now);
 /* When the next trial of a request with this number of suspect parts is due. */
 pimento_usec_t quarantine_trial_at(const quarantine_t *quarantine,
 				   const quarantine_record_t *record,
--- a/test/test_crashing_prompts.c
+++ b/test/test_crashing_prompts.c
@@ -15,14 +15,14 @@
 	MANY_HOSTS = 24,
 	WORKERS = 4,
 	SOUND_CALLERS = 6,
-	GUILTY_CALLERS = 3,
+	POISON_CALLERS = 3,
 	SOUND_PAUSE_MS = 20,
-	GUILTY_PAUSE_MS = 300, /* of each caller */
+	POISON_PAUSE_MS = 300, /* of each caller */
 	BEFORE_MS = 2000, /* sound requests only */
 	CRASHING_MS = 9000,
 	DOWN_MS = 700, /* of a worker that crashed */
 	DEADLINE_MS = 2000,
-	/* The rules: what counts as found, and how many may follow. */
+	/* Allowed: crashes at first, time until the part is found, crashes after that. */
 	CRASHES_FREE = 5,
 	FOUND_MS = 3000,
 	CRASHES_AFTER = 3,
@@ -38,15 +38,15 @@
 typedef struct caller {
 	pthread_t thread;
 	uint32_t number;
-	bool guilty;
+	bool poison;
 	uint32_t count;
 	call_record_t calls[CALLS_MAX];
 } caller_t;
 
 static const struct {
 	const char *name;
-	const char *guilty_path;
-	const char *guilty_parts; /* without the last */
+	const char *poison_path;
+	const char *poison_parts; /* without the last */
 	uint32_t hosts;
 	bool restart; /* of a host */
 } cases[] = {
@@ -65,7 +65,7 @@
 };
 
 static edge_t edge;
-static caller_t callers[SOUND_CALLERS + GUILTY_CALLERS];
+static caller_t callers[SOUND_CALLERS + POISON_CALLERS];
 static volatile bool stopping;
 static volatile bool crashing;
 static uint32_t case_number;
@@ -83,8 +83,8 @@
 	char parts[128];
 	client_call_t call = { .method = "GET",
 			       .port = edge.hosts[host].callers,
-			       .path = caller->guilty
-					       ? cases[case_number].guilty_path
+			       .path = caller->poison
+					       ? cases[case_number].poison_path
 				       : caller->count % 2 ? EDGE_ONCE
 							   : EDGE_STREAM,
 			       .headers = { { "Host", "t.example" },
@@ -95,10 +95,10 @@
 			       .timeout_s = 4 };
 	client_reply_t reply;
 
-	snprintf(id, sizeof(id), "%s-%u-%u", caller->guilty ? "bad" : "good",
+	snprintf(id, sizeof(id), "%s-%u-%u", caller->poison ? "bad" : "good",
 		 caller->number, caller->count);
 	snprintf(parts, sizeof(parts), "%s,%x%04x:100",
-		 caller->guilty ? cases[case_number].guilty_parts
+		 caller->poison ? cases[case_number].poison_parts
 				: "5c1e07a2:60",
 		 caller->number + 1, caller->count);
 	record->sent_ms = process_now_ms();
@@ -113,9 +113,9 @@
 	caller_t *caller = data;
 
 	while (!stopping && caller->count < CALLS_MAX) {
-		if (!caller->guilty || crashing)
+		if (!caller->poison || crashing)
 			call_once(caller);
-		process_sleep_ms(caller->guilty ? GUILTY_PAUSE_MS
+		process_sleep_ms(caller->poison ? POISON_PAUSE_MS
 						: SOUND_PAUSE_MS);
 	}
 	return NULL;
@@ -128,9 +128,9 @@
 	crashing = false;
 	crash_count = 0;
 	memset(down_since, 0, sizeof(down_since));
-	for (uint32_t i = 0; i < SOUND_CALLERS + GUILTY_CALLERS; i++) {
+	for (uint32_t i = 0; i < SOUND_CALLERS + POISON_CALLERS; i++) {
 		callers[i].number = i;
-		callers[i].guilty = i >= SOUND_CALLERS;
+		callers[i].poison = i >= SOUND_CALLERS;
 		ck_assert_int_eq(pthread_create(&callers[i].thread, NULL,
 						run_caller, &callers[i]),
 				 0);
@@ -140,7 +140,7 @@
 static void stop_callers(void)
 {
 	stopping = true;
-	for (uint32_t i = 0; i < SOUND_CALLERS + GUILTY_CALLERS; i++)
+	for (uint32_t i = 0; i < SOUND_CALLERS + POISON_CALLERS; i++)
 		pthread_join(callers[i].thread, NULL);
 }
 
@@ -206,15 +206,15 @@
 }
 
 /* Requests of one kind of caller, sent from a time on, with this status. */
-static uint32_t count_status(bool guilty, int64_t from_ms, long status)
+static uint32_t count_status(bool poison, int64_t from_ms, long status)
 {
 	uint32_t count = 0;
 
-	for (uint32_t i = 0; i < SOUND_CALLERS + GUILTY_CALLERS; i++)
+	for (uint32_t i = 0; i < SOUND_CALLERS + POISON_CALLERS; i++)
 		for (uint32_t j = 0; j < callers[i].count; j++) {
 			const call_record_t *record = &callers[i].calls[j];
 
-			count += callers[i].guilty == guilty &&
+			count += callers[i].poison == poison &&
 				 record->sent_ms >= from_ms &&
 				 record->status == status;
 		}
@@ -326,7 +326,7 @@
 	ck_assert(wait_held(0, 1));
 	keep_workers_for(FOUND_MS); /* the first trial fails */
 	stop_callers();
-	callers[0] = (caller_t){ .number = 1, .guilty = true };
+	callers[0] = (caller_t){ .number = 1, .poison = true };
 	for (int i = 0; i < 5; i++) {
 		uint32_t before = crash_count;
 
