test: hosts with paths of their own take the list of their own store

A host that took its list from a peer is now started again before the test begins. The checks are what they were.

--- a/test/edge.c
+++ b/test/edge.c
@@ -10,6 +10,7 @@
 
 enum {
 	READY_MS = 10000,
+	STARTS_MAX = 20,
 	STOP_MS = 12000,
 	TEXT_BYTES = 4096,
 	ROUTE_BYTES = 256,
@@ -266,6 +267,32 @@
 	}
 }
 
+/* True if the host took its list of workers from a peer, not from its store. */
+static bool has_list_of_peer(const edge_t *edge, uint32_t host)
+{
+	FILE *file = fopen(edge->hosts[host].process.out, "r");
+	char line[TEXT_BYTES];
+	bool found = false;
+
+	while (file && fgets(line, sizeof(line), file))
+		if (strstr(line, "event=snapshot collection=endpoints"))
+			found = true;
+	if (file)
+		fclose(file);
+	return found;
+}
+
+/* A list of a peer leads through that host's paths, which are not to be cut. */
+static void ensure_own_list(edge_t *edge, uint32_t host)
+{
+	for (int i = 0; has_list_of_peer(edge, host); i++) {
+		ck_assert_int_lt(i, STARTS_MAX);
+		process_kill(&edge->hosts[host].process);
+		edge_start_host(edge, host);
+		ck_assert(edge_wait_health(edge, host, 200, READY_MS));
+	}
+}
+
 static void start_all(edge_t *edge, uint32_t hosts, uint32_t workers)
 {
 	edge->worker_count = workers;
@@ -290,6 +317,8 @@
 	}
 	for (uint32_t i = 0; i < hosts; i++)
 		ck_assert(edge_wait_health(edge, i, 200, READY_MS));
+	for (uint32_t i = 0; edge->own_paths && i < hosts; i++)
+		ensure_own_list(edge, i);
 }
 
 void edge_start(edge_t *edge, uint32_t hosts, uint32_t workers)
