logs: for how long an attempt was silent, and why a stream that waits is cut

An attempt line now has silent_ms, left_ms and what the host believes of its path, and a request that waits for another attempt has a line `unplaced` when it is cut or fails, as refused ones have. With that the three hypotheses of the incident differ: silence with free or taken endpoints, a path taken for lost, or no attempt line at all. No change of behaviour.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -340,6 +340,14 @@
 	return x->unreached && x->unreached_count <= UNREACHED_MAX;
 }
 
+/* Since the last byte of this attempt's answer; -1: nothing was sent. */
+static long long silent_ms(const exchange_t *x, pimento_usec_t now)
+{
+	if (x->state < EXCHANGE_SENT)
+		return -1;
+	return (long long)((now - x->event_at) / PIMENTO_MSEC);
+}
+
 /* For how long this attempt's answer had been under way; -1: not begun. */
 static long long begun_ms(const exchange_t *x, pimento_usec_t now)
 {
@@ -352,6 +360,7 @@
 void dispatch_over(exchange_t *x, pimento_verdict_t verdict, int status,
 		   const char *why)
 {
+	pimento_usec_t now = sys_now();
 	bool arrived = x->state >= EXCHANGE_SENT;
 	char parts[EXCHANGE_PARTS_BYTES];
 	char via[INET_ADDRSTRLEN];
@@ -365,13 +374,15 @@
 	trail(TRAIL_FAILURE, "attempt", again ? "again" : "over",
 	      "id=%s endpoint=%s why=%s verdict=%s status=%d arrivals=%u "
 	      "load=%u ms=%lld reused=%d rested_ms=%lld events=%u begun_ms=%lld "
-	      "parts=%s via=%s",
+	      "silent_ms=%lld left_ms=%lld path=%s parts=%s via=%s",
 	      x->call.id, x->endpoint->id, why, pimento_verdict_name(verdict),
 	      status, x->arrivals, x->load,
-	      (long long)((sys_now() - x->arrived) / PIMENTO_MSEC), x->reused,
+	      (long long)((now - x->arrived) / PIMENTO_MSEC), x->reused,
 	      (long long)(x->rested / PIMENTO_MSEC), x->events.count,
-	      begun_ms(x, sys_now()), exchange_parts(x, parts),
-	      exchange_via(x, via));
+	      begun_ms(x, now), silent_ms(x, now),
+	      (long long)((x->end - now) / PIMENTO_MSEC),
+	      endpoint_path_state_name(x->endpoint->path.state),
+	      exchange_parts(x, parts), exchange_via(x, via));
 	if (!again) {
 		give_up(x, status, why);
 		return;
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -171,8 +171,9 @@
 					       x->service->key, sys_now());
 
 	trail(TRAIL_FAILURE, "request", "unplaced",
-	      "id=%s endpoints=%u ejected=%u full=%u queued_at=%u", x->call.id,
-	      view.endpoints, view.ejected, view.full, x->line_count);
+	      "id=%s endpoints=%u ejected=%u full=%u queued_at=%u tried=%u",
+	      x->call.id, view.endpoints, view.ejected, view.full,
+	      x->line_count, x->tried_count);
 }
 
 void exchange_refuse(exchange_t *x, int status, const char *why)
@@ -182,12 +183,12 @@
 		x->service ? x->service->line.count : 0,
 		x->service ? x->service->per_second : 0, gateway_draw(gateway));
 
+	if (x->service)
+		log_endpoints(x);
 	if (x->streaming) {
 		exchange_cut(x, why);
 		return;
 	}
-	if (x->service)
-		log_endpoints(x);
 	admission_refund(x);
 	exchange_retry_after(gateway, part(x, status, GATEWAY_REFUSED, why),
 			     status, wait);
@@ -195,6 +196,8 @@
 
 void exchange_fail(exchange_t *x, int status, const char *why)
 {
+	if (x->state == EXCHANGE_WAITING)
+		log_endpoints(x);
 	if (x->streaming)
 		exchange_cut(x, why);
 	else
--- a/src/endpoint_path.c
+++ b/src/endpoint_path.c
@@ -8,6 +8,13 @@
 #define AVOIDED_SPAN (3 * PIMENTO_SEC)
 #define ALIVE_SPAN (300 * PIMENTO_MSEC)
 
+const char *endpoint_path_state_name(endpoint_path_state_t state)
+{
+	static const char *const names[] = { "open", "suspect", "lost" };
+
+	return names[state];
+}
+
 void endpoint_path_init(endpoint_path_t *path)
 {
 	*path = (endpoint_path_t){ 0 };
--- a/src/endpoint_path.h
+++ b/src/endpoint_path.h
@@ -23,6 +23,9 @@
 	ENDPOINT_PATH_LOST
 } endpoint_path_state_t;
 
+/* Returns the state's name for log output, as a static string. */
+const char *endpoint_path_state_name(endpoint_path_state_t state);
+
 typedef struct endpoint_path {
 	endpoint_path_state_t state;
 	/* last byte from the endpoint on a direct connection; 0: none */
