--- a/io/crashes.c
+++ b/io/crashes.c
@@ -45,9 +45,10 @@
 
 bool crashes_has_begun(const exchange_t *x, pimento_usec_t now)
 {
-	return x->first_event_at && x->first_event_at >= x->sent_at &&
-	       now - x->first_event_at >= BEGUN_SPAN &&
-	       x->events.count - x->events_before >= BEGUN_EVENTS;
+	return x->attempt.first_event_at &&
+	       x->attempt.first_event_at >= x->attempt.sent_at &&
+	       now - x->attempt.first_event_at >= BEGUN_SPAN &&
+	       x->events.count - x->attempt.events_before >= BEGUN_EVENTS;
 }
 
 /* The same on all hosts; another one after each start of the endpoint. */
@@ -62,7 +63,7 @@
 
 void crashes_broken(exchange_t *x, pimento_usec_t now)
 {
-	registry_endpoint_t *endpoint = x->endpoint;
+	registry_endpoint_t *endpoint = x->attempt.endpoint;
 	crash_candidate_t *candidate;
 
 	if (!x->call.part_count)
@@ -72,7 +73,7 @@
 		return;
 	*candidate = (crash_candidate_t){
 		.endpoint = endpoint,
-		.incarnation = x->life,
+		.incarnation = x->attempt.life,
 		.process = process_of(endpoint),
 		.broke_at = now,
 		.request = x,
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -55,36 +55,36 @@
 
 void dispatch_read(exchange_t *x)
 {
-	x->endpoint->pending_prompt_tokens -= x->reading;
-	x->reading = 0;
+	x->attempt.endpoint->pending_prompt_tokens -= x->attempt.reading;
+	x->attempt.reading = 0;
 }
 
 /* The endpoint is done with the request, or counts as done with it. */
 static void free_slot(exchange_t *x)
 {
-	if (!x->overdue)
-		x->endpoint->running--;
-	x->overdue = false;
+	if (!x->attempt.overdue)
+		x->attempt.endpoint->running--;
+	x->attempt.overdue = false;
 }
 
 /* Lets go of an endpoint; the connection has been dealt with. */
 static void let_go(exchange_t *x)
 {
-	registry_endpoint_t *endpoint = x->endpoint;
+	registry_endpoint_t *endpoint = x->attempt.endpoint;
 
 	if (!endpoint)
 		return;
 	dispatch_read(x);
 	free_slot(x);
 	endpoint->refs--;
-	x->endpoint = NULL;
-	x->conn = NULL;
+	x->attempt.endpoint = NULL;
+	x->attempt.conn = NULL;
 	placing_give_back(x);
 }
 
 void dispatch_abandon(exchange_t *x)
 {
-	httpc_t *conn = x->conn;
+	httpc_t *conn = x->attempt.conn;
 
 	if (conn) {
 		pool_remove(conn);
@@ -95,13 +95,13 @@
 
 void dispatch_done(exchange_t *x)
 {
-	httpc_t *conn = x->conn;
+	httpc_t *conn = x->attempt.conn;
 	registry_service_t *service =
 		registry_get_service(x->gateway->registry, x->service->key);
 
 	if (service && x->status / 100 == 2)
 		latency_add_slot_time(&service->latency,
-				      sys_now() - x->sent_at);
+				      sys_now() - x->attempt.sent_at);
 	if (conn->reusable)
 		pool_release(conn);
 	else
@@ -115,7 +115,7 @@
 {
 	httpd_conn_t *caller = x->caller;
 	dialect_send_t send = {
-		.endpoint = x->endpoint->id,
+		.endpoint = x->attempt.endpoint->id,
 		.account = x->account ? x->account->name : NULL,
 		.resume_after = x->call.resume_after,
 		.patience = x->call.patience
@@ -140,12 +140,12 @@
 static void commit(exchange_t *x)
 {
 	pimento_usec_t now = sys_now();
-	httpc_t *conn = x->conn;
+	httpc_t *conn = x->attempt.conn;
 	strbuf_t head;
 	bool asked;
 
-	if (!registry_endpoint_accepts_work(x->endpoint, now) ||
-	    x->life != x->endpoint->incarnation) {
+	if (!registry_endpoint_accepts_work(x->attempt.endpoint, now) ||
+	    x->attempt.life != x->attempt.endpoint->incarnation) {
 		dispatch_over(x, PIMENTO_NOT_RUN, 0, "endpoint_left");
 		return;
 	}
@@ -159,8 +159,8 @@
 	}
 	conn->request_id = x->call.id;
 	x->gateway->counters.tunnelled += conn->via != 0;
-	x->reused = conn->asked > 0;
-	x->rested = now - conn->since;
+	x->attempt.reused = conn->asked > 0;
+	x->attempt.rested = now - conn->since;
 	strbuf_init(&head);
 	write_head(x, &head, now);
 	asked = !strbuf_error(&head) &&
@@ -174,14 +174,15 @@
 	}
 	x->state = EXCHANGE_SENT;
 	trials_sent(x);
-	snprintf(x->sent_to, sizeof(x->sent_to), "%s", x->endpoint->id);
-	x->sent_at = now;
-	x->acknowledged = false;
-	x->ack_checked_at = now;
-	x->event_at = now;
-	x->events_before = x->events.count;
-	x->told_pace = false;
-	x->load = x->endpoint->running + x->endpoint->remote_running;
+	snprintf(x->sent_to, sizeof(x->sent_to), "%s", x->attempt.endpoint->id);
+	x->attempt.sent_at = now;
+	x->attempt.acknowledged = false;
+	x->attempt.ack_checked_at = now;
+	x->attempt.event_at = now;
+	x->attempt.events_before = x->events.count;
+	x->attempt.told_pace = false;
+	x->attempt.load = x->attempt.endpoint->running +
+			  x->attempt.endpoint->remote_running;
 	x->arrivals++;
 	x->runs++;
 	x->gateway->counters.attempts++;
@@ -202,10 +203,10 @@
 		return;
 	}
 	if (conn->via)
-		endpoint_path_tunnelled(&x->endpoint->path, conn->via);
+		endpoint_path_tunnelled(&x->attempt.endpoint->path, conn->via);
 	else
-		endpoint_path_opened(&x->endpoint->path, sys_now());
-	crashes_reached(x->gateway, x->endpoint, conn->begun);
+		endpoint_path_opened(&x->attempt.endpoint->path, sys_now());
+	crashes_reached(x->gateway, x->attempt.endpoint, conn->begun);
 	commit(x);
 }
 
@@ -219,16 +220,16 @@
 		.random_bits = gateway_draw(x->gateway),
 	};
 
-	return pool_take(&x->gateway->pool, x->endpoint, &terms, now);
+	return pool_take(&x->gateway->pool, x->attempt.endpoint, &terms, now);
 }
 
 /* Without a path, the request waits until a peer has been found. */
 static void no_connection(exchange_t *x, pimento_usec_t now)
 {
-	endpoint_path_t *path = &x->endpoint->path;
+	endpoint_path_t *path = &x->attempt.endpoint->path;
 
 	if (path->state == ENDPOINT_PATH_LOST) {
-		x->unreached = true;
+		x->attempt.unreached = true;
 		x->unreached_count++;
 		if (!peers_may_tunnel(x->gateway->roster, path->tunnel_peer,
 				      now))
@@ -245,25 +246,25 @@
 	wait_queue_remove(&x->service->line, &x->wait);
 	placing_leave_lines(x);
 	x->state = EXCHANGE_CONNECTING;
-	x->finding = LATENCY_OUTCOME_NONE;
-	x->unreached = false;
-	x->begun_at = now;
-	x->endpoint = endpoint;
-	x->life = endpoint->incarnation;
-	x->ahead = endpoint->pending_prompt_tokens +
-		   endpoint->remote_prompt_tokens;
-	x->reading = x->call.prompt;
-	endpoint->pending_prompt_tokens += x->reading;
+	x->attempt.finding = LATENCY_OUTCOME_NONE;
+	x->attempt.unreached = false;
+	x->attempt.begun_at = now;
+	x->attempt.endpoint = endpoint;
+	x->attempt.life = endpoint->incarnation;
+	x->attempt.ahead = endpoint->pending_prompt_tokens +
+			   endpoint->remote_prompt_tokens;
+	x->attempt.reading = x->call.prompt;
+	endpoint->pending_prompt_tokens += x->attempt.reading;
 	endpoint->running++;
 	endpoint->refs++;
-	x->conn = take_connection(x, now);
-	if (!x->conn) {
+	x->attempt.conn = take_connection(x, now);
+	if (!x->attempt.conn) {
 		no_connection(x, now);
 		return;
 	}
-	x->conn->user = x;
-	x->via = x->conn->via;
-	if (x->conn->state == HTTPC_RESTING)
+	x->attempt.conn->user = x;
+	x->attempt.via = x->attempt.conn->via;
+	if (x->attempt.conn->state == HTTPC_RESTING)
 		commit(x);
 }
 
@@ -280,13 +281,14 @@
 
 	if (x->runs && x->engine)
 		wait_queue_set_resumed(&x->wait, &terms,
-				       x->first_at ? x->event_at : x->arrived);
+				       x->first_at ? x->attempt.event_at
+						   : x->arrived);
 }
 
 /* Time spent on an attempt that failed was no time in the queue. */
 static void extend_wait(exchange_t *x, pimento_usec_t now)
 {
-	x->wait.expires_at += now - x->begun_at;
+	x->wait.expires_at += now - x->attempt.begun_at;
 	if (x->wait.expires_at > x->end)
 		x->wait.expires_at = x->end;
 }
@@ -294,7 +296,7 @@
 static void try_again(exchange_t *x)
 {
 	x->state = EXCHANGE_WAITING;
-	if (x->unreached || x->runs)
+	if (x->attempt.unreached || x->runs)
 		extend_wait(x, sys_now());
 	wait_again(x);
 	x->resuming = x->streaming;
@@ -337,7 +339,7 @@
 /* True if the endpoint was not reached, but may be in another way. */
 static bool may_use_other_path(const exchange_t *x)
 {
-	return x->unreached && x->unreached_count <= UNREACHED_MAX;
+	return x->attempt.unreached && x->unreached_count <= UNREACHED_MAX;
 }
 
 /* Since the last byte of this attempt's answer; -1: nothing was sent. */
@@ -345,16 +347,16 @@
 {
 	if (x->state < EXCHANGE_SENT)
 		return -1;
-	return (long long)((now - x->event_at) / PIMENTO_MSEC);
+	return (long long)((now - x->attempt.event_at) / PIMENTO_MSEC);
 }
 
 /* For how long this attempt's answer had been under way; -1: not begun. */
 static long long begun_ms(const exchange_t *x, pimento_usec_t now)
 {
-	if (x->state < EXCHANGE_SENT || !x->first_event_at ||
-	    x->first_event_at < x->sent_at)
+	if (x->state < EXCHANGE_SENT || !x->attempt.first_event_at ||
+	    x->attempt.first_event_at < x->attempt.sent_at)
 		return -1;
-	return (long long)((now - x->first_event_at) / PIMENTO_MSEC);
+	return (long long)((now - x->attempt.first_event_at) / PIMENTO_MSEC);
 }
 
 void dispatch_over(exchange_t *x, pimento_verdict_t verdict, int status,
@@ -369,19 +371,19 @@
 	if (verdict == PIMENTO_NOT_RUN && arrived)
 		x->runs--;
 	if (x->tried_count < PLACEMENT_TRIED_MAX && !may_use_other_path(x))
-		x->tried[x->tried_count++] = x->endpoint->key;
+		x->tried[x->tried_count++] = x->attempt.endpoint->key;
 	again = may_try_again(x, verdict);
 	trail(TRAIL_FAILURE, "attempt", again ? "again" : "over",
 	      "id=%s endpoint=%s why=%s verdict=%s status=%d arrivals=%u "
 	      "load=%u ms=%lld reused=%d rested_ms=%lld events=%u begun_ms=%lld "
 	      "silent_ms=%lld left_ms=%lld path=%s parts=%s via=%s",
-	      x->call.id, x->endpoint->id, why, pimento_verdict_name(verdict),
-	      status, x->arrivals, x->load,
-	      (long long)((now - x->arrived) / PIMENTO_MSEC), x->reused,
-	      (long long)(x->rested / PIMENTO_MSEC), x->events.count,
-	      begun_ms(x, now), silent_ms(x, now),
+	      x->call.id, x->attempt.endpoint->id, why,
+	      pimento_verdict_name(verdict), status, x->arrivals,
+	      x->attempt.load, (long long)((now - x->arrived) / PIMENTO_MSEC),
+	      x->attempt.reused, (long long)(x->attempt.rested / PIMENTO_MSEC),
+	      x->events.count, begun_ms(x, now), silent_ms(x, now),
 	      (long long)((x->end - now) / PIMENTO_MSEC),
-	      endpoint_path_state_name(x->endpoint->path.state),
+	      endpoint_path_state_name(x->attempt.endpoint->path.state),
 	      exchange_parts(x, parts), exchange_via(x, via));
 	if (!again) {
 		give_up(x, status, why);
@@ -394,14 +396,15 @@
 /* No connection was made: another path may do. */
 static void unreached(exchange_t *x, const char *why)
 {
-	x->unreached = true;
+	x->attempt.unreached = true;
 	x->unreached_count++;
-	if (x->conn->via)
-		paths_tunnel_failed(x->gateway, x->conn);
+	if (x->attempt.conn->via)
+		paths_tunnel_failed(x->gateway, x->attempt.conn);
 	else
-		paths_failed(x->gateway, x->endpoint, x->conn->refused);
+		paths_failed(x->gateway, x->attempt.endpoint,
+			     x->attempt.conn->refused);
 	dispatch_over(x, PIMENTO_NOT_RUN, 0,
-		      x->conn->via ? "tunnel_refused" : why);
+		      x->attempt.conn->via ? "tunnel_refused" : why);
 }
 
 /* The endpoint broke an answer off, as a peer says that holds the connection. */
@@ -411,12 +414,12 @@
 		registry_get_service(x->gateway->registry, x->service->key);
 
 	if (service)
-		latency_add_failure(&x->endpoint->latency, &service->latency,
-				    sys_now());
+		latency_add_failure(&x->attempt.endpoint->latency,
+				    &service->latency, sys_now());
 	if (begun)
 		return;
-	x->finding = LATENCY_OUTCOME_RESET;
-	slots_learn(x->gateway->slots, x->endpoint, x->finding,
+	x->attempt.finding = LATENCY_OUTCOME_RESET;
+	slots_learn(x->gateway->slots, x->attempt.endpoint, x->attempt.finding,
 		    x->gateway->slots->self, sys_now());
 }
 
@@ -435,13 +438,14 @@
 	}
 	if (why == HTTPC_TUNNEL_BROKEN)
 		peers_avoid_tunnel(x->gateway->roster, conn->via, sys_now());
-	else if (x->reused && why == HTTPC_BROKEN && !conn->status &&
-		 x->rested > STALE_LEAST)
-		pool_found_stale(conn, x->rested);
+	else if (x->attempt.reused && why == HTTPC_BROKEN && !conn->status &&
+		 x->attempt.rested > STALE_LEAST)
+		pool_found_stale(conn, x->attempt.rested);
 	else if (conn->via || why == HTTPC_GARBLED)
 		learn_break(x, conn->status || why == HTTPC_GARBLED);
 	else
-		paths_broken(x->gateway, x->endpoint, conn->status != 0);
+		paths_broken(x->gateway, x->attempt.endpoint,
+			     conn->status != 0);
 	if (why == HTTPC_BROKEN)
 		crashes_broken(x, sys_now());
 	dispatch_over(x, PIMENTO_MAY_HAVE_RUN, 0, httpc_failure_name(why));
@@ -462,7 +466,7 @@
 {
 	if (span < SILENT_LEAST)
 		span = SILENT_LEAST;
-	return now - x->event_at > span;
+	return now - x->attempt.event_at > span;
 }
 
 static bool is_silent(const exchange_t *x, pimento_usec_t now)
@@ -482,9 +486,10 @@
 
 	if (x->engine || x->state != EXCHANGE_SENT || !service)
 		return false;
-	most = latency_p90_first_event(&x->endpoint->latency, &service->latency,
-				       0);
-	return most > 0 && (double)(now - x->sent_at) > OVERDUE_TIMES * most;
+	most = latency_p90_first_event(&x->attempt.endpoint->latency,
+				       &service->latency, 0);
+	return most > 0 &&
+	       (double)(now - x->attempt.sent_at) > OVERDUE_TIMES * most;
 }
 
 /*
@@ -493,26 +498,27 @@
  */
 static void count_out(exchange_t *x)
 {
-	x->endpoint->running--;
-	x->overdue = true;
+	x->attempt.endpoint->running--;
+	x->attempt.overdue = true;
 	placing_give_back(x);
 }
 
 /* A request that its next host has not acknowledged after this is looked into. */
 static void check_path(exchange_t *x, pimento_usec_t now)
 {
-	if (x->state != EXCHANGE_SENT || x->acknowledged ||
-	    now - x->ack_checked_at < ACK_TIMEOUT)
+	if (x->state != EXCHANGE_SENT || x->attempt.acknowledged ||
+	    now - x->attempt.ack_checked_at < ACK_TIMEOUT)
 		return;
-	x->ack_checked_at = now;
-	x->acknowledged = !httpc_unacknowledged(x->conn);
-	if (x->acknowledged)
+	x->attempt.ack_checked_at = now;
+	x->attempt.acknowledged = !httpc_unacknowledged(x->attempt.conn);
+	if (x->attempt.acknowledged)
 		return;
-	if (x->conn->via)
-		peers_avoid_tunnel(x->gateway->roster, x->conn->via, now);
+	if (x->attempt.conn->via)
+		peers_avoid_tunnel(x->gateway->roster, x->attempt.conn->via,
+				   now);
 	else
-		endpoint_path_suspect(&x->endpoint->path, now);
-	x->endpoint->path.wanted_at = now;
+		endpoint_path_suspect(&x->attempt.endpoint->path, now);
+	x->attempt.endpoint->path.wanted_at = now;
 }
 
 /*
@@ -521,32 +527,33 @@
  */
 static void check_silence(exchange_t *x, pimento_usec_t now)
 {
-	registry_endpoint_t *endpoint = x->endpoint;
+	registry_endpoint_t *endpoint = x->attempt.endpoint;
 	pimento_usec_t span =
 		x->first_at ? x->route->gap_objective : x->route->objective;
 
-	if (x->state >= EXCHANGE_SENT && !x->conn->via &&
+	if (x->state >= EXCHANGE_SENT && !x->attempt.conn->via &&
 	    is_silent_for(x, span, now) &&
 	    endpoint_path_allows_new(&endpoint->path) &&
-	    endpoint->path.heard_at <= x->event_at)
+	    endpoint->path.heard_at <= x->attempt.event_at)
 		paths_probe(x->gateway, endpoint);
 }
 
 /* True if nothing can come any more on the path that the request took. */
 static bool is_stranded(const exchange_t *x, pimento_usec_t now)
 {
-	const endpoint_path_t *path = &x->endpoint->path;
+	const endpoint_path_t *path = &x->attempt.endpoint->path;
 
-	return !x->conn->via && path->state == ENDPOINT_PATH_LOST &&
-	       path->heard_at <= path->lost_at && x->event_at < path->lost_at &&
-	       now - x->event_at > STRANDED_AFTER;
+	return !x->attempt.conn->via && path->state == ENDPOINT_PATH_LOST &&
+	       path->heard_at <= path->lost_at &&
+	       x->attempt.event_at < path->lost_at &&
+	       now - x->attempt.event_at > STRANDED_AFTER;
 }
 
 static pimento_usec_t connect_timeout(const exchange_t *x)
 {
-	if (x->conn->via)
+	if (x->attempt.conn->via)
 		return TUNNEL_TIMEOUT;
-	return x->endpoint->path.state == ENDPOINT_PATH_LOST
+	return x->attempt.endpoint->path.state == ENDPOINT_PATH_LOST
 		       ? CONNECT_TIMEOUT_LOST
 		       : CONNECT_TIMEOUT;
 }
@@ -554,8 +561,8 @@
 /* Nothing came from the endpoint; it may be that nothing comes from others. */
 static void end_unanswered(exchange_t *x, const char *why)
 {
-	if (!x->conn->via)
-		x->unanswered_at = x->event_at;
+	if (!x->attempt.conn->via)
+		x->unanswered_at = x->attempt.event_at;
 	dispatch_over(x, PIMENTO_MAY_HAVE_RUN, 0, why);
 }
 
@@ -566,11 +573,11 @@
 	if (x->state == EXCHANGE_WAITING)
 		return placing_sweep(x, now);
 	if (x->state == EXCHANGE_CONNECTING &&
-	    now - x->conn->since > connect_timeout(x)) {
+	    now - x->attempt.conn->since > connect_timeout(x)) {
 		unreached(x, "connect_timeout");
 		return true;
 	}
-	if (!x->overdue && is_overdue(x, now))
+	if (!x->attempt.overdue && is_overdue(x, now))
 		count_out(x);
 	check_path(x, now);
 	check_silence(x, now);
@@ -585,8 +592,9 @@
 	}
 	if (!is_silent(x, now))
 		return false;
-	if (!x->conn->via && x->endpoint->path.heard_at <= x->event_at)
-		endpoint_path_suspect(&x->endpoint->path, now);
+	if (!x->attempt.conn->via &&
+	    x->attempt.endpoint->path.heard_at <= x->attempt.event_at)
+		endpoint_path_suspect(&x->attempt.endpoint->path, now);
 	end_unanswered(x, "silent");
 	return true;
 }
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -46,9 +46,10 @@
 
 const char *exchange_via(const exchange_t *x, char *buf)
 {
-	const struct in_addr address = { htonl(x->via) };
+	const struct in_addr address = { htonl(x->attempt.via) };
 
-	if (!x->via || !inet_ntop(AF_INET, &address, buf, INET_ADDRSTRLEN))
+	if (!x->attempt.via ||
+	    !inet_ntop(AF_INET, &address, buf, INET_ADDRSTRLEN))
 		return "-";
 	return buf;
 }
@@ -87,11 +88,14 @@
 	      x->call.id, x->route->name, x->account ? x->account->name : "-",
 	      x->status, why, (long long)msec(now - x->arrived),
 	      x->first_at ? (long long)msec(x->first_at - x->arrived) : -1,
-	      x->sent_at ? (long long)msec(x->sent_at - x->arrived) : -1,
+	      x->attempt.sent_at
+		      ? (long long)msec(x->attempt.sent_at - x->arrived)
+		      : -1,
 	      (long long)msec(x->end - now), x->wait.overdue, x->arrivals,
 	      x->sent_to[0] ? x->sent_to : "-", exchange_via(x, via),
-	      x->granted, x->load, x->service ? x->service->line.count : 0,
-	      x->tokens, x->call.prompt, x->call.expected, x->events.count,
+	      x->attempt.granted, x->attempt.load,
+	      x->service ? x->service->line.count : 0, x->tokens,
+	      x->call.prompt, x->call.expected, x->events.count,
 	      (long long)msec(x->pause_most),
 	      (unsigned long long)x->catalog->version,
 	      (long long)msec(replica_age(x->gateway->replica, now)));
@@ -108,9 +112,9 @@
 	if (x->first_at)
 		histogram_add(&gateway->counters.first,
 			      x->first_at - x->arrived);
-	if (x->sent_at)
+	if (x->attempt.sent_at)
 		histogram_add(&gateway->counters.waited,
-			      x->sent_at - x->arrived);
+			      x->attempt.sent_at - x->arrived);
 	if (x->state == EXCHANGE_WAITING && service)
 		wait_queue_remove(&service->line, &x->wait);
 	admission_abandon(x);
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -24,6 +24,34 @@
 	bool in_line; /* the owner has answered */
 } exchange_place_t;
 
+/* One attempt at an endpoint. Without a connection it is over. */
+typedef struct attempt {
+	registry_endpoint_t *endpoint; /* NULL: none */
+	uint32_t life; /* of the endpoint */
+	httpc_t *conn;
+	exchange_place_t place; /* that it was given */
+	latency_outcome_t finding;
+
+	pimento_usec_t begun_at; /* when it got its slot */
+	pimento_usec_t rested; /* how long the connection had, if reused */
+	pimento_usec_t sent_at;
+	pimento_usec_t ack_checked_at;
+	pimento_usec_t event_at; /* last event */
+	pimento_usec_t first_event_at;
+
+	uint32_t load; /* in flight at the endpoint when sent */
+	uint32_t ahead; /* tokens of prompts that were to be read before */
+	uint32_t reading; /* of its own prompt, until the answer begins */
+	uint32_t events_before; /* that the caller had */
+	uint32_t via; /* the peer whose tunnel it took; 0: none */
+	bool acknowledged; /* the request, by the next host */
+	bool unreached; /* no connection was made */
+	bool overdue; /* its endpoint is not taken for busy with it any more */
+	bool granted; /* its place, by the endpoint's owner */
+	bool reused; /* the connection had rested */
+	bool told_pace; /* the owner heard how fast its events come */
+} attempt_t;
+
 typedef struct exchange {
 	wait_queue_item_t wait; /* first: the line hands out items */
 	struct exchange *next;
@@ -48,18 +76,9 @@
 		lines[GRANTS_QUEUES_MAX]; /* asked for while it waits */
 	uint32_t line_count;
 	uint64_t given; /* ticket of a place that was granted while asking */
-	exchange_place_t place; /* that it was given, for this attempt */
-	latency_outcome_t finding; /* of this attempt */
 	trial_t trial;
 
-	/* The attempt under way. */
-	pimento_usec_t begun_at; /* when it got its slot */
-	httpc_t *conn;
-	registry_endpoint_t *endpoint;
-	pimento_usec_t rested; /* how long the connection had, if reused */
-	pimento_usec_t sent_at;
-	pimento_usec_t event_at; /* last event */
-	pimento_usec_t first_event_at; /* of this attempt */
+	attempt_t attempt; /* under way, or the last one */
 	pimento_usec_t pause_most; /* the longest between two events */
 
 	/* The answer. */
@@ -73,35 +92,22 @@
 	uint32_t tried_count;
 	uint32_t arrivals; /* at endpoints */
 	uint32_t runs; /* of those, that may have run */
-	uint32_t life; /* of the endpoint */
-	uint32_t load; /* in flight at the endpoint when sent */
 	char sent_to[PIMENTO_NAME_MAX]; /* the last endpoint that it reached */
-	uint32_t ahead; /* tokens of prompts that were to be read before */
-	uint32_t reading; /* of its own prompt, until the answer begins */
-	uint32_t events_before; /* this attempt */
 	uint32_t ended; /* endpoints that ended under it */
 	pimento_usec_t
 		broke_at; /* the last attempt's connection; 0: none did */
 	int status;
 	exchange_state_t state;
 
-	uint32_t via; /* the peer whose tunnel the last attempt took; 0: none */
 	uint32_t unreached_count; /* attempts that reached nothing */
-	pimento_usec_t ack_checked_at;
 	/* last byte of the last attempt that nothing came of; 0: none */
 	pimento_usec_t unanswered_at;
-	bool acknowledged; /* the request, by the next host */
-	bool unreached; /* this attempt made no connection */
-	bool overdue; /* its endpoint is not taken for busy with it any more */
-	bool granted; /* the last attempt's place, by the endpoint's owner */
 	bool engine;
 	bool repeatable; /* may run more than once */
 	bool end_is_timeout;
-	bool reused; /* the connection had rested */
 	bool tried_all; /* once, and began anew */
 	bool streaming; /* the answer is passed on as it comes */
 	bool is_events; /* and split into events */
-	bool told_pace; /* the owner heard how fast this attempt's events come */
 	bool undecided; /* whether the endpoint ended, of the last attempt */
 	bool parts_cleared; /* its answer cleared its parts */
 	bool resuming; /* the head of this attempt is not passed on */
--- a/io/placing.c
+++ b/io/placing.c
@@ -34,11 +34,12 @@
 /* Mean pause between the events of this attempt; 0 if there were too few. */
 static pimento_usec_t mean_gap(const exchange_t *x)
 {
-	uint32_t events = x->events.count - x->events_before;
+	uint32_t events = x->events.count - x->attempt.events_before;
 
-	if (events < EVENTS_TO_JUDGE || x->event_at <= x->first_event_at)
+	if (events < EVENTS_TO_JUDGE ||
+	    x->attempt.event_at <= x->attempt.first_event_at)
 		return 0;
-	return (x->event_at - x->first_event_at) / (events - 1);
+	return (x->attempt.event_at - x->attempt.first_event_at) / (events - 1);
 }
 
 /*
@@ -56,11 +57,11 @@
 
 void placing_give_back(exchange_t *x)
 {
-	exchange_place_t place = x->place;
+	exchange_place_t place = x->attempt.place;
 	packet_slot_release_t words = { .gap_us = (uint32_t)mean_gap(x),
-					.outcome = x->finding };
+					.outcome = x->attempt.finding };
 
-	x->place = (exchange_place_t){ 0 };
+	x->attempt.place = (exchange_place_t){ 0 };
 	if (place.ticket)
 		release(x->gateway->slots, &place, words);
 }
@@ -68,7 +69,7 @@
 /* True if the owner of the place knows about the pace that was seen. */
 static bool is_known(const exchange_t *x, pimento_usec_t gap)
 {
-	double told = x->place.endpoint->report.event_gap_us;
+	double told = x->attempt.place.endpoint->report.event_gap_us;
 
 	return told > 0 && (double)gap < told * NEWS_RATIO &&
 	       told < (double)gap * NEWS_RATIO;
@@ -80,13 +81,13 @@
 	packet_slot_release_t words = { .gap_us = (uint32_t)gap,
 					.outcome = LATENCY_OUTCOME_ANSWERED };
 
-	if (!x->place.ticket || x->told_pace || !gap ||
-	    x->events.count - x->events_before < NEWS_EVENTS)
+	if (!x->attempt.place.ticket || x->attempt.told_pace || !gap ||
+	    x->events.count - x->attempt.events_before < NEWS_EVENTS)
 		return;
-	x->told_pace = true;
+	x->attempt.told_pace = true;
 	if (!is_known(x, gap))
-		slots_release(x->gateway->slots, x->place.endpoint, &words,
-			      sys_now());
+		slots_release(x->gateway->slots, x->attempt.place.endpoint,
+			      &words, sys_now());
 }
 
 static void release_all(slots_t *slots, const exchange_place_t *places,
@@ -134,9 +135,9 @@
 /* It goes where it was given a place, and leaves all other lines. */
 static void go(exchange_t *x, uint32_t index)
 {
-	x->place = take_line(x, index);
-	x->granted = true;
-	dispatch_begin(x, x->place.endpoint);
+	x->attempt.place = take_line(x, index);
+	x->attempt.granted = true;
+	dispatch_begin(x, x->attempt.place.endpoint);
 }
 
 /* Until a request that can be on time is late; 0: it is, or has no goal. */
@@ -292,10 +293,10 @@
 	grants_request_t told = { .ticket = gateway_draw(x->gateway) | 1,
 				  .unconditional = true };
 
-	x->granted = false;
+	x->attempt.granted = false;
 	if (peers_host_count(x->gateway->roster, now) > 1) {
-		x->place.ticket = told.ticket;
-		x->place.endpoint = endpoint;
+		x->attempt.place.ticket = told.ticket;
+		x->attempt.place.endpoint = endpoint;
 		endpoint->refs++;
 		slots_ask(x->gateway->slots, endpoint, &told, now);
 	} else {
--- a/io/relay.c
+++ b/io/relay.c
@@ -120,8 +120,9 @@
 
 static void not_run(exchange_t *x, bool full, int status)
 {
-	x->finding = full ? LATENCY_OUTCOME_FULL : LATENCY_OUTCOME_REPLACED;
-	slots_learn(x->gateway->slots, x->endpoint, x->finding,
+	x->attempt.finding =
+		full ? LATENCY_OUTCOME_FULL : LATENCY_OUTCOME_REPLACED;
+	slots_learn(x->gateway->slots, x->attempt.endpoint, x->attempt.finding,
 		    x->gateway->slots->self, sys_now());
 	dispatch_over(x, PIMENTO_NOT_RUN, status,
 		      full ? "endpoint_full" : "other_endpoint");
@@ -133,19 +134,20 @@
 	latency_service_t *service = pace_of(x);
 	pimento_usec_t now = sys_now();
 
-	x->finding = LATENCY_OUTCOME_FAILED;
-	slots_learn(x->gateway->slots, x->endpoint, x->finding,
+	x->attempt.finding = LATENCY_OUTCOME_FAILED;
+	slots_learn(x->gateway->slots, x->attempt.endpoint, x->attempt.finding,
 		    x->gateway->slots->self, now);
 	if (service)
-		latency_add_failure(&x->endpoint->latency, service, now);
+		latency_add_failure(&x->attempt.endpoint->latency, service,
+				    now);
 }
 
 /* Bytes came from the endpoint. */
 static void note_heard(exchange_t *x, pimento_usec_t now)
 {
-	x->acknowledged = true;
-	if (!x->conn->via)
-		endpoint_path_heard(&x->endpoint->path, now);
+	x->attempt.acknowledged = true;
+	if (!x->attempt.conn->via)
+		endpoint_path_heard(&x->attempt.endpoint->path, now);
 }
 
 bool relay_head(httpc_t *conn)
@@ -155,7 +157,7 @@
 
 	if (!x)
 		return false;
-	x->acknowledged = true;
+	x->attempt.acknowledged = true;
 	if (conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
 		note_heard(x, sys_now());
 	x->gateway->dialect->read_answer(&conn->head, x->call.id, &answer);
@@ -199,29 +201,29 @@
 		x->first_at = now;
 	dispatch_read(x);
 	if (x->status / 100 != 5) {
-		x->finding = LATENCY_OUTCOME_ANSWERED;
-		slots_learn(x->gateway->slots, x->endpoint, x->finding,
-			    x->gateway->slots->self, now);
+		x->attempt.finding = LATENCY_OUTCOME_ANSWERED;
+		slots_learn(x->gateway->slots, x->attempt.endpoint,
+			    x->attempt.finding, x->gateway->slots->self, now);
 	}
 	if (!service || x->status / 100 != 2)
 		return;
-	latency_add_success(&x->endpoint->latency, service);
+	latency_add_success(&x->attempt.endpoint->latency, service);
 	/* Behind a full batch the span would tell of the queue instead. */
-	if (x->load <= x->endpoint->slots)
-		latency_add_first_event(&x->endpoint->latency, service,
-					now - x->sent_at,
-					x->call.prompt + x->ahead);
+	if (x->attempt.load <= x->attempt.endpoint->slots)
+		latency_add_first_event(&x->attempt.endpoint->latency, service,
+					now - x->attempt.sent_at,
+					x->call.prompt + x->attempt.ahead);
 }
 
 static void learn_gap(exchange_t *x, uint32_t events, pimento_usec_t now)
 {
 	latency_service_t *service = pace_of(x);
 
-	if (x->pause_most < now - x->event_at)
-		x->pause_most = now - x->event_at;
+	if (x->pause_most < now - x->attempt.event_at)
+		x->pause_most = now - x->attempt.event_at;
 	if (service && events)
-		latency_add_gap(&x->endpoint->latency, service,
-				(now - x->event_at) / events);
+		latency_add_gap(&x->attempt.endpoint->latency, service,
+				(now - x->attempt.event_at) / events);
 }
 
 static void pass_events(exchange_t *x, const char *bytes, size_t length)
@@ -238,13 +240,13 @@
 	if (!whole)
 		return;
 	x->gateway->counters.events += x->events.count - before;
-	if (x->event_at == x->sent_at) {
-		x->first_event_at = now;
+	if (x->attempt.event_at == x->attempt.sent_at) {
+		x->attempt.first_event_at = now;
 		learn_first(x, now);
 	} else {
 		learn_gap(x, x->events.count - before, now);
 	}
-	x->event_at = now;
+	x->attempt.event_at = now;
 	if (!x->parts_cleared && x->call.part_count &&
 	    crashes_has_begun(x, now))
 		trials_answered(x, now);
@@ -252,7 +254,7 @@
 	httpd_write(x->caller, x->events.partial.bytes, (size_t)whole);
 	sse_consume(&x->events, (size_t)whole);
 	if (sendbuf_waiting(&x->caller->sendbuf) > UNREAD_MOST)
-		httpc_hold(x->conn, true);
+		httpc_hold(x->attempt.conn, true);
 }
 
 void relay_body(httpc_t *conn, const char *bytes, size_t length)
@@ -265,7 +267,7 @@
 		pass_events(x, bytes, length);
 		return;
 	}
-	x->event_at = sys_now();
+	x->attempt.event_at = sys_now();
 	if (x->streaming) {
 		httpd_write(x->caller, bytes, length);
 		if (sendbuf_waiting(&x->caller->sendbuf) > UNREAD_MOST)
@@ -292,7 +294,8 @@
 /* The end of a connection does not show that the answer was whole. */
 static void clear_parts(exchange_t *x)
 {
-	if (x->call.part_count && x->status / 100 == 2 && !x->conn->until_close)
+	if (x->call.part_count && x->status / 100 == 2 &&
+	    !x->attempt.conn->until_close)
 		trials_answered(x, sys_now());
 }
 
@@ -350,6 +353,6 @@
 
 void relay_written(exchange_t *x)
 {
-	if (x->conn)
-		httpc_hold(x->conn, false);
+	if (x->attempt.conn)
+		httpc_hold(x->attempt.conn, false);
 }
