placing: a stream of which the caller has a part waits until its deadline

Cause: the queue judged it as it judges requests of which nothing has been sent: by the time for which callers bear silence, and by what placement and budget allowed at that moment. Such a caller cannot be told "not run", and nothing that it has can be given to anybody else; only its deadline, or its leaving, ends the wait.

Now it stays in line until then, looks for an endpoint again after 100 ms when it has been at all, and waits for the retry budget there. A retry counts when it is sent; one that was taken and not used goes back. Requests without a part are refused or fail as soon as before.

test_wait_queue: the case asserted the old limit, 1.6 s after the last event; it now asserts that the stream is in line until its deadline, and its place before requests of its urgency as before.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -50,6 +50,9 @@
 /* Sooner than this no endpoint closes an idle connection. */
 #define STALE_LEAST (100 * PIMENTO_MSEC)
 
+/* After a request was refused by more endpoints than it may run at. */
+#define REFUSED_PAUSE (100 * PIMENTO_MSEC)
+
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
 
@@ -183,9 +186,11 @@
 	x->attempt.told_pace = false;
 	x->attempt.load = x->attempt.endpoint->running +
 			  x->attempt.endpoint->remote_running;
+	x->gateway->counters.attempts++;
+	x->gateway->counters.repeats += x->arrivals > 0;
 	x->arrivals++;
 	x->runs++;
-	x->gateway->counters.attempts++;
+	x->retry_taken_at = 0;
 }
 
 static gateway_t *gateway_of(const httpc_t *conn)
@@ -274,15 +279,14 @@
 static void wait_again(exchange_t *x)
 {
 	const wait_queue_timing_t terms = {
+		.arrived = x->arrived,
 		.objective = x->route->objective,
 		.gap_objective = x->route->gap_objective,
 		.deadline = x->end,
 	};
 
-	if (x->runs && x->engine)
-		wait_queue_set_resumed(&x->wait, &terms,
-				       x->first_at ? x->attempt.event_at
-						   : x->arrived);
+	if (x->streaming || (x->runs && x->engine))
+		wait_queue_set_resumed(&x->wait, &terms, x->streaming);
 }
 
 /* Time spent on an attempt that failed was no time in the queue. */
@@ -305,26 +309,49 @@
 	placing_pump(x->gateway, x->service);
 }
 
-/* True if the next attempt is within all limits; takes it from the budget. */
-static bool may_try_again(exchange_t *x, pimento_verdict_t verdict)
+bool dispatch_take_retry(exchange_t *x)
 {
 	gateway_t *gateway = x->gateway;
 	pimento_usec_t now = sys_now();
 
-	if (now + TIME_LEAST > x->end || x->tried_count == PLACEMENT_TRIED_MAX)
+	if (x->retry_taken_at)
+		return true;
+	if (!retry_budget_take(&x->service->budget, &gateway->bounds.retry,
+			       peers_host_count(gateway->roster, now), now))
+		return false;
+	x->retry_taken_at = now;
+	return true;
+}
+
+void dispatch_return_retry(exchange_t *x)
+{
+	if (x->retry_taken_at)
+		retry_budget_return(&x->service->budget,
+				    &x->gateway->bounds.retry,
+				    x->retry_taken_at, sys_now());
+	x->retry_taken_at = 0;
+}
+
+/*
+ * True if the next attempt is within all limits. A stream of which the caller
+ * has a part waits for the budget in the queue; all others are given up.
+ */
+static bool may_try_again(exchange_t *x, pimento_verdict_t verdict)
+{
+	pimento_usec_t now = sys_now();
+
+	if (now + TIME_LEAST > x->end)
+		return false;
+	if (x->tried_count == PLACEMENT_TRIED_MAX && !x->streaming)
 		return false;
 	if (verdict != PIMENTO_NOT_RUN &&
 	    (!x->repeatable || x->runs >= x->route->attempts_max))
 		return false;
 	if (x->streaming && (!x->is_events || !x->route->resumable))
 		return false; /* the caller has a part of the answer */
-	if (!x->arrivals)
-		return true; /* nothing reached an endpoint yet */
-	if (!retry_budget_take(&x->service->budget, &gateway->bounds.retry,
-			       peers_host_count(gateway->roster, now), now))
-		return false;
-	gateway->counters.repeats++;
-	return true;
+	if (!x->arrivals || x->streaming)
+		return true;
+	return dispatch_take_retry(x);
 }
 
 static void give_up(exchange_t *x, int status, const char *why)
@@ -336,6 +363,14 @@
 			      why);
 }
 
+static void add_tried(exchange_t *x)
+{
+	if (x->streaming && x->tried_count == PLACEMENT_TRIED_MAX)
+		x->tried_count = 0;
+	if (x->tried_count < PLACEMENT_TRIED_MAX)
+		x->tried[x->tried_count++] = x->attempt.endpoint->key;
+}
+
 /* True if the endpoint was not reached, but may be in another way. */
 static bool may_use_other_path(const exchange_t *x)
 {
@@ -370,8 +405,11 @@
 
 	if (verdict == PIMENTO_NOT_RUN && arrived)
 		x->runs--;
-	if (x->tried_count < PLACEMENT_TRIED_MAX && !may_use_other_path(x))
-		x->tried[x->tried_count++] = x->attempt.endpoint->key;
+	if (!may_use_other_path(x))
+		add_tried(x);
+	if (verdict == PIMENTO_NOT_RUN && arrived &&
+	    x->arrivals > x->route->attempts_max)
+		x->retry_at = now + REFUSED_PAUSE;
 	again = may_try_again(x, verdict);
 	trail(TRAIL_FAILURE, "attempt", again ? "again" : "over",
 	      "id=%s endpoint=%s why=%s verdict=%s status=%d arrivals=%u "
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -121,6 +121,7 @@
 	crashes_forget(x);
 	trials_forget(x);
 	dispatch_abandon(x);
+	dispatch_return_retry(x);
 	placing_leave_lines(x);
 	if (x->caller)
 		x->caller->user = NULL;
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -79,6 +79,9 @@
 	trial_t trial;
 
 	attempt_t attempt; /* under way, or the last one */
+	pimento_usec_t retry_at; /* the next attempt, not before this */
+	/* a retry was taken from the budget and not used yet; 0: none */
+	pimento_usec_t retry_taken_at;
 	pimento_usec_t pause_most; /* the longest between two events */
 
 	/* The answer. */
@@ -191,6 +194,13 @@
 		   const char *why);
 /* Lets go of the attempt under way; its connection is closed. */
 void dispatch_abandon(exchange_t *exchange);
+/*
+ * Takes a retry from the service's budget, which the next attempt uses up.
+ * Returns false if none is left.
+ */
+bool dispatch_take_retry(exchange_t *exchange);
+/* Gives back one that was not used. */
+void dispatch_return_retry(exchange_t *exchange);
 /* Ends an attempt that is overdue; returns true if it did. */
 bool dispatch_sweep(exchange_t *exchange, pimento_usec_t now);
 
--- a/io/placing.c
+++ b/io/placing.c
@@ -19,6 +19,9 @@
 /* Requests of one service in line at owners; the others wait here. */
 #define ASKS_AT_ONCE 16
 
+/* Before a stream tries the endpoints again that it was at. */
+#define RETRY_PAUSE (100 * PIMENTO_MSEC)
+
 /* Events of a stream whose mean pause is reported; short answers have few. */
 #define EVENTS_TO_JUDGE 2
 
@@ -244,11 +247,16 @@
 	return placement_choose(x->gateway->registry, &request, now, endpoint);
 }
 
-/* The endpoints that were tried may be tried again, if nothing has run. */
-static void no_more_endpoints(exchange_t *x)
+/*
+ * The endpoints that were tried may be tried again, if nothing has run. A
+ * stream of which the caller has a part looks for one until its deadline.
+ */
+static void no_more_endpoints(exchange_t *x, pimento_usec_t now)
 {
-	if (x->runs && !x->tried_all) {
+	if (x->runs && (!x->tried_all || x->streaming)) {
 		/* it may be repeated, and only those that failed are left */
+		if (x->streaming)
+			x->retry_at = now + RETRY_PAUSE;
 		x->tried_all = true;
 		x->tried_count = 0;
 		return;
@@ -263,7 +271,7 @@
 /* What became of a request that waits. */
 typedef enum step {
 	STEP_STAYS, /* for want of a place */
-	STEP_HELD, /* until another request shows whether its prompt crashes */
+	STEP_HELD, /* whatever places there are */
 	STEP_ASKS, /* an owner was asked */
 	STEP_MOVED /* it has left the line */
 } step_t;
@@ -332,10 +340,11 @@
  * No endpoint is to be had before operators change something. What has not run
  * is refused at once.
  */
-static step_t refuse_unplaceable(exchange_t *x, const char *why)
+static step_t refuse_unplaceable(exchange_t *x, const char *why,
+				 pimento_usec_t now)
 {
 	if (x->runs) {
-		no_more_endpoints(x);
+		no_more_endpoints(x, now);
 		return STEP_MOVED;
 	}
 	exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why);
@@ -353,20 +362,22 @@
 		exchange_reject(x);
 		return STEP_MOVED;
 	}
+	if (now < x->retry_at || (x->arrivals && !dispatch_take_retry(x)))
+		return STEP_HELD;
 	switch (place(x, false, now, &endpoint)) {
 	case PLACEMENT_FOUND:
 		return take_place(x, endpoint, now);
 	case PLACEMENT_FULL:
 		return stand_in_lines(x, now);
 	case PLACEMENT_EVACUATED:
-		return refuse_unplaceable(x, "evacuated");
+		return refuse_unplaceable(x, "evacuated", now);
 	case PLACEMENT_NO_REGION:
-		return refuse_unplaceable(x, "no_endpoint_in_region");
+		return refuse_unplaceable(x, "no_endpoint_in_region", now);
 	case PLACEMENT_NONE:
 	default:
 		if (!x->tried_count)
 			return STEP_STAYS;
-		no_more_endpoints(x);
+		no_more_endpoints(x, now);
 		return STEP_MOVED;
 	}
 }
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -12,11 +12,16 @@
 #define RATIO_SAFETY_FACTOR 0.85
 #define SLACK_SAFETY_FACTOR 0.6
 
+static int64_t slice_of(const retry_budget_limits_t *limits, pimento_usec_t at)
+{
+	return at / (limits->window / RETRY_BUDGET_SLICES);
+}
+
 static void advance_window(retry_budget_t *budget,
 			   const retry_budget_limits_t *limits,
 			   pimento_usec_t now)
 {
-	int64_t slice = now / (limits->window / RETRY_BUDGET_SLICES);
+	int64_t slice = slice_of(limits, now);
 	int64_t steps = slice - budget->slice;
 
 	if (steps > RETRY_BUDGET_SLICES)
@@ -56,3 +61,16 @@
 	budget->retries[budget->slice % RETRY_BUDGET_SLICES]++;
 	return true;
 }
+
+void retry_budget_return(retry_budget_t *budget,
+			 const retry_budget_limits_t *limits,
+			 pimento_usec_t taken_at, pimento_usec_t now)
+{
+	int64_t slice = slice_of(limits, taken_at);
+
+	advance_window(budget, limits, now);
+	if (slice <= budget->slice - RETRY_BUDGET_SLICES)
+		return; /* it no longer counts */
+	if (budget->retries[slice % RETRY_BUDGET_SLICES])
+		budget->retries[slice % RETRY_BUDGET_SLICES]--;
+}
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -36,4 +36,9 @@
 		       const retry_budget_limits_t *limits, uint32_t hosts,
 		       pimento_usec_t now);
 
+/* Gives back a retry taken at taken_at that was not used. */
+void retry_budget_return(retry_budget_t *budget,
+			 const retry_budget_limits_t *limits,
+			 pimento_usec_t taken_at, pimento_usec_t now);
+
 #endif
--- a/src/wait_queue.c
+++ b/src/wait_queue.c
@@ -145,13 +145,12 @@
 }
 
 void wait_queue_set_resumed(wait_queue_item_t *item,
-			    const wait_queue_timing_t *timing,
-			    pimento_usec_t last_sent_at)
+			    const wait_queue_timing_t *timing, bool begun)
 {
 	item->overdue = false;
 	item->order_key = item->first_attempt_at;
-	item->expires_at = last_sent_at + stream_idle_timeout(timing);
-	if (item->expires_at > timing->deadline)
+	item->expires_at = timing->arrived + stream_idle_timeout(timing);
+	if (begun || item->expires_at > timing->deadline)
 		item->expires_at = timing->deadline;
 	item->overdue_at = item->expires_at;
 }
--- a/src/wait_queue.h
+++ b/src/wait_queue.h
@@ -70,12 +70,11 @@
  * Sets the times of a request that was already running when its endpoint
  * failed. Its caller cannot be answered "not run", and may have received a part
  * of the answer, which would be wasted. So the request goes before others of
- * its urgency, never becomes overdue, and waits until its caller, to whom data
- * was last sent at last_sent_at, closes the idle stream.
+ * its urgency and never becomes overdue. If its answer has begun it waits until
+ * the deadline, else until callers give up on a stream that does not begin.
  */
 void wait_queue_set_resumed(wait_queue_item_t *item,
-			    const wait_queue_timing_t *timing,
-			    pimento_usec_t last_sent_at);
+			    const wait_queue_timing_t *timing, bool begun);
 
 /*
  * Time after which the caller of a rejected request should retry. backlog is
--- a/test/test_retry_budget.c
+++ b/test/test_retry_budget.c
@@ -76,6 +76,28 @@
 }
 END_TEST
 
+/* Guards against a budget that searches without a retry use up. */
+START_TEST(returned_retries_can_be_taken_again)
+{
+	const pimento_usec_t later = PIMENTO_SEC + limits.window / 2;
+	retry_budget_t budget = { 0 };
+	uint32_t taken = 0;
+
+	while (retry_budget_take(&budget, &limits, HOSTS, PIMENTO_SEC))
+		taken++;
+	retry_budget_return(&budget, &limits, PIMENTO_SEC, later);
+	ck_assert(retry_budget_take(&budget, &limits, HOSTS, later));
+	ck_assert(!retry_budget_take(&budget, &limits, HOSTS, later));
+	/* the first ones have left the window, the last one has not */
+	retry_budget_return(&budget, &limits, PIMENTO_SEC,
+			    PIMENTO_SEC + limits.window);
+	while (retry_budget_take(&budget, &limits, HOSTS,
+				 PIMENTO_SEC + limits.window))
+		taken--;
+	ck_assert_uint_eq(taken, 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("retry_budget");
@@ -86,6 +108,7 @@
 	tcase_add_test(tests,
 		       retries_stay_within_budget_when_all_requests_fail);
 	tcase_add_test(tests, idle_budget_is_limited_to_slack);
+	tcase_add_test(tests, returned_retries_can_be_taken_again);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
--- a/test/test_wait_queue.c
+++ b/test/test_wait_queue.c
@@ -96,13 +96,8 @@
 }
 END_TEST
 
-/*
- * Guards against an answer cut off by the wait limit of its first slot. In an
- * overload an engine crashes during an answer, long after that limit. If it
- * still applied, the request would be rejected at once, and a caller that would
- * have waited for the rest would have half an answer and start again.
- */
-START_TEST(resumed_answer_outlives_first_wait_limit)
+/* Guards against a stream that is cut while its caller still has time. */
+START_TEST(resumed_answer_waits_until_its_deadline)
 {
 	wait_queue_timing_t timing = { .objective = 300 * MS,
 				       .gap_objective = 300 * MS,
@@ -114,13 +109,15 @@
 
 	wait_queue_set_times(&resumed, &timing);
 	resumed.overdue = true;
-	wait_queue_set_resumed(&resumed, &timing, 5 * PIMENTO_SEC);
+	wait_queue_set_resumed(&resumed, &timing, true);
 	wait_queue_push(&queue, &newer);
 	wait_queue_push(&queue, &resumed);
 	ck_assert_ptr_eq(queue.first, &resumed);
 	ck_assert_ptr_null(wait_queue_next_expired(&queue, 5200 * MS));
 	ck_assert(!resumed.overdue);
-	ck_assert_ptr_eq(wait_queue_next_expired(&queue, 7 * PIMENTO_SEC),
+	wait_queue_remove(&queue, &newer);
+	ck_assert_ptr_null(wait_queue_next_expired(&queue, 9999 * MS));
+	ck_assert_ptr_eq(wait_queue_next_expired(&queue, 10 * PIMENTO_SEC),
 			 &resumed);
 }
 END_TEST
@@ -205,7 +202,7 @@
 	tcase_add_test(tests, requests_are_ordered_by_urgency_then_age);
 	tcase_add_test(tests,
 		       long_answer_yields_to_short_ones_without_starving);
-	tcase_add_test(tests, resumed_answer_outlives_first_wait_limit);
+	tcase_add_test(tests, resumed_answer_waits_until_its_deadline);
 	tcase_add_test(tests, overdue_requests_go_behind_timely_ones);
 	tcase_add_loop_test(tests, waits_end_before_client_timeout, 0,
 			    sizeof(times) / sizeof(times[0]));
