hedge: a silent attempt goes on until another one delivers

Cause: an attempt that heard nothing for four gap goals, or nothing at all for two objectives, was ended, and so was one whose path seemed lost, before there was another place for its request. A plain answer beyond 64 KB was cut after a pause of 250 ms, though no second attempt was possible.

A silent attempt now goes on beside the search for another endpoint. Whichever delivers first is kept and the other is cancelled; if the search ends without one, the silent attempt is the only one again. Both count against max_attempts, the retry budget and the slots, and both end when the caller leaves. Trials of quarantined prompts are not hedged.

--- a/io/crashes.c
+++ b/io/crashes.c
@@ -43,12 +43,13 @@
 	return &grown[crashes->count++];
 }
 
-bool crashes_has_begun(const exchange_t *x, pimento_usec_t now)
+bool crashes_has_begun(const exchange_t *x, const attempt_t *attempt,
+		       pimento_usec_t now)
 {
-	return x->attempt.first_event_at &&
-	       x->attempt.first_event_at >= x->attempt.sent_at &&
-	       now - x->attempt.first_event_at >= BEGUN_SPAN &&
-	       x->events.count - x->attempt.events_before >= BEGUN_EVENTS;
+	return attempt->first_event_at &&
+	       attempt->first_event_at >= attempt->sent_at &&
+	       now - attempt->first_event_at >= BEGUN_SPAN &&
+	       x->events.count - attempt->events_before >= BEGUN_EVENTS;
 }
 
 /* The same on all hosts; another one after each start of the endpoint. */
@@ -61,9 +62,9 @@
 	return (uint32_t)(mixed ^ mixed >> 32);
 }
 
-void crashes_broken(exchange_t *x, pimento_usec_t now)
+void crashes_broken(exchange_t *x, const attempt_t *attempt, pimento_usec_t now)
 {
-	registry_endpoint_t *endpoint = x->attempt.endpoint;
+	registry_endpoint_t *endpoint = attempt->endpoint;
 	crash_candidate_t *candidate;
 
 	if (!x->call.part_count)
@@ -73,13 +74,13 @@
 		return;
 	*candidate = (crash_candidate_t){
 		.endpoint = endpoint,
-		.incarnation = x->attempt.life,
+		.incarnation = attempt->life,
 		.process = process_of(endpoint),
 		.broke_at = now,
 		.request = x,
 		.trial_part = x->trial.part,
 		.trial_ticket = x->trial.granted ? x->trial.ticket : 0,
-		.begun = crashes_has_begun(x, now),
+		.begun = crashes_has_begun(x, attempt, now),
 		.part_count = x->call.part_count,
 	};
 	memcpy(candidate->parts, x->call.parts, sizeof(candidate->parts));
--- a/io/crashes.h
+++ b/io/crashes.h
@@ -15,6 +15,7 @@
 #include "../src/quarantine.h"
 #include "../src/registry.h"
 
+struct attempt;
 struct exchange;
 struct gateway;
 
@@ -43,13 +44,15 @@
 
 void crashes_finish(crashes_t *crashes);
 
-/* True if the answer under way did not crash the endpoint by beginning. */
-bool crashes_has_begun(const struct exchange *exchange, pimento_usec_t now);
+/* True if the answer of the attempt did not crash the endpoint by beginning. */
+bool crashes_has_begun(const struct exchange *exchange,
+		       const struct attempt *attempt, pimento_usec_t now);
 /* The exchange is over. */
 void crashes_forget(struct exchange *exchange);
 
-/* The connection of the request's attempt broke. */
-void crashes_broken(struct exchange *exchange, pimento_usec_t now);
+/* The connection of an attempt of the request broke. */
+void crashes_broken(struct exchange *exchange, const struct attempt *attempt,
+		    pimento_usec_t now);
 
 /* A connection to the endpoint opened that was begun at `since`. */
 void crashes_reached(struct gateway *gateway, registry_endpoint_t *endpoint,
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -35,9 +35,8 @@
 #define STRANDED_AFTER (300 * PIMENTO_MSEC)
 
 /*
- * An endpoint that is silent for so long, in parts of the route's goal, has
- * stopped: a request that may be repeated goes elsewhere. The caller would get
- * a late answer, or none.
+ * A request that may be repeated looks for another endpoint when its own has
+ * been silent for so long, in parts of the route's goal.
  */
 #define SILENT_GOALS 2
 #define SILENT_LEAST (250 * PIMENTO_MSEC)
@@ -56,44 +55,49 @@
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
 
-void dispatch_read(exchange_t *x)
+void dispatch_read(attempt_t *attempt)
 {
-	x->attempt.endpoint->pending_prompt_tokens -= x->attempt.reading;
-	x->attempt.reading = 0;
+	attempt->endpoint->pending_prompt_tokens -= attempt->reading;
+	attempt->reading = 0;
 }
 
 /* The endpoint is done with the request, or counts as done with it. */
-static void free_slot(exchange_t *x)
+static void free_slot(attempt_t *attempt)
 {
-	if (!x->attempt.overdue)
-		x->attempt.endpoint->running--;
-	x->attempt.overdue = false;
+	if (!attempt->overdue)
+		attempt->endpoint->running--;
+	attempt->overdue = false;
 }
 
 /* Lets go of an endpoint; the connection has been dealt with. */
-static void let_go(exchange_t *x)
+static void let_go(exchange_t *x, attempt_t *attempt)
 {
-	registry_endpoint_t *endpoint = x->attempt.endpoint;
+	registry_endpoint_t *endpoint = attempt->endpoint;
 
 	if (!endpoint)
 		return;
-	dispatch_read(x);
-	free_slot(x);
+	dispatch_read(attempt);
+	free_slot(attempt);
 	endpoint->refs--;
-	x->attempt.endpoint = NULL;
-	x->attempt.conn = NULL;
-	placing_give_back(x);
+	attempt->endpoint = NULL;
+	attempt->conn = NULL;
+	placing_give_back(x, attempt);
 }
 
-void dispatch_abandon(exchange_t *x)
+void dispatch_close(exchange_t *x, attempt_t *attempt)
 {
-	httpc_t *conn = x->attempt.conn;
+	httpc_t *conn = attempt->conn;
 
 	if (conn) {
 		pool_remove(conn);
 		httpc_close(conn);
 	}
-	let_go(x);
+	let_go(x, attempt);
+}
+
+void dispatch_abandon(exchange_t *x)
+{
+	dispatch_close(x, &x->attempt);
 }
 
 void dispatch_done(exchange_t *x)
@@ -109,7 +113,7 @@
 		pool_release(conn);
 	else
 		pool_remove(conn);
-	let_go(x);
+	let_go(x, &x->attempt);
 }
 
 /* Sending. */
@@ -287,6 +291,8 @@
 
 	if (x->streaming || (x->runs && x->engine))
 		wait_queue_set_resumed(&x->wait, &terms, x->streaming);
+	if (x->silent.attempt.conn)
+		x->wait.expires_at = x->end;
 }
 
 /* Time spent on an attempt that failed was no time in the queue. */
@@ -356,6 +362,8 @@
 
 static void give_up(exchange_t *x, int status, const char *why)
 {
+	if (hedge_return(x, why))
+		return;
 	if (!x->runs)
 		exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why);
 	else
@@ -446,21 +454,41 @@
 }
 
 /* The endpoint broke an answer off, as a peer says that holds the connection. */
-static void learn_break(exchange_t *x, bool begun)
+static void learn_break(exchange_t *x, attempt_t *attempt, bool begun)
 {
+	registry_endpoint_t *endpoint = attempt->endpoint;
 	registry_service_t *service =
 		registry_get_service(x->gateway->registry, x->service->key);
 
 	if (service)
-		latency_add_failure(&x->attempt.endpoint->latency,
-				    &service->latency, sys_now());
+		latency_add_failure(&endpoint->latency, &service->latency,
+				    sys_now());
 	if (begun)
 		return;
-	x->attempt.finding = LATENCY_OUTCOME_RESET;
-	slots_learn(x->gateway->slots, x->attempt.endpoint, x->attempt.finding,
+	attempt->finding = LATENCY_OUTCOME_RESET;
+	slots_learn(x->gateway->slots, endpoint, attempt->finding,
 		    x->gateway->slots->self, sys_now());
 }
 
+/* What the end of a connection that carried a request tells of its endpoint. */
+static void learn_failure(exchange_t *x, attempt_t *attempt,
+			  httpc_failure_t why)
+{
+	const httpc_t *conn = attempt->conn;
+
+	if (why == HTTPC_TUNNEL_BROKEN)
+		peers_avoid_tunnel(x->gateway->roster, conn->via, sys_now());
+	else if (attempt->reused && why == HTTPC_BROKEN && !conn->status &&
+		 attempt->rested > STALE_LEAST)
+		pool_found_stale(attempt->conn, attempt->rested);
+	else if (conn->via || why == HTTPC_GARBLED)
+		learn_break(x, attempt, conn->status || why == HTTPC_GARBLED);
+	else
+		paths_broken(x->gateway, attempt->endpoint, conn->status != 0);
+	if (why == HTTPC_BROKEN)
+		crashes_broken(x, attempt, sys_now());
+}
+
 /* The connection failed, at whatever point. */
 static void on_failed(httpc_t *conn, httpc_failure_t why)
 {
@@ -470,22 +498,16 @@
 		paths_not_opened(gateway_of(conn), conn);
 		return;
 	}
+	if (hedge_is_silent(x, conn)) {
+		learn_failure(x, &x->silent.attempt, why);
+		hedge_drop(x);
+		return;
+	}
 	if (why == HTTPC_UNREACHED || x->state == EXCHANGE_CONNECTING) {
 		unreached(x, httpc_failure_name(why));
 		return;
 	}
-	if (why == HTTPC_TUNNEL_BROKEN)
-		peers_avoid_tunnel(x->gateway->roster, conn->via, sys_now());
-	else if (x->attempt.reused && why == HTTPC_BROKEN && !conn->status &&
-		 x->attempt.rested > STALE_LEAST)
-		pool_found_stale(conn, x->attempt.rested);
-	else if (conn->via || why == HTTPC_GARBLED)
-		learn_break(x, conn->status || why == HTTPC_GARBLED);
-	else
-		paths_broken(x->gateway, x->attempt.endpoint,
-			     conn->status != 0);
-	if (why == HTTPC_BROKEN)
-		crashes_broken(x, sys_now());
+	learn_failure(x, &x->attempt, why);
 	dispatch_over(x, PIMENTO_MAY_HAVE_RUN, 0, httpc_failure_name(why));
 }
 
@@ -538,7 +560,7 @@
 {
 	x->attempt.endpoint->running--;
 	x->attempt.overdue = true;
-	placing_give_back(x);
+	placing_give_back(x, &x->attempt);
 }
 
 /* A request that its next host has not acknowledged after this is looked into. */
@@ -597,11 +619,31 @@
 }
 
 /* Nothing came from the endpoint; it may be that nothing comes from others. */
-static void end_unanswered(exchange_t *x, const char *why)
+static void try_elsewhere(exchange_t *x, const char *why)
 {
 	if (!x->attempt.conn->via)
 		x->unanswered_at = x->attempt.event_at;
-	dispatch_over(x, PIMENTO_MAY_HAVE_RUN, 0, why);
+	add_tried(x);
+	hedge_begin(x, why);
+	try_again(x);
+}
+
+/* Looks for another endpoint if nothing comes from this one. */
+static bool sweep_silent(exchange_t *x, pimento_usec_t now)
+{
+	bool stranded = is_stranded(x, now);
+
+	if (sendbuf_waiting(&x->caller->sendbuf))
+		return false; /* its reader is slow, not the endpoint */
+	if (!stranded && !is_silent(x, now))
+		return false;
+	if (!may_try_again(x, PIMENTO_MAY_HAVE_RUN))
+		return false;
+	if (!x->attempt.conn->via &&
+	    x->attempt.endpoint->path.heard_at <= x->attempt.event_at)
+		endpoint_path_suspect(&x->attempt.endpoint->path, now);
+	try_elsewhere(x, stranded ? "path_lost" : "silent");
+	return true;
 }
 
 bool dispatch_sweep(exchange_t *x, pimento_usec_t now)
@@ -619,22 +661,9 @@
 		count_out(x);
 	check_path(x, now);
 	check_silence(x, now);
-	if (x->state < EXCHANGE_SENT || !x->repeatable ||
-	    x->runs >= x->route->attempts_max)
+	if (x->state < EXCHANGE_SENT || !hedge_may_begin(x, now))
 		return false;
-	if (sendbuf_waiting(&x->caller->sendbuf))
-		return false; /* its reader is slow, not the endpoint */
-	if (is_stranded(x, now)) {
-		end_unanswered(x, "path_lost");
-		return true;
-	}
-	if (!is_silent(x, now))
-		return false;
-	if (!x->attempt.conn->via &&
-	    x->attempt.endpoint->path.heard_at <= x->attempt.event_at)
-		endpoint_path_suspect(&x->attempt.endpoint->path, now);
-	end_unanswered(x, "silent");
-	return true;
+	return sweep_silent(x, now);
 }
 
 void dispatch_init(gateway_t *gateway)
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -120,9 +120,10 @@
 	admission_abandon(x);
 	crashes_forget(x);
 	trials_forget(x);
+	placing_leave_lines(x);
+	hedge_drop(x);
 	dispatch_abandon(x);
 	dispatch_return_retry(x);
-	placing_leave_lines(x);
 	if (x->caller)
 		x->caller->user = NULL;
 	if (x->next)
@@ -223,6 +224,8 @@
 	char text[96];
 	int length;
 
+	if (hedge_return(x, why))
+		return;
 	x->gateway->trials.rejected++;
 	trail(TRAIL_FAILURE, "quarantine", "rejected",
 	      "id=%s part=%llx state=%s ended=%u runs=%u trial_in_ms=%lld",
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -52,6 +52,22 @@
 	bool told_pace; /* the owner heard how fast its events come */
 } attempt_t;
 
+/*
+ * An attempt that is silent and goes on while another endpoint is tried, with
+ * what has come of its answer and not been passed on.
+ */
+typedef struct silent_attempt {
+	attempt_t attempt; /* without a connection: there is none */
+	exchange_state_t state;
+	int status;
+	int64_t length;
+	strbuf_t fields;
+	strbuf_t body;
+	strbuf_t partial; /* event */
+	bool is_events;
+	bool resuming;
+} silent_attempt_t;
+
 typedef struct exchange {
 	wait_queue_item_t wait; /* first: the line hands out items */
 	struct exchange *next;
@@ -79,7 +95,9 @@
 	trial_t trial;
 
 	attempt_t attempt; /* under way, or the last one */
-	pimento_usec_t retry_at; /* the next attempt, not before this */
+	silent_attempt_t silent;
+	pimento_usec_t hedge_at; /* not before this */
+	pimento_usec_t retry_at; /* the same for the next attempt */
 	/* a retry was taken from the budget and not used yet; 0: none */
 	pimento_usec_t retry_taken_at;
 	pimento_usec_t pause_most; /* the longest between two events */
@@ -170,8 +188,8 @@
 void placing_pump(gateway_t *gateway, gateway_service_t *service);
 /* Leaves all lines. */
 void placing_leave_lines(exchange_t *exchange);
-/* Gives back the place that it holds, if any. */
-void placing_give_back(exchange_t *exchange);
+/* Gives back the place that the attempt holds, if any. */
+void placing_give_back(exchange_t *exchange, attempt_t *attempt);
 /* Tells the owner, once, of an engine's pace that it does not know. */
 void placing_tell_pace(exchange_t *exchange);
 /*
@@ -186,13 +204,15 @@
 /* Takes a place at an endpoint, and a connection there. */
 void dispatch_begin(exchange_t *exchange, registry_endpoint_t *endpoint);
 /* The endpoint has read the prompt: its answer has begun. */
-void dispatch_read(exchange_t *exchange);
+void dispatch_read(attempt_t *attempt);
 /* The attempt ended well; its connection rests. */
 void dispatch_done(exchange_t *exchange);
 /* The attempt failed: tries again or ends the exchange. */
 void dispatch_over(exchange_t *exchange, pimento_verdict_t verdict, int status,
 		   const char *why);
-/* Lets go of the attempt under way; its connection is closed. */
+/* Lets go of an attempt; its connection is closed. */
+void dispatch_close(exchange_t *exchange, attempt_t *attempt);
+/* The same for the one under way, if there is one. */
 void dispatch_abandon(exchange_t *exchange);
 /*
  * Takes a retry from the service's budget, which the next attempt uses up.
@@ -201,9 +221,31 @@
 bool dispatch_take_retry(exchange_t *exchange);
 /* Gives back one that was not used. */
 void dispatch_return_retry(exchange_t *exchange);
-/* Ends an attempt that is overdue; returns true if it did. */
+/*
+ * Ends an attempt that reaches nothing, and looks for another endpoint beside
+ * one that is silent; returns true if it did. Exchanges may be over then.
+ */
 bool dispatch_sweep(exchange_t *exchange, pimento_usec_t now);
 
+/* hedge.c: another attempt beside one that is silent. */
+bool hedge_may_begin(const exchange_t *exchange, pimento_usec_t now);
+/* The attempt under way is silent; it goes on beside the next one. */
+void hedge_begin(exchange_t *exchange, const char *why);
+/* True if the connection is that of the silent attempt. */
+bool hedge_is_silent(const exchange_t *exchange, const httpc_t *conn);
+/*
+ * Ends the other attempt, or the search for one: the silent one is under way
+ * again. Returns false if there is none.
+ */
+bool hedge_return(exchange_t *exchange, const char *why);
+/* The other attempt delivers: the silent one is cancelled. */
+void hedge_settle(exchange_t *exchange);
+/*
+ * The silent attempt is over, if there is one. An exchange that waits may be
+ * over when this returns.
+ */
+void hedge_drop(exchange_t *exchange);
+
 /* relay.c: what the connection to the endpoint tells. */
 bool relay_head(httpc_t *conn);
 void relay_body(httpc_t *conn, const char *bytes, size_t length);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -61,6 +61,8 @@
 	uint64_t outcomes[GATEWAY_OUTCOMES];
 	uint64_t attempts;
 	uint64_t repeats; /* beyond the first of a request */
+	uint64_t hedges; /* searches for an endpoint beside a silent one */
+	uint64_t hedges_won; /* of those, that replaced its attempt */
 	uint64_t tunnelled; /* attempts through a peer */
 	uint64_t path_probes; /* connections that test a path */
 	uint64_t resumed;
--- a/io/placing.c
+++ b/io/placing.c
@@ -34,15 +34,15 @@
 /* Paces this many times apart are news; prompts in between make some noise. */
 #define NEWS_RATIO 1.5
 
-/* Mean pause between the events of this attempt; 0 if there were too few. */
-static pimento_usec_t mean_gap(const exchange_t *x)
+/* Mean pause between the events of the attempt; 0 if there were too few. */
+static pimento_usec_t mean_gap(const exchange_t *x, const attempt_t *attempt)
 {
-	uint32_t events = x->events.count - x->attempt.events_before;
+	uint32_t events = x->events.count - attempt->events_before;
 
 	if (events < EVENTS_TO_JUDGE ||
-	    x->attempt.event_at <= x->attempt.first_event_at)
+	    attempt->event_at <= attempt->first_event_at)
 		return 0;
-	return (x->attempt.event_at - x->attempt.first_event_at) / (events - 1);
+	return (attempt->event_at - attempt->first_event_at) / (events - 1);
 }
 
 /*
@@ -58,13 +58,14 @@
 	place->endpoint->refs--;
 }
 
-void placing_give_back(exchange_t *x)
+void placing_give_back(exchange_t *x, attempt_t *attempt)
 {
-	exchange_place_t place = x->attempt.place;
-	packet_slot_release_t words = { .gap_us = (uint32_t)mean_gap(x),
-					.outcome = x->attempt.finding };
+	exchange_place_t place = attempt->place;
+	packet_slot_release_t words = { .gap_us =
+						(uint32_t)mean_gap(x, attempt),
+					.outcome = attempt->finding };
 
-	x->attempt.place = (exchange_place_t){ 0 };
+	attempt->place = (exchange_place_t){ 0 };
 	if (place.ticket)
 		release(x->gateway->slots, &place, words);
 }
@@ -80,7 +81,7 @@
 
 void placing_tell_pace(exchange_t *x)
 {
-	pimento_usec_t gap = mean_gap(x);
+	pimento_usec_t gap = mean_gap(x, &x->attempt);
 	packet_slot_release_t words = { .gap_us = (uint32_t)gap,
 					.outcome = LATENCY_OUTCOME_ANSWERED };
 
@@ -253,6 +254,8 @@
  */
 static void no_more_endpoints(exchange_t *x, pimento_usec_t now)
 {
+	if (hedge_return(x, "endpoints_failed"))
+		return;
 	if (x->runs && (!x->tried_all || x->streaming)) {
 		/* it may be repeated, and only those that failed are left */
 		if (x->streaming)
--- a/io/relay.c
+++ b/io/relay.c
@@ -42,6 +42,7 @@
 
 static void begin_streaming(exchange_t *x)
 {
+	hedge_settle(x);
 	x->streaming = true;
 	x->state = EXCHANGE_ANSWERING;
 	httpd_begin(x->caller, x->status, strbuf_str(&x->fields),
@@ -73,7 +74,7 @@
 	       status == HTTP_STATUS_SERVICE_UNAVAILABLE;
 }
 
-static relay_judgement_t judge(const exchange_t *x,
+static relay_judgement_t judge(const exchange_t *x, bool resuming,
 			       const dialect_answer_t *answer, int status)
 {
 	if (status == HTTP_STATUS_MISDIRECTED_REQUEST)
@@ -84,7 +85,7 @@
 		return RELAY_BAD; /* it may have run: the promise is false */
 	if (status / 100 == 2 && (!answer->sealed || answer->encoded))
 		return RELAY_BAD;
-	if (x->resuming && status != HTTP_STATUS_OK)
+	if (resuming && status != HTTP_STATUS_OK)
 		return RELAY_BAD;
 	if (status / 100 == 5 && x->repeatable)
 		return RELAY_AGAIN;
@@ -143,11 +144,30 @@
 }
 
 /* Bytes came from the endpoint. */
-static void note_heard(exchange_t *x, pimento_usec_t now)
+static void note_heard(const httpc_t *conn, pimento_usec_t now)
 {
-	x->attempt.acknowledged = true;
-	if (!x->attempt.conn->via)
-		endpoint_path_heard(&x->attempt.endpoint->path, now);
+	registry_endpoint_t *endpoint = conn->owner;
+
+	if (!conn->via)
+		endpoint_path_heard(&endpoint->path, now);
+}
+
+/*
+ * The silent attempt has an answer. Returns true if it is fit to be passed on:
+ * it is then the attempt under way; else it is over.
+ */
+static bool silent_answers(exchange_t *x, const dialect_answer_t *answer,
+			   const httpc_t *conn)
+{
+	relay_judgement_t judgement =
+		judge(x, x->silent.resuming, answer, conn->status);
+
+	if (judgement == RELAY_PASS)
+		return hedge_return(x, "answered");
+	if (judgement == RELAY_NOT_RUN || judgement == RELAY_FULL)
+		x->runs--;
+	hedge_drop(x);
+	return false;
 }
 
 bool relay_head(httpc_t *conn)
@@ -157,14 +177,17 @@
 
 	if (!x)
 		return false;
-	x->attempt.acknowledged = true;
+	if (!hedge_is_silent(x, conn))
+		x->attempt.acknowledged = true;
 	if (conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
-		note_heard(x, sys_now());
+		note_heard(conn, sys_now());
 	x->gateway->dialect->read_answer(&conn->head, x->call.id, &answer);
 	if (!answer.mine && !answer.not_run &&
 	    conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
 		return false;
-	switch (judge(x, &answer, conn->status)) {
+	if (hedge_is_silent(x, conn) && !silent_answers(x, &answer, conn))
+		return true;
+	switch (judge(x, x->resuming, &answer, conn->status)) {
 	case RELAY_NOT_RUN:
 		not_run(x, false, conn->status);
 		return true;
@@ -177,7 +200,8 @@
 		return true;
 	case RELAY_AGAIN:
 		failed(x);
-		if (x->runs < x->route->attempts_max) {
+		if (x->runs < x->route->attempts_max ||
+		    x->silent.attempt.conn) {
 			dispatch_over(x, PIMENTO_RAN, conn->status,
 				      "endpoint_failed");
 			return true;
@@ -199,7 +223,7 @@
 
 	if (!x->first_at)
 		x->first_at = now;
-	dispatch_read(x);
+	dispatch_read(&x->attempt);
 	if (x->status / 100 != 5) {
 		x->attempt.finding = LATENCY_OUTCOME_ANSWERED;
 		slots_learn(x->gateway->slots, x->attempt.endpoint,
@@ -236,9 +260,10 @@
 		exchange_cut(x, "event_too_big");
 		return;
 	}
-	note_heard(x, now);
+	note_heard(x->attempt.conn, now);
 	if (!whole)
 		return;
+	hedge_settle(x);
 	x->gateway->counters.events += x->events.count - before;
 	if (x->attempt.event_at == x->attempt.sent_at) {
 		x->attempt.first_event_at = now;
@@ -248,7 +273,7 @@
 	}
 	x->attempt.event_at = now;
 	if (!x->parts_cleared && x->call.part_count &&
-	    crashes_has_begun(x, now))
+	    crashes_has_begun(x, &x->attempt, now))
 		trials_answered(x, now);
 	placing_tell_pace(x);
 	httpd_write(x->caller, x->events.partial.bytes, (size_t)whole);
@@ -263,6 +288,8 @@
 
 	if (!x)
 		return;
+	if (hedge_is_silent(x, conn))
+		(void)hedge_return(x, "answered");
 	if (x->is_events && x->streaming) {
 		pass_events(x, bytes, length);
 		return;
@@ -305,7 +332,7 @@
 
 	if (x->is_events && x->events.partial.length) {
 		/* it ended in the middle of an event: it is not whole */
-		crashes_broken(x, sys_now());
+		crashes_broken(x, &x->attempt, sys_now());
 		dispatch_over(x, PIMENTO_RAN, 0, "stream_torn");
 		return;
 	}
@@ -343,6 +370,8 @@
 		pool_remove(conn);
 		return;
 	}
+	if (hedge_is_silent(x, conn))
+		(void)hedge_return(x, "answered");
 	if (strbuf_error(&x->body) || strbuf_error(&x->fields))
 		dispatch_over(x, PIMENTO_RAN, 0, "memory");
 	else if (x->streaming)
