--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -49,8 +49,12 @@
 /* Sooner than this no endpoint closes an idle connection. */
 #define STALE_LEAST (100 * PIMENTO_MSEC)
 
-/* After a request was refused by more endpoints than it may run at. */
-#define REFUSED_PAUSE (100 * PIMENTO_MSEC)
+/*
+ * After a request was refused by more endpoints than it may run at; doubles
+ * with each.
+ */
+#define REFUSED_PAUSE_MIN (100 * PIMENTO_MSEC)
+#define REFUSED_PAUSE_MAX (800 * PIMENTO_MSEC)
 
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
@@ -371,6 +375,19 @@
 			      why);
 }
 
+/* Without a pause a stream would use up the service's retries at once. */
+static void pause_refused(exchange_t *x, pimento_usec_t now)
+{
+	pimento_usec_t pause = REFUSED_PAUSE_MIN;
+
+	if (x->arrivals <= x->route->attempts_max)
+		return;
+	for (uint32_t i = x->arrivals - x->route->attempts_max;
+	     i > 1 && pause < REFUSED_PAUSE_MAX; i--)
+		pause *= 2;
+	x->retry_at = now + pause;
+}
+
 static void add_tried(exchange_t *x)
 {
 	if (x->streaming && x->tried_count == PLACEMENT_TRIED_MAX)
@@ -415,9 +432,8 @@
 		x->runs--;
 	if (!may_use_other_path(x))
 		add_tried(x);
-	if (verdict == PIMENTO_NOT_RUN && arrived &&
-	    x->arrivals > x->route->attempts_max)
-		x->retry_at = now + REFUSED_PAUSE;
+	if (verdict == PIMENTO_NOT_RUN && arrived)
+		pause_refused(x, now);
 	again = may_try_again(x, verdict);
 	trail(TRAIL_FAILURE, "attempt", again ? "again" : "over",
 	      "id=%s endpoint=%s why=%s verdict=%s status=%d arrivals=%u "
