gateway: a host's own stall is no silence of its endpoints

A host that stood still (a frozen process, a machine suspended) compared its clocks before it read what had arrived meanwhile: with all endpoints sound, every request under way was taken for silent and sent a second time, and connections being opened were taken for lost. Found while looking for the same class elsewhere.

A tick that comes over 200 ms late marks a stall, and what is measured by silence counts from there; deadlines do not. test_silent_streams, a_stall_of_hosts_repeats_nothing: hosts stopped for 0.6, 1.5 and 3 s; 17 and 22 arrivals of 12 requests in the latter two before, 12 in each case now.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -542,7 +542,7 @@
 {
 	if (span < SILENT_LEAST)
 		span = SILENT_LEAST;
-	return now - x->attempt.event_at > span;
+	return gateway_elapsed(x->gateway, x->attempt.event_at, now) > span;
 }
 
 static bool is_silent(const exchange_t *x, pimento_usec_t now)
@@ -622,7 +622,8 @@
 	return !x->attempt.conn->via && path->state == ENDPOINT_PATH_LOST &&
 	       path->heard_at <= path->lost_at &&
 	       x->attempt.event_at < path->lost_at &&
-	       now - x->attempt.event_at > STRANDED_AFTER;
+	       gateway_elapsed(x->gateway, x->attempt.event_at, now) >
+		       STRANDED_AFTER;
 }
 
 static pimento_usec_t connect_timeout(const exchange_t *x)
@@ -669,7 +670,8 @@
 	if (x->state == EXCHANGE_WAITING)
 		return placing_sweep(x, now);
 	if (x->state == EXCHANGE_CONNECTING &&
-	    now - x->attempt.conn->since > connect_timeout(x)) {
+	    gateway_elapsed(x->gateway, x->attempt.conn->since, now) >
+		    connect_timeout(x)) {
 		unreached(x, "connect_timeout");
 		return true;
 	}
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -9,6 +9,7 @@
 #include "paths.h"
 
 #include "sys.h"
+#include "trail.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -19,6 +20,9 @@
 /* Notes come at most this often, in ticks. */
 #define PEER_TICKS 2
 
+/* A tick that comes this much after the one before: the host stood still. */
+#define TICK_LATE (200 * PIMENTO_MSEC)
+
 /* Without a limit stated by the operator. */
 #define HEAD_BYTES_DEFAULT 16384
 #define BODY_BYTES_DEFAULT (4 * 1024 * 1024)
@@ -162,8 +166,26 @@
 	httpd_resume(&gateway->front);
 }
 
+pimento_usec_t gateway_elapsed(const gateway_t *gateway, pimento_usec_t since,
+			       pimento_usec_t now)
+{
+	return now - (since > gateway->stalled_until ? since
+						     : gateway->stalled_until);
+}
+
+static void note_stall(gateway_t *gateway, pimento_usec_t now)
+{
+	if (gateway->ticked_at && now - gateway->ticked_at > TICK_LATE) {
+		gateway->stalled_until = now;
+		trail(TRAIL_STATE, "edge", "stalled", "ms=%lld",
+		      (long long)((now - gateway->ticked_at) / PIMENTO_MSEC));
+	}
+	gateway->ticked_at = now;
+}
+
 void gateway_tick(gateway_t *gateway, pimento_usec_t now)
 {
+	note_stall(gateway, now);
 	open_when_able(gateway, now);
 	if (gateway->ticks++ % PEER_TICKS == 0)
 		add_up_peers(gateway, now);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -115,6 +115,9 @@
 	trials_t trials;
 	gateway_counters_t counters;
 	uint64_t ticks;
+	pimento_usec_t ticked_at;
+	pimento_usec_t
+		stalled_until; /* the last tick that came late; 0: none */
 	uint64_t draws; /* state of the random numbers */
 	pimento_usec_t started_at;
 	bool open; /* takes connections of callers */
@@ -158,6 +161,13 @@
 void gateway_configure(gateway_t *gateway, catalog_t *catalog);
 
 /* True if requests can be served: configuration known, and not too old. */
+/*
+ * Time since then, or since this host last stood still: what arrived while it
+ * did has not been read yet, and its absence is no silence.
+ */
+pimento_usec_t gateway_elapsed(const gateway_t *gateway, pimento_usec_t since,
+			       pimento_usec_t now);
+
 bool gateway_able(const gateway_t *gateway, pimento_usec_t now);
 
 /* The owner of an endpoint has answered an ask of this gateway. */
--- a/io/paths.c
+++ b/io/paths.c
@@ -279,7 +279,7 @@
 static void end_overdue(gateway_t *gateway, httpc_t *conn,
 			pimento_usec_t timeout, pimento_usec_t now)
 {
-	if (!conn || now - conn->since <= timeout)
+	if (!conn || gateway_elapsed(gateway, conn->since, now) <= timeout)
 		return;
 	paths_not_opened(gateway, conn);
 	httpc_close(conn);
--- a/test/test_silent_streams.c
+++ b/test/test_silent_streams.c
@@ -464,6 +464,45 @@
 }
 END_TEST
 
+static void freeze_hosts(int ms)
+{
+	for (uint32_t i = 0; i < HOSTS; i++)
+		process_freeze(&edge.hosts[i].process);
+	process_sleep_ms(ms);
+	for (uint32_t i = 0; i < HOSTS; i++)
+		process_thaw(&edge.hosts[i].process);
+}
+
+static const struct {
+	int stall_ms;
+	terms_t terms;
+} stalls[] = {
+	{ 600, { 12, 150, false, true } },
+	{ 1500, { 12, 150, false, true } },
+	{ 3000, { 12, 150, false, true } },
+};
+
+/* Guards against a host that takes its own stall for its endpoints' silence. */
+START_TEST(a_stall_of_hosts_repeats_nothing)
+{
+	int64_t since;
+	sums_t sums;
+
+	edge_start_engines(&edge, HOSTS, WORKERS);
+	start_callers(&stalls[_i].terms);
+	process_sleep_ms(WARM_MS);
+	since = process_now_ms();
+	freeze_hosts(stalls[_i].stall_ms);
+	join_callers();
+	sums = sum_up(since, stalls[_i].stall_ms);
+	ck_assert_uint_eq(sums.under_way, stalls[_i].terms.callers);
+	ck_assert_uint_eq(sums.whole, stalls[_i].terms.callers);
+	ck_assert_int_eq(sum_workers("here"), stalls[_i].terms.callers);
+	check_none_left();
+	edge_stop(&edge);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("silent_streams");
@@ -477,6 +516,8 @@
 	tcase_add_loop_test(tests,
 			    a_silence_before_the_first_event_is_waited_out, 0,
 			    sizeof(waits) / sizeof(waits[0]));
+	tcase_add_loop_test(tests, a_stall_of_hosts_repeats_nothing, 0,
+			    sizeof(stalls) / sizeof(stalls[0]));
 	suite_add_tcase(suite, tests);
 	return process_run_suite(suite);
 }
