soak: sound workers that fall silent

With `silences` one worker or all at once are stopped by signal for 0.5 to 2 s, half of the time right after one to three changes of the configuration, beside all other faults but those of the links to workers. Streams take 1.5 s and have 6 s, and 64 callers take all slots while that goes on; afterwards 12 are left, as in other seeds. Its draws are kept apart from those of other seeds.

The promise: a resumable stream that has begun is not cut before its deadline, if its host was neither killed nor stopped nor frozen by a fault and no worker was killed since the request was sent. Streams whose worker was asked to misbehave and those with a key that can be taken away are left out; with `paths` or `crashing` it is not checked.

--- a/test/soak.c
+++ b/test/soak.c
@@ -20,6 +20,11 @@
 	EVENTS = 12, /* of a stream */
 	GAP_MS = 15,
 	DEADLINE_MS = 2000,
+	LONG_EVENTS = 100, /* of a stream that may outlast a silence */
+	LONG_DEADLINE_MS = 6000,
+	DEADLINE_SLACK_MS = 100, /* hosts may end a stream so much sooner */
+	SILENCE_LEAST_MS = 500,
+	SILENCE_MOST_MS = 2000,
 	ANSWER_SLACK_MS = 1000, /* beside the deadline, on a busy machine */
 	REVOKE_MS = 3000, /* of the settings in edge.c */
 	GRACE_MS = 8000, /* stop_seconds there */
@@ -58,8 +63,12 @@
 	bool ran_evacuated; /* at a worker that it may not have gone to */
 	uint32_t key; /* number of the key; 0 is never taken away */
 	long status; /* 0: no whole answer */
+	uint32_t events; /* that arrived */
+	uint8_t events_wanted; /* of a stream */
 	uint8_t kind;
 	uint8_t host;
+	bool behaves; /* no worker is asked to misbehave */
+	bool undisturbed; /* no fault of its host or a worker but silences */
 	bool crashing; /* its prompt crashes workers */
 	bool out_of_order;
 	bool sealed; /* the answer is a worker's own */
@@ -110,12 +119,18 @@
 	bool worker_down[EDGE_WORKERS_MAX];
 	bool paths_down[EDGE_PATH_HOSTS_MAX];
 	uint64_t path_draws; /* apart, too */
+	uint64_t silence_draws; /* apart, too */
 	/* shared with callers */
 	uint64_t evacuation_draws; /* apart, too */
 	/* when the data centre of a worker was evacuated; 0: it is not */
 	int64_t evacuated_ms[EDGE_WORKERS_MAX];
 	atomic_bool stopping;
 	atomic_bool crashing; /* callers send such prompts */
+	atomic_bool long_streams; /* callers ask for such */
+	atomic_int workers_lost; /* killed and not back yet */
+	/* when faults last began or ended that may end streams */
+	_Atomic int64_t worker_lost_ms;
+	_Atomic int64_t host_lost_ms[EDGE_HOSTS_MAX];
 	atomic_uint key; /* newest that is in force */
 	atomic_uint next;
 	_Atomic int64_t touched_ms[EDGE_HOSTS_MAX]; /* last fault there */
@@ -126,6 +141,7 @@
 typedef struct caller {
 	soak_t *soak;
 	uint64_t draws;
+	bool extra; /* keeps slots taken, with streams alone, amid silences */
 	pthread_t thread;
 } caller_t;
 
@@ -210,7 +226,12 @@
 	return curl_slist_append(fields, line);
 }
 
-static struct curl_slist *fields_of(caller_t *caller, const record_t *record,
+static int deadline_of(const soak_t *soak)
+{
+	return soak->terms.silences ? LONG_DEADLINE_MS : DEADLINE_MS;
+}
+
+static struct curl_slist *fields_of(caller_t *caller, record_t *record,
 				    const char *id)
 {
 	struct curl_slist *fields = NULL;
@@ -218,11 +239,11 @@
 
 	fields = add_field(fields, "Host", "t.example");
 	fields = add_field(fields, "Request-Id", id);
-	snprintf(text, sizeof(text), "%d", DEADLINE_MS);
+	snprintf(text, sizeof(text), "%d", deadline_of(caller->soak));
 	fields = add_field(fields, "Deadline-Ms", text);
 	key_name(record->key, text);
 	fields = add_field(fields, "Key", text);
-	snprintf(text, sizeof(text), "%d", EVENTS);
+	snprintf(text, sizeof(text), "%u", record->events_wanted);
 	fields = add_field(fields, "Test-Events", text);
 	snprintf(text, sizeof(text), "%d", GAP_MS);
 	fields = add_field(fields, "Test-Gap-Ms", text);
@@ -238,6 +259,7 @@
 		uint32_t i = draw_below(&caller->draws, count);
 
 		fields = add_field(fields, "Test-Behave", behaviours[i]);
+		record->behaves = false;
 	}
 	return fields;
 }
@@ -248,13 +270,22 @@
 	bool stream = record->kind == STREAM || record->kind == ONCE;
 
 	record->sealed = answer->sealed;
+	record->events = answer->events;
 	if (record->status / 100 != 2)
 		return;
 	if (strcmp(answer->id, id) != 0 ||
-	    (stream && (answer->out_of_order || answer->events != EVENTS)))
+	    (stream &&
+	     (answer->out_of_order || answer->events != record->events_wanted)))
 		record->out_of_order = true;
 }
 
+/* True if its host and all workers lived since the request was sent. */
+static bool was_undisturbed(const soak_t *soak, const record_t *record)
+{
+	return !soak->workers_lost && soak->worker_lost_ms < record->sent_ms &&
+	       soak->host_lost_ms[record->host] < record->sent_ms;
+}
+
 /* One request; a connection that is open to that host is used again. */
 static void call(caller_t *caller, CURL *curl, record_t *record, const char *id)
 {
@@ -273,7 +304,7 @@
 	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_field);
 	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &answer);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 3L * DEADLINE_MS);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 3L * deadline_of(soak));
 	/* curl itself sends again on an old connection that turns out dead */
 	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT,
 			 kinds[record->kind].runs_max == 1 ? 1L : 0L);
@@ -282,6 +313,7 @@
 		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE,
 				  &record->status);
 	record->done_ms = process_now_ms();
+	record->undisturbed = was_undisturbed(soak, record);
 	curl_slist_free_all(fields);
 	judge_answer(record, &answer, id);
 }
@@ -292,7 +324,8 @@
 	soak_t *soak = caller->soak;
 	CURL *curl = curl_easy_init();
 
-	while (curl && !soak->stopping) {
+	while (curl && !soak->stopping &&
+	       (!caller->extra || soak->long_streams)) {
 		uint32_t number = soak->next++;
 		record_t *record = &soak->records[number];
 		char id[24];
@@ -300,7 +333,8 @@
 		if (number >= REQUESTS_MAX)
 			break;
 		snprintf(id, sizeof(id), "soak-%u", number);
-		record->kind = (uint8_t)draw_below(&caller->draws, KINDS);
+		record->kind = (uint8_t)draw_below(
+			&caller->draws, caller->extra ? SAFE : KINDS);
 		record->host =
 			(uint8_t)draw_below(&caller->draws, soak->terms.hosts);
 		if (draw_below(&caller->draws, 3) == 0)
@@ -308,6 +342,9 @@
 		record->crashing =
 			soak->crashing && record->kind <= ONCE &&
 			draw_below(&caller->draws, CRASHING_SHARE) == 0;
+		record->events_wanted =
+			soak->long_streams ? LONG_EVENTS : EVENTS;
+		record->behaves = true;
 		call(caller, curl, record, id);
 		process_sleep_ms(CALLER_PAUSE_MS);
 	}
@@ -374,6 +411,19 @@
 	soak->touched_ms[host] = process_now_ms();
 }
 
+/* A fault of a host began or ended that may end its streams. */
+static void note_host(soak_t *soak, uint32_t host)
+{
+	soak->host_lost_ms[host] = process_now_ms();
+}
+
+/* The same with workers, of which so many more are lost now. */
+static void note_workers(soak_t *soak, int more)
+{
+	soak->workers_lost += more;
+	soak->worker_lost_ms = process_now_ms();
+}
+
 /* A fault that touches whatever a host depends on touches all hosts. */
 static void touch_all(soak_t *soak)
 {
@@ -426,6 +476,7 @@
 		return;
 	soak->host_down[host] = true;
 	touch(soak, host);
+	note_host(soak, host);
 	switch (draw_below(&soak->draws, 3)) {
 	case 0:
 		add_event(soak, "host %u killed", host);
@@ -575,12 +626,48 @@
 	if (soak->worker_down[worker])
 		return;
 	soak->worker_down[worker] = true;
+	note_workers(soak, 1);
 	add_event(soak, "worker %u killed", worker);
 	process_kill(&soak->edge.workers[worker]);
 	read_runs(soak, worker);
 	heal_later(soak, HEAL_START_WORKER, worker, 1500);
 }
 
+static void freeze_workers(soak_t *soak, uint32_t chosen, bool all)
+{
+	for (uint32_t i = 0; i < soak->terms.workers; i++)
+		if ((all || i == chosen) && !soak->worker_down[i])
+			process_freeze(&soak->edge.workers[i]);
+}
+
+static void thaw_workers(soak_t *soak)
+{
+	for (uint32_t i = 0; i < soak->terms.workers; i++)
+		if (!soak->worker_down[i])
+			process_thaw(&soak->edge.workers[i]);
+}
+
+/* One worker or all are silent for a while, beside whatever fault is going on. */
+static void play_silence(soak_t *soak)
+{
+	uint32_t chosen = draw_below(&soak->silence_draws, soak->terms.workers);
+	bool all = draw_below(&soak->silence_draws, 2) == 0;
+	int64_t until = process_now_ms() + SILENCE_LEAST_MS +
+			draw_below(&soak->silence_draws,
+				   SILENCE_MOST_MS - SILENCE_LEAST_MS);
+
+	if (draw_below(&soak->silence_draws, 2) == 0)
+		change_series(soak, 1 + draw_below(&soak->silence_draws, 3));
+	freeze_workers(soak, chosen, all);
+	add_event(soak, "silent: worker %u, all %d, %lld ms", chosen, all,
+		  (long long)(until - process_now_ms()));
+	soak->result->faults++;
+	while (process_now_ms() < until)
+		process_sleep_ms(10);
+	thaw_workers(soak);
+	add_event(soak, "end of silence");
+}
+
 /* Workers that crashed under a prompt are back after a while. */
 static void find_crashed(soak_t *soak)
 {
@@ -590,6 +677,7 @@
 		    soak->heal_count == HEALS_MAX)
 			continue;
 		soak->worker_down[i] = true;
+		note_workers(soak, 1);
 		soak->result->crashes++;
 		add_event(soak, "worker %u crashed", i);
 		read_runs(soak, i);
@@ -644,6 +732,11 @@
 	heal_later(soak, HEAL_STORE, 0, 4000);
 }
 
+static bool has_worker_links(const soak_t *soak)
+{
+	return !soak->terms.crashing && !soak->terms.silences;
+}
+
 static void fault(soak_t *soak)
 {
 	uint32_t worker = draw_below(&soak->draws, soak->terms.workers);
@@ -661,7 +754,7 @@
 		fault_worker(soak, worker);
 		break;
 	case 2:
-		if (!soak->terms.paths && !soak->terms.crashing)
+		if (!soak->terms.paths && has_worker_links(soak))
 			fault_link(soak, &soak->worker_links[worker],
 				   HEAL_WORKER_LINK, worker);
 		break;
@@ -694,13 +787,14 @@
 
 	snprintf(name, sizeof(name), "w%u-%u", worker, ++soak->starts);
 	edge_start_worker(&soak->edge, worker, name);
-	if (soak->terms.crashing)
+	if (!has_worker_links(soak))
 		list_worker(soak, worker);
 	soak->worker_links[worker].target = soak->edge.workers[worker].port;
 	for (uint32_t i = 0; soak->terms.paths && i < soak->terms.hosts; i++)
 		soak->edge.paths[i][worker].target =
 			soak->edge.workers[worker].port;
 	soak->worker_down[worker] = false;
+	note_workers(soak, -1);
 }
 
 /* True if a host's log line belongs to the request, or to what went on then. */
@@ -817,11 +911,13 @@
 		/* fallthrough */
 	case HEAL_START_HOST:
 		edge_start_host(&soak->edge, what->index);
+		note_host(soak, what->index);
 		soak->started_ms[what->index] = process_now_ms();
 		soak->host_down[what->index] = false;
 		break;
 	case HEAL_THAW_HOST:
 		process_thaw(process);
+		note_host(soak, what->index);
 		soak->host_down[what->index] = false;
 		break;
 	case HEAL_START_WORKER:
@@ -871,6 +967,21 @@
 	return record->sent_ms > soak->touched_ms[record->host] + QUIET_MS;
 }
 
+/* A stream broke off though its host and workers lived and time was left. */
+static bool was_cut(const soak_t *soak, const record_t *record)
+{
+	const soak_terms_t *terms = &soak->terms;
+
+	/* of lost paths and crashes it is not known when they end streams */
+	if (!terms->silences || terms->paths || terms->crashing)
+		return false;
+	return record->kind == STREAM && record->key == 0 && record->behaves &&
+	       record->undisturbed && record->events &&
+	       record->status / 100 != 2 &&
+	       record->done_ms - record->sent_ms <
+		       LONG_DEADLINE_MS - DEADLINE_SLACK_MS;
+}
+
 static void check_record(soak_t *soak, uint32_t number)
 {
 	const record_t *record = &soak->records[number];
@@ -895,8 +1006,11 @@
 		broke(soak, "it was rejected as not run, and had run", number);
 	if (record->ran_evacuated)
 		broke(soak, "it ran in an evacuated data centre", number);
-	if (was_quiet(soak, record) && took > DEADLINE_MS + ANSWER_SLACK_MS)
+	if (was_quiet(soak, record) &&
+	    took > deadline_of(soak) + ANSWER_SLACK_MS)
 		broke(soak, "no answer in time", number);
+	if (was_cut(soak, record))
+		broke(soak, "a stream of sound workers was cut", number);
 }
 
 static void check_all(soak_t *soak)
@@ -954,7 +1068,7 @@
 
 	ck_assert_int_eq(relay_init(&soak->store_link, edge->store.port), 0);
 	edge->store_front = soak->store_link.port;
-	for (uint32_t i = 0; !soak->terms.crashing && i < soak->terms.workers;
+	for (uint32_t i = 0; has_worker_links(soak) && i < soak->terms.workers;
 	     i++) {
 		ck_assert_int_eq(relay_init(&soak->worker_links[i],
 					    edge->workers[i].port),
@@ -996,11 +1110,14 @@
 			play_evacuation(soak);
 		if (soak->terms.paths)
 			play_paths(soak);
+		if (soak->terms.silences)
+			play_silence(soak);
 		process_sleep_ms((int)draw_below(&soak->draws, PAUSE_MS));
 		if (soak->terms.crashing)
 			find_crashed(soak);
 		heal_due(soak, false);
 	}
+	soak->long_streams = false;
 	if (soak->terms.crashing)
 		end_crashing(soak);
 	heal_due(soak, true);
@@ -1013,7 +1130,7 @@
 	if (soak->terms.paths)
 		return;
 	relay_finish(&soak->store_link);
-	for (uint32_t i = 0; !soak->terms.crashing && i < soak->terms.workers;
+	for (uint32_t i = 0; has_worker_links(soak) && i < soak->terms.workers;
 	     i++)
 		relay_finish(&soak->worker_links[i]);
 }
@@ -1022,6 +1139,7 @@
 {
 	static soak_t soak;
 	static caller_t callers[SOAK_CALLERS_MAX];
+	uint32_t count = terms->silences ? SOAK_CALLERS_MAX : terms->callers;
 
 	memset(&soak, 0, sizeof(soak));
 	memset(result, 0, sizeof(*result));
@@ -1031,6 +1149,7 @@
 	soak.series_draws = terms->seed ^ 0x5e41e5;
 	soak.evacuation_draws = terms->seed ^ 0xe7ac;
 	soak.path_draws = terms->seed ^ 0x9a7;
+	soak.silence_draws = terms->seed ^ 0x51e7ce;
 	soak.version = 10;
 	soak.wall_offset_ms = sys_wall_msec() - process_now_ms();
 	if (terms->paths) {
@@ -1041,9 +1160,11 @@
 		edge_start_engines(&soak.edge, terms->hosts, terms->workers);
 		start_links(&soak);
 	}
-	for (uint32_t i = 0; i < terms->callers; i++) {
+	soak.long_streams = terms->silences;
+	for (uint32_t i = 0; i < count; i++) {
 		callers[i].soak = &soak;
 		callers[i].draws = terms->seed * 1000 + i;
+		callers[i].extra = i >= terms->callers;
 		ck_assert_int_eq(pthread_create(&callers[i].thread, NULL,
 						run_caller, &callers[i]),
 				 0);
@@ -1051,7 +1172,7 @@
 	play_faults(&soak);
 	check_recovery(&soak);
 	soak.stopping = true;
-	for (uint32_t i = 0; i < terms->callers; i++)
+	for (uint32_t i = 0; i < count; i++)
 		pthread_join(callers[i].thread, NULL);
 	for (uint32_t i = 0; i < terms->workers; i++)
 		read_runs(&soak, i);
--- a/test/soak.h
+++ b/test/soak.h
@@ -6,8 +6,9 @@
  * outside: hosts that are killed, frozen, stopped and restarted, workers that
  * crash, links that are delayed, reset, cut one way or silent, a store that
  * fails, keys that are taken away, data centres that are evacuated, hosts that
- * lose their paths to workers, prompts that crash workers. Callers go on all the while. What they and
- * the workers saw is checked against what is promised.
+ * lose their paths to workers, prompts that crash workers, workers that fall
+ * silent. Callers go on all the while. What they and the workers saw is checked
+ * against what is promised.
  */
 
 #include <stdbool.h>
@@ -34,6 +35,12 @@
 	 * their answer, in place of faults of the links to workers
 	 */
 	bool crashing;
+	/*
+	 * also sound workers that are silent for a while, one or all at once,
+	 * and SOAK_CALLERS_MAX callers with streams that outlast that, in place
+	 * of faults of the links to workers
+	 */
+	bool silences;
 } soak_terms_t;
 
 enum { SOAK_CALLERS_MAX = 64, SOAK_TEXT_MAX = 256 };
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -6,7 +6,8 @@
  *
  * SOAK_SERIES=1 adds series of signals and changes, SOAK_EVACUATIONS=1
  * evacuations, SOAK_PATHS=1 hosts without a path to any worker (6 hosts at
- * most), SOAK_CRASHING=1 prompts that crash workers; SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
+ * most), SOAK_CRASHING=1 prompts that crash workers, SOAK_SILENCES=1 sound
+ * workers that fall silent; SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
  */
 
 #include "edge.h"
@@ -17,25 +18,33 @@
 
 enum { HOSTS = 3, WORKERS = 3, CALLERS = 12, FAULT_MS = 5000 };
 
-/* Each seed that ever failed stays, with its cause. */
-static const struct {
+typedef struct play {
 	uint64_t seed;
 	const char *why;
 	bool series;
 	bool evacuations;
 	bool paths;
 	bool crashing;
-} seeds[] = {
-	{ 1, "none, a fresh seed", false, false, false, false },
+	bool silences;
+} play_t;
+
+/* Each seed that ever failed stays, with its cause. */
+static const play_t seeds[] = {
+	{ 1, "none, a fresh seed", false, false, false, false, false },
 	{ 107, "a host told to stop between fork and exec ended the test",
-	  false, false, false, false },
-	{ 130, "the same", false, false, false, false },
-	{ 2, "none, a fresh seed with series", true, false, false, false },
-	{ 3, "none, a fresh seed with evacuations", false, true, false, false },
-	{ 4, "none, a fresh seed with lost paths", true, true, true, false },
+	  false, false, false, false, false },
+	{ 130, "the same", false, false, false, false, false },
+	{ 2, "none, a fresh seed with series", true, false, false, false,
+	  false },
+	{ 3, "none, a fresh seed with evacuations", false, true, false, false,
+	  false },
+	{ 4, "none, a fresh seed with lost paths", true, true, true, false,
+	  false },
 	{ 7101, "the relay of a lost path did not listen again", true, false,
-	  true, false },
+	  true, false, false },
 	{ 5, "none, a fresh seed with prompts that crash workers", true, false,
+	  false, true, false },
+	{ 6, "none, a fresh seed with silent workers", true, false, false,
 	  false, true },
 };
 
@@ -46,19 +55,19 @@
 	return text ? strtoull(text, NULL, 10) : otherwise;
 }
 
-static void play(uint64_t seed, const char *why, bool series, bool evacuations,
-		 bool paths, bool crashing)
+static void play(const play_t *what)
 {
 	soak_terms_t terms = {
-		.seed = seed,
+		.seed = what->seed,
 		.fault_ms = (uint32_t)number_of("SOAK_MS", FAULT_MS),
 		.hosts = (uint32_t)number_of("SOAK_HOSTS", HOSTS),
 		.workers = WORKERS,
 		.callers = (uint32_t)number_of("SOAK_CALLERS", CALLERS),
-		.series = series,
-		.evacuations = evacuations,
-		.paths = paths,
-		.crashing = crashing,
+		.series = what->series,
+		.evacuations = what->evacuations,
+		.paths = what->paths,
+		.crashing = what->crashing,
+		.silences = what->silences,
 	};
 	soak_result_t result;
 
@@ -66,11 +75,11 @@
 	fprintf(stderr,
 		"seed %llu: %u requests, %u served, %u refused, %u failed, "
 		"%u faults, %u crashes, %u promises broken\n",
-		(unsigned long long)seed, result.requests, result.served,
+		(unsigned long long)what->seed, result.requests, result.served,
 		result.refused, result.failed, result.faults, result.crashes,
 		result.broken);
 	ck_assert_msg(result.broken == 0, "seed %llu (%s): %u broken, first %s",
-		      (unsigned long long)seed, why, result.broken,
+		      (unsigned long long)what->seed, what->why, result.broken,
 		      result.first);
 	ck_assert_uint_gt(result.served, 0);
 }
@@ -84,18 +93,23 @@
  */
 START_TEST(promises_hold_under_overlapping_faults)
 {
-	play(seeds[_i].seed, seeds[_i].why, seeds[_i].series,
-	     seeds[_i].evacuations, seeds[_i].paths, seeds[_i].crashing);
+	play(&seeds[_i]);
 }
 END_TEST
 
 START_TEST(seeds_by_hand)
 {
-	play(number_of("SOAK_SEED", 1) + (uint64_t)_i, "by hand",
-	     number_of("SOAK_SERIES", 0) != 0,
-	     number_of("SOAK_EVACUATIONS", 0) != 0,
-	     number_of("SOAK_PATHS", 0) != 0,
-	     number_of("SOAK_CRASHING", 0) != 0);
+	play_t what = {
+		.seed = number_of("SOAK_SEED", 1) + (uint64_t)_i,
+		.why = "by hand",
+		.series = number_of("SOAK_SERIES", 0) != 0,
+		.evacuations = number_of("SOAK_EVACUATIONS", 0) != 0,
+		.paths = number_of("SOAK_PATHS", 0) != 0,
+		.crashing = number_of("SOAK_CRASHING", 0) != 0,
+		.silences = number_of("SOAK_SILENCES", 0) != 0,
+	};
+
+	play(&what);
 }
 END_TEST
 
