--- a/io/crashes.c
+++ b/io/crashes.c
@@ -65,6 +65,8 @@
 void crashes_broken(exchange_t *x, const attempt_t *attempt, pimento_usec_t now)
 {
 	registry_endpoint_t *endpoint = attempt->endpoint;
+	bool is_current = attempt == &x->attempt; /* a trial is its own */
+	trial_t trial = is_current ? x->trial : (trial_t){ 0 };
 	crash_candidate_t *candidate;
 
 	if (!x->call.part_count)
@@ -78,8 +80,8 @@
 		.process = process_of(endpoint),
 		.broke_at = now,
 		.request = x,
-		.trial_part = x->trial.part,
-		.trial_ticket = x->trial.granted ? x->trial.ticket : 0,
+		.trial_part = trial.part,
+		.trial_ticket = trial.granted ? trial.ticket : 0,
 		.begun = crashes_has_begun(x, attempt, now),
 		.part_count = x->call.part_count,
 	};
@@ -87,7 +89,8 @@
 	endpoint->refs++;
 	x->undecided = true;
 	x->broke_at = now;
-	x->trial = (trial_t){ 0 }; /* the candidate has it now */
+	if (is_current)
+		x->trial = (trial_t){ 0 }; /* the candidate has it now */
 	if (endpoint->ended_at)
 		crashes_ended(x->gateway, endpoint, now);
 	else
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -56,6 +56,9 @@
 #define REFUSED_PAUSE_MIN (100 * PIMENTO_MSEC)
 #define REFUSED_PAUSE_MAX (800 * PIMENTO_MSEC)
 
+/* A retry that waits for a slot counts when it is sent, to about this. */
+#define RETRY_RENEWED (1 * PIMENTO_SEC)
+
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
 
@@ -319,13 +322,23 @@
 	placing_pump(x->gateway, x->service);
 }
 
+void dispatch_return_retry(exchange_t *x)
+{
+	if (x->retry_taken_at)
+		retry_budget_return(&x->service->budget,
+				    &x->gateway->bounds.retry,
+				    x->retry_taken_at, sys_now());
+	x->retry_taken_at = 0;
+}
+
 bool dispatch_take_retry(exchange_t *x)
 {
 	gateway_t *gateway = x->gateway;
 	pimento_usec_t now = sys_now();
 
-	if (x->retry_taken_at)
+	if (x->retry_taken_at && now - x->retry_taken_at < RETRY_RENEWED)
 		return true;
+	dispatch_return_retry(x);
 	if (!retry_budget_take(&x->service->budget, &gateway->bounds.retry,
 			       peers_host_count(gateway->roster, now), now))
 		return false;
@@ -333,15 +346,6 @@
 	return true;
 }
 
-void dispatch_return_retry(exchange_t *x)
-{
-	if (x->retry_taken_at)
-		retry_budget_return(&x->service->budget,
-				    &x->gateway->bounds.retry,
-				    x->retry_taken_at, sys_now());
-	x->retry_taken_at = 0;
-}
-
 /*
  * True if the next attempt is within all limits. A stream of which the caller
  * has a part waits for the budget in the queue; all others are given up.
@@ -380,7 +384,7 @@
 {
 	pimento_usec_t pause = REFUSED_PAUSE_MIN;
 
-	if (x->arrivals <= x->route->attempts_max)
+	if (!x->streaming || x->arrivals <= x->route->attempts_max)
 		return;
 	for (uint32_t i = x->arrivals - x->route->attempts_max;
 	     i > 1 && pause < REFUSED_PAUSE_MAX; i--)
@@ -505,6 +509,22 @@
 		crashes_broken(x, attempt, sys_now());
 }
 
+/*
+ * What owners learn may give slots to requests that wait. This one is not to
+ * get one before the silent attempt is gone.
+ */
+static void silent_failed(exchange_t *x, httpc_failure_t why)
+{
+	gateway_t *gateway = x->gateway;
+	bool pumping = gateway->pumping;
+
+	gateway->pumping = true;
+	placing_leave_lines(x);
+	learn_failure(x, &x->silent.attempt, why);
+	gateway->pumping = pumping;
+	hedge_end(x, httpc_failure_name(why));
+}
+
 /* The connection failed, at whatever point. */
 static void on_failed(httpc_t *conn, httpc_failure_t why)
 {
@@ -515,8 +535,7 @@
 		return;
 	}
 	if (hedge_is_silent(x, conn)) {
-		learn_failure(x, &x->silent.attempt, why);
-		hedge_drop(x);
+		silent_failed(x, why);
 		return;
 	}
 	if (why == HTTPC_UNREACHED || x->state == EXCHANGE_CONNECTING) {
@@ -565,7 +584,8 @@
 	most = latency_p90_first_event(&x->attempt.endpoint->latency,
 				       &service->latency, 0);
 	return most > 0 &&
-	       (double)(now - x->attempt.sent_at) > OVERDUE_TIMES * most;
+	       (double)gateway_elapsed(x->gateway, x->attempt.sent_at, now) >
+		       OVERDUE_TIMES * most;
 }
 
 /*
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -24,7 +24,7 @@
 	bool in_line; /* the owner has answered */
 } exchange_place_t;
 
-/* One attempt at an endpoint. Without a connection it is over. */
+/* One attempt at an endpoint. Without an endpoint it is over. */
 typedef struct attempt {
 	registry_endpoint_t *endpoint; /* NULL: none */
 	uint32_t life; /* of the endpoint */
@@ -245,6 +245,8 @@
  * over when this returns.
  */
 void hedge_drop(exchange_t *exchange);
+/* The same for one that failed. */
+void hedge_end(exchange_t *exchange, const char *why);
 
 /* relay.c: what the connection to the endpoint tells. */
 bool relay_head(httpc_t *conn);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -22,6 +22,8 @@
 
 /* A tick that comes this much after the one before: the host stood still. */
 #define TICK_LATE (200 * PIMENTO_MSEC)
+/* A host whose ticks are all late would take nothing for silent any more. */
+#define STALL_SPACING (1 * PIMENTO_SEC)
 
 /* Without a limit stated by the operator. */
 #define HEAD_BYTES_DEFAULT 16384
@@ -175,7 +177,8 @@
 
 static void note_stall(gateway_t *gateway, pimento_usec_t now)
 {
-	if (gateway->ticked_at && now - gateway->ticked_at > TICK_LATE) {
+	if (gateway->ticked_at && now - gateway->ticked_at > TICK_LATE &&
+	    now - gateway->stalled_until > STALL_SPACING) {
 		gateway->stalled_until = now;
 		trail(TRAIL_STATE, "edge", "stalled", "ms=%lld",
 		      (long long)((now - gateway->ticked_at) / PIMENTO_MSEC));
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -161,6 +161,8 @@
 void gateway_configure(gateway_t *gateway, catalog_t *catalog);
 
 /* True if requests can be served: configuration known, and not too old. */
+bool gateway_able(const gateway_t *gateway, pimento_usec_t now);
+
 /*
  * Time since then, or since this host last stood still: what arrived while it
  * did has not been read yet, and its absence is no silence.
@@ -168,8 +170,6 @@
 pimento_usec_t gateway_elapsed(const gateway_t *gateway, pimento_usec_t since,
 			       pimento_usec_t now);
 
-bool gateway_able(const gateway_t *gateway, pimento_usec_t now);
-
 /* The owner of an endpoint has answered an ask of this gateway. */
 void gateway_replied(gateway_t *gateway, const packet_slot_reply_t *reply);
 
--- a/io/hedge.c
+++ b/io/hedge.c
@@ -97,6 +97,7 @@
 	x->is_events = silent.is_events;
 	x->resuming = silent.resuming;
 	x->silent = (silent_attempt_t){ 0 };
+	dispatch_return_retry(x);
 	x->hedge_at = sys_now() + SEARCH_PAUSE;
 	return true;
 }
@@ -114,6 +115,12 @@
 	dispatch_close(x, &silent.attempt);
 }
 
+void hedge_end(exchange_t *x, const char *why)
+{
+	log_hedge(x, &x->silent.attempt, "ended", why);
+	hedge_drop(x);
+}
+
 void hedge_settle(exchange_t *x)
 {
 	if (!x->silent.attempt.conn)
--- a/io/placing.c
+++ b/io/placing.c
@@ -249,13 +249,15 @@
 }
 
 /*
- * The endpoints that were tried may be tried again, if nothing has run. A
- * stream of which the caller has a part looks for one until its deadline.
+ * Endpoints that were tried are tried once more if the request may be repeated.
+ * A stream of which the caller has a part looks for one until its deadline.
  */
 static void no_more_endpoints(exchange_t *x, pimento_usec_t now)
 {
-	if (hedge_return(x, "endpoints_failed"))
+	if (hedge_return(x, "endpoints_failed")) {
+		x->tried_count = 0;
 		return;
+	}
 	if (x->runs && (!x->tried_all || x->streaming)) {
 		/* it may be repeated, and only those that failed are left */
 		if (x->streaming)
@@ -427,7 +429,8 @@
 
 	for (uint32_t i = x->line_count; i-- > 0;) {
 		const exchange_place_t *line = &x->lines[i];
-		pimento_usec_t age = now - line->asked_at;
+		pimento_usec_t age =
+			gateway_elapsed(x->gateway, line->asked_at, now);
 
 		if (!line->in_line && age > ASK_SILENT)
 			line->endpoint->owner_unresponsive_until =
--- a/io/relay.c
+++ b/io/relay.c
@@ -75,8 +75,11 @@
 }
 
 static relay_judgement_t judge(const exchange_t *x, bool resuming,
-			       const dialect_answer_t *answer, int status)
+			       const dialect_answer_t *answer,
+			       const httpc_t *conn)
 {
+	int status = conn->status;
+
 	if (status == HTTP_STATUS_MISDIRECTED_REQUEST)
 		return RELAY_NOT_RUN;
 	if (answer->not_run)
@@ -85,7 +88,8 @@
 		return RELAY_BAD; /* it may have run: the promise is false */
 	if (status / 100 == 2 && (!answer->sealed || answer->encoded))
 		return RELAY_BAD;
-	if (resuming && status != HTTP_STATUS_OK)
+	if (resuming &&
+	    (status != HTTP_STATUS_OK || !is_event_stream(&conn->head)))
 		return RELAY_BAD;
 	if (status / 100 == 5 && x->repeatable)
 		return RELAY_AGAIN;
@@ -160,13 +164,13 @@
 			   const httpc_t *conn)
 {
 	relay_judgement_t judgement =
-		judge(x, x->silent.resuming, answer, conn->status);
+		judge(x, x->silent.resuming, answer, conn);
 
 	if (judgement == RELAY_PASS)
 		return hedge_return(x, "answered");
 	if (judgement == RELAY_NOT_RUN || judgement == RELAY_FULL)
 		x->runs--;
-	hedge_drop(x);
+	hedge_end(x, "unfit_answer");
 	return false;
 }
 
@@ -187,7 +191,7 @@
 		return false;
 	if (hedge_is_silent(x, conn) && !silent_answers(x, &answer, conn))
 		return true;
-	switch (judge(x, x->resuming, &answer, conn->status)) {
+	switch (judge(x, x->resuming, &answer, conn)) {
 	case RELAY_NOT_RUN:
 		not_run(x, false, conn->status);
 		return true;
