logs: exhausted retry budgets, and when retries are taken

Tell restarts, short windows, late sends and slack shared among too few hosts apart: a line for each service and second in which a retry is denied, with the requests and retries counted, the hosts that share the slack and for how long the process has been up; a counter; taken_ms on the line of an attempt.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -59,6 +59,9 @@
 /* A retry that waits for a slot counts when it is sent, to about this. */
 #define RETRY_RENEWED (1 * PIMENTO_SEC)
 
+/* Lines about an exhausted retry budget of one service. */
+#define RETRY_DENIED_SPACING (1 * PIMENTO_SEC)
+
 /* Less time than this is no use to an endpoint. */
 #define TIME_LEAST (10 * PIMENTO_MSEC)
 
@@ -201,6 +204,7 @@
 	x->gateway->counters.repeats += x->arrivals > 0;
 	x->arrivals++;
 	x->runs++;
+	x->attempt.retry_age = x->retry_taken_at ? now - x->retry_taken_at : 0;
 	x->retry_taken_at = 0;
 }
 
@@ -331,17 +335,39 @@
 	x->retry_taken_at = 0;
 }
 
+static void note_denied_retry(exchange_t *x, uint32_t hosts, pimento_usec_t now)
+{
+	gateway_t *gateway = x->gateway;
+	gateway_service_t *service = x->service;
+	retry_budget_usage_t usage;
+
+	gateway->counters.retries_denied++;
+	if (service->denial_logged_at &&
+	    now - service->denial_logged_at < RETRY_DENIED_SPACING)
+		return;
+	service->denial_logged_at = now;
+	usage = retry_budget_usage(&service->budget, &gateway->bounds.retry,
+				   now);
+	trail(TRAIL_STATE, "retry", "exhausted",
+	      "route=%s requests=%u retries=%u hosts=%u up_ms=%lld",
+	      x->route->name, usage.requests, usage.retries, hosts,
+	      (long long)((now - gateway->started_at) / PIMENTO_MSEC));
+}
+
 bool dispatch_take_retry(exchange_t *x)
 {
 	gateway_t *gateway = x->gateway;
 	pimento_usec_t now = sys_now();
+	uint32_t hosts = peers_host_count(gateway->roster, now);
 
 	if (x->retry_taken_at && now - x->retry_taken_at < RETRY_RENEWED)
 		return true;
 	dispatch_return_retry(x);
 	if (!retry_budget_take(&x->service->budget, &gateway->bounds.retry,
-			       peers_host_count(gateway->roster, now), now))
+			       hosts, now)) {
+		note_denied_retry(x, hosts, now);
 		return false;
+	}
 	x->retry_taken_at = now;
 	return true;
 }
@@ -442,13 +468,15 @@
 	trail(TRAIL_FAILURE, "attempt", again ? "again" : "over",
 	      "id=%s endpoint=%s why=%s verdict=%s status=%d arrivals=%u "
 	      "load=%u ms=%lld reused=%d rested_ms=%lld events=%u begun_ms=%lld "
-	      "silent_ms=%lld left_ms=%lld path=%s parts=%s via=%s",
+	      "silent_ms=%lld left_ms=%lld taken_ms=%lld path=%s parts=%s "
+	      "via=%s",
 	      x->call.id, x->attempt.endpoint->id, why,
 	      pimento_verdict_name(verdict), status, x->arrivals,
 	      x->attempt.load, (long long)((now - x->arrived) / PIMENTO_MSEC),
 	      x->attempt.reused, (long long)(x->attempt.rested / PIMENTO_MSEC),
 	      x->events.count, begun_ms(x, now), silent_ms(x, now),
 	      (long long)((x->end - now) / PIMENTO_MSEC),
+	      (long long)(x->attempt.retry_age / PIMENTO_MSEC),
 	      endpoint_path_state_name(x->attempt.endpoint->path.state),
 	      exchange_parts(x, parts), exchange_via(x, via));
 	if (!again) {
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -34,6 +34,7 @@
 
 	pimento_usec_t begun_at; /* when it got its slot */
 	pimento_usec_t rested; /* how long the connection had, if reused */
+	pimento_usec_t retry_age; /* when sent, since its retry was taken */
 	pimento_usec_t sent_at;
 	pimento_usec_t ack_checked_at;
 	pimento_usec_t event_at; /* last event */
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -61,6 +61,7 @@
 	uint64_t outcomes[GATEWAY_OUTCOMES];
 	uint64_t attempts;
 	uint64_t repeats; /* beyond the first of a request */
+	uint64_t retries_denied; /* beyond the retry budget */
 	uint64_t hedges; /* searches for an endpoint beside a silent one */
 	uint64_t hedges_won; /* of those, that replaced its attempt */
 	uint64_t tunnelled; /* attempts through a peer */
@@ -76,6 +77,7 @@
 	pimento_id_t key;
 	wait_queue_t line;
 	retry_budget_t budget;
+	pimento_usec_t denial_logged_at; /* of a retry */
 	double per_second; /* answers, decayed */
 	uint32_t answers; /* since the last tick */
 	uint32_t asks; /* requests in line at owners */
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -92,6 +92,7 @@
 	outcomes(text, counters);
 	counter(text, "attempts_total", counters->attempts);
 	counter(text, "repeats_total", counters->repeats);
+	counter(text, "retries_denied_total", counters->retries_denied);
 	counter(text, "hedges_total", counters->hedges);
 	counter(text, "hedges_won_total", counters->hedges_won);
 	counter(text, "attempts_tunnelled_total", counters->tunnelled);
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -41,22 +41,30 @@
 	budget->requests[budget->slice % RETRY_BUDGET_SLICES]++;
 }
 
-bool retry_budget_take(retry_budget_t *budget,
-		       const retry_budget_limits_t *limits, uint32_t hosts,
-		       pimento_usec_t now)
+retry_budget_usage_t retry_budget_usage(retry_budget_t *budget,
+					const retry_budget_limits_t *limits,
+					pimento_usec_t now)
 {
-	double requests = 0;
-	double retries = 0;
-	double allowed;
+	retry_budget_usage_t usage = { 0 };
 
 	advance_window(budget, limits, now);
 	for (uint32_t i = 0; i < RETRY_BUDGET_SLICES; i++) {
-		requests += budget->requests[i];
-		retries += budget->retries[i];
+		usage.requests += budget->requests[i];
+		usage.retries += budget->retries[i];
 	}
-	allowed = limits->ratio * requests * RATIO_SAFETY_FACTOR +
-		  limits->slack * SLACK_SAFETY_FACTOR / (hosts ? hosts : 1);
-	if (retries + 1 > allowed)
+	return usage;
+}
+
+bool retry_budget_take(retry_budget_t *budget,
+		       const retry_budget_limits_t *limits, uint32_t hosts,
+		       pimento_usec_t now)
+{
+	retry_budget_usage_t usage = retry_budget_usage(budget, limits, now);
+	double allowed =
+		limits->ratio * usage.requests * RATIO_SAFETY_FACTOR +
+		limits->slack * SLACK_SAFETY_FACTOR / (hosts ? hosts : 1);
+
+	if (usage.retries + 1 > allowed)
 		return false;
 	budget->retries[budget->slice % RETRY_BUDGET_SLICES]++;
 	return true;
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -36,6 +36,16 @@
 		       const retry_budget_limits_t *limits, uint32_t hosts,
 		       pimento_usec_t now);
 
+/* What counts in the window. */
+typedef struct retry_budget_usage {
+	uint32_t requests;
+	uint32_t retries;
+} retry_budget_usage_t;
+
+retry_budget_usage_t retry_budget_usage(retry_budget_t *budget,
+					const retry_budget_limits_t *limits,
+					pimento_usec_t now);
+
 /* Gives back a retry taken at taken_at that was not used. */
 void retry_budget_return(retry_budget_t *budget,
 			 const retry_budget_limits_t *limits,
