test: retries beyond the budget, with and without restarts, known red

Two faults, a case for each. Hosts that are killed, all at once, in halves or one after the other, spend a window's retries again: 257 to 260 where 256 are allowed. Without any restart the ten slices of the window cover nine to ten seconds, and what was spent in its first second is spent twice: 258 to 260.

--- a/test/test_retry_budget.c
+++ b/test/test_retry_budget.c
@@ -64,6 +64,70 @@
 }
 END_TEST
 
+/* A disturbance of the fleet under which every attempt at an endpoint fails. */
+typedef struct scenario {
+	int fail_from_ms;
+	int kill_every_ms; /* 0: no host is killed */
+	int kills_at_once; /* hosts, in turn */
+} scenario_t;
+
+/* Retries of a request that all fail. */
+enum { RETRIES_MAX = 4 };
+
+static void kill_some(retry_budget_t *budgets, const scenario_t *scenario,
+		      int at_ms, int *next)
+{
+	if (!scenario->kill_every_ms || at_ms < scenario->fail_from_ms ||
+	    at_ms % scenario->kill_every_ms)
+		return;
+	for (int i = 0; i < scenario->kills_at_once; i++, (*next)++)
+		budgets[*next % HOSTS] = (retry_budget_t){ 0 };
+}
+
+static void play(const scenario_t *scenario)
+{
+	retry_budget_t budgets[HOSTS] = { 0 };
+	int next = 0;
+
+	for (int i = 0; i < RUN_S * 1000 / STEP_MS; i++) {
+		pimento_usec_t now = PIMENTO_SEC + i * STEP_MS * PIMENTO_MSEC;
+		retry_budget_t *budget = &budgets[i % HOSTS];
+
+		kill_some(budgets, scenario, i * STEP_MS, &next);
+		retry_budget_add_request(budget, &limits, now);
+		requests[i] = 1;
+		retries[i] = 0;
+		while (i * STEP_MS >= scenario->fail_from_ms &&
+		       retries[i] < RETRIES_MAX &&
+		       retry_budget_take(budget, &limits, HOSTS, now))
+			retries[i]++;
+	}
+	check_windows();
+}
+
+/* Guards against retries that a killed host spends again within one window. */
+START_TEST(killed_hosts_do_not_spend_their_retries_again)
+{
+	static const scenario_t scenarios[] = {
+		{ 15000, 2500, HOSTS }, /* all at once */
+		{ 15000, 1500, HOSTS / 2 },
+		{ 15000, 500, 1 }, /* one after the other */
+		{ 15000, 5000, HOSTS },
+	};
+
+	play(&scenarios[_i]);
+}
+END_TEST
+
+/* Guards against a window that forgets retries before it ends. */
+START_TEST(retries_count_for_the_whole_window)
+{
+	const scenario_t scenario = { .fail_from_ms = 10000 + _i * 100 };
+
+	play(&scenario);
+}
+END_TEST
+
 START_TEST(idle_budget_is_limited_to_slack)
 {
 	retry_budget_t budget = { 0 };
@@ -107,6 +171,9 @@
 
 	tcase_add_test(tests,
 		       retries_stay_within_budget_when_all_requests_fail);
+	tcase_add_loop_test(
+		tests, killed_hosts_do_not_spend_their_retries_again, 0, 4);
+	tcase_add_loop_test(tests, retries_count_for_the_whole_window, 0, 10);
 	tcase_add_test(tests, idle_budget_is_limited_to_slack);
 	tcase_add_test(tests, returned_retries_can_be_taken_again);
 	suite_add_tcase(suite, tests);
