retry_budget: the window covers all of its span

Cause: ten slices, of which the newest is under way, cover nine to ten seconds. Each host spent its stored retries at 5.0 to 5.5 and again 9.3 to 10.2 s later, each at the phase of its own slices (14.32, 14.48, 14.52, 14.74, 14.81, 15.18, 15.19, 15.24), so that a window held both bursts: 495 retries sent, where the hosts aim at 390.

Ruled out: retries that are not counted (each one sent had been taken, 12 of 792 were given back unused), sent long after they were taken (473 of 495 within 50 ms), slack shared among too few hosts (8 each time).

With hosts that are killed nothing changes (280 of 202), nor does its test.

--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -14,7 +14,7 @@
 
 static int64_t slice_of(const retry_budget_limits_t *limits, pimento_usec_t at)
 {
-	return at / (limits->window / RETRY_BUDGET_SLICES);
+	return at / (limits->window / (RETRY_BUDGET_SLICES - 1));
 }
 
 static void advance_window(retry_budget_t *budget,
@@ -52,6 +52,9 @@
 		usage.requests += budget->requests[i];
 		usage.retries += budget->retries[i];
 	}
+	/* the oldest slice may have begun before the window */
+	usage.requests -=
+		budget->requests[(budget->slice + 1) % RETRY_BUDGET_SLICES];
 	return usage;
 }
 
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -9,7 +9,8 @@
 
 #include "../pimentoshelf.h"
 
-#define RETRY_BUDGET_SLICES 10
+/* Of the window, and one more, since the newest one is not over yet. */
+#define RETRY_BUDGET_SLICES 21
 
 typedef struct retry_budget_limits {
 	pimento_usec_t window;
@@ -36,7 +37,7 @@
 		       const retry_budget_limits_t *limits, uint32_t hosts,
 		       pimento_usec_t now);
 
-/* What counts in the window. */
+/* What counts in the window: no request before it, each retry in it. */
 typedef struct retry_budget_usage {
 	uint32_t requests;
 	uint32_t retries;
