retry_budget: a retry counts from when it is sent

A retry is taken when the request looks for a place, and sent up to a second and a connection later. It counted from when it was taken, so that it left the window that much before the endpoint had it for a window's length.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -153,6 +153,18 @@
 	strbuf_addf(text, "\r\n");
 }
 
+/* The attempt uses the retry that was taken for it, if it needed one. */
+static void count_retry(exchange_t *x, pimento_usec_t now)
+{
+	x->attempt.retry_age = 0;
+	if (!x->retry_taken_at)
+		return;
+	x->attempt.retry_age = now - x->retry_taken_at;
+	retry_budget_sent(&x->service->budget, &x->gateway->bounds.retry,
+			  x->retry_taken_at, now);
+	x->retry_taken_at = 0;
+}
+
 /* The connection is open: commits the request, unless things have changed. */
 static void commit(exchange_t *x)
 {
@@ -204,8 +216,7 @@
 	x->gateway->counters.repeats += x->arrivals > 0;
 	x->arrivals++;
 	x->runs++;
-	x->attempt.retry_age = x->retry_taken_at ? now - x->retry_taken_at : 0;
-	x->retry_taken_at = 0;
+	count_retry(x, now);
 }
 
 static gateway_t *gateway_of(const httpc_t *conn)
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -140,3 +140,11 @@
 	if (budget->retries[slice % RETRY_BUDGET_SLICES])
 		budget->retries[slice % RETRY_BUDGET_SLICES]--;
 }
+
+void retry_budget_sent(retry_budget_t *budget,
+		       const retry_budget_limits_t *limits,
+		       pimento_usec_t taken_at, pimento_usec_t now)
+{
+	retry_budget_return(budget, limits, taken_at, now);
+	budget->retries[budget->slice % RETRY_BUDGET_SLICES]++;
+}
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -54,6 +54,11 @@
 					const retry_budget_limits_t *limits,
 					pimento_usec_t now);
 
+/* A retry taken at taken_at is sent now, and counts from now on. */
+void retry_budget_sent(retry_budget_t *budget,
+		       const retry_budget_limits_t *limits,
+		       pimento_usec_t taken_at, pimento_usec_t now);
+
 /* Gives back a retry taken at taken_at that was not used. */
 void retry_budget_return(retry_budget_t *budget,
 			 const retry_budget_limits_t *limits,
--- a/test/test_retry_budget.c
+++ b/test/test_retry_budget.c
@@ -164,6 +164,24 @@
 }
 END_TEST
 
+/* Guards against retries that leave the window before they were sent so long. */
+START_TEST(retries_count_from_when_they_are_sent)
+{
+	const pimento_usec_t sent_at = PIMENTO_SEC + 1400 * PIMENTO_MSEC;
+	const pimento_usec_t last = sent_at + limits.window;
+	retry_budget_t budget = { 0 };
+	uint32_t taken = 0;
+
+	while (retry_budget_take(&budget, &limits, HOSTS, PIMENTO_SEC))
+		taken++;
+	for (uint32_t i = 0; i < taken; i++)
+		retry_budget_sent(&budget, &limits, PIMENTO_SEC, sent_at);
+	ck_assert_uint_eq(retry_budget_usage(&budget, &limits, last).retries,
+			  taken);
+	ck_assert(!retry_budget_take(&budget, &limits, HOSTS, last));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("retry_budget");
@@ -178,6 +196,7 @@
 	tcase_add_loop_test(tests, retries_count_for_the_whole_window, 0, 10);
 	tcase_add_test(tests, idle_budget_is_limited_to_slack);
 	tcase_add_test(tests, returned_retries_can_be_taken_again);
+	tcase_add_test(tests, retries_count_from_when_they_are_sent);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
