--- a/standin/worker.c
+++ b/standin/worker.c
@@ -22,6 +22,10 @@
  *
  * Each run is a line "ran ID" on standard output.
  *
+ * GET /test/state/LIMIT/REJECTED/WHERE: from now on this worker states the limit
+ * LIMIT (requests a second, a decimal number; 0: none) in all its answers, or in
+ * its rejections alone (WHERE: all, rejections), and rejects REJECTED in 100.
+ *
  * GET /test/runs tells {"runs": N, "here": requests that arrived, "open":
  * streams under way, "last": the last request's head as text}.
  */
@@ -69,6 +73,14 @@
 static json_int_t arrivals;
 static strbuf_t last;
 
+/* What /test/state sets. */
+static struct {
+	double limit; /* 0: none */
+	uint32_t rejected; /* of 100 */
+	bool only_rejections; /* state the limit */
+	uint32_t turn;
+} state;
+
 static void keep_head(const httpd_conn_t *conn)
 {
 	last.length = 0;
@@ -96,6 +108,12 @@
 								  : otherwise;
 }
 
+static void add_limit(strbuf_t *fields, bool rejection)
+{
+	if (state.limit > 0 && (rejection || !state.only_rejections))
+		strbuf_addf(fields, "Server-Limit: %g\r\n", state.limit);
+}
+
 /* The head of an answer; sealed as a worker's. */
 static void add_fields(const httpd_conn_t *conn, strbuf_t *fields)
 {
@@ -107,6 +125,7 @@
 	if (!behaves(conn, "unsealed"))
 		strbuf_addf(fields, "Response-Seal: %s.seal\r\n", own_id);
 	strbuf_addf(fields, "X-Worker: %s\r\n", own_id);
+	add_limit(fields, false);
 }
 
 static void raw(httpd_conn_t *conn, const char *text, size_t length)
@@ -276,6 +295,23 @@
 	json_decref(root);
 }
 
+static bool is_rejected(void)
+{
+	state.turn = (state.turn + 37) % 100; /* spread evenly */
+	return state.turn < state.rejected;
+}
+
+static void reject(httpd_conn_t *conn)
+{
+	strbuf_t fields;
+
+	strbuf_init(&fields);
+	strbuf_addf(&fields, "Not-Executed: 1\r\n");
+	add_limit(&fields, true);
+	httpd_answer(conn, 503, strbuf_str(&fields), "", 0);
+	strbuf_finish(&fields);
+}
+
 /* Returns true if the request is refused and has not run. */
 static bool refuse(httpd_conn_t *conn)
 {
@@ -287,13 +323,29 @@
 		httpd_answer(conn, 421, fields, "", 0);
 		return true;
 	}
-	if (behaves(conn, "full")) {
-		httpd_answer(conn, 503, "Not-Executed: 1\r\n", "", 0);
+	if (behaves(conn, "full") || is_rejected()) {
+		reject(conn);
 		return true;
 	}
 	return false;
 }
 
+static void set_state(httpd_conn_t *conn, const char *text)
+{
+	char where[16] = "";
+	char answer[32];
+	int length;
+
+	if (sscanf(text, "%lf/%u/%15s", &state.limit, &state.rejected, where) !=
+	    3) {
+		httpd_answer(conn, 400, "", "", 0);
+		return;
+	}
+	state.only_rejections = strcmp(where, "rejections") == 0;
+	length = snprintf(answer, sizeof(answer), "%g", state.limit);
+	httpd_answer(conn, 200, "", answer, (size_t)length);
+}
+
 /* For who checks afterwards what ran where, also if this process is killed. */
 static void tell_run(const httpd_conn_t *conn)
 {
@@ -312,6 +364,10 @@
 		tell_runs(conn);
 		return;
 	}
+	if (strncmp(conn->target.bytes, "/test/state/", 12) == 0) {
+		set_state(conn, conn->target.bytes + 12);
+		return;
+	}
 	arrivals++;
 	keep_head(conn);
 	if (refuse(conn))
--- a/test/edge.c
+++ b/test/edge.c
@@ -464,6 +464,22 @@
 	return value;
 }
 
+void edge_set_worker(const edge_t *edge, uint32_t index, double limit,
+		     uint32_t rejected, bool only_rejections)
+{
+	char path[64];
+	client_call_t call = { .method = "GET",
+			       .port = edge->workers[index].port,
+			       .path = path };
+	client_reply_t reply;
+
+	snprintf(path, sizeof(path), "/test/state/%g/%u/%s", limit, rejected,
+		 only_rejections ? "rejections" : "all");
+	ck_assert_int_eq(client_call(&reply, &call), 0);
+	ck_assert_int_eq(reply.status, 200);
+	client_reply_finish(&reply);
+}
+
 int edge_connect(const edge_t *edge, uint32_t host)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
--- a/test/edge.h
+++ b/test/edge.h
@@ -118,6 +118,13 @@
 /* A number that the worker's stand-in tells: "runs", "here", "open". */
 long edge_worker(const edge_t *edge, uint32_t index, const char *name);
 
+/*
+ * The worker states a limit of requests a second in its answers (0: none), or
+ * in its rejections alone, and rejects so many in 100.
+ */
+void edge_set_worker(const edge_t *edge, uint32_t index, double limit,
+		     uint32_t rejected, bool only_rejections);
+
 /* A plain connection to a host's callers' port; closes with close(). */
 int edge_connect(const edge_t *edge, uint32_t host);
 void edge_send(int fd, const char *text);
