rate_limit: endpoints get what they state, from all hosts together

Cause: nothing read the limit. The rate of arrivals is the same before and after it is stated (10.9 and 11.3, 10.6 and 10.4 a second). Ruled out: that each host keeps to it by itself, which would have shown as a fall, and that only some attempts do. The class is a bound that an endpoint states and all hosts share; the rate of slow start is another, and has had an owner.

Now each answer is read for it. The host that sees a change tells the endpoint's owner and, by gossip, all others; the newest answer counts, until an answer does not state it any more. The owner grants slots at the rate, with the same care for new owners and partitions as in slow start; grants that are not used come back.

--- a/io/dialect.h
+++ b/io/dialect.h
@@ -44,6 +44,8 @@
 	bool not_run; /* the endpoint promises so */
 	bool sealed; /* a success must be */
 	bool encoded; /* the body is not as the endpoint made it */
+	/* the endpoint's limit, see rate_limit.h; 0: it states none */
+	uint32_t rate_limit;
 } dialect_answer_t;
 
 typedef struct dialect_ops {
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -72,6 +72,7 @@
 	note->load_count = 0;
 	note->owner_report_count = 0;
 	note->quota_count = 0;
+	note->rate_limit_count = 0;
 	note->evidence_count = quarantine_report(
 		mesh->quarantine, note->evidence, GOSSIP_EVIDENCE_MAX, now);
 	for (uint32_t i = 0; i < note->evidence_count; i++)
@@ -212,9 +213,11 @@
 		return;
 	switch (packet.kind) {
 	case PACKET_GOSSIP:
-		/* evidence can have callers refused: from its sender only */
-		if (packet.as.gossip.address != from)
+		/* these can have callers refused: from their sender only */
+		if (packet.as.gossip.address != from) {
 			packet.as.gossip.evidence_count = 0;
+			packet.as.gossip.rate_limit_count = 0;
+		}
 		take_note(mesh, &packet.as.gossip, now);
 		break;
 	case PACKET_QUOTA:
@@ -226,6 +229,11 @@
 			mesh->trial_received(mesh->trial_context,
 					     &packet.as.trial);
 		break;
+	case PACKET_RATE_LIMIT:
+		if (peers_is_known(mesh->roster, from))
+			slots_hear_rate_limit(mesh->slots,
+					      &packet.as.rate_limit, from, now);
+		break;
 	default:
 		slots_take(mesh->slots, &packet, now);
 		break;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -56,6 +56,17 @@
 	return lost;
 }
 
+static uint32_t endpoints_limited(const registry_t *registry,
+				  pimento_usec_t now)
+{
+	uint32_t limited = 0;
+
+	for (uint32_t i = 0; i < registry->count; i++)
+		limited += rate_limit_applies(
+			&registry->endpoints[i]->rate_limit, now);
+	return limited;
+}
+
 static void quarantine_parts(strbuf_t *text, const quarantine_t *quarantine)
 {
 	uint32_t parts[] = { 0, 0, 0 };
@@ -117,6 +128,8 @@
 	counter(text, "note_bytes_out_total", sources->mesh->note_bytes_out);
 	counter(text, "slots_asked_total", gateway->slots->asked);
 	counter(text, "slots_granted_total", gateway->slots->granted);
+	counter(text, "slots_held_by_limit_total",
+		gateway->slots->held_by_limit);
 	counter(text, "owners_changed_total", gateway->slots->owners_changed);
 	counter(text, "quota_asked_total", gateway->quota.requests);
 	counter(text, "quota_unanswered_total", gateway->quota.unanswered);
@@ -135,6 +148,8 @@
 	histogram(text, "wait_seconds", &counters->waited);
 	services(text, gateway, sources->now);
 	quarantine_parts(text, &gateway->trials.quarantine);
+	gauge(text, "endpoints_limited",
+	      endpoints_limited(gateway->registry, sources->now));
 	gauge(text, "paths_lost", paths_lost(gateway->registry));
 	gauge(text, "tunnels_carried", sources->mesh->tunnels.count);
 	gauge(text, "peers", peers_host_count(gateway->roster, sources->now));
--- a/io/placing.c
+++ b/io/placing.c
@@ -94,11 +94,16 @@
 			      &words, sys_now());
 }
 
+/*
+ * Leaves the queues of owners: one that has granted a slot meanwhile may grant it
+ * to another request.
+ */
 static void release_all(slots_t *slots, const exchange_place_t *places,
 			uint32_t count)
 {
 	for (uint32_t i = 0; i < count; i++)
-		release(slots, &places[i], (packet_slot_release_t){ 0 });
+		release(slots, &places[i],
+			(packet_slot_release_t){ .unused = true });
 }
 
 /* Out of the exchange's list; the owner is not told. */
@@ -313,7 +318,7 @@
 		endpoint->refs++;
 		slots_ask(x->gateway->slots, endpoint, &told, now);
 	} else {
-		slow_start_record(x->gateway->registry, endpoint, now);
+		slots_record_begun(x->gateway->registry, endpoint, now);
 	}
 	dispatch_begin(x, endpoint);
 }
--- a/io/relay.c
+++ b/io/relay.c
@@ -174,6 +174,23 @@
 	return false;
 }
 
+/* What the answer says of the requests that the endpoint takes. */
+static void learn_rate_limit(exchange_t *x, const httpc_t *conn,
+			     const dialect_answer_t *answer)
+{
+	const attempt_t *attempt =
+		hedge_is_silent(x, conn) ? &x->silent.attempt : &x->attempt;
+	registry_endpoint_t *endpoint = attempt->endpoint;
+
+	if (conn->status == HTTP_STATUS_MISDIRECTED_REQUEST ||
+	    attempt->life != endpoint->incarnation)
+		return; /* another process */
+	slots_learn_rate_limit(x->gateway->slots, endpoint, answer->rate_limit,
+			       answer->not_run ? RATE_LIMIT_IN_REJECTIONS
+					       : RATE_LIMIT_IN_ANSWERS,
+			       attempt->sent_at, sys_now());
+}
+
 bool relay_head(httpc_t *conn)
 {
 	exchange_t *x = conn->user;
@@ -189,6 +206,7 @@
 	if (!answer.mine && !answer.not_run &&
 	    conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
 		return false;
+	learn_rate_limit(x, conn, &answer);
 	if (hedge_is_silent(x, conn) && !silent_answers(x, &answer, conn))
 		return true;
 	switch (judge(x, x->resuming, &answer, conn)) {
--- a/io/slots.c
+++ b/io/slots.c
@@ -143,6 +143,25 @@
 	return placement_in_flight_limit(service, endpoint);
 }
 
+/* True if the next request may begin: slow start and a stated limit. */
+static bool may_begin(slots_t *slots, registry_endpoint_t *endpoint,
+		      pimento_usec_t now)
+{
+	double share = registry_owner_share(slots->registry, endpoint, now);
+
+	return slow_start_may_begin(slots->registry, endpoint, now) &&
+	       rate_limit_may_begin(&endpoint->rate_limit, share, now);
+}
+
+void slots_record_begun(registry_t *registry, registry_endpoint_t *endpoint,
+			pimento_usec_t now)
+{
+	double share = registry_owner_share(registry, endpoint, now);
+
+	slow_start_record(registry, endpoint, now);
+	rate_limit_record(&endpoint->rate_limit, share, now);
+}
+
 /* Gives free places to those in line. */
 static void give_places(slots_t *slots, uint32_t key, pimento_usec_t now)
 {
@@ -154,11 +173,11 @@
 	if (endpoint->latency.ejected_until > now &&
 	    has_alternative(slots, endpoint, now))
 		return;
-	while (slow_start_may_begin(slots->registry, endpoint, now) &&
+	while (may_begin(slots, endpoint, now) &&
 	       grants_grant_next(&slots->grants, key,
 				 places_of(slots, endpoint, now), now, &ask)) {
 		slots->granted++;
-		slow_start_record(slots->registry, endpoint, now);
+		slots_record_begun(slots->registry, endpoint, now);
 		reply(slots, &ask, true, now);
 	}
 }
@@ -177,12 +196,15 @@
 		return; /* no memory: who asks goes by its own view */
 	if (ask->unconditional) {
 		if (endpoint)
-			slow_start_record(slots->registry, endpoint, now);
+			slots_record_begun(slots->registry, endpoint, now);
 		return;
 	}
 	give_places(slots, ask->endpoint, now);
-	if (!is_granted(slots, ask))
-		reply(slots, ask, false, now);
+	if (is_granted(slots, ask))
+		return;
+	if (endpoint && rate_limit_applies(&endpoint->rate_limit, now))
+		slots->held_by_limit++;
+	reply(slots, ask, false, now);
 }
 
 /*
@@ -229,6 +251,67 @@
 		      source == slots->self ? "self" : text, before);
 }
 
+static void log_rate_limit(const registry_endpoint_t *endpoint, uint32_t before,
+			   const char *by)
+{
+	uint32_t rate = endpoint->rate_limit.stated.rate;
+	const char *event = !before ? "limit_stated"
+			    : rate  ? "limit_changed"
+				    : "limit_ended";
+
+	trail(TRAIL_STATE, "endpoint", event,
+	      "endpoint=%s per_second=%g before=%g by=%s", endpoint->id,
+	      (double)rate / RATE_LIMIT_UNIT, (double)before / RATE_LIMIT_UNIT,
+	      by);
+}
+
+static void tell_owner_rate_limit(slots_t *slots, registry_endpoint_t *endpoint)
+{
+	uint32_t owner = owner_of(slots, endpoint);
+	packet_t packet = { .kind = PACKET_RATE_LIMIT };
+
+	if (owner == slots->self)
+		return;
+	packet.as.rate_limit = (rate_limit_report_t){
+		.endpoint = (uint32_t)endpoint->key,
+		.stated = endpoint->rate_limit.stated,
+	};
+	packet.as.rate_limit.stated.at = 0;
+	send_packet(slots, owner, &packet);
+}
+
+void slots_learn_rate_limit(slots_t *slots, registry_endpoint_t *endpoint,
+			    uint32_t rate, enum rate_limit_source source,
+			    pimento_usec_t sent_at, pimento_usec_t now)
+{
+	uint32_t before = endpoint->rate_limit.stated.rate;
+
+	if (!rate_limit_learn(&endpoint->rate_limit, rate, source, sent_at,
+			      now))
+		return;
+	log_rate_limit(endpoint, before, "self");
+	tell_owner_rate_limit(slots, endpoint);
+}
+
+void slots_hear_rate_limit(slots_t *slots, const rate_limit_report_t *report,
+			   uint32_t source, pimento_usec_t now)
+{
+	registry_endpoint_t *endpoint = endpoint_of(slots, report->endpoint);
+	rate_limit_statement_t stated = report->stated;
+	const struct in_addr by = { htonl(source) };
+	char text[INET_ADDRSTRLEN] = "";
+	uint32_t before;
+
+	if (!endpoint || stated.at == PIMENTO_NEVER)
+		return;
+	stated.at = now - stated.at;
+	before = endpoint->rate_limit.stated.rate;
+	if (!rate_limit_merge(&endpoint->rate_limit, &stated))
+		return;
+	inet_ntop(AF_INET, &by, text, sizeof(text));
+	log_rate_limit(endpoint, before, text);
+}
+
 static void take_release(slots_t *slots, const packet_slot_release_t *release,
 			 pimento_usec_t now)
 {
@@ -250,8 +333,10 @@
 					     &service->latency,
 					     release->gap_us);
 	}
-	grants_release(&slots->grants, release->endpoint, release->address,
-		       release->ticket);
+	if (grants_release(&slots->grants, release->endpoint, release->address,
+			   release->ticket) &&
+	    release->unused && endpoint)
+		rate_limit_return(&endpoint->rate_limit);
 	give_places(slots, release->endpoint, now);
 }
 
@@ -308,6 +393,7 @@
 	case PACKET_GOSSIP:
 	case PACKET_QUOTA:
 	case PACKET_TRIAL:
+	case PACKET_RATE_LIMIT:
 		break; /* the mesh's own */
 	}
 }
@@ -420,8 +506,31 @@
 	}
 }
 
+/* Limits that endpoints have stated, in turn. */
+static void say_rate_limits(slots_t *slots, gossip_message_t *note,
+			    pimento_usec_t now)
+{
+	const registry_t *registry = slots->registry;
+
+	for (uint32_t i = 0; i < registry->count &&
+			     note->rate_limit_count < GOSSIP_RATE_LIMITS_MAX;
+	     i++) {
+		registry_endpoint_t *e =
+			registry->endpoints[slots->limit_turn++ %
+					    registry->count];
+		rate_limit_report_t report = { (uint32_t)e->key,
+					       e->rate_limit.stated };
+
+		if (!rate_limit_is_news(&e->rate_limit, now))
+			continue;
+		report.stated.at = now - report.stated.at;
+		note->rate_limits[note->rate_limit_count++] = report;
+	}
+}
+
 void slots_say(slots_t *slots, gossip_message_t *note, pimento_usec_t now)
 {
+	say_rate_limits(slots, note, now);
 	say_own(slots, note, now);
 	relay_others(slots, note, now);
 }
@@ -429,6 +538,9 @@
 void slots_hear(slots_t *slots, const gossip_message_t *note,
 		pimento_usec_t now)
 {
+	for (uint32_t i = 0; i < note->rate_limit_count; i++)
+		slots_hear_rate_limit(slots, &note->rate_limits[i],
+				      note->address, now);
 	for (uint32_t i = 0; i < note->owner_report_count; i++) {
 		const gossip_owner_report_t *owned = &note->owner_reports[i];
 		registry_endpoint_t *e = endpoint_of(slots, owned->endpoint);
--- a/io/slots.h
+++ b/io/slots.h
@@ -26,7 +26,10 @@
 	uint64_t asked; /* counters */
 	uint64_t granted; /* as owner */
 	uint64_t owners_changed; /* of endpoints, as this host sees it */
+	uint64_t
+		held_by_limit; /* as owner: requests that a stated limit held */
 	uint32_t relay_turn; /* of endpoints whose reports are passed on */
+	uint32_t limit_turn; /* of endpoints whose limits are passed on */
 } slots_t;
 
 void slots_init(slots_t *slots, registry_t *registry, peers_t *roster,
@@ -48,6 +51,12 @@
 void slots_hear(slots_t *slots, const gossip_message_t *note,
 		pimento_usec_t now);
 
+/*
+ * For the owner of an endpoint, or a host that is alone: a request begins there.
+ */
+void slots_record_begun(registry_t *registry, registry_endpoint_t *endpoint,
+			pimento_usec_t now);
+
 /* A datagram of another host. */
 void slots_take(slots_t *slots, const packet_t *packet, pimento_usec_t now);
 
@@ -62,4 +71,15 @@
 		 latency_outcome_t finding, uint32_t source,
 		 pimento_usec_t now);
 
+/*
+ * Learns what an answer to a request that was sent at sent_at says of the
+ * endpoint's limit (rate_limit.h), and tells its owner what has changed.
+ */
+void slots_learn_rate_limit(slots_t *slots, registry_endpoint_t *endpoint,
+			    uint32_t rate, enum rate_limit_source source,
+			    pimento_usec_t sent_at, pimento_usec_t now);
+/* What the host `source` says of an endpoint's limit. */
+void slots_hear_rate_limit(slots_t *slots, const rate_limit_report_t *report,
+			   uint32_t source, pimento_usec_t now);
+
 #endif
--- a/src/grants.c
+++ b/src/grants.c
@@ -135,7 +135,7 @@
 	foreign->running = running;
 }
 
-void grants_release(grants_t *grants, uint32_t endpoint, uint32_t address,
+bool grants_release(grants_t *grants, uint32_t endpoint, uint32_t address,
 		    uint64_t ticket)
 {
 	grants_endpoint_t *e = find_endpoint(grants, endpoint);
@@ -145,13 +145,16 @@
 		const grants_request_t *request = &e->entries[i].request;
 
 		if (request->ticket == ticket && request->address == address) {
+			bool granted = e->entries[i].granted;
+
 			remove_entry(e, i);
-			return;
+			return granted;
 		}
 	}
 	foreign = e && ticket ? find_foreign_running(e, address) : NULL;
 	if (foreign && foreign->running)
 		set_foreign_running(e, foreign, foreign->running - 1);
+	return false;
 }
 
 /*
--- a/src/grants.h
+++ b/src/grants.h
@@ -112,9 +112,9 @@
  * Frees the slot of a request that has ended, or withdraws a slot request that
  * waits. If the ticket is unknown here, one request is subtracted from those
  * that the host reported and this owner did not grant; a ticket of 0 frees
- * nothing.
+ * nothing. Returns true if this owner had granted the slot.
  */
-void grants_release(grants_t *grants, uint32_t endpoint, uint32_t address,
+bool grants_release(grants_t *grants, uint32_t endpoint, uint32_t address,
 		    uint64_t ticket);
 
 /*
--- a/src/packet.c
+++ b/src/packet.c
@@ -26,6 +26,8 @@
 	Peer__Reader *reader_pointers[GOSSIP_POLLERS_MAX];
 	evidence_scratch_t evidence[GOSSIP_EVIDENCE_MAX];
 	Peer__Evidence *evidence_pointers[GOSSIP_EVIDENCE_MAX];
+	Peer__RateLimit rate_limits[GOSSIP_RATE_LIMITS_MAX];
+	Peer__RateLimit *rate_limit_pointers[GOSSIP_RATE_LIMITS_MAX];
 } scratch_t;
 
 static uint32_t encode_age_ms(pimento_usec_t age)
@@ -93,6 +95,16 @@
 	message->ages_ms = scratch->ages_ms;
 }
 
+static void fill_rate_limit(Peer__RateLimit *message,
+			    const rate_limit_report_t *report)
+{
+	peer__rate_limit__init(message);
+	message->endpoint = report->endpoint;
+	message->rate = report->stated.rate;
+	message->sources = report->stated.sources;
+	message->age_ms = encode_age_ms(report->stated.at);
+}
+
 static void fill_reports(Peer__Note *message, const gossip_message_t *gossip,
 			 scratch_t *scratch)
 {
@@ -133,6 +145,13 @@
 		fill_evidence(&scratch->evidence[i], &gossip->evidence[i]);
 		scratch->evidence_pointers[i] = &scratch->evidence[i].message;
 	}
+	for (uint32_t i = 0; i < gossip->rate_limit_count; i++) {
+		fill_rate_limit(&scratch->rate_limits[i],
+				&gossip->rate_limits[i]);
+		scratch->rate_limit_pointers[i] = &scratch->rate_limits[i];
+	}
+	message->n_rate_limits = gossip->rate_limit_count;
+	message->rate_limits = scratch->rate_limit_pointers;
 	message->n_evidence = gossip->evidence_count;
 	message->evidence = scratch->evidence_pointers;
 	message->n_owned = gossip->owner_report_count;
@@ -169,7 +188,8 @@
  * not sent for its size, the host would appear unresponsive. After surplus owner
  * reports, loads are dropped first, as owners count the requests that they
  * granted anyway; then the reports of other owners' endpoints, which follow the
- * sender's own; then quotas, and evidence about parts of prompts last.
+ * sender's own; then quotas, evidence about parts of prompts, and limits of
+ * endpoints last.
  */
 static void trim_to_size(Peer__Packet *message, size_t size)
 {
@@ -180,6 +200,7 @@
 	trim_list(message, size, &out->n_owned, 0);
 	trim_list(message, size, &out->n_quotas, 0);
 	trim_list(message, size, &out->n_evidence, 0);
+	trim_list(message, size, &out->n_rate_limits, 0);
 }
 
 static int pack_gossip(const gossip_message_t *gossip, uint8_t *bytes,
@@ -258,6 +279,7 @@
 	out.ticket = release->ticket;
 	out.gap_us = release->gap_us;
 	out.finding = release->outcome;
+	out.unused = release->unused;
 	message.content_case = PEER__PACKET__CONTENT_RELEASE;
 	message.release = &out;
 	return encode(&message, bytes, size);
@@ -294,6 +316,18 @@
 	return encode(&message, bytes, size);
 }
 
+static int pack_rate_limit(const rate_limit_report_t *report, uint8_t *bytes,
+			   size_t size)
+{
+	Peer__Packet message = PEER__PACKET__INIT;
+	Peer__RateLimit out;
+
+	fill_rate_limit(&out, report);
+	message.content_case = PEER__PACKET__CONTENT_RATE_LIMIT;
+	message.rate_limit = &out;
+	return encode(&message, bytes, size);
+}
+
 static int pack_quota(const quota_message_t *quota, uint8_t *bytes, size_t size)
 {
 	Peer__Packet message = PEER__PACKET__INIT;
@@ -334,6 +368,8 @@
 		return pack_quota(&packet->as.quota, bytes, size);
 	case PACKET_TRIAL:
 		return pack_trial(&packet->as.trial, bytes, size);
+	case PACKET_RATE_LIMIT:
+		return pack_rate_limit(&packet->as.rate_limit, bytes, size);
 	}
 	return PIMENTO_EINVAL;
 }
@@ -414,6 +450,17 @@
 		};
 }
 
+static void copy_rate_limit(rate_limit_report_t *report,
+			    const Peer__RateLimit *message)
+{
+	*report = (rate_limit_report_t){
+		.endpoint = message->endpoint,
+		.stated = { .rate = clamp_count(message->rate, RATE_LIMIT_MAX),
+			    .sources = message->sources,
+			    .at = decode_age_ms(message->age_ms) },
+	};
+}
+
 static void copy_gossip(gossip_message_t *gossip, const Peer__Note *message)
 {
 	*gossip = (gossip_message_t){
@@ -460,6 +507,11 @@
 		clamp_count(message->n_evidence, GOSSIP_EVIDENCE_MAX);
 	for (uint32_t i = 0; i < gossip->evidence_count; i++)
 		copy_evidence(&gossip->evidence[i], message->evidence[i]);
+	gossip->rate_limit_count =
+		clamp_count(message->n_rate_limits, GOSSIP_RATE_LIMITS_MAX);
+	for (uint32_t i = 0; i < gossip->rate_limit_count; i++)
+		copy_rate_limit(&gossip->rate_limits[i],
+				message->rate_limits[i]);
 	copy_membership(gossip, message);
 }
 
@@ -510,6 +562,7 @@
 		.ticket = message->ticket,
 		.gap_us = message->gap_us,
 		.outcome = outcome_from_wire(message->finding),
+		.unused = message->unused != 0,
 	};
 }
 
@@ -588,6 +641,10 @@
 	case PEER__PACKET__CONTENT_TRIAL:
 		packet->kind = PACKET_TRIAL;
 		return copy_trial(&packet->as.trial, message->trial);
+	case PEER__PACKET__CONTENT_RATE_LIMIT:
+		packet->kind = PACKET_RATE_LIMIT;
+		copy_rate_limit(&packet->as.rate_limit, message->rate_limit);
+		return 0;
 	default:
 		return PIMENTO_EPARSE; /* packet of a newer version, or malformed */
 	}
--- a/src/packet.h
+++ b/src/packet.h
@@ -21,7 +21,8 @@
 	PACKET_SLOT_RELEASE,
 	PACKET_RUNNING_REPORT,
 	PACKET_QUOTA,
-	PACKET_TRIAL
+	PACKET_TRIAL,
+	PACKET_RATE_LIMIT
 } packet_kind_t;
 
 typedef enum packet_trial_kind {
@@ -55,6 +56,7 @@
 	uint64_t ticket;
 	uint32_t gap_us; /* mean gap of the stream's events; 0 if unknown */
 	latency_outcome_t outcome;
+	bool unused; /* no request was sent with the slot */
 } packet_slot_release_t;
 
 /* Number of requests that a host has in flight, sent to the endpoint's owner. */
@@ -75,6 +77,7 @@
 		packet_running_report_t running_report;
 		quota_message_t quota;
 		packet_trial_t trial;
+		rate_limit_report_t rate_limit;
 	} as;
 } packet_t;
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &peer__evidence__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__rate_limit__init
+                     (Peer__RateLimit         *message)
+{
+  static const Peer__RateLimit init_value = PEER__RATE_LIMIT__INIT;
+  *message = init_value;
+}
+size_t peer__rate_limit__get_packed_size
+                     (const Peer__RateLimit *message)
+{
+  assert(message->base.descriptor == &peer__rate_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__rate_limit__pack
+                     (const Peer__RateLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__rate_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__rate_limit__pack_to_buffer
+                     (const Peer__RateLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__rate_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__RateLimit *
+       peer__rate_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__RateLimit *)
+     protobuf_c_message_unpack (&peer__rate_limit__descriptor,
+                                allocator, len, data);
+}
+void   peer__rate_limit__free_unpacked
+                     (Peer__RateLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__rate_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__note__init
                      (Peer__Note         *message)
 {
@@ -1176,7 +1221,84 @@
   (ProtobufCMessageInit) peer__evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__note__field_descriptors[20] =
+static const ProtobufCFieldDescriptor peer__rate_limit__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RateLimit, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RateLimit, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sources",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RateLimit, sources),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__RateLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__rate_limit__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = rate */
+  2,   /* field[2] = sources */
+};
+static const ProtobufCIntRange peer__rate_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__rate_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.RateLimit",
+  "RateLimit",
+  "Peer__RateLimit",
+  "peer",
+  sizeof(Peer__RateLimit),
+  4,
+  peer__rate_limit__field_descriptors,
+  peer__rate_limit__field_indices_by_name,
+  1,  peer__rate_limit__number_ranges,
+  (ProtobufCMessageInit) peer__rate_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__note__field_descriptors[21] =
 {
   {
     "address",
@@ -1418,6 +1540,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rate_limits",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Note, n_rate_limits),
+    offsetof(Peer__Note, rate_limits),
+    &peer__rate_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__note__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -1435,6 +1569,7 @@
   8,   /* field[8] = probe */
   15,   /* field[15] = pull */
   14,   /* field[14] = quotas */
+  20,   /* field[20] = rate_limits */
   13,   /* field[13] = readers */
   9,   /* field[9] = sequence */
   11,   /* field[11] = settled */
@@ -1446,7 +1581,7 @@
   { 1, 0 },
   { 7, 4 },
   { 11, 5 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor peer__note__descriptor =
 {
@@ -1456,7 +1591,7 @@
   "Peer__Note",
   "peer",
   sizeof(Peer__Note),
-  20,
+  21,
   peer__note__field_descriptors,
   peer__note__field_indices_by_name,
   3,  peer__note__number_ranges,
@@ -1953,7 +2088,7 @@
   (ProtobufCMessageInit) peer__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__release__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__release__field_descriptors[6] =
 {
   {
     "endpoint",
@@ -2015,6 +2150,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unused",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Release, unused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__release__field_indices_by_name[] = {
   1,   /* field[1] = address */
@@ -2022,12 +2169,13 @@
   4,   /* field[4] = finding */
   3,   /* field[3] = gap_us */
   2,   /* field[2] = ticket */
+  5,   /* field[5] = unused */
 };
 static const ProtobufCIntRange peer__release__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__release__descriptor =
 {
@@ -2037,7 +2185,7 @@
   "Peer__Release",
   "peer",
   sizeof(Peer__Release),
-  5,
+  6,
   peer__release__field_descriptors,
   peer__release__field_indices_by_name,
   2,  peer__release__number_ranges,
@@ -2315,7 +2463,7 @@
   (ProtobufCMessageInit) peer__trial__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__packet__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer__packet__field_descriptors[8] =
 {
   {
     "note",
@@ -2401,11 +2549,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rate_limit",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Packet, content_case),
+    offsetof(Peer__Packet, rate_limit),
+    &peer__rate_limit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__packet__field_indices_by_name[] = {
   1,   /* field[1] = ask */
   0,   /* field[0] = note */
   5,   /* field[5] = quota */
+  7,   /* field[7] = rate_limit */
   3,   /* field[3] = release */
   2,   /* field[2] = reply */
   4,   /* field[4] = report */
@@ -2414,7 +2575,7 @@
 static const ProtobufCIntRange peer__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer__packet__descriptor =
 {
@@ -2424,7 +2585,7 @@
   "Peer__Packet",
   "peer",
   sizeof(Peer__Packet),
-  7,
+  8,
   peer__packet__field_descriptors,
   peer__packet__field_indices_by_name,
   1,  peer__packet__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Peer__Fact Peer__Fact;
 typedef struct Peer__Reader Peer__Reader;
 typedef struct Peer__Evidence Peer__Evidence;
+typedef struct Peer__RateLimit Peer__RateLimit;
 typedef struct Peer__Note Peer__Note;
 typedef struct Peer__Report Peer__Report;
 typedef struct Peer__Record Peer__Record;
@@ -186,6 +187,31 @@
     , 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * A limit that an endpoint has stated in its answers.
+ */
+struct  Peer__RateLimit
+{
+  ProtobufCMessage base;
+  uint32_t endpoint;
+  /*
+   * thousandths of a request a second; 0: a limit has ended
+   */
+  uint32_t rate;
+  /*
+   * rate_limit_source
+   */
+  uint32_t sources;
+  /*
+   * since the answer that said so
+   */
+  uint32_t age_ms;
+};
+#define PEER__RATE_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__rate_limit__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 /*
  * A gossip message.
  */
@@ -254,10 +280,12 @@
   uint64_t datacentre;
   size_t n_evidence;
   Peer__Evidence **evidence;
+  size_t n_rate_limits;
+  Peer__RateLimit **rate_limits;
 };
 #define PEER__NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__note__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -436,10 +464,14 @@
    * latency_outcome_t; unknown values count as none
    */
   uint32_t finding;
+  /*
+   * no request was sent with the slot
+   */
+  protobuf_c_boolean unused;
 };
 #define PEER__RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__release__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -532,7 +564,8 @@
   PEER__PACKET__CONTENT_RELEASE = 4,
   PEER__PACKET__CONTENT_REPORT = 5,
   PEER__PACKET__CONTENT_QUOTA = 6,
-  PEER__PACKET__CONTENT_TRIAL = 7
+  PEER__PACKET__CONTENT_TRIAL = 7,
+  PEER__PACKET__CONTENT_RATE_LIMIT = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__PACKET__CONTENT__CASE)
 } Peer__Packet__ContentCase;
 
@@ -551,6 +584,10 @@
     Peer__Report *report;
     Peer__QuotaMessage *quota;
     Peer__Trial *trial;
+    /*
+     * to the endpoint's owner
+     */
+    Peer__RateLimit *rate_limit;
   };
 };
 #define PEER__PACKET__INIT \
@@ -672,6 +709,25 @@
 void   peer__evidence__free_unpacked
                      (Peer__Evidence *message,
                       ProtobufCAllocator *allocator);
+/* Peer__RateLimit methods */
+void   peer__rate_limit__init
+                     (Peer__RateLimit         *message);
+size_t peer__rate_limit__get_packed_size
+                     (const Peer__RateLimit   *message);
+size_t peer__rate_limit__pack
+                     (const Peer__RateLimit   *message,
+                      uint8_t             *out);
+size_t peer__rate_limit__pack_to_buffer
+                     (const Peer__RateLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__RateLimit *
+       peer__rate_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__rate_limit__free_unpacked
+                     (Peer__RateLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Note methods */
 void   peer__note__init
                      (Peer__Note         *message);
@@ -882,6 +938,9 @@
 typedef void (*Peer__Evidence_Closure)
                  (const Peer__Evidence *message,
                   void *closure_data);
+typedef void (*Peer__RateLimit_Closure)
+                 (const Peer__RateLimit *message,
+                  void *closure_data);
 typedef void (*Peer__Note_Closure)
                  (const Peer__Note *message,
                   void *closure_data);
@@ -924,6 +983,7 @@
 extern const ProtobufCMessageDescriptor peer__fact__descriptor;
 extern const ProtobufCMessageDescriptor peer__reader__descriptor;
 extern const ProtobufCMessageDescriptor peer__evidence__descriptor;
+extern const ProtobufCMessageDescriptor peer__rate_limit__descriptor;
 extern const ProtobufCMessageDescriptor peer__note__descriptor;
 extern const ProtobufCMessageDescriptor peer__report__descriptor;
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
--- a/src/peers.h
+++ b/src/peers.h
@@ -12,6 +12,7 @@
 
 #include "quarantine.h"
 #include "quota.h"
+#include "rate_limit.h"
 #include "registry.h"
 #include "membership.h"
 #include "replica.h"
@@ -27,6 +28,7 @@
 #define GOSSIP_FACTS_NORMAL 16
 #define GOSSIP_POLLERS_MAX 10
 #define GOSSIP_EVIDENCE_MAX 8
+#define GOSSIP_RATE_LIMITS_MAX 16
 /*
  * Number of hosts that poll the platform's store. Each change of the store
  * costs one call per poller, and the rate of calls that the store permits grows
@@ -92,6 +94,7 @@
 	uint32_t poller_count;
 	uint32_t owner_report_count;
 	uint32_t evidence_count;
+	uint32_t rate_limit_count;
 	/* the sender's own reports come first */
 	gossip_owner_report_t owner_reports[GOSSIP_OWNER_REPORTS_MAX];
 	peers_endpoint_load_t loads[GOSSIP_LOADS_MAX];
@@ -99,6 +102,7 @@
 	gossip_poller_t pollers[GOSSIP_POLLERS_MAX];
 	/* times in it are negative ages */
 	quarantine_evidence_t evidence[GOSSIP_EVIDENCE_MAX];
+	rate_limit_report_t rate_limits[GOSSIP_RATE_LIMITS_MAX];
 } gossip_message_t;
 
 typedef struct peer {
--- a/src/placement.c
+++ b/src/placement.c
@@ -63,10 +63,10 @@
  */
 #define GAP_MARGIN 1.3
 /*
- * Cost factor of an endpoint in slow start: it answers more slowly, and few
- * requests may begin there.
+ * Cost factor of an endpoint in slow start, or with a stated limit: it answers
+ * more slowly, and few requests may begin there.
  */
-#define SLOW_START_COST 1.5
+#define BOUNDED_COST 1.5
 /*
  * Fraction added to the cost of an endpoint that is reached through a peer, for
  * the peer's work and the way there.
@@ -273,12 +273,12 @@
 	registry_endpoint_t *best;
 	double cost; /* placement_cost() of best */
 	/*
-	 * an endpoint in slow start with a free slot, whose owner does not
+	 * a bounded endpoint with a free slot, whose owner does not
 	 * count this host's requests before they are sent: many hosts would
 	 * choose it at once
 	 */
 	registry_endpoint_t *unguarded;
-	/* an endpoint in slow start whose owner has just refused */
+	/* a bounded endpoint whose owner has just refused */
 	registry_endpoint_t *refused;
 	bool any_other; /* one that is neither of these, full or not */
 	/* an ejected endpoint where this host has no request in flight */
@@ -309,21 +309,39 @@
 	return request->unowned || endpoint->owner_unresponsive_until > now;
 }
 
+/* True if the requests that begin there are bounded, over all hosts. */
+static bool is_bounded(registry_t *registry,
+		       const registry_endpoint_t *endpoint, pimento_usec_t now)
+{
+	return slow_start_applies(registry, endpoint, now) ||
+	       rate_limit_applies(&endpoint->rate_limit, now);
+}
+
+static bool needs_owner(registry_t *registry,
+			const registry_endpoint_t *endpoint, pimento_usec_t now)
+{
+	return slow_start_needs_owner(registry, endpoint, now) ||
+	       rate_limit_applies(&endpoint->rate_limit, now);
+}
+
 /* True if only the endpoint's owner may let the request begin there. */
 static bool awaits_owner(registry_t *registry, registry_endpoint_t *endpoint,
 			 const placement_request_t *request, pimento_usec_t now)
 {
 	if (!is_unguarded(endpoint, request, now) ||
-	    !slow_start_needs_owner(registry, endpoint, now))
+	    !needs_owner(registry, endpoint, now))
 		return false;
 	return !request->alone ||
-	       !slow_start_may_begin(registry, endpoint, now);
+	       !slow_start_may_begin(registry, endpoint, now) ||
+	       !rate_limit_may_begin(
+		       &endpoint->rate_limit,
+		       registry_owner_share(registry, endpoint, now), now);
 }
 
 static void consider_endpoint(choice_t *choice, registry_endpoint_t *endpoint,
 			      const registry_service_t *service,
-			      const placement_request_t *request,
-			      bool slow_start, pimento_usec_t now)
+			      const placement_request_t *request, bool bounded,
+			      pimento_usec_t now)
 {
 	uint32_t limit = capacity(service, endpoint, request);
 	fit_t fit;
@@ -337,11 +355,11 @@
 		return;
 	}
 	choice->any_not_ejected = true;
-	if (slow_start && endpoint->start_refused_until > now) {
+	if (bounded && endpoint->refused_until > now) {
 		choice->refused = endpoint;
 		return;
 	}
-	if (slow_start && !request->alone &&
+	if (bounded && !request->alone &&
 	    is_unguarded(endpoint, request, now)) {
 		if (total_in_flight(endpoint) < limit &&
 		    !cannot_queue_at(endpoint, request, now))
@@ -360,8 +378,8 @@
 	    total_in_flight(endpoint) >= limit)
 		return;
 	endpoint_cost = placement_cost(endpoint, service, request);
-	if (slow_start)
-		endpoint_cost *= SLOW_START_COST;
+	if (bounded)
+		endpoint_cost *= BOUNDED_COST;
 	if (endpoint_cost < choice->cost) {
 		choice->cost = endpoint_cost;
 		choice->best = endpoint;
@@ -421,8 +439,7 @@
 		if (may_use(&choice, e, request, now) &&
 		    !awaits_owner(registry, e, request, now))
 			consider_endpoint(&choice, e, service, request,
-					  slow_start_applies(registry, e, now),
-					  now);
+					  is_bounded(registry, e, now), now);
 	}
 	*endpoint = choice.best;
 	if (!choice.any_not_ejected)
--- a/src/registry.c
+++ b/src/registry.c
@@ -9,6 +9,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Hosts may disagree on the owner for this long after a change. */
+#define OWNER_SETTLING (5 * PIMENTO_SEC)
+/* Part of the rate that a new owner uses until then. */
+#define NEW_OWNER_SHARE (1.0 / 3)
+
 /* Paths that were lost longer ago do not count together with others. */
 #define LOST_TOGETHER (1 * PIMENTO_SEC)
 /* Bytes may be due only now from endpoints that have just been heard. */
@@ -168,6 +173,7 @@
 		endpoint_path_init(&endpoint->path);
 		endpoint->answered_at = 0;
 		endpoint->ended_at = 0;
+		endpoint->rate_limit = (rate_limit_t){ 0 };
 		endpoint->incarnation++;
 	}
 	endpoint->started_at_ms = record->started_at_ms;
@@ -255,6 +261,19 @@
 	endpoint->removal_at = removal_at;
 }
 
+double registry_owner_share(const registry_t *registry,
+			    const registry_endpoint_t *endpoint,
+			    pimento_usec_t now)
+{
+	double share = registry->start_bounds.live_share;
+
+	/* not yet known as the owner, or asked by hosts that take it for one */
+	if (!endpoint->owned_since ||
+	    now - endpoint->owned_since < OWNER_SETTLING)
+		share *= NEW_OWNER_SHARE;
+	return share;
+}
+
 void registry_apply_report(registry_endpoint_t *endpoint,
 			   const registry_report_t *report, pimento_usec_t at)
 {
--- a/src/registry.h
+++ b/src/registry.h
@@ -12,6 +12,7 @@
 #include "endpoint_path.h"
 #include "evacuation.h"
 #include "latency.h"
+#include "rate_limit.h"
 
 /* State of an endpoint as reported by its owner. */
 typedef struct registry_report {
@@ -42,8 +43,12 @@
 	/* Owner only: requests that may begin in its slow start, and when counted */
 	double start_tokens;
 	pimento_usec_t start_tokens_at;
-	/* In slow start: others are preferred until then, as it had no slot. */
-	pimento_usec_t start_refused_until;
+	rate_limit_t rate_limit; /* that it has stated */
+	/*
+	 * In slow start, or with a stated limit: others are preferred until
+	 * then, as it had no slot.
+	 */
+	pimento_usec_t refused_until;
 	int64_t started_at_ms; /* process start, ms since 1970; 0: unknown */
 	/* Incremented when a new process takes over the id. */
 	uint32_t incarnation;
@@ -168,6 +173,14 @@
 registry_service_t *registry_get_service(registry_t *registry,
 					 pimento_id_t key);
 
+/*
+ * Part of a rate that this host may grant as the owner of an endpoint: less
+ * while other hosts may take another one for the owner, and in a partition.
+ */
+double registry_owner_share(const registry_t *registry,
+			    const registry_endpoint_t *endpoint,
+			    pimento_usec_t now);
+
 /* Applies a report from an endpoint's owner, received at the given time. */
 void registry_apply_report(registry_endpoint_t *endpoint,
 			   const registry_report_t *report, pimento_usec_t at);
--- a/src/slow_start.c
+++ b/src/slow_start.c
@@ -18,11 +18,6 @@
  * arrive in the next, and a second owner.
  */
 #define BURST_SHARE 0.25
-/* Hosts may disagree on the owner for this long after a change. */
-#define OWNER_SETTLING (5 * PIMENTO_SEC)
-/* Part of the rate that a new owner uses until then. */
-#define NEW_OWNER_SHARE (1.0 / 3)
-
 static bool is_starting(const registry_endpoint_t *endpoint, pimento_usec_t now)
 {
 	return endpoint->starting_until > now;
@@ -79,20 +74,6 @@
 	double per_second;
 } bucket_t;
 
-/* Part of the stated rate that this owner may use. */
-static double owner_share(const registry_t *registry,
-			  const registry_endpoint_t *endpoint,
-			  pimento_usec_t now)
-{
-	double share = registry->start_bounds.live_share;
-
-	/* not yet known as the owner, or asked by hosts that take it for one */
-	if (!endpoint->owned_since ||
-	    now - endpoint->owned_since < OWNER_SETTLING)
-		share *= NEW_OWNER_SHARE;
-	return share;
-}
-
 static bucket_t stated_bucket(const registry_t *registry,
 			      const registry_endpoint_t *endpoint,
 			      const registry_service_t *service,
@@ -101,7 +82,7 @@
 	const registry_start_bounds_t *bounds = &registry->start_bounds;
 	double rate = service->cold_per_second;
 	double excess = rate * (bounds->overrun - 1) + bounds->slack;
-	double share = owner_share(registry, endpoint, now);
+	double share = registry_owner_share(registry, endpoint, now);
 	bucket_t bucket = { excess * BURST_SHARE * share, rate * share };
 
 	if (bucket.burst < 1)
@@ -167,6 +148,7 @@
 
 void slow_start_refused(registry_endpoint_t *endpoint, pimento_usec_t now)
 {
-	if (is_starting(endpoint, now))
-		endpoint->start_refused_until = now + REFUSED_SPAN;
+	if (is_starting(endpoint, now) ||
+	    rate_limit_applies(&endpoint->rate_limit, now))
+		endpoint->refused_until = now + REFUSED_SPAN;
 }
--- a/src/slow_start.h
+++ b/src/slow_start.h
@@ -51,7 +51,7 @@
 
 /*
  * For other hosts: the owner has not granted a slot at once. If the endpoint is
- * starting, further requests wait for slots elsewhere for a while; they would
+ * starting, or has stated a limit, further requests wait for slots elsewhere for a while; they would
  * all line up at the endpoint that looks idle.
  */
 void slow_start_refused(registry_endpoint_t *endpoint, pimento_usec_t now);
--- a/test/test_headers.c
+++ b/test/test_headers.c
@@ -72,6 +72,33 @@
 }
 END_TEST
 
+static const struct {
+	const char *field; /* NULL: none */
+	uint32_t rate;
+} limits[] = {
+	{ NULL, 0 },	{ "", 0 },	{ "3.7", 3700 }, { "12", 12000 },
+	{ "0.4", 400 }, { "0", 1 },	{ "-3", 0 },	 { "3.7 a second", 0 },
+	{ "nan", 0 },	{ "1e300", 0 }, { "0.0001", 1 },
+};
+
+START_TEST(stated_limits_are_read_and_malformed_ones_left_out)
+{
+	dialect_answer_t answer = { 0 };
+	head_t head;
+
+	head_init(&head);
+	if (limits[_i].field) {
+		head_add_name(&head, "Server-Limit", 12);
+		head_add_value(&head, limits[_i].field,
+			       strlen(limits[_i].field));
+	}
+	head_end(&head);
+	platform_dialect.read_answer(&head, "x", &answer);
+	ck_assert_uint_eq(answer.rate_limit, limits[_i].rate);
+	head_finish(&head);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("headers");
@@ -83,6 +110,9 @@
 			    shared_parts_are_read_and_malformed_ones_left_out,
 			    0, sizeof(cases) / sizeof(cases[0]));
 	tcase_add_test(tests, parts_beyond_the_bound_are_left_out);
+	tcase_add_loop_test(tests,
+			    stated_limits_are_read_and_malformed_ones_left_out,
+			    0, sizeof(limits) / sizeof(limits[0]));
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
