soak: workers that reject most requests or state a limit

Beside kills, freezes and stops of hosts. Two promises more: an endpoint gets what it states, in the last 4 s of a strain of 9 s, and retries over the play stay within the ratio and the slack of each begun window.

A host of the tests that is started again no longer says that the whole system starts for the first time: its budgets were taken for those of a first start.

--- a/standin/worker.c
+++ b/standin/worker.c
@@ -20,7 +20,8 @@
  * the last one) ends this process soon after the head of a stream; with "dead5"
  * its listener is open for a moment longer than its connections.
  *
- * Each run is a line "ran ID" on standard output.
+ * Each run is a line "ran ID" on standard output, each rejection that /test/state
+ * asks for a line "rejected ID".
  *
  * GET /test/state/LIMIT/REJECTED/WHERE: from now on this worker states the limit
  * LIMIT (requests a second, a decimal number; 0: none) in all its answers, or in
@@ -295,6 +296,15 @@
 	json_decref(root);
 }
 
+/* For who checks afterwards what came of it, also if this process is killed. */
+static void tell(const httpd_conn_t *conn, const char *what)
+{
+	const char *id = head_get(&conn->head, "Request-Id");
+
+	printf("%s %s\n", what, id ? id : "-");
+	fflush(stdout);
+}
+
 static bool is_rejected(void)
 {
 	state.turn = (state.turn + 37) % 100; /* spread evenly */
@@ -323,7 +333,12 @@
 		httpd_answer(conn, 421, fields, "", 0);
 		return true;
 	}
-	if (behaves(conn, "full") || is_rejected()) {
+	if (behaves(conn, "full")) {
+		reject(conn);
+		return true;
+	}
+	if (is_rejected()) {
+		tell(conn, "rejected");
 		reject(conn);
 		return true;
 	}
@@ -346,15 +361,6 @@
 	httpd_answer(conn, 200, "", answer, (size_t)length);
 }
 
-/* For who checks afterwards what ran where, also if this process is killed. */
-static void tell_run(const httpd_conn_t *conn)
-{
-	const char *id = head_get(&conn->head, "Request-Id");
-
-	printf("ran %s\n", id ? id : "-");
-	fflush(stdout);
-}
-
 static void on_request(httpd_conn_t *conn)
 {
 	static const char rubbish[] = "\x01\x02 no answer\r\n\r\n";
@@ -373,7 +379,7 @@
 	if (refuse(conn))
 		return;
 	run_count++;
-	tell_run(conn);
+	tell(conn, "ran");
 	if (behaves(conn, "hang"))
 		return;
 	if (behaves(conn, "garble"))
--- a/test/edge.c
+++ b/test/edge.c
@@ -19,7 +19,7 @@
 
 static const char settings_format[] =
 	"[host]\nname = \"h%u\"\ndatacentre = \"a\"\naddress = \"127.0.1.%u\"\n"
-	"first_start = true\n"
+	"first_start = %s\n"
 	"[listen]\ncallers = \"127.0.0.1:%u\"\nhealth = \"127.0.0.1:%u\"\n"
 	"peers = \"127.0.1.%u:%u\"\ngossip_port = %u\n"
 	"[peers]\nseeds = [\"127.0.1.1:%u\", \"127.0.1.2:%u\"]\n"
@@ -211,7 +211,8 @@
 	const char *args[] = { "-c", path, NULL };
 
 	snprintf(text, sizeof(text), settings_format, index + 1, index + 1,
-		 host->callers, host->health, index + 1,
+		 host->started_before ? "false" : "true", host->callers,
+		 host->health, index + 1,
 		 edge->peer_fronts[index] ? edge->peer_fronts[index]
 					  : edge->peer_port,
 		 edge->gossip_port, edge->peer_port, edge->peer_port,
@@ -223,6 +224,7 @@
 	snprintf(name, sizeof(name), "h%u", index + 1);
 	ck_assert_int_eq(
 		process_start(&host->process, name, "pimentoedge", args), 0);
+	host->started_before = true;
 }
 
 static void start_paths(edge_t *edge, uint32_t worker)
--- a/test/edge.h
+++ b/test/edge.h
@@ -26,6 +26,7 @@
 	process_t process;
 	uint16_t callers;
 	uint16_t health;
+	bool started_before;
 } edge_host_t;
 
 typedef struct edge {
--- a/test/soak.c
+++ b/test/soak.c
@@ -25,6 +25,11 @@
 	DEADLINE_SLACK_MS = 100, /* hosts may end a stream so much sooner */
 	SILENCE_LEAST_MS = 500,
 	SILENCE_MOST_MS = 2000,
+	STRAIN_MS = 9000,
+	STRAIN_WINDOW_MS = 4000, /* the last part of it, in which limits hold */
+	STRAIN_HOSTS_MS = 1500, /* the first part, in which hosts end */
+	BUDGET_WINDOW_MS = 10000, /* of the settings in edge.c */
+	BUDGET_SLACK = 56,
 	ANSWER_SLACK_MS = 1000, /* beside the deadline, on a busy machine */
 	REVOKE_MS = 3000, /* of the settings in edge.c */
 	GRACE_MS = 8000, /* stop_seconds there */
@@ -60,6 +65,7 @@
 	int64_t sent_ms;
 	int64_t done_ms; /* 0: not begun, or it never ended */
 	uint32_t runs; /* at workers */
+	uint32_t arrivals; /* the same, and rejections of strained workers */
 	bool ran_evacuated; /* at a worker that it may not have gone to */
 	uint32_t key; /* number of the key; 0 is never taken away */
 	long status; /* 0: no whole answer */
@@ -120,6 +126,8 @@
 	bool paths_down[EDGE_PATH_HOSTS_MAX];
 	uint64_t path_draws; /* apart, too */
 	uint64_t silence_draws; /* apart, too */
+	uint64_t strain_draws; /* apart, too */
+	int64_t began_ms;
 	/* shared with callers */
 	uint64_t evacuation_draws; /* apart, too */
 	/* when the data centre of a worker was evacuated; 0: it is not */
@@ -375,10 +383,15 @@
 	while (file && fgets(line, sizeof(line), file)) {
 		record_t *record;
 
-		if (sscanf(line, "ran soak-%u", &number) != 1 ||
+		bool ran = sscanf(line, "ran soak-%u", &number) == 1;
+
+		if ((!ran && sscanf(line, "rejected soak-%u", &number) != 1) ||
 		    number >= REQUESTS_MAX)
 			continue;
 		record = &soak->records[number];
+		record->arrivals++;
+		if (!ran)
+			continue;
 		record->runs++;
 		if (was_evacuated(soak, worker, record))
 			record->ran_evacuated = true;
@@ -734,7 +747,8 @@
 
 static bool has_worker_links(const soak_t *soak)
 {
-	return !soak->terms.crashing && !soak->terms.silences;
+	return !soak->terms.crashing && !soak->terms.silences &&
+	       !soak->terms.strains;
 }
 
 static void fault(soak_t *soak)
@@ -1013,10 +1027,27 @@
 		broke(soak, "a stream of sound workers was cut", number);
 }
 
+/* Over the whole play; each begun window allows the slack once. */
+static void check_retries(soak_t *soak, uint32_t count)
+{
+	int64_t span = process_now_ms() - soak->began_ms;
+	double slack = BUDGET_SLACK * (double)(1 + span / BUDGET_WINDOW_MS);
+	uint32_t retries = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		if (soak->records[i].arrivals)
+			retries += soak->records[i].arrivals - 1;
+	if (retries > 0.2 * count + slack)
+		report(soak, "%u retries of %u requests", retries, count);
+}
+
 static void check_all(soak_t *soak)
 {
 	uint32_t count = soak->next < REQUESTS_MAX ? soak->next : REQUESTS_MAX;
 
+	if (soak->terms.strains)
+		check_retries(soak, count);
+
 	soak->result->requests = count;
 	for (uint32_t i = 0; i < count; i++) {
 		const record_t *record = &soak->records[i];
@@ -1097,6 +1128,99 @@
 	}
 }
 
+/* What one worker, or each, does while it is strained. */
+typedef struct strain {
+	uint32_t worker;
+	bool all;
+	double limit; /* 0: none is stated */
+	uint32_t rejected; /* of 100 */
+} strain_t;
+
+static strain_t draw_strain(soak_t *soak)
+{
+	uint64_t *draws = &soak->strain_draws;
+	strain_t strain = { .worker = draw_below(draws, soak->terms.workers),
+			    .all = draw_below(draws, 2) == 0 };
+
+	if (draw_below(draws, 2) == 0)
+		strain.rejected = 60 + draw_below(draws, 36);
+	if (!strain.rejected || draw_below(draws, 2) == 0)
+		strain.limit = (1 + draw_below(draws, 160)) / 10.0;
+	return strain;
+}
+
+static void set_strain(soak_t *soak, const strain_t *strain, bool on)
+{
+	for (uint32_t i = 0; i < soak->terms.workers; i++)
+		if ((strain->all || i == strain->worker) &&
+		    !soak->worker_down[i])
+			edge_set_worker(&soak->edge, i, on ? strain->limit : 0,
+					on ? strain->rejected : 0, false);
+}
+
+static void wait_healing(soak_t *soak, int64_t until)
+{
+	while (process_now_ms() < until) {
+		heal_due(soak, false);
+		process_sleep_ms(20);
+	}
+}
+
+/* Hosts end around the start of the strain, and are back before its end. */
+static void end_hosts(soak_t *soak, int64_t until)
+{
+	while (process_now_ms() < until) {
+		if (soak->heal_count < HEALS_MAX)
+			fault_host(soak, draw_below(&soak->strain_draws,
+						    soak->terms.hosts));
+		wait_healing(soak,
+			     process_now_ms() + 100 +
+				     draw_below(&soak->strain_draws, 400));
+	}
+}
+
+static void check_limit(soak_t *soak, const strain_t *strain, uint32_t worker,
+			long arrivals)
+{
+	double allowed = 1.5 * strain->limit * STRAIN_WINDOW_MS / 1000 + 5;
+
+	if ((double)arrivals > allowed)
+		report(soak,
+		       "worker %u states %g a second and gets %ld in %d ms",
+		       worker, strain->limit, arrivals, STRAIN_WINDOW_MS);
+}
+
+/* One worker or all reject most requests, or state a limit. */
+static void play_strain(soak_t *soak)
+{
+	strain_t strain = draw_strain(soak);
+	int64_t until = process_now_ms() + STRAIN_MS;
+	long before[EDGE_WORKERS_MAX];
+	uint32_t starts = soak->starts;
+
+	set_strain(soak, &strain, true);
+	add_event(soak, "strained: worker %u, all %d, limit %g, rejects %u",
+		  strain.worker, strain.all, strain.limit, strain.rejected);
+	soak->result->faults++;
+	touch_all(soak);
+	end_hosts(soak, process_now_ms() + STRAIN_HOSTS_MS);
+	wait_healing(soak, until - STRAIN_WINDOW_MS);
+	for (uint32_t i = 0; i < soak->terms.workers; i++)
+		before[i] = soak->worker_down[i]
+				    ? 0
+				    : edge_worker(&soak->edge, i, "here");
+	wait_healing(soak, until);
+	for (uint32_t i = 0; i < soak->terms.workers; i++)
+		if (strain.limit > 0 && (strain.all || i == strain.worker) &&
+		    !soak->worker_down[i] && soak->starts == starts)
+			check_limit(soak, &strain, i,
+				    edge_worker(&soak->edge, i, "here") -
+					    before[i]);
+	set_strain(soak, &strain, false);
+	touch_all(soak);
+	add_event(soak, "end of strain");
+}
+
 static void play_faults(soak_t *soak)
 {
 	int64_t until = process_now_ms() + soak->terms.fault_ms;
@@ -1112,6 +1236,8 @@
 			play_paths(soak);
 		if (soak->terms.silences)
 			play_silence(soak);
+		if (soak->terms.strains)
+			play_strain(soak);
 		process_sleep_ms((int)draw_below(&soak->draws, PAUSE_MS));
 		if (soak->terms.crashing)
 			find_crashed(soak);
@@ -1149,6 +1275,8 @@
 	soak.series_draws = terms->seed ^ 0x5e41e5;
 	soak.evacuation_draws = terms->seed ^ 0xe7ac;
 	soak.path_draws = terms->seed ^ 0x9a7;
+	soak.strain_draws = terms->seed ^ 0x57a1;
+	soak.began_ms = process_now_ms();
 	soak.silence_draws = terms->seed ^ 0x51e7ce;
 	soak.version = 10;
 	soak.wall_offset_ms = sys_wall_msec() - process_now_ms();
--- a/test/soak.h
+++ b/test/soak.h
@@ -7,7 +7,7 @@
  * crash, links that are delayed, reset, cut one way or silent, a store that
  * fails, keys that are taken away, data centres that are evacuated, hosts that
  * lose their paths to workers, prompts that crash workers, workers that fall
- * silent. Callers go on all the while. What they and the workers saw is checked
+ * silent, reject most requests or state a limit. Callers go on all the while. What they and the workers saw is checked
  * against what is promised.
  */
 
@@ -41,6 +41,12 @@
 	 * of faults of the links to workers
 	 */
 	bool silences;
+	/*
+	 * also workers that reject most requests or state a limit, one or all
+	 * at once, while hosts are killed, frozen or stopped, in place of
+	 * faults of the links to workers
+	 */
+	bool strains;
 } soak_terms_t;
 
 enum { SOAK_CALLERS_MAX = 64, SOAK_TEXT_MAX = 256 };
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -7,7 +7,8 @@
  * SOAK_SERIES=1 adds series of signals and changes, SOAK_EVACUATIONS=1
  * evacuations, SOAK_PATHS=1 hosts without a path to any worker (6 hosts at
  * most), SOAK_CRASHING=1 prompts that crash workers, SOAK_SILENCES=1 sound
- * workers that fall silent; SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
+ * workers that fall silent, SOAK_STRAINS=1 workers that reject most requests or
+ * state a limit; SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
  */
 
 #include "edge.h"
@@ -26,26 +27,39 @@
 	bool paths;
 	bool crashing;
 	bool silences;
+	bool strains;
 } play_t;
 
 /* Each seed that ever failed stays, with its cause. */
 static const play_t seeds[] = {
-	{ 1, "none, a fresh seed", false, false, false, false, false },
-	{ 107, "a host told to stop between fork and exec ended the test",
-	  false, false, false, false, false },
-	{ 130, "the same", false, false, false, false, false },
-	{ 2, "none, a fresh seed with series", true, false, false, false,
-	  false },
-	{ 3, "none, a fresh seed with evacuations", false, true, false, false,
-	  false },
-	{ 4, "none, a fresh seed with lost paths", true, true, true, false,
-	  false },
-	{ 7101, "the relay of a lost path did not listen again", true, false,
-	  true, false, false },
-	{ 5, "none, a fresh seed with prompts that crash workers", true, false,
-	  false, true, false },
-	{ 6, "none, a fresh seed with silent workers", true, false, false,
-	  false, true },
+	{ .seed = 1, .why = "none, a fresh seed" },
+	{ .seed = 107,
+	  .why = "a host told to stop between fork and exec ended the test" },
+	{ .seed = 130, .why = "the same" },
+	{ .seed = 2, .why = "none, a fresh seed with series", .series = true },
+	{ .seed = 3,
+	  .why = "none, a fresh seed with evacuations",
+	  .evacuations = true },
+	{ .seed = 4,
+	  .why = "none, a fresh seed with lost paths",
+	  .series = true,
+	  .evacuations = true,
+	  .paths = true },
+	{ .seed = 7101,
+	  .why = "the relay of a lost path did not listen again",
+	  .series = true,
+	  .paths = true },
+	{ .seed = 5,
+	  .why = "none, a fresh seed with prompts that crash workers",
+	  .series = true,
+	  .crashing = true },
+	{ .seed = 6,
+	  .why = "none, a fresh seed with silent workers",
+	  .series = true,
+	  .silences = true },
+	{ .seed = 8,
+	  .why = "none, a fresh seed with strained workers",
+	  .strains = true },
 };
 
 static uint64_t number_of(const char *name, uint64_t otherwise)
@@ -68,6 +82,7 @@
 		.paths = what->paths,
 		.crashing = what->crashing,
 		.silences = what->silences,
+		.strains = what->strains,
 	};
 	soak_result_t result;
 
@@ -107,6 +122,7 @@
 		.paths = number_of("SOAK_PATHS", 0) != 0,
 		.crashing = number_of("SOAK_CRASHING", 0) != 0,
 		.silences = number_of("SOAK_SILENCES", 0) != 0,
+		.strains = number_of("SOAK_STRAINS", 0) != 0,
 	};
 
 	play(&what);
