--- a/test/test_rate_limit.c
+++ b/test/test_rate_limit.c
@@ -190,7 +190,7 @@
 	fprintf(stderr, "%u served, %u turned away\n", served, turned_away);
 	edge_stop(&edge);
 	check_limits();
-	ck_assert_uint_gt(served, 50);
+	ck_assert_uint_gt(served, 100);
 }
 END_TEST
 
