mesh, exchange: say how far a fetch got and how old the list of endpoints was

DRAIN: requests reached endpoints seconds after these had said that they leave. Whether hosts did not know, or knew and sent all the same, and where a fetch that timed out stood, could not be read from the logs: a fetch with bytes=0 may have waited for its connection or for the answer, and the line of a request tells the age of the configuration only. New: connected= and behind_ms= of a fetch, endpoints_age_ms= of a request. No logic changes.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -515,6 +515,7 @@
 		.registry = &edge->registry,
 		.roster = &edge->roster,
 		.replica = &edge->feed.replicas[REPLICA_OPERATOR],
+		.endpoint_list = &edge->feed.replicas[REPLICA_ENDPOINTS],
 		.slots = &edge->slots,
 		.send_quota = on_send_quota,
 		.send_trial = on_send_trial,
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -206,6 +206,7 @@
 	trials_sent(x);
 	snprintf(x->sent_to, sizeof(x->sent_to), "%s", x->attempt.endpoint->id);
 	x->attempt.sent_at = now;
+	x->attempt.list_age = replica_age(x->gateway->endpoint_list, now);
 	x->attempt.acknowledged = false;
 	x->attempt.ack_checked_at = now;
 	x->attempt.event_at = now;
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -85,7 +85,7 @@
 	      "endpoint=%s via=%s granted=%d load=%u waiting=%u tokens=%.0f prompt=%u expected=%u "
 	      "events=%u "
 	      "pause_ms=%lld "
-	      "config=%llu copy_age_ms=%lld",
+	      "config=%llu copy_age_ms=%lld endpoints_age_ms=%lld",
 	      x->call.id, x->route->name, x->account ? x->account->name : "-",
 	      x->status, why, (long long)msec(now - x->arrived),
 	      x->first_at ? (long long)msec(x->first_at - x->arrived) : -1,
@@ -99,7 +99,8 @@
 	      x->call.prompt, x->call.expected, x->events.count,
 	      (long long)msec(x->pause_most),
 	      (unsigned long long)x->catalog->version,
-	      (long long)msec(replica_age(x->gateway->replica, now)));
+	      (long long)msec(replica_age(x->gateway->replica, now)),
+	      x->attempt.sent_at ? (long long)msec(x->attempt.list_age) : -1);
 }
 
 void exchange_finish(exchange_t *x, gateway_outcome_t outcome, const char *why)
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -36,6 +36,7 @@
 	pimento_usec_t rested; /* how long the connection had, if reused */
 	pimento_usec_t retry_age; /* when sent, since its retry was taken */
 	pimento_usec_t sent_at;
+	pimento_usec_t list_age; /* of the list of endpoints when sent */
 	pimento_usec_t ack_checked_at;
 	pimento_usec_t event_at; /* last event */
 	pimento_usec_t first_event_at;
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -276,6 +276,7 @@
 	gateway->registry->on_endpoint_free = pool_drop;
 	gateway->roster = setup->roster;
 	gateway->replica = setup->replica;
+	gateway->endpoint_list = setup->endpoint_list;
 	gateway->slots = setup->slots;
 	gateway->draws = sys_random();
 	gateway->send_quota = setup->send_quota;
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -112,7 +112,8 @@
 	gateway_bounds_t bounds;
 	registry_t *registry;
 	peers_t *roster;
-	const replica_t *replica;
+	const replica_t *replica; /* of operators' records */
+	const replica_t *endpoint_list;
 	slots_t *slots;
 	quota_fleet_ops_t quota_ops;
 	quota_fleet_t quota;
@@ -156,7 +157,8 @@
 	bool first_start; /* of the whole system */
 	registry_t *registry;
 	peers_t *roster;
-	const replica_t *replica;
+	const replica_t *replica; /* of operators' records */
+	const replica_t *endpoint_list;
 	slots_t *slots;
 	/* Sends a message about quotas to another host. */
 	void (*send_quota)(void *context, uint32_t address,
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -349,15 +349,20 @@
 static void report_fetch(const mesh_fetch_t *fetch, const char *outcome)
 {
 	const struct in_addr address = { htonl(fetch->peer) };
+	pimento_usec_t now = sys_now();
 	char peer[INET_ADDRSTRLEN];
 
 	fetch->mesh->snapshot_bytes_in += fetch->body.length;
 	inet_ntop(AF_INET, &address, peer, sizeof(peer));
 	trail(TRAIL_STATE, "mesh", "fetch",
-	      "collection=%s peer=%s outcome=%s bytes=%zu ms=%lld",
+	      "collection=%s peer=%s outcome=%s bytes=%zu ms=%lld connected=%d "
+	      "behind_ms=%lld",
 	      replica_kind_name(fetch->kind), peer, outcome, fetch->body.length,
-	      (long long)((sys_now() - fetch->progress.started) /
-			  PIMENTO_MSEC));
+	      (long long)((now - fetch->progress.started) / PIMENTO_MSEC),
+	      fetch->connected,
+	      fetch->behind_since
+		      ? (long long)((now - fetch->behind_since) / PIMENTO_MSEC)
+		      : -1);
 }
 
 static void fetch_failed(mesh_fetch_t *fetch, const char *why)
@@ -410,6 +415,7 @@
 			      replica_kind_path(fetch->kind),
 			      (unsigned long long)replica->revision);
 
+	fetch->connected = true;
 	if (!httpc_ask(conn, head, (size_t)length, "", 0, false)) {
 		fetch_failed(fetch, "not_sent");
 		httpc_close(conn);
@@ -481,6 +487,7 @@
 	net_address_t address = { peer->address, mesh->peer_port };
 
 	fetch->body.length = 0;
+	fetch->connected = false;
 	fetch->peer = peer->address;
 	progress_begin(&fetch->progress, now);
 	fetch->conn = httpc_open(mesh->loop, &address, &mesh->snapshots);
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -32,6 +32,7 @@
 	strbuf_t body;
 	uint32_t peer; /* IPv4 address, host byte order */
 	progress_t progress;
+	bool connected;
 	pimento_usec_t behind_since; /* a peer has had newer records; 0 no */
 } mesh_fetch_t;
 
