test: endpoints that leave, where fetches fail and by their own answers (red)

DRAIN: requests reach endpoints seconds after these have said that they leave.

The stand-in of workers says so from /test/leave on.

--- a/standin/worker.c
+++ b/standin/worker.c
@@ -28,6 +28,8 @@
  * LIMIT (requests a second, a decimal number; 0: none) in all its answers, or in
  * its rejections alone (WHERE: all, rejections), and rejects REJECTED in 100.
  *
+ * GET /test/leave: from now on this worker says in all its answers that it leaves.
+ *
  * GET /test/runs tells {"runs": N, "here": requests that arrived, "open":
  * streams under way, "last": the last request's head as text}.
  */
@@ -82,6 +84,7 @@
 	uint32_t rejected; /* of 100 */
 	bool only_rejections; /* state the limit */
 	uint32_t turn;
+	bool leaving;
 } state;
 
 static void keep_head(const httpd_conn_t *conn)
@@ -111,8 +114,11 @@
 								  : otherwise;
 }
 
-static void add_limit(strbuf_t *fields, bool rejection)
+/* What all answers say of the worker itself. */
+static void add_state(strbuf_t *fields, bool rejection)
 {
+	if (state.leaving)
+		strbuf_addf(fields, "Server-Leaving: 1\r\n");
 	if (state.limit > 0 && (rejection || !state.only_rejections))
 		strbuf_addf(fields, "Server-Limit: %g\r\n", state.limit);
 }
@@ -128,7 +134,7 @@
 	if (!behaves(conn, "unsealed"))
 		strbuf_addf(fields, "Response-Seal: %s.seal\r\n", own_id);
 	strbuf_addf(fields, "X-Worker: %s\r\n", own_id);
-	add_limit(fields, false);
+	add_state(fields, false);
 }
 
 static void raw(httpd_conn_t *conn, const char *text, size_t length)
@@ -327,7 +333,7 @@
 
 	strbuf_init(&fields);
 	strbuf_addf(&fields, "Not-Executed: 1\r\n");
-	add_limit(&fields, true);
+	add_state(&fields, true);
 	httpd_answer(conn, 503, strbuf_str(&fields), "", 0);
 	strbuf_finish(&fields);
 }
@@ -380,6 +386,11 @@
 		tell_runs(conn);
 		return;
 	}
+	if (strcmp(conn->target.bytes, "/test/leave") == 0) {
+		state.leaving = true;
+		httpd_answer(conn, 200, "", "", 0);
+		return;
+	}
 	if (strncmp(conn->target.bytes, "/test/state/", 12) == 0) {
 		set_state(conn, conn->target.bytes + 12);
 		return;
--- a/test/edge.c
+++ b/test/edge.c
@@ -168,6 +168,13 @@
 
 void edge_list_worker_in(const edge_t *edge, uint32_t index,
 			 const char *datacentre, const char *state)
+{
+	edge_list_process(edge, index, datacentre, state, 1);
+}
+
+void edge_list_process(const edge_t *edge, uint32_t index,
+		       const char *datacentre, const char *state,
+		       uint32_t started_at_ms)
 {
 	uint16_t front = edge->worker_fronts[index] ? edge->worker_fronts[index]
 						    : edge->workers[index].port;
@@ -179,9 +186,9 @@
 		snprintf(
 			text, sizeof(text),
 			"{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
-			"\"zone\":\"%s\",\"slots\":8,\"state\":\"%s\",\"born\":1}",
+			"\"zone\":\"%s\",\"slots\":8,\"state\":\"%s\",\"born\":%u}",
 			edge->own_paths ? edge->paths[host][index].port : front,
-			datacentre, state);
+			datacentre, state, started_at_ms);
 		put_at(store_port(edge, host), key, text);
 	}
 }
@@ -487,22 +494,33 @@
 	return value;
 }
 
-void edge_set_worker(const edge_t *edge, uint32_t index, double limit,
-		     uint32_t rejected, bool only_rejections)
+static void worker_call(const edge_t *edge, uint32_t index, const char *path)
 {
-	char path[64];
 	client_call_t call = { .method = "GET",
 			       .port = edge->workers[index].port,
 			       .path = path };
 	client_reply_t reply;
 
-	snprintf(path, sizeof(path), "/test/state/%g/%u/%s", limit, rejected,
-		 only_rejections ? "rejections" : "all");
 	ck_assert_int_eq(client_call(&reply, &call), 0);
 	ck_assert_int_eq(reply.status, 200);
 	client_reply_finish(&reply);
 }
 
+void edge_leave_worker(const edge_t *edge, uint32_t index)
+{
+	worker_call(edge, index, "/test/leave");
+}
+
+void edge_set_worker(const edge_t *edge, uint32_t index, double limit,
+		     uint32_t rejected, bool only_rejections)
+{
+	char path[64];
+
+	snprintf(path, sizeof(path), "/test/state/%g/%u/%s", limit, rejected,
+		 only_rejections ? "rejections" : "all");
+	worker_call(edge, index, path);
+}
+
 int edge_connect(const edge_t *edge, uint32_t host)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
--- a/test/edge.h
+++ b/test/edge.h
@@ -107,6 +107,10 @@
 void edge_list_worker(const edge_t *edge, uint32_t index, const char *state);
 void edge_list_worker_in(const edge_t *edge, uint32_t index,
 			 const char *datacentre, const char *state);
+/* The same with the time of its start, which tells processes of one id apart. */
+void edge_list_process(const edge_t *edge, uint32_t index,
+		       const char *datacentre, const char *state,
+		       uint32_t started_at_ms);
 
 /* A request with the key, an id and a deadline, and further header fields. */
 client_reply_t edge_ask(const edge_t *edge, uint32_t host, const char *path,
@@ -134,6 +138,9 @@
 void edge_set_worker(const edge_t *edge, uint32_t index, double limit,
 		     uint32_t rejected, bool only_rejections);
 
+/* The worker says from now on in all its answers that it leaves. */
+void edge_leave_worker(const edge_t *edge, uint32_t index);
+
 /* A plain connection to a host's callers' port; closes with close(). */
 int edge_connect(const edge_t *edge, uint32_t host);
 void edge_send(int fd, const char *text);
