registry, gossip: report departures of endpoints in gossip messages

Callers' requests were sent to endpoints 4.0 and 4.5 s after these had said that they leave, where 3 s are allowed.

Cause: the change of an endpoint's record reached a host that does not read the store by a fetch from a peer, over a connection of its own, from one peer after the other. A lost first packet costs 0.7 s, and three or four in a row the 3 s after which a host reads the store for itself. Gossip did arrive all the while, and said no more than that there was something new.

The change was not late at the hosts that read, and no late host had logged it before.

Now a departure (endpoint, revision of the record or of its removal) is in each gossip message for six seconds after the first host took it, and an owner sends it to a host that asks for a slot there. It closes the endpoint until its record is newer, so that an older copy does not undo it.

--- a/io/crashes.c
+++ b/io/crashes.c
@@ -52,16 +52,6 @@
 	       x->events.count - attempt->events_before >= BEGUN_EVENTS;
 }
 
-/* The same on all hosts; another one after each start of the endpoint. */
-static uint32_t process_of(const registry_endpoint_t *endpoint)
-{
-	uint64_t mixed = endpoint->key;
-
-	mixed ^= (uint64_t)endpoint->started_at_ms * 0x9e3779b97f4a7c15u;
-	mixed ^= endpoint->port * 0xbf58476d1ce4e5b9u;
-	return (uint32_t)(mixed ^ mixed >> 32);
-}
-
 void crashes_broken(exchange_t *x, const attempt_t *attempt, pimento_usec_t now)
 {
 	registry_endpoint_t *endpoint = attempt->endpoint;
@@ -77,7 +67,7 @@
 	*candidate = (crash_candidate_t){
 		.endpoint = endpoint,
 		.incarnation = attempt->life,
-		.process = process_of(endpoint),
+		.process = registry_process_id(endpoint),
 		.broke_at = now,
 		.request = x,
 		.trial_part = trial.part,
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -73,6 +73,9 @@
 	note->owner_report_count = 0;
 	note->quota_count = 0;
 	note->rate_limit_count = 0;
+	note->departure_count =
+		departures_report(&mesh->registry->departures, note->departures,
+				  GOSSIP_DEPARTURES_MAX, now);
 	note->evidence_count = quarantine_report(
 		mesh->quarantine, note->evidence, GOSSIP_EVIDENCE_MAX, now);
 	for (uint32_t i = 0; i < note->evidence_count; i++)
@@ -217,6 +220,7 @@
 		if (packet.as.gossip.address != from) {
 			packet.as.gossip.evidence_count = 0;
 			packet.as.gossip.rate_limit_count = 0;
+			packet.as.gossip.departure_count = 0;
 		}
 		take_note(mesh, &packet.as.gossip, now);
 		break;
@@ -240,6 +244,11 @@
 			slots_hear_rate_limit(mesh->slots,
 					      &packet.as.rate_limit, from, now);
 		break;
+	case PACKET_DEPARTURE:
+		if (peers_is_known(mesh->roster, from))
+			slots_hear_departure(mesh->slots, &packet.as.departure,
+					     from, now);
+		break;
 	default:
 		slots_take(mesh->slots, &packet, now);
 		break;
--- a/io/slots.c
+++ b/io/slots.c
@@ -182,6 +182,28 @@
 	}
 }
 
+static void send_departure(const slots_t *slots, uint32_t address,
+			   const departure_t *departure, pimento_usec_t now)
+{
+	packet_t packet = { .kind = PACKET_DEPARTURE };
+
+	packet.as.departure = *departure;
+	packet.as.departure.at = now - departure->at;
+	if (address && address != slots->self)
+		send_packet(slots, address, &packet);
+}
+
+/* The host that asks has not heard that the endpoint leaves. */
+static void tell_departure(const slots_t *slots, const grants_request_t *ask,
+			   pimento_usec_t now)
+{
+	const departure_t *departure =
+		departures_find(&slots->registry->departures, ask->endpoint);
+
+	if (departure)
+		send_departure(slots, ask->address, departure, now);
+}
+
 static bool is_granted(const slots_t *slots, const grants_request_t *ask)
 {
 	return !grants_is_waiting(&slots->grants, ask);
@@ -204,6 +226,8 @@
 		return;
 	if (endpoint && rate_limit_applies(&endpoint->rate_limit, now))
 		slots->held_by_limit++;
+	if (endpoint && !registry_endpoint_accepts_work(endpoint, now))
+		tell_departure(slots, ask, now);
 	reply(slots, ask, false, now);
 }
 
@@ -312,6 +336,33 @@
 	log_rate_limit(endpoint, before, text);
 }
 
+static void log_leaving(const registry_endpoint_t *endpoint,
+			const departure_t *departure, const char *by)
+{
+	trail(TRAIL_STATE, "endpoint", "leaving",
+	      "endpoint=%s why=%s by=%s revision=%llu", endpoint->id,
+	      departure->process ? "stated" : "recorded", by,
+	      (unsigned long long)departure->revision);
+}
+
+void slots_hear_departure(slots_t *slots, const departure_t *departure,
+			  uint32_t source, pimento_usec_t now)
+{
+	const struct in_addr by = { htonl(source) };
+	char text[INET_ADDRSTRLEN] = "";
+	departure_t heard = *departure;
+	registry_endpoint_t *endpoint;
+
+	if (heard.at == PIMENTO_NEVER || !heard.process == !heard.revision)
+		return;
+	heard.at = now - heard.at;
+	endpoint = registry_depart(slots->registry, &heard, now);
+	if (!endpoint)
+		return;
+	inet_ntop(AF_INET, &by, text, sizeof(text));
+	log_leaving(endpoint, &heard, text);
+}
+
 static void take_release(slots_t *slots, const packet_slot_release_t *release,
 			 pimento_usec_t now)
 {
@@ -395,6 +446,7 @@
 	case PACKET_TRIAL:
 	case PACKET_RATE_LIMIT:
 	case PACKET_DEMAND:
+	case PACKET_DEPARTURE:
 		break; /* the mesh's own */
 	}
 }
@@ -539,6 +591,9 @@
 void slots_hear(slots_t *slots, const gossip_message_t *note,
 		pimento_usec_t now)
 {
+	for (uint32_t i = 0; i < note->departure_count; i++)
+		slots_hear_departure(slots, &note->departures[i], note->address,
+				     now);
 	for (uint32_t i = 0; i < note->rate_limit_count; i++)
 		slots_hear_rate_limit(slots, &note->rate_limits[i],
 				      note->address, now);
@@ -557,6 +612,7 @@
 {
 	if (!slots->first_tick_at)
 		slots->first_tick_at = now;
+	registry_expire_departures(slots->registry, now);
 	slots->registry->start_bounds.live_share =
 		peers_known_live_share(slots->roster, SLOTS_LOST_LATELY, now);
 	for (uint32_t i = 0; i < slots->registry->count; i++) {
--- a/src/packet.c
+++ b/src/packet.c
@@ -28,6 +28,8 @@
 	Peer__Evidence *evidence_pointers[GOSSIP_EVIDENCE_MAX];
 	Peer__RateLimit rate_limits[GOSSIP_RATE_LIMITS_MAX];
 	Peer__RateLimit *rate_limit_pointers[GOSSIP_RATE_LIMITS_MAX];
+	Peer__Departure departures[GOSSIP_DEPARTURES_MAX];
+	Peer__Departure *departure_pointers[GOSSIP_DEPARTURES_MAX];
 } scratch_t;
 
 static uint32_t encode_age_ms(pimento_usec_t age)
@@ -105,6 +107,16 @@
 	message->age_ms = encode_age_ms(report->stated.at);
 }
 
+static void fill_departure(Peer__Departure *message,
+			   const departure_t *departure)
+{
+	peer__departure__init(message);
+	message->endpoint = departure->endpoint;
+	message->process = departure->process;
+	message->revision = departure->revision;
+	message->age_ms = encode_age_ms(departure->at);
+}
+
 static void fill_reports(Peer__Note *message, const gossip_message_t *gossip,
 			 scratch_t *scratch)
 {
@@ -150,6 +162,12 @@
 				&gossip->rate_limits[i]);
 		scratch->rate_limit_pointers[i] = &scratch->rate_limits[i];
 	}
+	for (uint32_t i = 0; i < gossip->departure_count; i++) {
+		fill_departure(&scratch->departures[i], &gossip->departures[i]);
+		scratch->departure_pointers[i] = &scratch->departures[i];
+	}
+	message->n_departures = gossip->departure_count;
+	message->departures = scratch->departure_pointers;
 	message->n_rate_limits = gossip->rate_limit_count;
 	message->rate_limits = scratch->rate_limit_pointers;
 	message->n_evidence = gossip->evidence_count;
@@ -188,8 +206,8 @@
  * not sent for its size, the host would appear unresponsive. After surplus owner
  * reports, loads are dropped first, as owners count the requests that they
  * granted anyway; then the reports of other owners' endpoints, which follow the
- * sender's own; then quotas, evidence about parts of prompts, and limits of
- * endpoints last.
+ * sender's own; then quotas, evidence about parts of prompts, limits of
+ * endpoints, and departures last.
  */
 static void trim_to_size(Peer__Packet *message, size_t size)
 {
@@ -201,6 +219,7 @@
 	trim_list(message, size, &out->n_quotas, 0);
 	trim_list(message, size, &out->n_evidence, 0);
 	trim_list(message, size, &out->n_rate_limits, 0);
+	trim_list(message, size, &out->n_departures, 0);
 }
 
 static int pack_gossip(const gossip_message_t *gossip, uint8_t *bytes,
@@ -328,6 +347,18 @@
 	return encode(&message, bytes, size);
 }
 
+static int pack_departure(const departure_t *departure, uint8_t *bytes,
+			  size_t size)
+{
+	Peer__Packet message = PEER__PACKET__INIT;
+	Peer__Departure out;
+
+	fill_departure(&out, departure);
+	message.content_case = PEER__PACKET__CONTENT_DEPARTURE;
+	message.departure = &out;
+	return encode(&message, bytes, size);
+}
+
 /* Beyond any demand; what others state may add up to more than a number holds. */
 #define SLOT_TIME_MAX_S 1e9
 #define ARRIVALS_MAX 1e8
@@ -466,6 +497,8 @@
 		return pack_trial(&packet->as.trial, bytes, size);
 	case PACKET_RATE_LIMIT:
 		return pack_rate_limit(&packet->as.rate_limit, bytes, size);
+	case PACKET_DEPARTURE:
+		return pack_departure(&packet->as.departure, bytes, size);
 	}
 	return PIMENTO_EINVAL;
 }
@@ -557,6 +590,17 @@
 	};
 }
 
+static void copy_departure(departure_t *departure,
+			   const Peer__Departure *message)
+{
+	*departure = (departure_t){
+		.endpoint = message->endpoint,
+		.process = message->process,
+		.revision = message->revision,
+		.at = decode_age_ms(message->age_ms),
+	};
+}
+
 static void copy_gossip(gossip_message_t *gossip, const Peer__Note *message)
 {
 	*gossip = (gossip_message_t){
@@ -608,6 +652,10 @@
 	for (uint32_t i = 0; i < gossip->rate_limit_count; i++)
 		copy_rate_limit(&gossip->rate_limits[i],
 				message->rate_limits[i]);
+	gossip->departure_count =
+		clamp_count(message->n_departures, GOSSIP_DEPARTURES_MAX);
+	for (uint32_t i = 0; i < gossip->departure_count; i++)
+		copy_departure(&gossip->departures[i], message->departures[i]);
 	copy_membership(gossip, message);
 }
 
@@ -815,6 +863,10 @@
 		packet->kind = PACKET_RATE_LIMIT;
 		copy_rate_limit(&packet->as.rate_limit, message->rate_limit);
 		return 0;
+	case PEER__PACKET__CONTENT_DEPARTURE:
+		packet->kind = PACKET_DEPARTURE;
+		copy_departure(&packet->as.departure, message->departure);
+		return 0;
 	default:
 		return PIMENTO_EPARSE; /* packet of a newer version, or malformed */
 	}
--- a/src/packet.h
+++ b/src/packet.h
@@ -24,7 +24,8 @@
 	PACKET_QUOTA,
 	PACKET_TRIAL,
 	PACKET_RATE_LIMIT,
-	PACKET_DEMAND
+	PACKET_DEMAND,
+	PACKET_DEPARTURE
 } packet_kind_t;
 
 typedef enum packet_trial_kind {
@@ -81,6 +82,7 @@
 		packet_trial_t trial;
 		rate_limit_report_t rate_limit;
 		demand_report_t demand;
+		departure_t departure; /* at: how long ago */
 	} as;
 } packet_t;
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &peer__rate_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__departure__init
+                     (Peer__Departure         *message)
+{
+  static const Peer__Departure init_value = PEER__DEPARTURE__INIT;
+  *message = init_value;
+}
+size_t peer__departure__get_packed_size
+                     (const Peer__Departure *message)
+{
+  assert(message->base.descriptor == &peer__departure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__departure__pack
+                     (const Peer__Departure *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__departure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__departure__pack_to_buffer
+                     (const Peer__Departure *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__departure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Departure *
+       peer__departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Departure *)
+     protobuf_c_message_unpack (&peer__departure__descriptor,
+                                allocator, len, data);
+}
+void   peer__departure__free_unpacked
+                     (Peer__Departure *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__departure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__note__init
                      (Peer__Note         *message)
 {
@@ -1343,7 +1388,84 @@
   (ProtobufCMessageInit) peer__rate_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__note__field_descriptors[21] =
+static const ProtobufCFieldDescriptor peer__departure__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Departure, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "process",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Departure, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Departure, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Departure, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__departure__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = process */
+  2,   /* field[2] = revision */
+};
+static const ProtobufCIntRange peer__departure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer__departure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Departure",
+  "Departure",
+  "Peer__Departure",
+  "peer",
+  sizeof(Peer__Departure),
+  4,
+  peer__departure__field_descriptors,
+  peer__departure__field_indices_by_name,
+  1,  peer__departure__number_ranges,
+  (ProtobufCMessageInit) peer__departure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer__note__field_descriptors[22] =
 {
   {
     "address",
@@ -1597,10 +1719,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departures",
+    27,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Note, n_departures),
+    offsetof(Peer__Note, departures),
+    &peer__departure__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__note__field_indices_by_name[] = {
   0,   /* field[0] = address */
   18,   /* field[18] = datacentre */
+  21,   /* field[21] = departures */
   3,   /* field[3] = echo */
   6,   /* field[6] = endpoints_age_ms */
   7,   /* field[7] = endpoints_revision */
@@ -1626,7 +1761,7 @@
   { 1, 0 },
   { 7, 4 },
   { 11, 5 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor peer__note__descriptor =
 {
@@ -1636,7 +1771,7 @@
   "Peer__Note",
   "peer",
   sizeof(Peer__Note),
-  21,
+  22,
   peer__note__field_descriptors,
   peer__note__field_indices_by_name,
   3,  peer__note__number_ranges,
@@ -2728,7 +2863,7 @@
   (ProtobufCMessageInit) peer__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__packet__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer__packet__field_descriptors[10] =
 {
   {
     "note",
@@ -2838,10 +2973,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departure",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Packet, content_case),
+    offsetof(Peer__Packet, departure),
+    &peer__departure__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__packet__field_indices_by_name[] = {
   1,   /* field[1] = ask */
   8,   /* field[8] = demand */
+  9,   /* field[9] = departure */
   0,   /* field[0] = note */
   5,   /* field[5] = quota */
   7,   /* field[7] = rate_limit */
@@ -2853,7 +3001,7 @@
 static const ProtobufCIntRange peer__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor peer__packet__descriptor =
 {
@@ -2863,7 +3011,7 @@
   "Peer__Packet",
   "peer",
   sizeof(Peer__Packet),
-  9,
+  10,
   peer__packet__field_descriptors,
   peer__packet__field_indices_by_name,
   1,  peer__packet__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Peer__Reader Peer__Reader;
 typedef struct Peer__Evidence Peer__Evidence;
 typedef struct Peer__RateLimit Peer__RateLimit;
+typedef struct Peer__Departure Peer__Departure;
 typedef struct Peer__Note Peer__Note;
 typedef struct Peer__Report Peer__Report;
 typedef struct Peer__Record Peer__Record;
@@ -213,6 +214,31 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * An endpoint that accepts no new requests; see src/departures.h.
+ */
+struct  Peer__Departure
+{
+  ProtobufCMessage base;
+  uint32_t endpoint;
+  /*
+   * 0 if the endpoint's record says so
+   */
+  uint32_t process;
+  /*
+   * of that record; 0 if the endpoint's answers say so
+   */
+  uint64_t revision;
+  /*
+   * since a host first learned it
+   */
+  uint32_t age_ms;
+};
+#define PEER__DEPARTURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__departure__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 /*
  * A gossip message.
  */
@@ -283,10 +309,12 @@
   Peer__Evidence **evidence;
   size_t n_rate_limits;
   Peer__RateLimit **rate_limits;
+  size_t n_departures;
+  Peer__Departure **departures;
 };
 #define PEER__NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__note__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -643,7 +671,8 @@
   PEER__PACKET__CONTENT_QUOTA = 6,
   PEER__PACKET__CONTENT_TRIAL = 7,
   PEER__PACKET__CONTENT_RATE_LIMIT = 8,
-  PEER__PACKET__CONTENT_DEMAND = 9
+  PEER__PACKET__CONTENT_DEMAND = 9,
+  PEER__PACKET__CONTENT_DEPARTURE = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__PACKET__CONTENT__CASE)
 } Peer__Packet__ContentCase;
 
@@ -667,6 +696,7 @@
      */
     Peer__RateLimit *rate_limit;
     Peer__Demand *demand;
+    Peer__Departure *departure;
   };
 };
 #define PEER__PACKET__INIT \
@@ -807,6 +837,25 @@
 void   peer__rate_limit__free_unpacked
                      (Peer__RateLimit *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Departure methods */
+void   peer__departure__init
+                     (Peer__Departure         *message);
+size_t peer__departure__get_packed_size
+                     (const Peer__Departure   *message);
+size_t peer__departure__pack
+                     (const Peer__Departure   *message,
+                      uint8_t             *out);
+size_t peer__departure__pack_to_buffer
+                     (const Peer__Departure   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Departure *
+       peer__departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__departure__free_unpacked
+                     (Peer__Departure *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Note methods */
 void   peer__note__init
                      (Peer__Note         *message);
@@ -1039,6 +1088,9 @@
 typedef void (*Peer__RateLimit_Closure)
                  (const Peer__RateLimit *message,
                   void *closure_data);
+typedef void (*Peer__Departure_Closure)
+                 (const Peer__Departure *message,
+                  void *closure_data);
 typedef void (*Peer__Note_Closure)
                  (const Peer__Note *message,
                   void *closure_data);
@@ -1085,6 +1137,7 @@
 extern const ProtobufCMessageDescriptor peer__reader__descriptor;
 extern const ProtobufCMessageDescriptor peer__evidence__descriptor;
 extern const ProtobufCMessageDescriptor peer__rate_limit__descriptor;
+extern const ProtobufCMessageDescriptor peer__departure__descriptor;
 extern const ProtobufCMessageDescriptor peer__note__descriptor;
 extern const ProtobufCMessageDescriptor peer__report__descriptor;
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
--- a/src/peers.h
+++ b/src/peers.h
@@ -10,6 +10,7 @@
  * permits running a request.
  */
 
+#include "departures.h"
 #include "quarantine.h"
 #include "quota.h"
 #include "rate_limit.h"
@@ -29,6 +30,7 @@
 #define GOSSIP_POLLERS_MAX 10
 #define GOSSIP_EVIDENCE_MAX 8
 #define GOSSIP_RATE_LIMITS_MAX 16
+#define GOSSIP_DEPARTURES_MAX 16
 /*
  * Number of hosts that poll the platform's store. Each change of the store
  * costs one call per poller, and the rate of calls that the store permits grows
@@ -95,6 +97,7 @@
 	uint32_t owner_report_count;
 	uint32_t evidence_count;
 	uint32_t rate_limit_count;
+	uint32_t departure_count;
 	/* the sender's own reports come first */
 	gossip_owner_report_t owner_reports[GOSSIP_OWNER_REPORTS_MAX];
 	peers_endpoint_load_t loads[GOSSIP_LOADS_MAX];
@@ -103,6 +106,7 @@
 	/* times in it are negative ages */
 	quarantine_evidence_t evidence[GOSSIP_EVIDENCE_MAX];
 	rate_limit_report_t rate_limits[GOSSIP_RATE_LIMITS_MAX];
+	departure_t departures[GOSSIP_DEPARTURES_MAX];
 } gossip_message_t;
 
 typedef struct peer {
--- a/src/registry.c
+++ b/src/registry.c
@@ -155,6 +155,43 @@
 	return 0;
 }
 
+uint32_t registry_process_id(const registry_endpoint_t *endpoint)
+{
+	uint64_t mixed = endpoint->key;
+
+	mixed ^= (uint64_t)endpoint->started_at_ms * 0x9e3779b97f4a7c15u;
+	mixed ^= endpoint->port * 0xbf58476d1ce4e5b9u;
+	return (uint32_t)(mixed ^ mixed >> 32) | 1;
+}
+
+static bool is_of_endpoint(const departure_t *departure,
+			   const registry_endpoint_t *endpoint)
+{
+	return departure->endpoint == (uint32_t)endpoint->key &&
+	       (!departure->process ||
+		departure->process == registry_process_id(endpoint));
+}
+
+static void apply_departure(registry_endpoint_t *endpoint,
+			    const departure_t *departure)
+{
+	if (departure->process)
+		endpoint->stated_leaving = true;
+	else if (departure->revision > endpoint->departed_revision)
+		endpoint->departed_revision = departure->revision;
+}
+
+static void apply_departures(const registry_t *registry,
+			     registry_endpoint_t *endpoint)
+{
+	for (uint32_t i = 0; i < registry->departures.count; i++) {
+		const departure_t *departure = &registry->departures.list[i];
+
+		if (is_of_endpoint(departure, endpoint))
+			apply_departure(endpoint, departure);
+	}
+}
+
 registry_endpoint_t *registry_put(registry_t *registry,
 				  const registry_record_t *record)
 {
@@ -174,6 +211,7 @@
 		endpoint->answered_at = 0;
 		endpoint->ended_at = 0;
 		endpoint->rate_limit = (rate_limit_t){ 0 };
+		endpoint->stated_leaving = false;
 		endpoint->incarnation++;
 	}
 	endpoint->started_at_ms = record->started_at_ms;
@@ -181,6 +219,7 @@
 	endpoint->evacuated = evacuation_includes(&registry->evacuation,
 						  endpoint->datacentre);
 	endpoint->region = region_of(registry, endpoint->datacentre);
+	apply_departures(registry, endpoint);
 	return endpoint;
 }
 
@@ -240,10 +279,45 @@
 
 static bool is_open(const registry_endpoint_t *endpoint, pimento_usec_t now)
 {
-	return !endpoint->leaving &&
+	return !endpoint->leaving && !endpoint->stated_leaving &&
+	       endpoint->departed_revision <= endpoint->revision &&
 	       (endpoint->listed || now < endpoint->removal_at);
 }
 
+static registry_endpoint_t *endpoint_of(const registry_t *registry,
+					const departure_t *departure)
+{
+	for (uint32_t i = 0; i < registry->count; i++)
+		if (is_of_endpoint(departure, registry->endpoints[i]))
+			return registry->endpoints[i];
+	return NULL;
+}
+
+registry_endpoint_t *registry_depart(registry_t *registry,
+				     const departure_t *departure,
+				     pimento_usec_t now)
+{
+	registry_endpoint_t *endpoint = endpoint_of(registry, departure);
+	bool was_open = endpoint && is_open(endpoint, now);
+
+	if (!departures_add(&registry->departures, departure, now) || !endpoint)
+		return NULL;
+	apply_departure(endpoint, departure);
+	return was_open && !is_open(endpoint, now) ? endpoint : NULL;
+}
+
+static bool is_listed(const void *context, const departure_t *departure)
+{
+	const registry_endpoint_t *endpoint = endpoint_of(context, departure);
+
+	return endpoint && endpoint->listed;
+}
+
+void registry_expire_departures(registry_t *registry, pimento_usec_t now)
+{
+	departures_expire(&registry->departures, is_listed, registry, now);
+}
+
 bool registry_endpoint_is_evacuated(const registry_endpoint_t *endpoint,
 				    pimento_usec_t now)
 {
--- a/src/registry.h
+++ b/src/registry.h
@@ -9,6 +9,7 @@
  * ended.
  */
 
+#include "departures.h"
 #include "endpoint_path.h"
 #include "evacuation.h"
 #include "latency.h"
@@ -53,8 +54,14 @@
 	/* Incremented when a new process takes over the id. */
 	uint32_t incarnation;
 	uint64_t revision; /* revision of the endpoint's record */
+	/*
+	 * Newest revision at which its departure was reported: it accepts
+	 * requests again once its record is newer. 0: none
+	 */
+	uint64_t departed_revision;
 	bool listed; /* present in the platform's list */
 	bool leaving; /* accepts no new requests */
+	bool stated_leaving; /* the same, as this process's answers say */
 	bool evacuated; /* its data centre is evacuated */
 	/* When an unlisted endpoint stops accepting requests; 0: listed. */
 	pimento_usec_t removal_at;
@@ -127,6 +134,7 @@
 	registry_service_t **services; /* only a few, never removed */
 	uint32_t service_count;
 	evacuation_t evacuation;
+	departures_t departures;
 	registry_region_t *regions;
 	uint32_t region_count;
 	registry_start_bounds_t start_bounds;
@@ -167,6 +175,23 @@
 void registry_schedule_removal(registry_t *registry, const char *id,
 			       pimento_usec_t removal_at);
 
+/*
+ * Takes over a departure, also of an endpoint that is not known yet. Returns the
+ * endpoint if it accepted requests until now, otherwise NULL.
+ */
+registry_endpoint_t *registry_depart(registry_t *registry,
+				     const departure_t *departure,
+				     pimento_usec_t now);
+
+/* Forgets departures that need not be reported to peers any more. */
+void registry_expire_departures(registry_t *registry, pimento_usec_t now);
+
+/*
+ * Identifies the process of an endpoint: the same on all hosts, and another one
+ * after each start. Never 0.
+ */
+uint32_t registry_process_id(const registry_endpoint_t *endpoint);
+
 registry_endpoint_t *registry_find(const registry_t *registry,
 				   pimento_id_t key);
 /* Finds a service, or adds it; returns NULL only if out of memory. */
--- a/test/peers_sim.c
+++ b/test/peers_sim.c
@@ -98,6 +98,9 @@
 		quota ? quota_collect_reports(quota, message->quotas,
 					      GOSSIP_QUOTAS_MAX, sim->now)
 		      : 0;
+	message->departure_count = departures_report(
+		&sim->hosts[from].departures, message->departures,
+		GOSSIP_DEPARTURES_MAX, sim->now);
 	sim->hosts[from].messages_sent++;
 	if (sim->measure_bytes)
 		count_encoded_bytes(&sim->hosts[from], message);
@@ -113,6 +116,13 @@
 				   message->quotas[i].account,
 				   message->quotas[i].level,
 				   sim->now - message->quotas[i].age);
+	for (uint32_t i = 0; i < message->departure_count; i++) {
+		departure_t departure = message->departures[i];
+
+		departure.at = sim->now - departure.at;
+		departures_add(&sim->hosts[to].departures, &departure,
+			       sim->now);
+	}
 	send_probes(sim, to);
 }
 
--- a/test/peers_sim.h
+++ b/test/peers_sim.h
@@ -22,6 +22,7 @@
 	uint8_t partition;
 	/* quota whose reports the host sends in gossip messages; NULL: none */
 	quota_t *quota;
+	departures_t departures; /* that the host reports and has heard of */
 	uint64_t messages_sent;
 	/* encoded size of the messages sent, if measure_bytes */
 	uint64_t bytes_sent;
