relay: send nothing to endpoints whose answers say that they leave

Nothing read it: 14 to 1,219 requests reached the endpoint in 2.5 s from 2 s after its first such answer on.

The dialect reads it of every head on a connection of the endpoint: rejections, answers to an attempt that is silent or that carry another request's id. Not of 421, and not once the endpoint's record names another process: then it is another one's. The host closes the endpoint for that process, whatever its record says, and tells the owner of its slots and the peer whose tunnel brought the answer at once, all others in gossip, also those that start later. Requests that wait, hold a grant or are connecting look for the state before they are sent, as before. A peer ends the tunnels that it keeps to such an endpoint, or to one in an evacuated data centre, once they are idle.

--- a/io/dialect.h
+++ b/io/dialect.h
@@ -43,6 +43,7 @@
 	bool mine; /* it bears the request's id */
 	bool not_run; /* the endpoint promises so */
 	bool sealed; /* a success must be */
+	bool leaving; /* the endpoint takes no new requests */
 	bool encoded; /* the body is not as the endpoint made it */
 	/* the endpoint's limit, see rate_limit.h; 0: it states none */
 	uint32_t rate_limit;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -72,6 +72,21 @@
 	return count;
 }
 
+/* Endpoints whose records say that they take requests, and that leave. */
+static uint32_t endpoints_leaving(const registry_t *registry,
+				  pimento_usec_t now)
+{
+	uint32_t leaving = 0;
+
+	for (uint32_t i = 0; i < registry->count; i++) {
+		const registry_endpoint_t *e = registry->endpoints[i];
+
+		leaving += e->listed && !e->leaving && !e->evacuated &&
+			   !registry_endpoint_accepts_work(e, now);
+	}
+	return leaving;
+}
+
 static uint32_t endpoints_limited(const registry_t *registry,
 				  pimento_usec_t now)
 {
@@ -182,6 +197,8 @@
 	services(text, gateway, sources->now);
 	quarantine_parts(text, &gateway->trials.quarantine);
 	gauge(text, "endpoints_slow", endpoints_slow(gateway->registry));
+	gauge(text, "endpoints_leaving",
+	      endpoints_leaving(gateway->registry, sources->now));
 	gauge(text, "endpoints_limited",
 	      endpoints_limited(gateway->registry, sources->now));
 	gauge(text, "paths_lost", paths_lost(gateway->registry));
--- a/io/relay.c
+++ b/io/relay.c
@@ -174,21 +174,42 @@
 	return false;
 }
 
+static const attempt_t *attempt_of(const exchange_t *x, const httpc_t *conn)
+{
+	return hedge_is_silent(x, conn) ? &x->silent.attempt : &x->attempt;
+}
+
+/* False if another process answered, which has the address or the id now. */
+static bool is_from_process(const attempt_t *attempt, const httpc_t *conn)
+{
+	return conn->status != HTTP_STATUS_MISDIRECTED_REQUEST &&
+	       attempt->life == attempt->endpoint->incarnation;
+}
+
+/* Any answer tells whether the endpoint leaves, also one to another request. */
+static void learn_leaving(const exchange_t *x, const httpc_t *conn,
+			  const dialect_answer_t *answer)
+{
+	const attempt_t *attempt = attempt_of(x, conn);
+
+	if (answer->leaving && is_from_process(attempt, conn))
+		slots_learn_leaving(x->gateway->slots, attempt->endpoint,
+				    conn->via, sys_now());
+}
+
 /* What the answer says of the requests that the endpoint takes. */
-static void learn_rate_limit(exchange_t *x, const httpc_t *conn,
+static void learn_rate_limit(const exchange_t *x, const httpc_t *conn,
 			     const dialect_answer_t *answer)
 {
-	const attempt_t *attempt =
-		hedge_is_silent(x, conn) ? &x->silent.attempt : &x->attempt;
-	registry_endpoint_t *endpoint = attempt->endpoint;
-
-	if (conn->status == HTTP_STATUS_MISDIRECTED_REQUEST ||
-	    attempt->life != endpoint->incarnation)
-		return; /* another process */
-	slots_learn_rate_limit(x->gateway->slots, endpoint, answer->rate_limit,
-			       answer->not_run ? RATE_LIMIT_IN_REJECTIONS
+	const attempt_t *attempt = attempt_of(x, conn);
+
+	if (is_from_process(attempt, conn))
+		slots_learn_rate_limit(x->gateway->slots, attempt->endpoint,
+				       answer->rate_limit,
+				       answer->not_run
+					       ? RATE_LIMIT_IN_REJECTIONS
 					       : RATE_LIMIT_IN_ANSWERS,
-			       attempt->sent_at, sys_now());
+				       attempt->sent_at, sys_now());
 }
 
 bool relay_head(httpc_t *conn)
@@ -203,6 +224,7 @@
 	if (conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
 		note_heard(conn, sys_now());
 	x->gateway->dialect->read_answer(&conn->head, x->call.id, &answer);
+	learn_leaving(x, conn, &answer);
 	if (!answer.mine && !answer.not_run &&
 	    conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
 		return false;
--- a/io/slots.c
+++ b/io/slots.c
@@ -345,6 +345,23 @@
 	      (unsigned long long)departure->revision);
 }
 
+void slots_learn_leaving(slots_t *slots, registry_endpoint_t *endpoint,
+			 uint32_t via, pimento_usec_t now)
+{
+	const departure_t departure = {
+		.endpoint = (uint32_t)endpoint->key,
+		.process = registry_process_id(endpoint),
+		.at = now,
+	};
+
+	if (endpoint->stated_leaving)
+		return;
+	(void)registry_depart(slots->registry, &departure, now);
+	log_leaving(endpoint, &departure, "self");
+	send_departure(slots, owner_of(slots, endpoint), &departure, now);
+	send_departure(slots, via, &departure, now);
+}
+
 void slots_hear_departure(slots_t *slots, const departure_t *departure,
 			  uint32_t source, pimento_usec_t now)
 {
--- a/io/slots.h
+++ b/io/slots.h
@@ -82,6 +82,12 @@
 void slots_hear_rate_limit(slots_t *slots, const rate_limit_report_t *report,
 			   uint32_t source, pimento_usec_t now);
 
+/*
+ * An answer of the endpoint, to a request that went through the peer `via` (0:
+ * none), says that it leaves: tells its owner and that peer at once.
+ */
+void slots_learn_leaving(slots_t *slots, registry_endpoint_t *endpoint,
+			 uint32_t via, pimento_usec_t now);
 /* Another host says that an endpoint leaves; departure->at is an age. */
 void slots_hear_departure(slots_t *slots, const departure_t *departure,
 			  uint32_t source, pimento_usec_t now);
--- a/io/tunnel.c
+++ b/io/tunnel.c
@@ -46,6 +46,7 @@
 	size_t request_length;
 	bool busy;
 	bool closing; /* once the peer has been sent everything */
+	bool told_leaving; /* the peer, to use it no more */
 	pimento_usec_t since; /* it was opened, or last became idle */
 };
 
@@ -439,6 +440,20 @@
 		tunnel_free(asker->user);
 }
 
+/* Has the peer close the tunnel once it is idle. Returns false if it broke. */
+static bool tell_leaving(tunnel_t *tunnel)
+{
+	tunnel->told_leaving = true;
+	return send_frame(tunnel, FRAME_LEAVING, "", 0);
+}
+
+/* True if the endpoint gets no new requests, and the peer may not know. */
+static bool is_to_be_closed(const tunnel_t *tunnel, pimento_usec_t now)
+{
+	return !tunnel->asker && !tunnel->closing && !tunnel->told_leaving &&
+	       !registry_endpoint_accepts_work(tunnel->target, now);
+}
+
 void tunnels_tick(tunnels_t *tunnels, pimento_usec_t now)
 {
 	tunnel_t *next;
@@ -454,6 +469,8 @@
 		else if (!tunnel->asker && !tunnel->busy &&
 			 now - tunnel->since > IDLE_TIMEOUT)
 			tunnel_end(tunnel, "idle");
+		else if (is_to_be_closed(tunnel, now) && !tell_leaving(tunnel))
+			tunnel_end(tunnel, "peer_gone");
 	}
 }
 
@@ -464,8 +481,7 @@
 	tunnels->stopping = true;
 	for (tunnel_t *tunnel = tunnels->list; tunnel; tunnel = next) {
 		next = tunnel->next;
-		if (!tunnel->asker && !tunnel->closing &&
-		    !send_frame(tunnel, FRAME_LEAVING, "", 0))
+		if (!tunnel->asker && !tunnel->closing && !tell_leaving(tunnel))
 			tunnel_end(tunnel, "peer_gone");
 	}
 }
