fetch: try another peer while none has sent a byte

A fetch now begins a transfer from the next peer in turn once no peer has sent a byte for 150 ms, three at most at a time; the first one to send ends those that have sent nothing, so that a large configuration is not transferred twice over a narrow link. The limit of 700 ms without a byte stays. What was the fetching part of io/mesh.c is io/fetch.c.

The cases with slow links and large configurations pass as before.

--- a/io/mesh.c
+++ b/io/mesh.c
@@ -30,20 +30,7 @@
 #define LOADS_HOSTS_MAX 64
 /* Notes read in one turn of the loop. */
 #define NOTES_AT_ONCE 64
-/*
- * How long a peer may be ahead before its records are fetched: the store's
- * own word is usually on its way.
- */
-#define BEHIND_MOST (150 * PIMENTO_MSEC)
-/* A fetch is aborted when nothing has been received for this long. */
-#define FETCH_IDLE_MAX (700 * PIMENTO_MSEC)
-/* A snapshot: the largest value of the store, and some. */
-#define SNAPSHOT_BYTES_MAX ((size_t)16 * 1024 * 1024)
-
-#define SNAPSHOT_PATH "/snapshot/"
 #define METRICS_PATH "/metrics"
-/* Milliseconds since the sender's copy was surely current, rounded up. */
-#define AGE_FIELD "Copy-Age"
 
 /* Notes. */
 
@@ -311,7 +298,7 @@
 	}
 	mesh->snapshot_bytes_out += length;
 	snprintf(fields, sizeof(fields),
-		 "Content-Type: application/x-protobuf\r\n" AGE_FIELD
+		 "Content-Type: application/x-protobuf\r\n" SNAPSHOT_AGE_FIELD
 		 ": %lld\r\n",
 		 (long long)(replica_age(replica, sys_now()) / PIMENTO_MSEC) +
 			 1);
@@ -352,181 +339,6 @@
 	tunnels_asker_gone(conn); /* all else is answered at once */
 }
 
-/* Fetching a snapshot. */
-
-/* Logs the end of a fetch and adds its body bytes to the counter. */
-static void report_fetch(const mesh_fetch_t *fetch, const char *outcome)
-{
-	const struct in_addr address = { htonl(fetch->peer) };
-	pimento_usec_t now = sys_now();
-	char peer[INET_ADDRSTRLEN];
-
-	fetch->mesh->snapshot_bytes_in += fetch->body.length;
-	inet_ntop(AF_INET, &address, peer, sizeof(peer));
-	trail(TRAIL_STATE, "mesh", "fetch",
-	      "collection=%s peer=%s outcome=%s bytes=%zu ms=%lld connected=%d "
-	      "behind_ms=%lld",
-	      replica_kind_name(fetch->kind), peer, outcome, fetch->body.length,
-	      (long long)((now - fetch->progress.started) / PIMENTO_MSEC),
-	      fetch->connected,
-	      fetch->behind_since
-		      ? (long long)((now - fetch->behind_since) / PIMENTO_MSEC)
-		      : -1);
-}
-
-static void fetch_failed(mesh_fetch_t *fetch, const char *why)
-{
-	fetch->conn = NULL;
-	fetch->mesh->snapshots_lost++;
-	report_fetch(fetch, why);
-}
-
-/* The sender's copy was current, up to what it sent, when the fetch began. */
-static void confirm_snapshot(const mesh_fetch_t *fetch, const httpc_t *conn)
-{
-	const char *text = head_get(&conn->head, AGE_FIELD);
-	pimento_usec_t age = text ? strtoll(text, NULL, 10) * PIMENTO_MSEC : 0;
-
-	if (age > 0)
-		replica_confirm(&fetch->mesh->mirrors[fetch->kind], 0,
-				fetch->progress.started - age);
-}
-
-static void take_snapshot(mesh_fetch_t *fetch, const httpc_t *conn)
-{
-	replica_t *replica = &fetch->mesh->mirrors[fetch->kind];
-	uint64_t before = replica->revision;
-	int result = snapshot_apply(replica, (const uint8_t *)fetch->body.bytes,
-				    fetch->body.length);
-
-	if (result >= 0)
-		confirm_snapshot(fetch, conn);
-	if (result >= 0 && replica->revision == before)
-		return; /* the copy was updated during the fetch */
-	if (result >= 0)
-		fetch->mesh->snapshots_in++;
-	trail(TRAIL_STATE, "mesh", "snapshot",
-	      "collection=%s revision=%llu before=%llu records=%d error=%s",
-	      replica_kind_name(fetch->kind),
-	      (unsigned long long)replica->revision, (unsigned long long)before,
-	      result < 0 ? 0 : result,
-	      result < 0 ? pimento_strerror(result) : "-");
-}
-
-static void on_opened(httpc_t *conn)
-{
-	mesh_fetch_t *fetch = conn->user;
-	const replica_t *replica = &fetch->mesh->mirrors[fetch->kind];
-	char head[128];
-	int length = snprintf(head, sizeof(head),
-			      "GET " SNAPSHOT_PATH "%s/%llu HTTP/1.1\r\n"
-			      "Host: peer\r\nConnection: close\r\n\r\n",
-			      replica_kind_path(fetch->kind),
-			      (unsigned long long)replica->revision);
-
-	fetch->connected = true;
-	if (!httpc_ask(conn, head, (size_t)length, "", 0, false)) {
-		fetch_failed(fetch, "not_sent");
-		httpc_close(conn);
-	}
-}
-
-static bool on_head(httpc_t *conn)
-{
-	(void)conn;
-	return true;
-}
-
-static void on_body(httpc_t *conn, const char *bytes, size_t length)
-{
-	mesh_fetch_t *fetch = conn->user;
-
-	if (fetch->body.length + length > SNAPSHOT_BYTES_MAX)
-		return; /* stalls, and is aborted */
-	progress_add_bytes(&fetch->progress, length, sys_now());
-	strbuf_add(&fetch->body, bytes, length);
-}
-
-static void on_end(httpc_t *conn)
-{
-	mesh_fetch_t *fetch = conn->user;
-
-	fetch->conn = NULL;
-	report_fetch(fetch, conn->status == HTTP_STATUS_OK ? "complete"
-							   : "bad_status");
-	if (conn->status == HTTP_STATUS_OK && !strbuf_error(&fetch->body))
-		take_snapshot(fetch, conn);
-	strbuf_finish(&fetch->body);
-	strbuf_init(&fetch->body);
-	if (conn->reusable)
-		httpc_close(conn);
-}
-
-static void on_failed(httpc_t *conn, httpc_failure_t why)
-{
-	fetch_failed(conn->user, httpc_failure_name(why));
-}
-
-static void on_lapsed(httpc_t *conn)
-{
-	(void)conn; /* none is kept */
-}
-
-/* A peer that holds newer records, by chance; NULL if there is none. */
-static const peer_t *newer_peer(const mesh_fetch_t *fetch, pimento_usec_t now)
-{
-	const peers_t *roster = fetch->mesh->roster;
-	uint64_t revision = fetch->mesh->mirrors[fetch->kind].revision;
-	uint32_t start = roster->count ? (uint32_t)sys_random() : 0;
-
-	for (uint32_t i = 0; i < roster->count; i++) {
-		const peer_t *peer = roster->list[(start + i) % roster->count];
-
-		if (peers_has_current_report(peer, now) &&
-		    peer->revisions[fetch->kind] > revision)
-			return peer;
-	}
-	return NULL;
-}
-
-static void begin_fetch(mesh_fetch_t *fetch, const peer_t *peer,
-			pimento_usec_t now)
-{
-	mesh_t *mesh = fetch->mesh;
-	net_address_t address = { peer->address, mesh->peer_port };
-
-	fetch->body.length = 0;
-	fetch->connected = false;
-	fetch->peer = peer->address;
-	progress_begin(&fetch->progress, now);
-	fetch->conn = httpc_open(mesh->loop, &address, &mesh->snapshots);
-	if (fetch->conn)
-		fetch->conn->user = fetch;
-}
-
-static void catch_up(mesh_fetch_t *fetch, pimento_usec_t now)
-{
-	const replica_t *replica = &fetch->mesh->mirrors[fetch->kind];
-	const peer_t *peer;
-
-	if (fetch->conn) {
-		if (!progress_stalled(&fetch->progress, FETCH_IDLE_MAX, now))
-			return;
-		httpc_close(fetch->conn);
-		fetch_failed(fetch, "timeout");
-	}
-	peer = newer_peer(fetch, now);
-	if (!peer) {
-		fetch->behind_since = 0;
-		return;
-	}
-	if (!fetch->behind_since)
-		fetch->behind_since = now;
-	if (now - fetch->behind_since >= BEHIND_MOST || !fetch->mesh->reader ||
-	    replica->confirmed_at == REPLICA_NEVER)
-		begin_fetch(fetch, peer, now);
-}
-
 /* One line a second at most, however many hosts come and go. */
 static void log_members(mesh_t *mesh, pimento_usec_t now)
 {
@@ -570,7 +382,7 @@
 	log_members(mesh, now);
 	send_notes(mesh, now);
 	for (int kind = 0; kind < REPLICA_KIND_COUNT; kind++)
-		catch_up(&mesh->fetches[kind], now);
+		fetch_tick(&mesh->fetches[kind], now);
 	tunnels_tick(&mesh->tunnels, now);
 	httpd_sweep(&mesh->server, now);
 }
@@ -599,14 +411,6 @@
 
 	memset(mesh, 0, sizeof(*mesh));
 	mesh->peers = (httpd_ops_t){ .request = on_request, .gone = on_gone };
-	mesh->snapshots = (httpc_ops_t){
-		.opened = on_opened,
-		.head = on_head,
-		.body = on_body,
-		.end = on_end,
-		.failed = on_failed,
-		.lapsed = on_lapsed,
-	};
 	mesh->loop = setup->loop;
 	mesh->self = setup->listen.ip;
 	mesh->note_port = setup->note_port;
@@ -621,11 +425,8 @@
 	mesh->quota = setup->quota;
 	mesh->quarantine = setup->quarantine;
 	mesh->slots = setup->slots;
-	for (int kind = 0; kind < REPLICA_KIND_COUNT; kind++) {
-		mesh->fetches[kind].mesh = mesh;
-		mesh->fetches[kind].kind = (replica_kind_t)kind;
-		strbuf_init(&mesh->fetches[kind].body);
-	}
+	for (int kind = 0; kind < REPLICA_KIND_COUNT; kind++)
+		fetch_init(&mesh->fetches[kind], mesh, (replica_kind_t)kind);
 	fd = net_datagram(&notes);
 	if (fd < 0)
 		return fd;
@@ -645,11 +446,8 @@
 {
 	ev_io_stop(mesh->loop, &mesh->datagrams);
 	close(mesh->datagrams.fd);
-	for (int kind = 0; kind < REPLICA_KIND_COUNT; kind++) {
-		if (mesh->fetches[kind].conn)
-			httpc_close(mesh->fetches[kind].conn);
-		strbuf_finish(&mesh->fetches[kind].body);
-	}
+	for (int kind = 0; kind < REPLICA_KIND_COUNT; kind++)
+		fetch_finish(&mesh->fetches[kind]);
 	tunnels_finish(&mesh->tunnels);
 	httpd_finish(&mesh->server);
 }
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -8,7 +8,7 @@
  * src/peer.proto describes it.
  */
 
-#include "httpc.h"
+#include "fetch.h"
 #include "httpd.h"
 #include "slots.h"
 #include "tunnel.h"
@@ -16,29 +16,13 @@
 #include "../src/quota_fleet.h"
 #include "../src/registry.h"
 #include "../src/replica.h"
-#include "../src/progress.h"
 #include "../src/peers.h"
 
 /* Hosts that died longer ago do not count as out of reach in what is shown. */
 #define MESH_LOST_LATELY (20 * PIMENTO_SEC)
 
-struct mesh;
-
-/* Fetch state of one collection; at most one fetch runs at a time. */
-typedef struct mesh_fetch {
-	struct mesh *mesh;
-	replica_kind_t kind;
-	httpc_t *conn; /* NULL: no fetch in progress */
-	strbuf_t body;
-	uint32_t peer; /* IPv4 address, host byte order */
-	progress_t progress;
-	bool connected;
-	pimento_usec_t behind_since; /* a peer has had newer records; 0 no */
-} mesh_fetch_t;
-
 typedef struct mesh {
 	httpd_ops_t peers; /* first: the server calls these */
-	httpc_ops_t snapshots;
 	struct ev_loop *loop;
 	httpd_t server; /* of snapshots and of the metrics page */
 	ev_io datagrams;
--- a/test/test_edge_links.c
+++ b/test/test_edge_links.c
@@ -17,6 +17,10 @@
 	SLOW_LINK = 600000, /* bytes per second */
 	ROUTES = 4500, /* about 850 KB in total */
 	KEY_REVOKE_MS = 8000,
+	IN_FORCE_MS = 2000, /* the operators' bound */
+	FLEET = 7, /* hosts, of which all but the last read the store */
+	UNREACHED = 5, /* of these, by the last one */
+	CHANGES = 3,
 	PEERS_IP = 0x7f000100 /* 127.0.1.0 */
 };
 
@@ -102,6 +106,24 @@
 	edge_start_host(&edge, host);
 }
 
+/* The last host reaches its peers through relays, and the store not at all. */
+static void relay_peers(uint32_t rate)
+{
+	uint16_t front = process_free_port();
+
+	for (uint32_t i = 0; i < edge.host_count - 1; i++) {
+		relay_t *link = &peer_links[i];
+
+		ck_assert_int_eq(relay_init_at(link, PEERS_IP + i + 1, front,
+					       edge.peer_port),
+				 0);
+		relay_rate(link, rate);
+	}
+	edge.peer_fronts[edge.host_count - 1] = front;
+	edge.store_front = process_free_port(); /* nothing listens on it */
+	restart_host(edge.host_count - 1);
+}
+
 /* Each host reaches the store over a slow link of its own. */
 static void slow_store_links(void)
 {
@@ -115,22 +137,9 @@
 	}
 }
 
-/* The last host cannot reach the store and reaches its peers over slow links. */
 static void slow_peer_links(void)
 {
-	uint16_t front = process_free_port();
-
-	for (uint32_t i = 0; i < 2; i++) {
-		relay_t *link = &peer_links[i];
-
-		ck_assert_int_eq(relay_init_at(link, PEERS_IP + i + 1, front,
-					       edge.peer_port),
-				 0);
-		relay_rate(link, SLOW_LINK);
-	}
-	edge.peer_fronts[2] = front;
-	edge.store_front = process_free_port(); /* nothing listens on it */
-	restart_host(2);
+	relay_peers(SLOW_LINK);
 }
 
 static void (*const link_setups[])(void) = { slow_store_links,
@@ -193,6 +202,28 @@
 }
 END_TEST
 
+/* Guards against changes that wait for one unresponsive peer after the other. */
+START_TEST(unresponsive_peers_delay_no_change)
+{
+	edge_stop(&edge);
+	edge_start(&edge, FLEET, 1);
+	edge.key_revoke_ms = KEY_REVOKE_MS;
+	relay_peers(0);
+	ck_assert(edge_wait_health(&edge, FLEET - 1, 200, START_MS));
+	for (uint32_t i = 0; i < UNREACHED; i++)
+		relay_shut_door(&peer_links[i], RELAY_HANGS);
+	for (uint32_t i = 0; i < CHANGES; i++) {
+		char key[16];
+		char keys[64];
+
+		snprintf(key, sizeof(key), "key-%u", i);
+		snprintf(keys, sizeof(keys), "[\"%s\"]", key);
+		edge_configure(&edge, 5 + i, keys, 1000);
+		ck_assert(wait_status(FLEET - 1, key, 200, IN_FORCE_MS));
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_links");
@@ -216,6 +247,7 @@
 	tcase_add_test(
 		tests,
 		a_host_without_the_store_drops_removed_endpoints_at_once);
+	tcase_add_test(tests, unresponsive_peers_delay_no_change);
 	suite_add_tcase(suite, tests);
 	return process_run_suite(suite);
 }
