--- a/standin/worker.c
+++ b/standin/worker.c
@@ -30,8 +30,14 @@
  *
  * GET /test/leave: from now on this worker says in all its answers that it leaves.
  *
+ * GET /test/rest/VALUE/MS/SENDER: for MS milliseconds this worker rejects all
+ * requests of SENDER (their field Test-Sender; "all": of everybody) with
+ * "Retry-After: VALUE". If VALUE is a number of seconds, it counts for each sender
+ * what arrives from half a second after such a rejection until that time is over.
+ *
  * GET /test/runs tells {"runs": N, "here": requests that arrived, "open":
- * streams under way, "last": the last request's head as text}.
+ * streams under way, "in_rest": the most that one sender sent in its time of
+ * rest, "last": the last request's head as text}.
  */
 
 #include "httpd.h"
@@ -87,6 +93,92 @@
 	bool leaving;
 } state;
 
+enum { SENDERS_MAX = 8 };
+
+#define REST_BEGINS (500 * PIMENTO_MSEC) /* after the rejection */
+
+/* What /test/rest sets. */
+static struct {
+	char value[32];
+	char sender[32];
+	pimento_usec_t until;
+} rest;
+
+/* What one sender was told, and sent then. */
+static struct {
+	char name[32];
+	pimento_usec_t begins;
+	pimento_usec_t ends;
+	json_int_t arrivals;
+} senders[SENDERS_MAX];
+static json_int_t most_in_rest;
+
+static const char *sender_of(const httpd_conn_t *conn)
+{
+	const char *name = head_get(&conn->head, "Test-Sender");
+
+	return name ? name : "-";
+}
+
+/* Index of a sender, which is added if it is new. */
+static int find_sender(const char *name)
+{
+	int i = 0;
+
+	while (i < SENDERS_MAX - 1 && senders[i].name[0] &&
+	       strcmp(senders[i].name, name) != 0)
+		i++;
+	snprintf(senders[i].name, sizeof(senders[i].name), "%s", name);
+	return i;
+}
+
+static void count_in_rest(const httpd_conn_t *conn)
+{
+	int i = find_sender(sender_of(conn));
+	pimento_usec_t now = sys_now();
+
+	if (now < senders[i].begins || now >= senders[i].ends)
+		return;
+	if (++senders[i].arrivals > most_in_rest)
+		most_in_rest = senders[i].arrivals;
+}
+
+static bool is_sent_to_rest(const httpd_conn_t *conn)
+{
+	return sys_now() < rest.until &&
+	       (strcmp(rest.sender, "all") == 0 ||
+		strcmp(rest.sender, sender_of(conn)) == 0);
+}
+
+static void ask_for_rest(const httpd_conn_t *conn, strbuf_t *fields)
+{
+	int i = find_sender(sender_of(conn));
+	pimento_usec_t now = sys_now();
+	pimento_usec_t ends =
+		now + (pimento_usec_t)(strtod(rest.value, NULL) * PIMENTO_SEC);
+
+	strbuf_addf(fields, "Retry-After: %s\r\n", rest.value);
+	if (now >= senders[i].ends) {
+		senders[i].begins = now + REST_BEGINS;
+		senders[i].arrivals = 0;
+	}
+	if (ends > senders[i].ends)
+		senders[i].ends = ends;
+}
+
+static void set_rest(httpd_conn_t *conn, const char *text)
+{
+	unsigned ms;
+
+	if (sscanf(text, "%31[^/]/%u/%31s", rest.value, &ms, rest.sender) !=
+	    3) {
+		httpd_answer(conn, 400, "", "", 0);
+		return;
+	}
+	rest.until = sys_now() + ms * PIMENTO_MSEC;
+	httpd_answer(conn, 200, "", "", 0);
+}
+
 static void keep_head(const httpd_conn_t *conn)
 {
 	last.length = 0;
@@ -296,8 +388,9 @@
 
 	for (int i = 0; i < RUNS_MAX; i++)
 		open += runs[i].conn != NULL;
-	root = json_pack("{s:I, s:I, s:I, s:s}", "runs", run_count, "here",
-			 arrivals, "open", open, "last", strbuf_str(&last));
+	root = json_pack("{s:I, s:I, s:I, s:I, s:s}", "runs", run_count, "here",
+			 arrivals, "open", open, "in_rest", most_in_rest,
+			 "last", strbuf_str(&last));
 	text = json_dumps(root, JSON_COMPACT);
 	httpd_answer(conn, 200, "", text, strlen(text));
 	free(text);
@@ -334,6 +427,8 @@
 	strbuf_init(&fields);
 	strbuf_addf(&fields, "Not-Executed: 1\r\n");
 	add_state(&fields, true);
+	if (is_sent_to_rest(conn))
+		ask_for_rest(conn, &fields);
 	httpd_answer(conn, 503, strbuf_str(&fields), "", 0);
 	strbuf_finish(&fields);
 }
@@ -353,7 +448,7 @@
 		reject(conn);
 		return true;
 	}
-	if (is_rejected()) {
+	if (is_sent_to_rest(conn) || is_rejected()) {
 		tell(conn, "rejected");
 		reject(conn);
 		return true;
@@ -391,12 +486,17 @@
 		httpd_answer(conn, 200, "", "", 0);
 		return;
 	}
+	if (strncmp(conn->target.bytes, "/test/rest/", 11) == 0) {
+		set_rest(conn, conn->target.bytes + 11);
+		return;
+	}
 	if (strncmp(conn->target.bytes, "/test/state/", 12) == 0) {
 		set_state(conn, conn->target.bytes + 12);
 		return;
 	}
 	arrivals++;
 	keep_head(conn);
+	count_in_rest(conn);
 	if (refuse(conn))
 		return;
 	run_count++;
--- a/test/edge.c
+++ b/test/edge.c
@@ -414,6 +414,30 @@
 	return reply;
 }
 
+void edge_sender(uint32_t host, char name[EDGE_SENDER_BYTES])
+{
+	snprintf(name, EDGE_SENDER_BYTES, "h%u", host);
+}
+
+client_reply_t edge_ask_as(const edge_t *edge, uint32_t host, const char *path)
+{
+	char sender[EDGE_SENDER_BYTES];
+	client_call_t call = { .method = "POST",
+			       .port = edge->hosts[host].callers,
+			       .path = path,
+			       .headers = { { "Host", "t.example" },
+					    { "Request-Id", "id-of-a-test" },
+					    { "Deadline-Ms", "5000" },
+					    { "Key", EDGE_KEY },
+					    { "Test-Sender", sender } },
+			       .body = "x" };
+	client_reply_t reply;
+
+	edge_sender(host, sender);
+	client_call(&reply, &call);
+	return reply;
+}
+
 client_reply_t edge_ask_key(const edge_t *edge, uint32_t host, const char *path,
 			    const char *key)
 {
@@ -506,6 +530,16 @@
 	client_reply_finish(&reply);
 }
 
+void edge_rest_worker(const edge_t *edge, uint32_t index, const char *value,
+		      int span_ms, const char *sender)
+{
+	char path[96];
+
+	snprintf(path, sizeof(path), "/test/rest/%s/%d/%s", value, span_ms,
+		 sender);
+	worker_call(edge, index, path);
+}
+
 void edge_leave_worker(const edge_t *edge, uint32_t index)
 {
 	worker_call(edge, index, "/test/leave");
--- a/test/edge.h
+++ b/test/edge.h
@@ -128,7 +128,7 @@
 /* A value of a host's metrics page; -1 if it has none. */
 long edge_metric(const edge_t *edge, uint32_t host, const char *name);
 
-/* A number that the worker's stand-in tells: "runs", "here", "open". */
+/* A number that the worker's stand-in tells: "runs", "here", "open", "in_rest". */
 long edge_worker(const edge_t *edge, uint32_t index, const char *name);
 
 /*
@@ -138,6 +138,18 @@
 void edge_set_worker(const edge_t *edge, uint32_t index, double limit,
 		     uint32_t rejected, bool only_rejections);
 
+/*
+ * For so long the worker rejects all requests of a sender ("all": of everybody)
+ * with this text as Retry-After.
+ */
+void edge_rest_worker(const edge_t *edge, uint32_t index, const char *value,
+		      int span_ms, const char *sender);
+/* A request that tells the worker the name of the host that is asked. */
+client_reply_t edge_ask_as(const edge_t *edge, uint32_t host, const char *path);
+/* That name. */
+#define EDGE_SENDER_BYTES 16
+void edge_sender(uint32_t host, char name[EDGE_SENDER_BYTES]);
+
 /* The worker says from now on in all its answers that it leaves. */
 void edge_leave_worker(const edge_t *edge, uint32_t index);
 
--- /dev/null
+++ b/test/test_rest.c
@@ -0,0 +1,214 @@
+/*
+ * Endpoints that reject a host's requests and state for how long they want no
+ * more from it (Retry-After): what that host sends, with real programs.
+ */
+
+#include "edge.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum {
+	WORKERS = 3,
+	LAST = 2, /* host whose paths are cut */
+	CALLERS = 18, /* of all hosts: more streams than one endpoint takes */
+	PAUSE_MS = 10, /* of a caller between two requests */
+	WARM_MS = 800,
+	PATHS_MS = 1500, /* in which a host finds peers in place of a path */
+	REJECTS_MS = 2500, /* for how long the endpoint rejects */
+	WATCH_MS = 5000,
+	USED_AGAIN_MS = 4000, /* after the rest */
+	AT_ONCE_MS = 500,
+	ALLOWED = 2 /* requests of a host in the time of rest */
+};
+
+typedef struct scenario {
+	uint32_t hosts;
+	const char *path;
+	const char *rest; /* as stated */
+	bool engines;
+	bool one_host; /* only the first host is sent to rest */
+	bool through_peers; /* the last host has lost its path to the endpoint */
+} scenario_t;
+
+static const scenario_t scenarios[] = {
+	{ .hosts = 1, .path = EDGE_STREAM, .rest = "2" },
+	{ .hosts = 3, .path = EDGE_STREAM, .rest = "3" },
+	{ .hosts = 3, .path = EDGE_ONCE, .rest = "1.5" },
+	{ .hosts = 3, .path = EDGE_STREAM, .rest = "2", .engines = true },
+	{ .hosts = 2, .path = EDGE_STREAM, .rest = "3", .one_host = true },
+	{ .hosts = 3, .path = EDGE_STREAM, .rest = "3", .through_peers = true },
+};
+
+static edge_t edge;
+static const scenario_t *scenario;
+static atomic_bool stopping;
+static atomic_uint served;
+static atomic_uint not_served;
+
+static void teardown(void)
+{
+	edge_stop(&edge);
+}
+
+static void *run_caller(void *data)
+{
+	uint32_t host = (uint32_t)(uintptr_t)data;
+
+	while (!stopping) {
+		client_reply_t reply = edge_ask_as(&edge, host, scenario->path);
+
+		if (reply.status == 200)
+			served++;
+		else
+			not_served++;
+		client_reply_finish(&reply);
+		process_sleep_ms(PAUSE_MS);
+	}
+	return NULL;
+}
+
+static void start_scenario(void)
+{
+	if (scenario->through_peers)
+		edge_start_paths(&edge, scenario->hosts, WORKERS);
+	else if (scenario->engines)
+		edge_start_engines(&edge, scenario->hosts, WORKERS);
+	else
+		edge_start(&edge, scenario->hosts, WORKERS);
+	if (scenario->through_peers) {
+		edge_cut_path(&edge, LAST, 0, EDGE_CUT_RESET);
+		process_sleep_ms(PATHS_MS);
+	}
+}
+
+static void check_used_again(void)
+{
+	long before = edge_worker(&edge, 0, "runs");
+	int64_t until = process_now_ms() + USED_AGAIN_MS;
+
+	while (process_now_ms() < until &&
+	       edge_worker(&edge, 0, "runs") == before)
+		process_sleep_ms(50);
+	ck_assert_int_gt(edge_worker(&edge, 0, "runs"), before);
+}
+
+/* Guards against requests to an endpoint that wants none from this host. */
+START_TEST(an_endpoint_gets_no_requests_in_its_time_of_rest)
+{
+	pthread_t callers[CALLERS];
+	char sender[EDGE_SENDER_BYTES] = "all";
+
+	scenario = &scenarios[_i];
+	start_scenario();
+	if (scenario->one_host)
+		edge_sender(0, sender);
+	for (uint32_t i = 0; i < CALLERS; i++)
+		ck_assert_int_eq(
+			pthread_create(
+				&callers[i], NULL, run_caller,
+				(void *)(uintptr_t)(i % scenario->hosts)),
+			0);
+	process_sleep_ms(WARM_MS);
+	edge_rest_worker(&edge, 0, scenario->rest, REJECTS_MS, sender);
+	process_sleep_ms(WATCH_MS);
+	check_used_again();
+	stopping = true;
+	for (uint32_t i = 0; i < CALLERS; i++)
+		pthread_join(callers[i], NULL);
+	ck_assert_int_le(edge_worker(&edge, 0, "in_rest"), ALLOWED);
+	ck_assert_uint_gt(served, 100);
+	ck_assert_uint_le(not_served, served / 100);
+}
+END_TEST
+
+static const struct {
+	const char *text;
+	bool is_rest;
+} values[] = {
+	{ "2", true },	   { "0.8", true },
+	{ "soon", false }, { "-3", false },
+	{ "0", false },	   { "nan", false },
+	{ "2x", false },   { "Wed, 21 Oct 2026 07:28:00 GMT", false },
+};
+
+/* Requests of one host that reach the only worker, which rejects them. */
+static long requests_that_reach_it(int requests)
+{
+	long before = edge_worker(&edge, 0, "here");
+
+	for (int i = 0; i < requests; i++) {
+		client_reply_t reply = edge_ask_as(&edge, 0, EDGE_SAFE);
+
+		ck_assert_int_eq(reply.status, 503);
+		client_reply_finish(&reply);
+	}
+	return edge_worker(&edge, 0, "here") - before;
+}
+
+/* Guards against a rest that is not stated, and against one that is overlooked. */
+START_TEST(only_a_number_of_seconds_is_a_rest)
+{
+	enum { REQUESTS = 3 };
+	char text[64];
+	char *at = text;
+
+	for (const char *c = values[_i].text; *c; c++) /* of the path */
+		at += sprintf(at, *c == ' ' || *c == ',' ? "_" : "%c", *c);
+	edge_start(&edge, 1, 1);
+	edge_rest_worker(&edge, 0, text, WATCH_MS, "all");
+	ck_assert_int_eq(requests_that_reach_it(1), 1);
+	ck_assert_int_eq(requests_that_reach_it(REQUESTS),
+			 values[_i].is_rest ? 0 : REQUESTS);
+}
+END_TEST
+
+/* Guards against callers who are told to return while all endpoints still rest. */
+START_TEST(callers_hear_when_the_first_rest_ends)
+{
+	static const char *const rests[WORKERS] = { "4", "3", "5" };
+	client_reply_t reply;
+	int64_t began;
+	double wait;
+
+	edge_start(&edge, 1, WORKERS);
+	for (uint32_t i = 0; i < WORKERS; i++)
+		edge_rest_worker(&edge, i, rests[i], REJECTS_MS, "all");
+	for (uint32_t i = 0; i < WORKERS; i++) {
+		reply = edge_ask_as(&edge, 0, EDGE_SAFE);
+		ck_assert_int_eq(reply.status, 503);
+		client_reply_finish(&reply);
+	}
+	began = process_now_ms();
+	reply = edge_ask_as(&edge, 0, EDGE_SAFE);
+	ck_assert_int_eq(reply.status, 503);
+	ck_assert_int_lt(process_now_ms() - began, AT_ONCE_MS);
+	wait = strtod(reply.retry_after, NULL);
+	client_reply_finish(&reply);
+	ck_assert_double_gt(wait, 2);
+	ck_assert_double_le(wait, 3);
+	process_sleep_ms((int)(wait * 1000) + 50);
+	reply = edge_ask_as(&edge, 0, EDGE_SAFE);
+	ck_assert_int_eq(reply.status, 200);
+	client_reply_finish(&reply);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("rest");
+	TCase *tests = tcase_create("all");
+
+	tcase_set_timeout(tests, 60);
+	tcase_add_checked_fixture(tests, NULL, teardown);
+	tcase_add_loop_test(tests,
+			    an_endpoint_gets_no_requests_in_its_time_of_rest, 0,
+			    sizeof(scenarios) / sizeof(scenarios[0]));
+	tcase_add_loop_test(tests, only_a_number_of_seconds_is_a_rest, 0,
+			    sizeof(values) / sizeof(values[0]));
+	tcase_add_test(tests, callers_hear_when_the_first_rest_ends);
+	suite_add_tcase(suite, tests);
+	return process_run_suite(suite);
+}
