relay, placement: send nothing to an endpoint in the time of rest that it states

Workers that turned requests away with 503 and asked a host for 3 s of rest got 5 to 15 requests from it in that time (two are allowed); each of them cost a retry of the service's budget and the caller a detour.

Cause: nothing read Retry-After of an endpoint's answer; the rejected requests counted as any other, and only four in a row ejected the endpoint, for less than a second.

The rest is the state of a pair of endpoint and host (src/rest.h). It holds from the answer on; a shorter one that is stated later ends nothing, and a new process of the endpoint owes none. Placement leaves such an endpoint out, requests leave its owner's queue and take no grant there, and what is connecting is not sent. Where the answer came through a tunnel, the peer is the host that was asked for rest: it is told by datagram, several times, and opens no tunnels there; a host at rest has others close theirs. After the rest one request at a time is sent until one is not rejected, so that what waited does not come at once. It is no evidence against the endpoint. If all endpoints of a service rest for longer than a request can wait, its caller is refused at once and told when the first rest ends.

--- a/io/exchange.c
+++ b/io/exchange.c
@@ -184,6 +184,14 @@
 	      x->line_count, x->tried_count);
 }
 
+/* Endpoints that all want rest are of no use to anybody sooner. */
+static pimento_usec_t retry_after(exchange_t *x)
+{
+	pimento_usec_t rest = x->service ? placing_rest_left(x, sys_now()) : 0;
+
+	return rest ? rest : overload_retry_after(x);
+}
+
 void exchange_refuse(exchange_t *x, int status, const char *why)
 {
 	gateway_t *gateway = x->gateway;
@@ -196,7 +204,7 @@
 		return;
 	}
 	admission_refund(x);
-	wait = overload_retry_after(x);
+	wait = retry_after(x);
 	exchange_retry_after(gateway, part(x, status, GATEWAY_REFUSED, why),
 			     status, wait);
 }
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -236,6 +236,11 @@
 			slots_hear_departure(mesh->slots, &packet.as.departure,
 					     from, now);
 		break;
+	case PACKET_REST:
+		if (peers_is_known(mesh->roster, from))
+			slots_hear_rest(mesh->slots, &packet.as.rest, from,
+					now);
+		break;
 	default:
 		slots_take(mesh->slots, &packet, now);
 		break;
--- a/io/placing.c
+++ b/io/placing.c
@@ -358,8 +358,8 @@
 }
 
 /*
- * No endpoint is to be had before operators change something. What has not run
- * is refused at once.
+ * No endpoint is to be had in time, or before operators change something. What
+ * has not run is refused at once.
  */
 static step_t refuse_unplaceable(exchange_t *x, const char *why,
 				 pimento_usec_t now)
@@ -389,6 +389,8 @@
 	case PLACEMENT_FOUND:
 		return take_place(x, endpoint, now);
 	case PLACEMENT_FULL:
+		if (now + placing_rest_left(x, now) > x->wait.expires_at)
+			return refuse_unplaceable(x, "endpoints_rest", now);
 		return stand_in_lines(x, now);
 	case PLACEMENT_EVACUATED:
 		return refuse_unplaceable(x, "evacuated", now);
@@ -472,7 +474,8 @@
 				now + OWNER_SILENT;
 		else if (age < ASK_MOST &&
 			 registry_endpoint_accepts_work(line->endpoint, now) &&
-			 !endpoint_path_is_blocked(&line->endpoint->path))
+			 !endpoint_path_is_blocked(&line->endpoint->path) &&
+			 !rest_blocks(&line->endpoint->rest, now))
 			continue;
 		left[count++] = take_line(x, i);
 	}
@@ -480,6 +483,14 @@
 	return count > 0;
 }
 
+pimento_usec_t placing_rest_left(const exchange_t *x, pimento_usec_t now)
+{
+	pimento_usec_t end =
+		placement_rest_end(x->gateway->registry, x->service->key, now);
+
+	return end ? end - now : 0;
+}
+
 /* The exchange that asked with a ticket, and the number of its line. */
 static exchange_t *find_ticket(const gateway_t *gateway, uint64_t ticket,
 			       uint32_t *index)
@@ -503,6 +514,7 @@
 
 	return registry_endpoint_accepts_work(endpoint, now) &&
 	       !endpoint_path_is_blocked(&endpoint->path) &&
+	       !rest_blocks(&endpoint->rest, now) &&
 	       placement_accepts_grant(x->gateway->registry, &request, endpoint,
 				       now);
 }
--- a/io/relay.c
+++ b/io/relay.c
@@ -197,6 +197,23 @@
 				    conn->via, sys_now());
 }
 
+/* Whether the endpoint wants requests of this host; see rest.h. */
+static void learn_rest(const exchange_t *x, const httpc_t *conn,
+		       const dialect_answer_t *answer)
+{
+	const attempt_t *attempt = attempt_of(x, conn);
+
+	if (!is_from_process(attempt, conn))
+		return;
+	if (conn->status != HTTP_STATUS_SERVICE_UNAVAILABLE) {
+		if (attempt->on_trial)
+			rest_trial_succeeded(&attempt->endpoint->rest);
+	} else if (answer->rest) {
+		slots_learn_rest(x->gateway->slots, attempt->endpoint,
+				 answer->rest, conn->via, sys_now());
+	}
+}
+
 /* What the answer says of the requests that the endpoint takes. */
 static void learn_rate_limit(const exchange_t *x, const httpc_t *conn,
 			     const dialect_answer_t *answer)
@@ -225,6 +242,7 @@
 		note_heard(conn, sys_now());
 	x->gateway->dialect->read_answer(&conn->head, x->call.id, &answer);
 	learn_leaving(x, conn, &answer);
+	learn_rest(x, conn, &answer);
 	if (!answer.mine && !answer.not_run &&
 	    conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
 		return false;
--- a/io/slots.c
+++ b/io/slots.c
@@ -11,6 +11,8 @@
 #define START_SPAN (3 * PIMENTO_SEC)
 /* An answer within this time outweighs a host that reached nobody. */
 #define ANSWERED_LATELY (300 * PIMENTO_MSEC)
+/* A rest is reported to the peer it holds for until then: datagrams are lost. */
+#define REST_REPORT_SPAN (400 * PIMENTO_MSEC)
 /* A report that is older is not passed on. */
 #define RELAY_AGE (1200 * PIMENTO_MSEC)
 
@@ -380,6 +382,57 @@
 	log_leaving(endpoint, &heard, text);
 }
 
+static void log_rest(const registry_endpoint_t *endpoint, const char *by,
+		     pimento_usec_t now)
+{
+	trail(TRAIL_STATE, "endpoint", "rest_asked",
+	      "endpoint=%s ms=%lld by=%s", endpoint->id,
+	      (long long)((endpoint->rest.until - now) / PIMENTO_MSEC), by);
+}
+
+static void send_rest(const slots_t *slots, const registry_endpoint_t *endpoint,
+		      pimento_usec_t now)
+{
+	packet_t packet = { .kind = PACKET_REST };
+
+	packet.as.rest = (packet_rest_t){
+		.endpoint = (uint32_t)endpoint->key,
+		.process = registry_process_id(endpoint),
+		.span = endpoint->rest.until - now,
+	};
+	send_packet(slots, endpoint->rest.via, &packet);
+}
+
+void slots_learn_rest(slots_t *slots, registry_endpoint_t *endpoint,
+		      pimento_usec_t span, uint32_t via, pimento_usec_t now)
+{
+	bool known = rest_is_asked(&endpoint->rest, now);
+
+	if (!rest_state(&endpoint->rest, span, via, now))
+		return;
+	if (!known)
+		log_rest(endpoint, "self", now);
+	if (via)
+		send_rest(slots, endpoint, now);
+}
+
+void slots_hear_rest(slots_t *slots, const packet_rest_t *rest, uint32_t source,
+		     pimento_usec_t now)
+{
+	registry_endpoint_t *endpoint = endpoint_of(slots, rest->endpoint);
+	const struct in_addr by = { htonl(source) };
+	char text[INET_ADDRSTRLEN] = "";
+	bool known;
+
+	if (!endpoint || rest->process != registry_process_id(endpoint))
+		return;
+	known = rest_is_asked(&endpoint->rest, now);
+	if (!rest_state(&endpoint->rest, rest->span, 0, now) || known)
+		return;
+	inet_ntop(AF_INET, &by, text, sizeof(text));
+	log_rest(endpoint, text, now);
+}
+
 static void take_release(slots_t *slots, const packet_slot_release_t *release,
 			 pimento_usec_t now)
 {
@@ -464,6 +517,7 @@
 	case PACKET_RATE_LIMIT:
 	case PACKET_DEMAND:
 	case PACKET_DEPARTURE:
+	case PACKET_REST:
 		break; /* the mesh's own */
 	}
 }
@@ -644,5 +698,8 @@
 			grants_remove_endpoint(&slots->grants, key);
 		if (!owner)
 			report(slots, e, now);
+		if (e->rest.via && rest_is_asked(&e->rest, now) &&
+		    now - e->rest.stated_at < REST_REPORT_SPAN)
+			send_rest(slots, e, now);
 	}
 }
--- a/io/slots.h
+++ b/io/slots.h
@@ -88,6 +88,16 @@
  */
 void slots_learn_leaving(slots_t *slots, registry_endpoint_t *endpoint,
 			 uint32_t via, pimento_usec_t now);
+/*
+ * An answer of the endpoint, to a request that went through the peer `via` (0:
+ * none), says that it wants nothing from this host and that peer for so long.
+ */
+void slots_learn_rest(slots_t *slots, registry_endpoint_t *endpoint,
+		      pimento_usec_t span, uint32_t via, pimento_usec_t now);
+/* The same, as a host says whose tunnel leads through this one. */
+void slots_hear_rest(slots_t *slots, const packet_rest_t *rest, uint32_t source,
+		     pimento_usec_t now);
+
 /* Another host says that an endpoint leaves; departure->at is an age. */
 void slots_hear_departure(slots_t *slots, const departure_t *departure,
 			  uint32_t source, pimento_usec_t now);
--- a/io/tunnel.c
+++ b/io/tunnel.c
@@ -329,9 +329,11 @@
 					const char *id)
 {
 	registry_endpoint_t *endpoint = registry_find(registry, pimento_id(id));
+	pimento_usec_t now = sys_now();
 
 	if (!endpoint || strcmp(endpoint->id, id) != 0 ||
-	    !registry_endpoint_accepts_work(endpoint, sys_now()))
+	    !registry_endpoint_accepts_work(endpoint, now) ||
+	    rest_is_asked(&endpoint->rest, now))
 		return NULL;
 	return endpoint;
 }
@@ -447,11 +449,12 @@
 	return send_frame(tunnel, FRAME_LEAVING, "", 0);
 }
 
-/* True if the endpoint gets no new requests, and the peer may not know. */
+/* True if this host is to send the endpoint nothing, and the peer may not know. */
 static bool is_to_be_closed(const tunnel_t *tunnel, pimento_usec_t now)
 {
 	return !tunnel->asker && !tunnel->closing && !tunnel->told_leaving &&
-	       !registry_endpoint_accepts_work(tunnel->target, now);
+	       (!registry_endpoint_accepts_work(tunnel->target, now) ||
+		rest_is_asked(&tunnel->target->rest, now));
 }
 
 void tunnels_tick(tunnels_t *tunnels, pimento_usec_t now)
--- a/src/packet.c
+++ b/src/packet.c
@@ -359,6 +359,19 @@
 	return encode(&message, bytes, size);
 }
 
+static int pack_rest(const packet_rest_t *rest, uint8_t *bytes, size_t size)
+{
+	Peer__Packet message = PEER__PACKET__INIT;
+	Peer__Rest out = PEER__REST__INIT;
+
+	out.endpoint = rest->endpoint;
+	out.process = rest->process;
+	out.span_ms = (uint32_t)(rest->span / PIMENTO_MSEC) + 1;
+	message.content_case = PEER__PACKET__CONTENT_REST;
+	message.rest = &out;
+	return encode(&message, bytes, size);
+}
+
 /* Beyond any demand; what others state may add up to more than a number holds. */
 #define SLOT_TIME_MAX_S 1e9
 #define ARRIVALS_MAX 1e8
@@ -499,6 +512,8 @@
 		return pack_rate_limit(&packet->as.rate_limit, bytes, size);
 	case PACKET_DEPARTURE:
 		return pack_departure(&packet->as.departure, bytes, size);
+	case PACKET_REST:
+		return pack_rest(&packet->as.rest, bytes, size);
 	}
 	return PIMENTO_EINVAL;
 }
@@ -867,6 +882,14 @@
 		packet->kind = PACKET_DEPARTURE;
 		copy_departure(&packet->as.departure, message->departure);
 		return 0;
+	case PEER__PACKET__CONTENT_REST:
+		packet->kind = PACKET_REST;
+		packet->as.rest = (packet_rest_t){
+			.endpoint = message->rest->endpoint,
+			.process = message->rest->process,
+			.span = message->rest->span_ms * PIMENTO_MSEC,
+		};
+		return 0;
 	default:
 		return PIMENTO_EPARSE; /* packet of a newer version, or malformed */
 	}
--- a/src/packet.h
+++ b/src/packet.h
@@ -25,7 +25,8 @@
 	PACKET_TRIAL,
 	PACKET_RATE_LIMIT,
 	PACKET_DEMAND,
-	PACKET_DEPARTURE
+	PACKET_DEPARTURE,
+	PACKET_REST
 } packet_kind_t;
 
 typedef enum packet_trial_kind {
@@ -70,6 +71,13 @@
 	uint32_t running;
 } packet_running_report_t;
 
+/* An endpoint that wants no requests from the receiver; see rest.h. */
+typedef struct packet_rest {
+	uint32_t endpoint; /* low 32 bits of the endpoint's key */
+	uint32_t process; /* registry_process_id() */
+	pimento_usec_t span;
+} packet_rest_t;
+
 typedef struct packet {
 	packet_kind_t kind;
 	union {
@@ -83,6 +91,7 @@
 		rate_limit_report_t rate_limit;
 		demand_report_t demand;
 		departure_t departure; /* at: how long ago */
+		packet_rest_t rest;
 	} as;
 } packet_t;
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &peer__departure__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer__rest__init
+                     (Peer__Rest         *message)
+{
+  static const Peer__Rest init_value = PEER__REST__INIT;
+  *message = init_value;
+}
+size_t peer__rest__get_packed_size
+                     (const Peer__Rest *message)
+{
+  assert(message->base.descriptor == &peer__rest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer__rest__pack
+                     (const Peer__Rest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer__rest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer__rest__pack_to_buffer
+                     (const Peer__Rest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer__rest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Peer__Rest *
+       peer__rest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Peer__Rest *)
+     protobuf_c_message_unpack (&peer__rest__descriptor,
+                                allocator, len, data);
+}
+void   peer__rest__free_unpacked
+                     (Peer__Rest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer__rest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer__note__init
                      (Peer__Note         *message)
 {
@@ -1465,6 +1510,70 @@
   (ProtobufCMessageInit) peer__departure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer__rest__field_descriptors[3] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Rest, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "process",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Rest, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "span_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Rest, span_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer__rest__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = process */
+  2,   /* field[2] = span_ms */
+};
+static const ProtobufCIntRange peer__rest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer__rest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "peer.Rest",
+  "Rest",
+  "Peer__Rest",
+  "peer",
+  sizeof(Peer__Rest),
+  3,
+  peer__rest__field_descriptors,
+  peer__rest__field_indices_by_name,
+  1,  peer__rest__number_ranges,
+  (ProtobufCMessageInit) peer__rest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer__note__field_descriptors[22] =
 {
   {
@@ -2863,7 +2972,7 @@
   (ProtobufCMessageInit) peer__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__packet__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer__packet__field_descriptors[11] =
 {
   {
     "note",
@@ -2985,6 +3094,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rest",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Peer__Packet, content_case),
+    offsetof(Peer__Packet, rest),
+    &peer__rest__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__packet__field_indices_by_name[] = {
   1,   /* field[1] = ask */
@@ -2996,12 +3117,13 @@
   3,   /* field[3] = release */
   2,   /* field[2] = reply */
   4,   /* field[4] = report */
+  10,   /* field[10] = rest */
   6,   /* field[6] = trial */
 };
 static const ProtobufCIntRange peer__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer__packet__descriptor =
 {
@@ -3011,7 +3133,7 @@
   "Peer__Packet",
   "peer",
   sizeof(Peer__Packet),
-  10,
+  11,
   peer__packet__field_descriptors,
   peer__packet__field_indices_by_name,
   1,  peer__packet__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Peer__Evidence Peer__Evidence;
 typedef struct Peer__RateLimit Peer__RateLimit;
 typedef struct Peer__Departure Peer__Departure;
+typedef struct Peer__Rest Peer__Rest;
 typedef struct Peer__Note Peer__Note;
 typedef struct Peer__Report Peer__Report;
 typedef struct Peer__Record Peer__Record;
@@ -239,6 +240,24 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * An endpoint wants no requests from the receiver, through whose tunnel it said so.
+ */
+struct  Peer__Rest
+{
+  ProtobufCMessage base;
+  uint32_t endpoint;
+  /*
+   * of the endpoint
+   */
+  uint32_t process;
+  uint32_t span_ms;
+};
+#define PEER__REST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__rest__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * A gossip message.
  */
@@ -672,7 +691,8 @@
   PEER__PACKET__CONTENT_TRIAL = 7,
   PEER__PACKET__CONTENT_RATE_LIMIT = 8,
   PEER__PACKET__CONTENT_DEMAND = 9,
-  PEER__PACKET__CONTENT_DEPARTURE = 10
+  PEER__PACKET__CONTENT_DEPARTURE = 10,
+  PEER__PACKET__CONTENT_REST = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__PACKET__CONTENT__CASE)
 } Peer__Packet__ContentCase;
 
@@ -697,6 +717,7 @@
     Peer__RateLimit *rate_limit;
     Peer__Demand *demand;
     Peer__Departure *departure;
+    Peer__Rest *rest;
   };
 };
 #define PEER__PACKET__INIT \
@@ -856,6 +877,25 @@
 void   peer__departure__free_unpacked
                      (Peer__Departure *message,
                       ProtobufCAllocator *allocator);
+/* Peer__Rest methods */
+void   peer__rest__init
+                     (Peer__Rest         *message);
+size_t peer__rest__get_packed_size
+                     (const Peer__Rest   *message);
+size_t peer__rest__pack
+                     (const Peer__Rest   *message,
+                      uint8_t             *out);
+size_t peer__rest__pack_to_buffer
+                     (const Peer__Rest   *message,
+                      ProtobufCBuffer     *buffer);
+Peer__Rest *
+       peer__rest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer__rest__free_unpacked
+                     (Peer__Rest *message,
+                      ProtobufCAllocator *allocator);
 /* Peer__Note methods */
 void   peer__note__init
                      (Peer__Note         *message);
@@ -1091,6 +1131,9 @@
 typedef void (*Peer__Departure_Closure)
                  (const Peer__Departure *message,
                   void *closure_data);
+typedef void (*Peer__Rest_Closure)
+                 (const Peer__Rest *message,
+                  void *closure_data);
 typedef void (*Peer__Note_Closure)
                  (const Peer__Note *message,
                   void *closure_data);
@@ -1138,6 +1181,7 @@
 extern const ProtobufCMessageDescriptor peer__evidence__descriptor;
 extern const ProtobufCMessageDescriptor peer__rate_limit__descriptor;
 extern const ProtobufCMessageDescriptor peer__departure__descriptor;
+extern const ProtobufCMessageDescriptor peer__rest__descriptor;
 extern const ProtobufCMessageDescriptor peer__note__descriptor;
 extern const ProtobufCMessageDescriptor peer__report__descriptor;
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
--- a/src/placement.c
+++ b/src/placement.c
@@ -318,7 +318,8 @@
 static bool is_ejected(const registry_endpoint_t *endpoint, pimento_usec_t now)
 {
 	return endpoint->latency.ejected_until > now ||
-	       endpoint_path_is_blocked(&endpoint->path);
+	       endpoint_path_is_blocked(&endpoint->path) ||
+	       rest_blocks(&endpoint->rest, now);
 }
 
 /* State of the search over the endpoints. */
@@ -438,6 +439,8 @@
 
 	if (endpoint_path_is_blocked(&endpoint->path))
 		return; /* a probe tells when it is back */
+	if (rest_blocks(&endpoint->rest, now))
+		return;
 	if (is_ejected(endpoint, now)) {
 		if (endpoint->running == 0)
 			choice->ejected_idle = endpoint;
@@ -580,7 +583,7 @@
 	for (uint32_t i = 0; i < registry->count; i++) {
 		const registry_endpoint_t *e = registry->endpoints[i];
 
-		if (e->service != service ||
+		if (e->service != service || rest_is_asked(&e->rest, now) ||
 		    !registry_endpoint_accepts_work(e, now))
 			continue;
 		headroom.capacity += e->slots;
@@ -589,6 +592,25 @@
 	return headroom;
 }
 
+pimento_usec_t placement_rest_end(const registry_t *registry,
+				  pimento_id_t service, pimento_usec_t now)
+{
+	pimento_usec_t first = 0;
+
+	for (uint32_t i = 0; i < registry->count; i++) {
+		const registry_endpoint_t *e = registry->endpoints[i];
+
+		if (e->service != service ||
+		    !registry_endpoint_accepts_work(e, now))
+			continue;
+		if (!rest_is_asked(&e->rest, now))
+			return 0;
+		if (!first || e->rest.until < first)
+			first = e->rest.until;
+	}
+	return first;
+}
+
 placement_view_t placement_view(registry_t *registry, pimento_id_t service,
 				pimento_usec_t now)
 {
--- a/src/placement.h
+++ b/src/placement.h
@@ -111,6 +111,13 @@
 	uint32_t full; /* not ejected, and without a free slot */
 } placement_view_t;
 
+/*
+ * When the first endpoint takes requests of this host again, if all of the
+ * service have asked it for rest; otherwise 0.
+ */
+pimento_usec_t placement_rest_end(const registry_t *registry,
+				  pimento_id_t service, pimento_usec_t now);
+
 placement_view_t placement_view(registry_t *registry, pimento_id_t service,
 				pimento_usec_t now);
 
--- a/test/test_rest.c
+++ b/test/test_rest.c
@@ -4,6 +4,7 @@
  */
 
 #include "edge.h"
+#include "rest.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -196,6 +197,44 @@
 }
 END_TEST
 
+#define NOW (100 * PIMENTO_SEC)
+
+/* Guards against everything that waited being sent when a rest ends. */
+START_TEST(one_request_at_a_time_tells_whether_a_rest_is_over)
+{
+	const pimento_usec_t end = NOW + 2 * PIMENTO_SEC;
+	rest_t rest = { 0 };
+
+	ck_assert(!rest_blocks(&rest, NOW));
+	ck_assert(rest_state(&rest, 2 * PIMENTO_SEC, 0, NOW));
+	ck_assert(rest_blocks(&rest, end - 1));
+	ck_assert(!rest_blocks(&rest, end));
+	ck_assert(rest_begin(&rest));
+	ck_assert(rest_blocks(&rest, end));
+	rest_end_trial(&rest); /* it broke */
+	ck_assert(!rest_blocks(&rest, end));
+	ck_assert(rest_begin(&rest));
+	rest_trial_succeeded(&rest);
+	rest_end_trial(&rest);
+	ck_assert(!rest_begin(&rest));
+	ck_assert(!rest_blocks(&rest, end));
+}
+END_TEST
+
+/* Guards against a shorter rest that ends a longer one, and against one for ever. */
+START_TEST(the_rest_that_ends_last_holds)
+{
+	rest_t rest = { 0 };
+
+	ck_assert(rest_state(&rest, 3 * PIMENTO_SEC, 0, NOW));
+	ck_assert(!rest_state(&rest, PIMENTO_SEC, 0, NOW + PIMENTO_SEC));
+	ck_assert(rest_is_asked(&rest, NOW + 3 * PIMENTO_SEC - 1));
+	ck_assert(rest_state(&rest, 2 * REST_MAX, 0, NOW));
+	ck_assert(rest_is_asked(&rest, NOW + REST_MAX - 1));
+	ck_assert(!rest_is_asked(&rest, NOW + REST_MAX));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("rest");
@@ -209,6 +248,9 @@
 	tcase_add_loop_test(tests, only_a_number_of_seconds_is_a_rest, 0,
 			    sizeof(values) / sizeof(values[0]));
 	tcase_add_test(tests, callers_hear_when_the_first_rest_ends);
+	tcase_add_test(tests,
+		       one_request_at_a_time_tells_whether_a_rest_is_over);
+	tcase_add_test(tests, the_rest_that_ends_last_holds);
 	suite_add_tcase(suite, tests);
 	return process_run_suite(suite);
 }
