statements: what endpoints state, apart from the slots that owners grant

io/slots.c had come to hold limits, departures and rests too: what endpoints say in their answers, and how hosts report it to each other. That is io/statements.c now, with names of its own; slots grants slots. Gossip reports limits also while many hosts start, as it does departures; the packet is still cut to its size with these last. No other change of behaviour.

--- a/io/mesh.c
+++ b/io/mesh.c
@@ -7,6 +7,7 @@
 
 #include "mesh.h"
 
+#include "statements.h"
 #include "sys.h"
 #include "trail.h"
 
@@ -59,10 +60,7 @@
 	note->load_count = 0;
 	note->owner_report_count = 0;
 	note->quota_count = 0;
-	note->rate_limit_count = 0;
-	note->departure_count =
-		departures_report(&mesh->registry->departures, note->departures,
-				  GOSSIP_DEPARTURES_MAX, now);
+	statements_report(mesh->slots, note, now);
 	note->evidence_count = quarantine_report(
 		mesh->quarantine, note->evidence, GOSSIP_EVIDENCE_MAX, now);
 	for (uint32_t i = 0; i < note->evidence_count; i++)
@@ -178,6 +176,7 @@
 		replica_confirm(&mesh->mirrors[kind],
 				note->replicas[kind].revision, fresh[kind]);
 	}
+	statements_receive(mesh->slots, note, now);
 	slots_hear(mesh->slots, note, now);
 	for (uint32_t i = 0; i < note->evidence_count; i++) {
 		quarantine_evidence_t evidence = note->evidence[i];
@@ -228,18 +227,18 @@
 		break;
 	case PACKET_RATE_LIMIT:
 		if (peers_is_known(mesh->roster, from))
-			slots_hear_rate_limit(mesh->slots,
-					      &packet.as.rate_limit, from, now);
+			statements_receive_rate_limit(
+				mesh->slots, &packet.as.rate_limit, from, now);
 		break;
 	case PACKET_DEPARTURE:
 		if (peers_is_known(mesh->roster, from))
-			slots_hear_departure(mesh->slots, &packet.as.departure,
-					     from, now);
+			statements_receive_departure(
+				mesh->slots, &packet.as.departure, from, now);
 		break;
 	case PACKET_REST:
 		if (peers_is_known(mesh->roster, from))
-			slots_hear_rest(mesh->slots, &packet.as.rest, from,
-					now);
+			statements_receive_rest(mesh->slots, &packet.as.rest,
+						from, now);
 		break;
 	default:
 		slots_take(mesh->slots, &packet, now);
--- a/io/relay.c
+++ b/io/relay.c
@@ -7,6 +7,7 @@
 
 #include "exchange.h"
 
+#include "statements.h"
 #include "sys.h"
 
 #include <string.h>
@@ -193,8 +194,8 @@
 	const attempt_t *attempt = attempt_of(x, conn);
 
 	if (answer->leaving && is_from_process(attempt, conn))
-		slots_learn_leaving(x->gateway->slots, attempt->endpoint,
-				    conn->via, sys_now());
+		statements_learn_leaving(x->gateway->slots, attempt->endpoint,
+					 conn->via, sys_now());
 }
 
 /* Whether the endpoint wants requests of this host; see rest.h. */
@@ -209,8 +210,8 @@
 		if (attempt->on_trial)
 			rest_trial_succeeded(&attempt->endpoint->rest);
 	} else if (answer->rest) {
-		slots_learn_rest(x->gateway->slots, attempt->endpoint,
-				 answer->rest, conn->via, sys_now());
+		statements_learn_rest(x->gateway->slots, attempt->endpoint,
+				      answer->rest, conn->via, sys_now());
 	}
 }
 
@@ -221,12 +222,12 @@
 	const attempt_t *attempt = attempt_of(x, conn);
 
 	if (is_from_process(attempt, conn))
-		slots_learn_rate_limit(x->gateway->slots, attempt->endpoint,
-				       answer->rate_limit,
-				       answer->not_run
-					       ? RATE_LIMIT_IN_REJECTIONS
-					       : RATE_LIMIT_IN_ANSWERS,
-				       attempt->sent_at, sys_now());
+		statements_learn_rate_limit(
+			x->gateway->slots, attempt->endpoint,
+			answer->rate_limit,
+			answer->not_run ? RATE_LIMIT_IN_REJECTIONS
+					: RATE_LIMIT_IN_ANSWERS,
+			attempt->sent_at, sys_now());
 }
 
 bool relay_head(httpc_t *conn)
--- a/io/slots.c
+++ b/io/slots.c
@@ -1,8 +1,10 @@
 #include "slots.h"
 
-#include "../src/slow_start.h"
+#include "statements.h"
 #include "trail.h"
 
+#include "../src/slow_start.h"
+
 #include <arpa/inet.h>
 
 /* Hosts that died longer ago do not lessen a slow start's rate. */
@@ -11,8 +13,6 @@
 #define START_SPAN (3 * PIMENTO_SEC)
 /* An answer within this time outweighs a host that reached nobody. */
 #define ANSWERED_LATELY (300 * PIMENTO_MSEC)
-/* A rest is reported to the peer it holds for until then: datagrams are lost. */
-#define REST_REPORT_SPAN (400 * PIMENTO_MSEC)
 /* A report that is older is not passed on. */
 #define RELAY_AGE (1200 * PIMENTO_MSEC)
 
@@ -31,8 +31,7 @@
 }
 
 /* A datagram that cannot be sent now is as good as lost on the way. */
-static void send_packet(const slots_t *slots, uint32_t address,
-			const packet_t *packet)
+void slots_send(const slots_t *slots, uint32_t address, const packet_t *packet)
 {
 	net_address_t to = { address, slots->port };
 	uint8_t bytes[PACKET_BYTES_MAX];
@@ -42,7 +41,7 @@
 		(void)net_send_to(slots->fd, &to, bytes, (size_t)length);
 }
 
-static registry_endpoint_t *endpoint_of(const slots_t *slots, uint32_t key)
+registry_endpoint_t *slots_endpoint(const slots_t *slots, uint32_t key)
 {
 	for (uint32_t i = 0; i < slots->registry->count; i++)
 		if ((uint32_t)slots->registry->endpoints[i]->key == key)
@@ -50,7 +49,7 @@
 	return NULL;
 }
 
-static uint32_t owner_of(slots_t *slots, registry_endpoint_t *endpoint)
+uint32_t slots_owner(slots_t *slots, registry_endpoint_t *endpoint)
 {
 	uint64_t epoch = peers_owner_changes(slots->roster) + 1;
 	uint32_t owner;
@@ -97,7 +96,8 @@
 		  pimento_usec_t now)
 {
 	packet_t packet = { .kind = PACKET_SLOT_REPLY };
-	const registry_endpoint_t *endpoint = endpoint_of(slots, ask->endpoint);
+	const registry_endpoint_t *endpoint =
+		slots_endpoint(slots, ask->endpoint);
 
 	packet.as.slot_reply = (packet_slot_reply_t){ .endpoint = ask->endpoint,
 						      .ticket = ask->ticket,
@@ -107,7 +107,7 @@
 	if (ask->address == slots->self)
 		slots->replied(slots->context, &packet.as.slot_reply);
 	else
-		send_packet(slots, ask->address, &packet);
+		slots_send(slots, ask->address, &packet);
 }
 
 /* Ejecting an endpoint serves nobody if its service has no other. */
@@ -167,7 +167,7 @@
 /* Gives free places to those in line. */
 static void give_places(slots_t *slots, uint32_t key, pimento_usec_t now)
 {
-	registry_endpoint_t *endpoint = endpoint_of(slots, key);
+	registry_endpoint_t *endpoint = slots_endpoint(slots, key);
 	grants_request_t ask;
 
 	if (!endpoint || !registry_endpoint_accepts_work(endpoint, now))
@@ -184,28 +184,6 @@
 	}
 }
 
-static void send_departure(const slots_t *slots, uint32_t address,
-			   const departure_t *departure, pimento_usec_t now)
-{
-	packet_t packet = { .kind = PACKET_DEPARTURE };
-
-	packet.as.departure = *departure;
-	packet.as.departure.at = now - departure->at;
-	if (address && address != slots->self)
-		send_packet(slots, address, &packet);
-}
-
-/* The host that asks has not heard that the endpoint leaves. */
-static void tell_departure(const slots_t *slots, const grants_request_t *ask,
-			   pimento_usec_t now)
-{
-	const departure_t *departure =
-		departures_find(&slots->registry->departures, ask->endpoint);
-
-	if (departure)
-		send_departure(slots, ask->address, departure, now);
-}
-
 static bool is_granted(const slots_t *slots, const grants_request_t *ask)
 {
 	return !grants_is_waiting(&slots->grants, ask);
@@ -214,7 +192,7 @@
 static void take_ask(slots_t *slots, const grants_request_t *ask,
 		     pimento_usec_t now)
 {
-	registry_endpoint_t *endpoint = endpoint_of(slots, ask->endpoint);
+	registry_endpoint_t *endpoint = slots_endpoint(slots, ask->endpoint);
 
 	if (grants_request(&slots->grants, ask, now))
 		return; /* no memory: who asks goes by its own view */
@@ -229,7 +207,8 @@
 	if (endpoint && rate_limit_applies(&endpoint->rate_limit, now))
 		slots->held_by_limit++;
 	if (endpoint && !registry_endpoint_accepts_work(endpoint, now))
-		tell_departure(slots, ask, now);
+		statements_report_departure(slots, ask->endpoint, ask->address,
+					    now);
 	reply(slots, ask, false, now);
 }
 
@@ -277,166 +256,11 @@
 		      source == slots->self ? "self" : text, before);
 }
 
-static void log_rate_limit(const registry_endpoint_t *endpoint, uint32_t before,
-			   const char *by)
-{
-	uint32_t rate = endpoint->rate_limit.stated.rate;
-	const char *event = !before ? "limit_stated"
-			    : rate  ? "limit_changed"
-				    : "limit_ended";
-
-	trail(TRAIL_STATE, "endpoint", event,
-	      "endpoint=%s per_second=%g before=%g by=%s", endpoint->id,
-	      (double)rate / RATE_LIMIT_UNIT, (double)before / RATE_LIMIT_UNIT,
-	      by);
-}
-
-static void tell_owner_rate_limit(slots_t *slots, registry_endpoint_t *endpoint)
-{
-	uint32_t owner = owner_of(slots, endpoint);
-	packet_t packet = { .kind = PACKET_RATE_LIMIT };
-
-	if (owner == slots->self)
-		return;
-	packet.as.rate_limit = (rate_limit_report_t){
-		.endpoint = (uint32_t)endpoint->key,
-		.stated = endpoint->rate_limit.stated,
-	};
-	packet.as.rate_limit.stated.at = 0;
-	send_packet(slots, owner, &packet);
-}
-
-void slots_learn_rate_limit(slots_t *slots, registry_endpoint_t *endpoint,
-			    uint32_t rate, enum rate_limit_source source,
-			    pimento_usec_t sent_at, pimento_usec_t now)
-{
-	uint32_t before = endpoint->rate_limit.stated.rate;
-
-	if (!rate_limit_learn(&endpoint->rate_limit, rate, source, sent_at,
-			      now))
-		return;
-	log_rate_limit(endpoint, before, "self");
-	tell_owner_rate_limit(slots, endpoint);
-}
-
-void slots_hear_rate_limit(slots_t *slots, const rate_limit_report_t *report,
-			   uint32_t source, pimento_usec_t now)
-{
-	registry_endpoint_t *endpoint = endpoint_of(slots, report->endpoint);
-	rate_limit_statement_t stated = report->stated;
-	const struct in_addr by = { htonl(source) };
-	char text[INET_ADDRSTRLEN] = "";
-	uint32_t before;
-
-	if (!endpoint || stated.at == PIMENTO_NEVER)
-		return;
-	stated.at = now - stated.at;
-	before = endpoint->rate_limit.stated.rate;
-	if (!rate_limit_merge(&endpoint->rate_limit, &stated))
-		return;
-	inet_ntop(AF_INET, &by, text, sizeof(text));
-	log_rate_limit(endpoint, before, text);
-}
-
-static void log_leaving(const registry_endpoint_t *endpoint,
-			const departure_t *departure, const char *by)
-{
-	trail(TRAIL_STATE, "endpoint", "leaving",
-	      "endpoint=%s why=%s by=%s revision=%llu", endpoint->id,
-	      departure->process ? "stated" : "recorded", by,
-	      (unsigned long long)departure->revision);
-}
-
-void slots_learn_leaving(slots_t *slots, registry_endpoint_t *endpoint,
-			 uint32_t via, pimento_usec_t now)
-{
-	const departure_t departure = {
-		.endpoint = (uint32_t)endpoint->key,
-		.process = registry_process_id(endpoint),
-		.at = now,
-	};
-
-	if (endpoint->stated_leaving)
-		return;
-	(void)registry_depart(slots->registry, &departure, now);
-	log_leaving(endpoint, &departure, "self");
-	send_departure(slots, owner_of(slots, endpoint), &departure, now);
-	send_departure(slots, via, &departure, now);
-}
-
-void slots_hear_departure(slots_t *slots, const departure_t *departure,
-			  uint32_t source, pimento_usec_t now)
-{
-	const struct in_addr by = { htonl(source) };
-	char text[INET_ADDRSTRLEN] = "";
-	departure_t heard = *departure;
-	registry_endpoint_t *endpoint;
-
-	if (heard.at == PIMENTO_NEVER || !heard.process == !heard.revision)
-		return;
-	heard.at = now - heard.at;
-	endpoint = registry_depart(slots->registry, &heard, now);
-	if (!endpoint)
-		return;
-	inet_ntop(AF_INET, &by, text, sizeof(text));
-	log_leaving(endpoint, &heard, text);
-}
-
-static void log_rest(const registry_endpoint_t *endpoint, const char *by,
-		     pimento_usec_t now)
-{
-	trail(TRAIL_STATE, "endpoint", "rest_asked",
-	      "endpoint=%s ms=%lld by=%s", endpoint->id,
-	      (long long)((endpoint->rest.until - now) / PIMENTO_MSEC), by);
-}
-
-static void send_rest(const slots_t *slots, const registry_endpoint_t *endpoint,
-		      pimento_usec_t now)
-{
-	packet_t packet = { .kind = PACKET_REST };
-
-	packet.as.rest = (packet_rest_t){
-		.endpoint = (uint32_t)endpoint->key,
-		.process = registry_process_id(endpoint),
-		.span = endpoint->rest.until - now,
-	};
-	send_packet(slots, endpoint->rest.via, &packet);
-}
-
-void slots_learn_rest(slots_t *slots, registry_endpoint_t *endpoint,
-		      pimento_usec_t span, uint32_t via, pimento_usec_t now)
-{
-	bool known = rest_is_asked(&endpoint->rest, now);
-
-	if (!rest_state(&endpoint->rest, span, via, now))
-		return;
-	if (!known)
-		log_rest(endpoint, "self", now);
-	if (via)
-		send_rest(slots, endpoint, now);
-}
-
-void slots_hear_rest(slots_t *slots, const packet_rest_t *rest, uint32_t source,
-		     pimento_usec_t now)
-{
-	registry_endpoint_t *endpoint = endpoint_of(slots, rest->endpoint);
-	const struct in_addr by = { htonl(source) };
-	char text[INET_ADDRSTRLEN] = "";
-	bool known;
-
-	if (!endpoint || rest->process != registry_process_id(endpoint))
-		return;
-	known = rest_is_asked(&endpoint->rest, now);
-	if (!rest_state(&endpoint->rest, rest->span, 0, now) || known)
-		return;
-	inet_ntop(AF_INET, &by, text, sizeof(text));
-	log_rest(endpoint, text, now);
-}
-
 static void take_release(slots_t *slots, const packet_slot_release_t *release,
 			 pimento_usec_t now)
 {
-	registry_endpoint_t *endpoint = endpoint_of(slots, release->endpoint);
+	registry_endpoint_t *endpoint =
+		slots_endpoint(slots, release->endpoint);
 	registry_service_t *service =
 		endpoint ? registry_get_service(slots->registry,
 						endpoint->service)
@@ -464,7 +288,7 @@
 void slots_ask(slots_t *slots, registry_endpoint_t *endpoint,
 	       grants_request_t *ask, pimento_usec_t now)
 {
-	uint32_t owner = owner_of(slots, endpoint);
+	uint32_t owner = slots_owner(slots, endpoint);
 	packet_t packet = { .kind = PACKET_SLOT_REQUEST };
 
 	ask->endpoint = (uint32_t)endpoint->key;
@@ -475,13 +299,13 @@
 		return;
 	}
 	packet.as.slot_request = *ask;
-	send_packet(slots, owner, &packet);
+	slots_send(slots, owner, &packet);
 }
 
 void slots_release(slots_t *slots, registry_endpoint_t *endpoint,
 		   const packet_slot_release_t *release, pimento_usec_t now)
 {
-	uint32_t owner = owner_of(slots, endpoint);
+	uint32_t owner = slots_owner(slots, endpoint);
 	packet_t packet = { .kind = PACKET_SLOT_RELEASE };
 
 	packet.as.slot_release = *release;
@@ -490,7 +314,7 @@
 	if (owner == slots->self)
 		take_release(slots, &packet.as.slot_release, now);
 	else
-		send_packet(slots, owner, &packet);
+		slots_send(slots, owner, &packet);
 }
 
 void slots_take(slots_t *slots, const packet_t *packet, pimento_usec_t now)
@@ -582,7 +406,7 @@
 		.address = slots->self,
 		.running = endpoint->running,
 	};
-	send_packet(slots, endpoint->owner, &packet);
+	slots_send(slots, endpoint->owner, &packet);
 }
 
 static void say_own(slots_t *slots, gossip_message_t *note, pimento_usec_t now)
@@ -594,7 +418,7 @@
 		uint32_t key = (uint32_t)e->key;
 
 		if (note->owner_report_count == GOSSIP_OWNER_REPORTS_MAX ||
-		    owner_of(slots, e) != slots->self ||
+		    slots_owner(slots, e) != slots->self ||
 		    !grants_has_endpoint(&slots->grants, key))
 			continue;
 		note->owner_reports[note->owner_report_count++] =
@@ -619,7 +443,7 @@
 			return;
 		if (!e->report_received_at ||
 		    now - e->report_received_at > RELAY_AGE ||
-		    owner_of(slots, e) == slots->self)
+		    slots_owner(slots, e) == slots->self)
 			continue;
 		note->owner_reports[note->owner_report_count++] =
 			(gossip_owner_report_t){
@@ -630,31 +454,8 @@
 	}
 }
 
-/* Limits that endpoints have stated, in turn. */
-static void say_rate_limits(slots_t *slots, gossip_message_t *note,
-			    pimento_usec_t now)
-{
-	const registry_t *registry = slots->registry;
-
-	for (uint32_t i = 0; i < registry->count &&
-			     note->rate_limit_count < GOSSIP_RATE_LIMITS_MAX;
-	     i++) {
-		registry_endpoint_t *e =
-			registry->endpoints[slots->limit_turn++ %
-					    registry->count];
-		rate_limit_report_t report = { (uint32_t)e->key,
-					       e->rate_limit.stated };
-
-		if (!rate_limit_is_news(&e->rate_limit, now))
-			continue;
-		report.stated.at = now - report.stated.at;
-		note->rate_limits[note->rate_limit_count++] = report;
-	}
-}
-
 void slots_say(slots_t *slots, gossip_message_t *note, pimento_usec_t now)
 {
-	say_rate_limits(slots, note, now);
 	say_own(slots, note, now);
 	relay_others(slots, note, now);
 }
@@ -662,19 +463,13 @@
 void slots_hear(slots_t *slots, const gossip_message_t *note,
 		pimento_usec_t now)
 {
-	for (uint32_t i = 0; i < note->departure_count; i++)
-		slots_hear_departure(slots, &note->departures[i], note->address,
-				     now);
-	for (uint32_t i = 0; i < note->rate_limit_count; i++)
-		slots_hear_rate_limit(slots, &note->rate_limits[i],
-				      note->address, now);
 	for (uint32_t i = 0; i < note->owner_report_count; i++) {
 		const gossip_owner_report_t *owned = &note->owner_reports[i];
-		registry_endpoint_t *e = endpoint_of(slots, owned->endpoint);
+		registry_endpoint_t *e = slots_endpoint(slots, owned->endpoint);
 		pimento_usec_t at = now - owned->age;
 
 		if (e && at > e->report_received_at &&
-		    owner_of(slots, e) != slots->self)
+		    slots_owner(slots, e) != slots->self)
 			registry_apply_report(e, &owned->report, at);
 	}
 }
@@ -683,13 +478,13 @@
 {
 	if (!slots->first_tick_at)
 		slots->first_tick_at = now;
-	registry_expire_departures(slots->registry, now);
+	statements_tick(slots, now);
 	slots->registry->start_bounds.live_share =
 		peers_known_live_share(slots->roster, SLOTS_LOST_LATELY, now);
 	for (uint32_t i = 0; i < slots->registry->count; i++) {
 		registry_endpoint_t *e = slots->registry->endpoints[i];
 		uint32_t key = (uint32_t)e->key;
-		bool owner = owner_of(slots, e) == slots->self;
+		bool owner = slots_owner(slots, e) == slots->self;
 
 		slow_start_set_owner(e, owner, now);
 		if (owner || grants_is_requested(&slots->grants, key, now))
@@ -698,8 +493,5 @@
 			grants_remove_endpoint(&slots->grants, key);
 		if (!owner)
 			report(slots, e, now);
-		if (e->rest.via && rest_is_asked(&e->rest, now) &&
-		    now - e->rest.stated_at < REST_REPORT_SPAN)
-			send_rest(slots, e, now);
 	}
 }
--- a/io/slots.h
+++ b/io/slots.h
@@ -71,35 +71,12 @@
 		 latency_outcome_t finding, uint32_t source,
 		 pimento_usec_t now);
 
-/*
- * Learns what an answer to a request that was sent at sent_at says of the
- * endpoint's limit (rate_limit.h), and tells its owner what has changed.
- */
-void slots_learn_rate_limit(slots_t *slots, registry_endpoint_t *endpoint,
-			    uint32_t rate, enum rate_limit_source source,
-			    pimento_usec_t sent_at, pimento_usec_t now);
-/* What the host `source` says of an endpoint's limit. */
-void slots_hear_rate_limit(slots_t *slots, const rate_limit_report_t *report,
-			   uint32_t source, pimento_usec_t now);
-
-/*
- * An answer of the endpoint, to a request that went through the peer `via` (0:
- * none), says that it leaves: tells its owner and that peer at once.
- */
-void slots_learn_leaving(slots_t *slots, registry_endpoint_t *endpoint,
-			 uint32_t via, pimento_usec_t now);
-/*
- * An answer of the endpoint, to a request that went through the peer `via` (0:
- * none), says that it wants nothing from this host and that peer for so long.
- */
-void slots_learn_rest(slots_t *slots, registry_endpoint_t *endpoint,
-		      pimento_usec_t span, uint32_t via, pimento_usec_t now);
-/* The same, as a host says whose tunnel leads through this one. */
-void slots_hear_rest(slots_t *slots, const packet_rest_t *rest, uint32_t source,
-		     pimento_usec_t now);
+/* For statements.c: */
 
-/* Another host says that an endpoint leaves; departure->at is an age. */
-void slots_hear_departure(slots_t *slots, const departure_t *departure,
-			  uint32_t source, pimento_usec_t now);
+/* Sends another host a packet, which may be lost. */
+void slots_send(const slots_t *slots, uint32_t address, const packet_t *packet);
+/* The endpoint with these low 32 bits of its key, or NULL. */
+registry_endpoint_t *slots_endpoint(const slots_t *slots, uint32_t key);
+uint32_t slots_owner(slots_t *slots, registry_endpoint_t *endpoint);
 
 #endif
--- a/test/test_rate_limit.c
+++ b/test/test_rate_limit.c
@@ -6,6 +6,7 @@
 
 #include "edge.h"
 #include "slots.h"
+#include "statements.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -323,11 +324,11 @@
 	int length;
 
 	packet.as.gossip.address = from->slots.self;
-	slots_say(&from->slots, &packet.as.gossip, now);
+	statements_report(&from->slots, &packet.as.gossip, now);
 	length = packet_pack(&packet, bytes, sizeof(bytes));
 	ck_assert_int_gt(length, 0);
 	ck_assert_int_eq(packet_unpack(&packet, bytes, (size_t)length), 0);
-	slots_hear(&to->slots, &packet.as.gossip, now);
+	statements_receive(&to->slots, &packet.as.gossip, now);
 }
 
 /* Guards against hosts that have just started and know of no limit. */
@@ -338,14 +339,14 @@
 
 	init_node(&a, SELF);
 	init_node(&b, OTHER);
-	slots_learn_rate_limit(&a.slots, a.endpoint, 400, RATE_LIMIT_IN_ANSWERS,
-			       NOW - 1, NOW);
+	statements_learn_rate_limit(&a.slots, a.endpoint, 400,
+				    RATE_LIMIT_IN_ANSWERS, NOW - 1, NOW);
 	pass_gossip(&a, &b, NOW + 100 * PIMENTO_MSEC);
 	ck_assert_uint_eq(rate_of(&b), 400);
 	ck_assert_uint_eq(b.other->rate_limit.stated.rate, 0);
 	/* the end spreads too, and what is older does not undo it */
-	slots_learn_rate_limit(&b.slots, b.endpoint, 0, RATE_LIMIT_IN_ANSWERS,
-			       later - 1, later);
+	statements_learn_rate_limit(&b.slots, b.endpoint, 0,
+				    RATE_LIMIT_IN_ANSWERS, later - 1, later);
 	pass_gossip(&a, &b, later + PIMENTO_MSEC);
 	ck_assert_uint_eq(rate_of(&b), 0);
 	pass_gossip(&b, &a, later + PIMENTO_MSEC);
@@ -368,8 +369,8 @@
 	static node_t a;
 
 	init_node(&a, SELF);
-	slots_learn_rate_limit(&a.slots, a.endpoint, 400, RATE_LIMIT_IN_ANSWERS,
-			       NOW - 1, NOW);
+	statements_learn_rate_limit(&a.slots, a.endpoint, 400,
+				    RATE_LIMIT_IN_ANSWERS, NOW - 1, NOW);
 	ck_assert_ptr_eq(registry_put(&a.registry, &record), a.endpoint);
 	ck_assert_uint_eq(rate_of(&a), 0);
 	finish_node(&a);
@@ -462,9 +463,9 @@
 	static node_t owner;
 
 	init_node(&owner, SELF);
-	slots_learn_rate_limit(&owner.slots, owner.endpoint,
-			       (uint32_t)(limit * RATE_LIMIT_UNIT),
-			       RATE_LIMIT_IN_ANSWERS, NOW - 1, NOW);
+	statements_learn_rate_limit(&owner.slots, owner.endpoint,
+				    (uint32_t)(limit * RATE_LIMIT_UNIT),
+				    RATE_LIMIT_IN_ANSWERS, NOW - 1, NOW);
 	ask_for_a_while(&owner, fleets[_i].hosts);
 	for (uint32_t i = 0; i < grant_count; i++)
 		settled += granted_at[i] >= NOW + SETTLED_MS * PIMENTO_MSEC;
@@ -496,8 +497,8 @@
 	static node_t host;
 
 	init_node(&host, SELF);
-	slots_learn_rate_limit(&host.slots, host.endpoint, 4000,
-			       RATE_LIMIT_IN_ANSWERS, NOW - 1, NOW);
+	statements_learn_rate_limit(&host.slots, host.endpoint, 4000,
+				    RATE_LIMIT_IN_ANSWERS, NOW - 1, NOW);
 	ck_assert_int_eq(
 		placement_choose(&host.registry, &request, NOW, &chosen),
 		PLACEMENT_FOUND);
