test: workers that leave or ask for rest, in the soak

SOAK_STATEMENTS=1 has workers say in their answers that they leave, and be replaced, or reject everything for a while and ask hosts for rest (fractions, ten seconds, no number), while hosts are killed, frozen or stopped.

--- a/standin/worker.c
+++ b/standin/worker.c
@@ -22,7 +22,10 @@
  * its listener is open for a moment longer than its connections.
  *
  * Each run is a line "ran ID" on standard output, each rejection that /test/state
- * asks for a line "rejected ID".
+ * asks for a line "rejected ID". "after_leaving ID MS" is a request of a sender
+ * (its field Test-Sender) that was first told at MS that this worker leaves;
+ * "in_rest ID MS" is one beyond two in the time of rest that a sender was told of at
+ * MS.
  *
  * GET /test/state/LIMIT/REJECTED/WHERE: from now on this worker states the limit
  * LIMIT (requests a second, a decimal number; 0: none) in all its answers, or in
@@ -93,7 +96,7 @@
 	bool leaving;
 } state;
 
-enum { SENDERS_MAX = 8 };
+enum { SENDERS_MAX = 48, REST_ALLOWED = 2 };
 
 #define REST_BEGINS (500 * PIMENTO_MSEC) /* after the rejection */
 
@@ -107,6 +110,8 @@
 /* What one sender was told, and sent then. */
 static struct {
 	char name[32];
+	pimento_usec_t told_leaving_at; /* 0: never */
+	pimento_usec_t told_rest_at;
 	pimento_usec_t begins;
 	pimento_usec_t ends;
 	json_int_t arrivals;
@@ -132,6 +137,16 @@
 	return i;
 }
 
+static void tell_at(const httpd_conn_t *conn, const char *what,
+		    pimento_usec_t at)
+{
+	const char *id = head_get(&conn->head, "Request-Id");
+
+	printf("%s %s %lld\n", what, id ? id : "-",
+	       (long long)(at / PIMENTO_MSEC));
+	fflush(stdout);
+}
+
 static void count_in_rest(const httpd_conn_t *conn)
 {
 	int i = find_sender(sender_of(conn));
@@ -141,6 +156,18 @@
 		return;
 	if (++senders[i].arrivals > most_in_rest)
 		most_in_rest = senders[i].arrivals;
+	if (senders[i].arrivals > REST_ALLOWED)
+		tell_at(conn, "in_rest", senders[i].told_rest_at);
+}
+
+static void note_leaving(const httpd_conn_t *conn)
+{
+	int i = find_sender(sender_of(conn));
+
+	if (senders[i].told_leaving_at)
+		tell_at(conn, "after_leaving", senders[i].told_leaving_at);
+	else
+		senders[i].told_leaving_at = sys_now();
 }
 
 static bool is_sent_to_rest(const httpd_conn_t *conn)
@@ -159,6 +186,7 @@
 
 	strbuf_addf(fields, "Retry-After: %s\r\n", rest.value);
 	if (now >= senders[i].ends) {
+		senders[i].told_rest_at = now;
 		senders[i].begins = now + REST_BEGINS;
 		senders[i].arrivals = 0;
 	}
@@ -497,6 +525,8 @@
 	arrivals++;
 	keep_head(conn);
 	count_in_rest(conn);
+	if (state.leaving)
+		note_leaving(conn);
 	if (refuse(conn))
 		return;
 	run_count++;
--- a/test/soak.c
+++ b/test/soak.c
@@ -31,6 +31,9 @@
 	BUDGET_WINDOW_MS = 10000, /* of the settings in edge.c */
 	BUDGET_SLACK = 56,
 	ANSWER_SLACK_MS = 1000, /* beside the deadline, on a busy machine */
+	DRAIN_MS = 2000, /* a worker that leaves gets no requests after this */
+	STATEMENT_MS = 4500,
+	STATEMENT_HOSTS_MS = 1500, /* the first part, in which hosts end */
 	BURST_MS = 4000,
 	BURST_EVENTS = 40, /* of its streams */
 	HOT_KEY = UINT8_MAX, /* number of EDGE_LIMITED_KEY */
@@ -67,6 +70,7 @@
 typedef struct record {
 	int64_t sent_ms;
 	int64_t done_ms; /* 0: not begun, or it never ended */
+	int64_t host_lost_ms; /* last fault of its host, when it was done */
 	uint32_t runs; /* at workers */
 	uint32_t arrivals; /* the same, and rejections of strained workers */
 	bool ran_evacuated; /* at a worker that it may not have gone to */
@@ -79,6 +83,8 @@
 	bool behaves; /* no worker is asked to misbehave */
 	bool undisturbed; /* no fault of its host or a worker but silences */
 	bool crashing; /* its prompt crashes workers */
+	bool after_drain; /* it reached a worker that had left for its host */
+	bool in_rest; /* a worker that wanted none from its host */
 	bool out_of_order;
 	bool sealed; /* the answer is a worker's own */
 } record_t;
@@ -131,6 +137,7 @@
 	uint64_t silence_draws; /* apart, too */
 	uint64_t strain_draws; /* apart, too */
 	uint64_t burst_draws; /* apart, too */
+	uint64_t statement_draws; /* apart, too */
 	int64_t began_ms;
 	/* shared with callers */
 	uint64_t evacuation_draws; /* apart, too */
@@ -263,6 +270,8 @@
 	fields = add_field(fields, "Test-Events", text);
 	snprintf(text, sizeof(text), "%d", GAP_MS);
 	fields = add_field(fields, "Test-Gap-Ms", text);
+	snprintf(text, sizeof(text), "h%u", record->host);
+	fields = add_field(fields, "Test-Sender", text);
 	if (caller->soak->terms.crashing) {
 		char parts[64];
 
@@ -329,6 +338,7 @@
 		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE,
 				  &record->status);
 	record->done_ms = process_now_ms();
+	record->host_lost_ms = soak->host_lost_ms[record->host];
 	record->undisturbed = was_undisturbed(soak, record);
 	curl_slist_free_all(fields);
 	judge_answer(record, &answer, id);
@@ -401,6 +411,29 @@
 	return since && record->sent_ms > since + REVOKE_MS;
 }
 
+/* What a worker says of a request of a host to which it had stated something. */
+static void read_statement(soak_t *soak, const char *line)
+{
+	long long told_ms;
+	unsigned number;
+	bool leaving = sscanf(line, "after_leaving soak-%u %lld", &number,
+			      &told_ms) == 2;
+	record_t *record;
+
+	if (!leaving &&
+	    sscanf(line, "in_rest soak-%u %lld", &number, &told_ms) != 2)
+		return;
+	if (number >= REQUESTS_MAX)
+		return;
+	record = &soak->records[number];
+	if (record->host_lost_ms >= told_ms)
+		return; /* its host need not know */
+	if (!leaving)
+		record->in_rest = true;
+	else if (record->sent_ms > told_ms + DRAIN_MS)
+		record->after_drain = true;
+}
+
 static void read_runs(soak_t *soak, uint32_t worker)
 {
 	FILE *file = fopen(soak->edge.workers[worker].out, "r");
@@ -412,6 +445,7 @@
 
 		bool ran = sscanf(line, "ran soak-%u", &number) == 1;
 
+		read_statement(soak, line);
 		if ((!ran && sscanf(line, "rejected soak-%u", &number) != 1) ||
 		    number >= REQUESTS_MAX)
 			continue;
@@ -775,7 +809,8 @@
 static bool has_worker_links(const soak_t *soak)
 {
 	return !soak->terms.crashing && !soak->terms.silences &&
-	       !soak->terms.strains && !soak->terms.bursts;
+	       !soak->terms.strains && !soak->terms.bursts &&
+	       !soak->terms.statements;
 }
 
 static void fault(soak_t *soak)
@@ -817,9 +852,9 @@
 	char datacentre[16];
 
 	snprintf(datacentre, sizeof(datacentre), "dc%u", worker);
-	edge_list_worker_in(&soak->edge, worker,
-			    soak->terms.evacuations ? datacentre : "a",
-			    "ready");
+	edge_list_process(&soak->edge, worker,
+			  soak->terms.evacuations ? datacentre : "a", "ready",
+			  soak->terms.statements ? 1 + soak->starts : 1);
 }
 
 static void start_worker(soak_t *soak, uint32_t worker)
@@ -1045,6 +1080,10 @@
 		broke(soak, "a sound prompt was rejected", number);
 	if (record->status == 400 && record->runs)
 		broke(soak, "it was rejected as not run, and had run", number);
+	if (record->after_drain)
+		broke(soak, "it was sent to a worker that had left", number);
+	if (record->in_rest)
+		broke(soak, "it was sent in a worker's time of rest", number);
 	if (record->ran_evacuated)
 		broke(soak, "it ran in an evacuated data centre", number);
 	if (was_quiet(soak, record) &&
@@ -1193,16 +1232,14 @@
 	}
 }
 
-/* Hosts end around the start of the strain, and are back before its end. */
-static void end_hosts(soak_t *soak, int64_t until)
+/* Hosts end, and are back some seconds later. */
+static void end_hosts(soak_t *soak, uint64_t *draws, int64_t until)
 {
 	while (process_now_ms() < until) {
 		if (soak->heal_count < HEALS_MAX)
-			fault_host(soak, draw_below(&soak->strain_draws,
-						    soak->terms.hosts));
+			fault_host(soak, draw_below(draws, soak->terms.hosts));
 		wait_healing(soak,
-			     process_now_ms() + 100 +
-				     draw_below(&soak->strain_draws, 400));
+			     process_now_ms() + 100 + draw_below(draws, 400));
 	}
 }
 
@@ -1230,7 +1267,8 @@
 		  strain.worker, strain.all, strain.limit, strain.rejected);
 	soak->result->faults++;
 	touch_all(soak);
-	end_hosts(soak, process_now_ms() + STRAIN_HOSTS_MS);
+	end_hosts(soak, &soak->strain_draws,
+		  process_now_ms() + STRAIN_HOSTS_MS);
 	wait_healing(soak, until - STRAIN_WINDOW_MS);
 	for (uint32_t i = 0; i < soak->terms.workers; i++)
 		before[i] = soak->worker_down[i]
@@ -1248,6 +1286,56 @@
 	add_event(soak, "end of strain");
 }
 
+/* A worker leaves, and is replaced; hosts end meanwhile. */
+static void play_leaving(soak_t *soak, uint32_t worker, int64_t until)
+{
+	edge_leave_worker(&soak->edge, worker);
+	add_event(soak, "worker %u says that it leaves", worker);
+	end_hosts(soak, &soak->statement_draws,
+		  process_now_ms() + STATEMENT_HOSTS_MS);
+	wait_healing(soak, until);
+	fault_worker(soak, worker);
+}
+
+/* One worker or all reject everything for a while, and ask hosts for rest. */
+static void play_rest(soak_t *soak, uint32_t worker, int64_t until)
+{
+	static const char *const rests[] = { "0.7", "1.5", "3", "10", "soon" };
+	uint64_t *draws = &soak->statement_draws;
+	const char *rest =
+		rests[draw_below(draws, sizeof(rests) / sizeof(rests[0]))];
+	bool all = draw_below(draws, 3) == 0;
+	int span = 200 + (int)draw_below(draws, 2500);
+
+	for (uint32_t i = 0; i < soak->terms.workers; i++)
+		if ((all || i == worker) && !soak->worker_down[i])
+			edge_rest_worker(&soak->edge, i, rest, span, "all");
+	add_event(soak, "rest of %s s for %d ms: worker %u, all %d", rest, span,
+		  worker, all);
+	end_hosts(soak, &soak->statement_draws,
+		  process_now_ms() + STATEMENT_HOSTS_MS);
+	wait_healing(soak, until);
+}
+
+static void play_statement(soak_t *soak)
+{
+	uint32_t worker =
+		draw_below(&soak->statement_draws, soak->terms.workers);
+	bool leaves = draw_below(&soak->statement_draws, 2) == 0;
+	int64_t until = process_now_ms() + STATEMENT_MS;
+
+	if (soak->worker_down[worker])
+		return;
+	soak->result->faults++;
+	touch_all(soak);
+	if (leaves)
+		play_leaving(soak, worker, until);
+	else
+		play_rest(soak, worker, until);
+	touch_all(soak);
+	add_event(soak, "end of statement");
+}
+
 /* Callers press beyond the room while faults go on. */
 static void play_burst(soak_t *soak)
 {
@@ -1288,6 +1376,8 @@
 			play_strain(soak);
 		if (soak->terms.bursts)
 			play_burst(soak);
+		if (soak->terms.statements)
+			play_statement(soak);
 		process_sleep_ms((int)draw_below(&soak->draws, PAUSE_MS));
 		if (soak->terms.crashing)
 			find_crashed(soak);
@@ -1328,6 +1418,7 @@
 	soak.path_draws = terms->seed ^ 0x9a7;
 	soak.strain_draws = terms->seed ^ 0x57a1;
 	soak.burst_draws = terms->seed ^ 0xb0457;
+	soak.statement_draws = terms->seed ^ 0x57a7e;
 	soak.began_ms = process_now_ms();
 	soak.silence_draws = terms->seed ^ 0x51e7ce;
 	soak.version = 10;
--- a/test/soak.h
+++ b/test/soak.h
@@ -7,7 +7,7 @@
  * crash, links that are delayed, reset, cut one way or silent, a store that
  * fails, keys that are taken away, data centres that are evacuated, hosts that
  * lose their paths to workers, prompts that crash workers, workers that fall
- * silent, reject most requests or state a limit, callers who press beyond the
+ * silent, reject most requests, state a limit, leave or ask for rest, callers who press beyond the
  * room, with one account beyond its quota. Callers go on all the while. What they
  * and the workers saw is checked against what is promised.
  */
@@ -55,6 +55,12 @@
 	 * workers
 	 */
 	bool bursts;
+	/*
+	 * also workers that say in their answers that they leave, or ask hosts
+	 * for rest, while hosts are killed, frozen or stopped, in place of
+	 * faults of the links to workers
+	 */
+	bool statements;
 } soak_terms_t;
 
 enum { SOAK_CALLERS_MAX = 64, SOAK_TEXT_MAX = 256 };
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -9,7 +9,7 @@
  * most), SOAK_CRASHING=1 prompts that crash workers, SOAK_SILENCES=1 sound
  * workers that fall silent, SOAK_STRAINS=1 workers that reject most requests or
  * state a limit, SOAK_BURSTS=1 callers beyond the room and one account beyond its
- * quota; SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
+ * quota, SOAK_STATEMENTS=1 workers that leave or ask for rest; SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
  */
 
 #include "edge.h"
@@ -30,6 +30,7 @@
 	bool silences;
 	bool strains;
 	bool bursts;
+	bool statements;
 } play_t;
 
 /* Each seed that ever failed stays, with its cause. */
@@ -63,6 +64,10 @@
 	  .why = "none, a fresh seed with strained workers",
 	  .strains = true },
 	{ .seed = 9, .why = "none, a fresh seed with bursts", .bursts = true },
+	{ .seed = 10,
+	  .why = "none, a fresh seed with workers that leave or want rest",
+	  .series = true,
+	  .statements = true },
 };
 
 static uint64_t number_of(const char *name, uint64_t otherwise)
@@ -87,6 +92,7 @@
 		.silences = what->silences,
 		.strains = what->strains,
 		.bursts = what->bursts,
+		.statements = what->statements,
 	};
 	soak_result_t result;
 
@@ -128,6 +134,7 @@
 		.silences = number_of("SOAK_SILENCES", 0) != 0,
 		.strains = number_of("SOAK_STRAINS", 0) != 0,
 		.bursts = number_of("SOAK_BURSTS", 0) != 0,
+		.statements = number_of("SOAK_STATEMENTS", 0) != 0,
 	};
 
 	play(&what);
