placing, exchange: bound what callers hear while all endpoints rest

A request whose time in the queue had just passed would have been refused with why=endpoints_rest though no endpoint rested; it takes the usual way.

--- a/io/exchange.c
+++ b/io/exchange.c
@@ -184,12 +184,23 @@
 	      x->line_count, x->tried_count);
 }
 
-/* Endpoints that all want rest are of no use to anybody sooner. */
+/*
+ * If all endpoints want rest, when the first one ends: but not beyond the
+ * caller's time, as another host may reach one that wants none from here.
+ */
 static pimento_usec_t retry_after(exchange_t *x)
 {
-	pimento_usec_t rest = x->service ? placing_rest_left(x, sys_now()) : 0;
-
-	return rest ? rest : overload_retry_after(x);
+	pimento_usec_t now = sys_now();
+	pimento_usec_t left = x->call.patience
+				      ? x->arrived + x->call.patience - now
+				      : x->end - now;
+	pimento_usec_t rest = x->service ? placing_rest_left(x, now) : 0;
+
+	if (!rest)
+		return overload_retry_after(x);
+	if (left < 0)
+		left = 0;
+	return rest < left ? rest : left;
 }
 
 void exchange_refuse(exchange_t *x, int status, const char *why)
--- a/io/placing.c
+++ b/io/placing.c
@@ -376,6 +376,7 @@
 {
 	registry_endpoint_t *endpoint = NULL;
 	trial_decision_t decision = trials_check(x, now);
+	pimento_usec_t rest;
 
 	if (decision == TRIAL_WAIT)
 		return STEP_HELD;
@@ -389,7 +390,8 @@
 	case PLACEMENT_FOUND:
 		return take_place(x, endpoint, now);
 	case PLACEMENT_FULL:
-		if (now + placing_rest_left(x, now) > x->wait.expires_at)
+		rest = placing_rest_left(x, now);
+		if (rest && now + rest > x->wait.expires_at)
 			return refuse_unplaceable(x, "endpoints_rest", now);
 		return stand_in_lines(x, now);
 	case PLACEMENT_EVACUATED:
