--- a/io/statements.c
+++ b/io/statements.c
@@ -125,12 +125,12 @@
 		.at = now,
 	};
 
+	send_departure(slots, via, &departure, now);
 	if (endpoint->stated_leaving)
 		return;
 	(void)registry_depart(slots->registry, &departure, now);
 	log_leaving(endpoint, &departure, "self");
 	send_departure(slots, slots_owner(slots, endpoint), &departure, now);
-	send_departure(slots, via, &departure, now);
 }
 
 void statements_receive_departure(slots_t *slots, const departure_t *departure,
--- a/test/test_departures.c
+++ b/test/test_departures.c
@@ -4,10 +4,13 @@
  */
 
 #include "edge.h"
+#include "feed.h"
 
+#include <arpa/inet.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
+#include <string.h>
 
 enum {
 	HOSTS = 3,
@@ -26,7 +29,8 @@
 
 static void teardown(void)
 {
-	edge_stop(&edge);
+	if (edge.host_count)
+		edge_stop(&edge);
 }
 
 static void send_requests(uint32_t host, const char *path)
@@ -234,6 +238,43 @@
 }
 END_TEST
 
+static void ignore_configuration(void *context, catalog_t *catalog)
+{
+	(void)context;
+	catalog_release(catalog);
+}
+
+/*
+ * Guards against a host that starts and reports removals of the past: endpoints
+ * that the others keep for a while after an outage of the store.
+ */
+START_TEST(removals_of_the_past_are_not_reported)
+{
+	static const char key[] = "servers/w";
+	static const char value[] =
+		"{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"a\","
+		"\"slots\":8,\"state\":\"ready\",\"born\":1}";
+	static const feed_ops_t ops = { .config_updated =
+						ignore_configuration };
+	const net_address_t store = { INADDR_LOOPBACK, 1 };
+	static registry_t registry;
+	static feed_t feed;
+	replica_t *records = &feed.replicas[REPLICA_ENDPOINTS];
+
+	registry_init(&registry);
+	feed_init(&feed, ev_default_loop(EVFLAG_NOENV), &store, &registry, &ops,
+		  NULL);
+	ck_assert_int_eq(replica_put(records, key, NULL, 0, 7), 0);
+	ck_assert_uint_eq(registry.departures.count, 0);
+	ck_assert_int_eq(replica_put(records, key, value, strlen(value), 8), 0);
+	ck_assert_int_eq(replica_put(records, key, NULL, 0, 9), 0);
+	ck_assert_uint_eq(registry.departures.count, 1);
+	ck_assert_uint_eq(registry.departures.list[0].revision, 9);
+	feed_finish(&feed);
+	registry_finish(&registry);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("departures");
@@ -246,6 +287,7 @@
 	tcase_add_loop_test(tests,
 			    an_endpoint_that_says_that_it_leaves_gets_no_more,
 			    0, sizeof(scenarios) / sizeof(scenarios[0]));
+	tcase_add_test(tests, removals_of_the_past_are_not_reported);
 	tcase_add_test(tests, a_new_process_of_an_endpoint_that_left_is_used);
 	suite_add_tcase(suite, tests);
 	return process_run_suite(suite);
