--- a/io/statements.c
+++ b/io/statements.c
@@ -171,8 +171,8 @@
 	      (long long)((endpoint->rest.until - now) / PIMENTO_MSEC), by);
 }
 
-static void send_rest(const slots_t *slots, const registry_endpoint_t *endpoint,
-		      pimento_usec_t now)
+static void send_rest(const slots_t *slots, uint32_t address,
+		      const registry_endpoint_t *endpoint, pimento_usec_t now)
 {
 	packet_t packet = { .kind = PACKET_REST };
 
@@ -181,7 +181,8 @@
 		.process = registry_process_id(endpoint),
 		.span = endpoint->rest.until - now,
 	};
-	slots_send(slots, endpoint->rest.via, &packet);
+	if (address && rest_is_asked(&endpoint->rest, now))
+		slots_send(slots, address, &packet);
 }
 
 void statements_learn_rest(slots_t *slots, registry_endpoint_t *endpoint,
@@ -190,12 +191,9 @@
 {
 	bool known = rest_is_asked(&endpoint->rest, now);
 
-	if (!rest_state(&endpoint->rest, span, via, now))
-		return;
-	if (!known)
+	if (rest_state(&endpoint->rest, span, via, now) && !known)
 		log_rest(endpoint, "self", now);
-	if (via)
-		send_rest(slots, endpoint, now);
+	send_rest(slots, via, endpoint, now);
 }
 
 void statements_receive_rest(slots_t *slots, const packet_rest_t *rest,
@@ -243,8 +241,7 @@
 	for (uint32_t i = 0; i < slots->registry->count; i++) {
 		const registry_endpoint_t *e = slots->registry->endpoints[i];
 
-		if (e->rest.via && rest_is_asked(&e->rest, now) &&
-		    now - e->rest.stated_at < REST_REPORT_SPAN)
-			send_rest(slots, e, now);
+		if (now - e->rest.stated_at < REST_REPORT_SPAN)
+			send_rest(slots, e->rest.via, e, now);
 	}
 }
--- a/test/test_rest.c
+++ b/test/test_rest.c
@@ -51,7 +51,8 @@
 
 static void teardown(void)
 {
-	edge_stop(&edge);
+	if (edge.host_count)
+		edge_stop(&edge);
 }
 
 static void *run_caller(void *data)
