--- a/test/test_edge_links.c
+++ b/test/test_edge_links.c
@@ -10,6 +10,8 @@
 
 enum {
 	DRAIN_MS = 3000, /* a draining endpoint gets no requests after this */
+	DEPARTURE_MS =
+		2000, /* the same, the shortest time of all deployments */
 	EFFECT_MS = 6000,
 	START_MS = 8000,
 	PROPAGATION_MS = 500, /* of a change over idle links */
@@ -224,6 +226,31 @@
 }
 END_TEST
 
+static void drain_workers(void)
+{
+	list_workers("draining");
+}
+
+static void (*const departures[])(void) = { drain_workers, remove_workers };
+
+/* Guards against hosts that learn of departures by fetches from peers alone. */
+START_TEST(departures_reach_a_host_whose_fetches_fail)
+{
+	relay_peers(0);
+	ck_assert(edge_wait_health(&edge, 2, 200, START_MS));
+	ck_assert_int_gt(requests_through(2), 0);
+	for (uint32_t i = 0; i < 2; i++)
+		relay_shut_door(&peer_links[i], RELAY_HANGS);
+	departures[_i]();
+	process_sleep_ms(DEPARTURE_MS);
+	for (uint32_t i = 0; i < 2; i++) /* keeps slot owners from answering */
+		process_freeze(&edge.hosts[i].process);
+	ck_assert_int_eq(requests_through(2), 0);
+	for (uint32_t i = 0; i < 2; i++)
+		process_thaw(&edge.hosts[i].process);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_links");
@@ -247,6 +274,8 @@
 	tcase_add_test(
 		tests,
 		a_host_without_the_store_drops_removed_endpoints_at_once);
+	tcase_add_loop_test(tests, departures_reach_a_host_whose_fetches_fail,
+			    0, sizeof(departures) / sizeof(departures[0]));
 	tcase_add_test(tests, unresponsive_peers_delay_no_change);
 	suite_add_tcase(suite, tests);
 	return process_run_suite(suite);
