backoff: the field's word for the time of rest that endpoints state

What the users' pages call rest is a backoff, and an endpoint after it is half open until a probe is not rejected: rest.c, its type, functions, log lines (backoff_stated, endpoint_in_backoff, endpoints_in_backoff), metric, message, test and pages have these names now. They are new with this change, so that nobody reads the old ones.

--- a/io/dialect.h
+++ b/io/dialect.h
@@ -47,8 +47,8 @@
 	bool encoded; /* the body is not as the endpoint made it */
 	/* the endpoint's limit, see rate_limit.h; 0: it states none */
 	uint32_t rate_limit;
-	/* for how long it wants nothing more from this host, see rest.h; 0 */
-	pimento_usec_t rest;
+	/* time to back off from the endpoint, see backoff.h; 0: none */
+	pimento_usec_t retry_after;
 } dialect_answer_t;
 
 typedef struct dialect_ops {
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -89,9 +89,9 @@
 		return;
 	dispatch_read(attempt);
 	free_slot(attempt);
-	if (attempt->on_trial)
-		rest_end_trial(&endpoint->rest);
-	attempt->on_trial = false;
+	if (attempt->is_probe)
+		backoff_end_probe(&endpoint->backoff);
+	attempt->is_probe = false;
 	endpoint->refs--;
 	attempt->endpoint = NULL;
 	attempt->conn = NULL;
@@ -182,8 +182,8 @@
 		dispatch_over(x, PIMENTO_NOT_RUN, 0, "endpoint_left");
 		return;
 	}
-	if (rest_is_asked(&x->attempt.endpoint->rest, now)) {
-		dispatch_over(x, PIMENTO_NOT_RUN, 0, "endpoint_rests");
+	if (backoff_is_active(&x->attempt.endpoint->backoff, now)) {
+		dispatch_over(x, PIMENTO_NOT_RUN, 0, "endpoint_in_backoff");
 		return;
 	}
 	if (now + TIME_LEAST > x->end) {
@@ -302,7 +302,7 @@
 	x->attempt.begun_at = now;
 	x->attempt.endpoint = endpoint;
 	x->attempt.life = endpoint->incarnation;
-	x->attempt.on_trial = rest_begin(&endpoint->rest);
+	x->attempt.is_probe = backoff_begin_request(&endpoint->backoff);
 	x->attempt.ahead = endpoint->pending_prompt_tokens +
 			   endpoint->remote_prompt_tokens;
 	x->attempt.reading = x->call.prompt;
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -185,8 +185,8 @@
 }
 
 /*
- * If all endpoints want rest, when the first one ends: but not beyond the
- * caller's time, as another host may reach one that wants none from here.
+ * If this host backs off from all endpoints, when the first backoff ends; not
+ * beyond the caller's time, as other hosts need not back off.
  */
 static pimento_usec_t retry_after(exchange_t *x)
 {
@@ -194,13 +194,13 @@
 	pimento_usec_t left = x->call.patience
 				      ? x->arrived + x->call.patience - now
 				      : x->end - now;
-	pimento_usec_t rest = x->service ? placing_rest_left(x, now) : 0;
+	pimento_usec_t backoff = x->service ? placing_backoff_left(x, now) : 0;
 
-	if (!rest)
+	if (!backoff)
 		return overload_retry_after(x);
 	if (left < 0)
 		left = 0;
-	return rest < left ? rest : left;
+	return backoff < left ? backoff : left;
 }
 
 void exchange_refuse(exchange_t *x, int status, const char *why)
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -49,7 +49,7 @@
 	bool acknowledged; /* the request, by the next host */
 	bool unreached; /* no connection was made */
 	bool overdue; /* its endpoint is not taken for busy with it any more */
-	bool on_trial; /* after a rest, see rest.h */
+	bool is_probe; /* of a half-open endpoint, see backoff.h */
 	bool granted; /* its place, by the endpoint's owner */
 	bool reused; /* the connection had rested */
 	bool told_pace; /* the owner heard how fast its events come */
@@ -199,9 +199,9 @@
  * served as usual. The exchange may be over then.
  */
 void placing_begin(exchange_t *exchange);
-/* Until the first endpoint ends its rest, if all are at rest; otherwise 0. */
-pimento_usec_t placing_rest_left(const exchange_t *exchange,
-				 pimento_usec_t now);
+/* Until the first backoff ends, if it backs off from all endpoints; otherwise 0. */
+pimento_usec_t placing_backoff_left(const exchange_t *exchange,
+				    pimento_usec_t now);
 /* Leaves all lines. */
 void placing_leave_lines(exchange_t *exchange);
 /* Gives back the place that the attempt holds, if any. */
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -235,10 +235,10 @@
 			statements_receive_departure(
 				mesh->slots, &packet.as.departure, from, now);
 		break;
-	case PACKET_REST:
+	case PACKET_BACKOFF:
 		if (peers_is_known(mesh->roster, from))
-			statements_receive_rest(mesh->slots, &packet.as.rest,
-						from, now);
+			statements_receive_backoff(
+				mesh->slots, &packet.as.backoff, from, now);
 		break;
 	default:
 		slots_take(mesh->slots, &packet, now);
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -87,13 +87,14 @@
 	return leaving;
 }
 
-static uint32_t endpoints_at_rest(const registry_t *registry,
-				  pimento_usec_t now)
+static uint32_t endpoints_in_backoff(const registry_t *registry,
+				     pimento_usec_t now)
 {
 	uint32_t at_rest = 0;
 
 	for (uint32_t i = 0; i < registry->count; i++)
-		at_rest += rest_is_asked(&registry->endpoints[i]->rest, now);
+		at_rest += backoff_is_active(&registry->endpoints[i]->backoff,
+					     now);
 	return at_rest;
 }
 
@@ -209,8 +210,8 @@
 	gauge(text, "endpoints_slow", endpoints_slow(gateway->registry));
 	gauge(text, "endpoints_leaving",
 	      endpoints_leaving(gateway->registry, sources->now));
-	gauge(text, "endpoints_at_rest",
-	      endpoints_at_rest(gateway->registry, sources->now));
+	gauge(text, "endpoints_in_backoff",
+	      endpoints_in_backoff(gateway->registry, sources->now));
 	gauge(text, "endpoints_limited",
 	      endpoints_limited(gateway->registry, sources->now));
 	gauge(text, "paths_lost", paths_lost(gateway->registry));
--- a/io/placing.c
+++ b/io/placing.c
@@ -376,7 +376,7 @@
 {
 	registry_endpoint_t *endpoint = NULL;
 	trial_decision_t decision = trials_check(x, now);
-	pimento_usec_t rest;
+	pimento_usec_t backoff;
 
 	if (decision == TRIAL_WAIT)
 		return STEP_HELD;
@@ -390,9 +390,10 @@
 	case PLACEMENT_FOUND:
 		return take_place(x, endpoint, now);
 	case PLACEMENT_FULL:
-		rest = placing_rest_left(x, now);
-		if (rest && now + rest > x->wait.expires_at)
-			return refuse_unplaceable(x, "endpoints_rest", now);
+		backoff = placing_backoff_left(x, now);
+		if (backoff && now + backoff > x->wait.expires_at)
+			return refuse_unplaceable(x, "endpoints_in_backoff",
+						  now);
 		return stand_in_lines(x, now);
 	case PLACEMENT_EVACUATED:
 		return refuse_unplaceable(x, "evacuated", now);
@@ -477,7 +478,7 @@
 		else if (age < ASK_MOST &&
 			 registry_endpoint_accepts_work(line->endpoint, now) &&
 			 !endpoint_path_is_blocked(&line->endpoint->path) &&
-			 !rest_blocks(&line->endpoint->rest, now))
+			 !backoff_blocks(&line->endpoint->backoff, now))
 			continue;
 		left[count++] = take_line(x, i);
 	}
@@ -485,10 +486,10 @@
 	return count > 0;
 }
 
-pimento_usec_t placing_rest_left(const exchange_t *x, pimento_usec_t now)
+pimento_usec_t placing_backoff_left(const exchange_t *x, pimento_usec_t now)
 {
-	pimento_usec_t end =
-		placement_rest_end(x->gateway->registry, x->service->key, now);
+	pimento_usec_t end = placement_backoff_end(x->gateway->registry,
+						   x->service->key, now);
 
 	return end ? end - now : 0;
 }
@@ -516,7 +517,7 @@
 
 	return registry_endpoint_accepts_work(endpoint, now) &&
 	       !endpoint_path_is_blocked(&endpoint->path) &&
-	       !rest_blocks(&endpoint->rest, now) &&
+	       !backoff_blocks(&endpoint->backoff, now) &&
 	       placement_accepts_grant(x->gateway->registry, &request, endpoint,
 				       now);
 }
--- a/io/relay.c
+++ b/io/relay.c
@@ -198,20 +198,21 @@
 					 conn->via, sys_now());
 }
 
-/* Whether the endpoint wants requests of this host; see rest.h. */
-static void learn_rest(const exchange_t *x, const httpc_t *conn,
-		       const dialect_answer_t *answer)
+/* Whether this host is to back off from the endpoint. */
+static void learn_backoff(const exchange_t *x, const httpc_t *conn,
+			  const dialect_answer_t *answer)
 {
 	const attempt_t *attempt = attempt_of(x, conn);
 
 	if (!is_from_process(attempt, conn))
 		return;
 	if (conn->status != HTTP_STATUS_SERVICE_UNAVAILABLE) {
-		if (attempt->on_trial)
-			rest_trial_succeeded(&attempt->endpoint->rest);
-	} else if (answer->rest) {
-		statements_learn_rest(x->gateway->slots, attempt->endpoint,
-				      answer->rest, conn->via, sys_now());
+		if (attempt->is_probe)
+			backoff_clear(&attempt->endpoint->backoff);
+	} else if (answer->retry_after) {
+		statements_learn_backoff(x->gateway->slots, attempt->endpoint,
+					 answer->retry_after, conn->via,
+					 sys_now());
 	}
 }
 
@@ -243,7 +244,7 @@
 		note_heard(conn, sys_now());
 	x->gateway->dialect->read_answer(&conn->head, x->call.id, &answer);
 	learn_leaving(x, conn, &answer);
-	learn_rest(x, conn, &answer);
+	learn_backoff(x, conn, &answer);
 	if (!answer.mine && !answer.not_run &&
 	    conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
 		return false;
--- a/io/slots.c
+++ b/io/slots.c
@@ -341,7 +341,7 @@
 	case PACKET_RATE_LIMIT:
 	case PACKET_DEMAND:
 	case PACKET_DEPARTURE:
-	case PACKET_REST:
+	case PACKET_BACKOFF:
 		break; /* the mesh's own */
 	}
 }
--- a/io/statements.c
+++ b/io/statements.c
@@ -4,8 +4,8 @@
 
 #include <arpa/inet.h>
 
-/* A rest is reported to the peer it holds for until then: datagrams are lost. */
-#define REST_REPORT_SPAN (400 * PIMENTO_MSEC)
+/* For so long a backoff is repeated to the peer it holds for. */
+#define BACKOFF_REPORT_SPAN (400 * PIMENTO_MSEC)
 
 /* Rate limits. */
 
@@ -138,17 +138,18 @@
 {
 	const struct in_addr by = { htonl(source) };
 	char text[INET_ADDRSTRLEN] = "";
-	departure_t heard = *departure;
+	departure_t received = *departure;
 	registry_endpoint_t *endpoint;
 
-	if (heard.at == PIMENTO_NEVER || !heard.process == !heard.revision)
+	if (received.at == PIMENTO_NEVER ||
+	    !received.process == !received.revision)
 		return;
-	heard.at = now - heard.at;
-	endpoint = registry_depart(slots->registry, &heard, now);
+	received.at = now - received.at;
+	endpoint = registry_depart(slots->registry, &received, now);
 	if (!endpoint)
 		return;
 	inet_ntop(AF_INET, &by, text, sizeof(text));
-	log_leaving(endpoint, &heard, text);
+	log_leaving(endpoint, &received, text);
 }
 
 void statements_report_departure(const slots_t *slots, uint32_t endpoint,
@@ -161,56 +162,58 @@
 		send_departure(slots, address, departure, now);
 }
 
-/* Rests. */
+/* Backoff. */
 
-static void log_rest(const registry_endpoint_t *endpoint, const char *by,
-		     pimento_usec_t now)
+static void log_backoff(const registry_endpoint_t *endpoint, const char *by,
+			pimento_usec_t now)
 {
-	trail(TRAIL_STATE, "endpoint", "rest_asked",
+	trail(TRAIL_STATE, "endpoint", "backoff_stated",
 	      "endpoint=%s ms=%lld by=%s", endpoint->id,
-	      (long long)((endpoint->rest.until - now) / PIMENTO_MSEC), by);
+	      (long long)((endpoint->backoff.until - now) / PIMENTO_MSEC), by);
 }
 
-static void send_rest(const slots_t *slots, uint32_t address,
-		      const registry_endpoint_t *endpoint, pimento_usec_t now)
+static void send_backoff(const slots_t *slots, uint32_t address,
+			 const registry_endpoint_t *endpoint,
+			 pimento_usec_t now)
 {
-	packet_t packet = { .kind = PACKET_REST };
+	packet_t packet = { .kind = PACKET_BACKOFF };
 
-	packet.as.rest = (packet_rest_t){
+	packet.as.backoff = (packet_backoff_t){
 		.endpoint = (uint32_t)endpoint->key,
 		.process = registry_process_id(endpoint),
-		.span = endpoint->rest.until - now,
+		.span = endpoint->backoff.until - now,
 	};
-	if (address && rest_is_asked(&endpoint->rest, now))
+	if (address && backoff_is_active(&endpoint->backoff, now))
 		slots_send(slots, address, &packet);
 }
 
-void statements_learn_rest(slots_t *slots, registry_endpoint_t *endpoint,
-			   pimento_usec_t span, uint32_t via,
-			   pimento_usec_t now)
+void statements_learn_backoff(slots_t *slots, registry_endpoint_t *endpoint,
+			      pimento_usec_t span, uint32_t via,
+			      pimento_usec_t now)
 {
-	bool known = rest_is_asked(&endpoint->rest, now);
+	bool known = backoff_is_active(&endpoint->backoff, now);
 
-	if (rest_state(&endpoint->rest, span, via, now) && !known)
-		log_rest(endpoint, "self", now);
-	send_rest(slots, via, endpoint, now);
+	if (backoff_extend(&endpoint->backoff, span, via, now) && !known)
+		log_backoff(endpoint, "self", now);
+	send_backoff(slots, via, endpoint, now);
 }
 
-void statements_receive_rest(slots_t *slots, const packet_rest_t *rest,
-			     uint32_t source, pimento_usec_t now)
+void statements_receive_backoff(slots_t *slots, const packet_backoff_t *backoff,
+				uint32_t source, pimento_usec_t now)
 {
-	registry_endpoint_t *endpoint = slots_endpoint(slots, rest->endpoint);
+	registry_endpoint_t *endpoint =
+		slots_endpoint(slots, backoff->endpoint);
 	const struct in_addr by = { htonl(source) };
 	char text[INET_ADDRSTRLEN] = "";
 	bool known;
 
-	if (!endpoint || rest->process != registry_process_id(endpoint))
+	if (!endpoint || backoff->process != registry_process_id(endpoint))
 		return;
-	known = rest_is_asked(&endpoint->rest, now);
-	if (!rest_state(&endpoint->rest, rest->span, 0, now) || known)
+	known = backoff_is_active(&endpoint->backoff, now);
+	if (!backoff_extend(&endpoint->backoff, backoff->span, 0, now) || known)
 		return;
 	inet_ntop(AF_INET, &by, text, sizeof(text));
-	log_rest(endpoint, text, now);
+	log_backoff(endpoint, text, now);
 }
 
 /* All of them. */
@@ -241,7 +244,7 @@
 	for (uint32_t i = 0; i < slots->registry->count; i++) {
 		const registry_endpoint_t *e = slots->registry->endpoints[i];
 
-		if (now - e->rest.stated_at < REST_REPORT_SPAN)
-			send_rest(slots, e->rest.via, e, now);
+		if (now - e->backoff.stated_at < BACKOFF_REPORT_SPAN)
+			send_backoff(slots, e->backoff.via, e, now);
 	}
 }
--- a/io/statements.h
+++ b/io/statements.h
@@ -4,7 +4,7 @@
 /*
  * What endpoints state of themselves in their answers, and how hosts report it
  * to each other: a limit of requests (rate_limit.h), that they leave
- * (departures.h), that they want a rest (rest.h). Departures are also reported
+ * (departures.h), when a host may retry (backoff.h). Departures are also reported
  * from the endpoints' records.
  */
 
@@ -25,11 +25,11 @@
 			      uint32_t via, pimento_usec_t now);
 /*
  * An answer to a request that went through the peer `via` (0: none) says that
- * the endpoint wants nothing from this host and that peer for so long.
+ * this host and that peer are to back off from the endpoint for so long.
  */
-void statements_learn_rest(slots_t *slots, registry_endpoint_t *endpoint,
-			   pimento_usec_t span, uint32_t via,
-			   pimento_usec_t now);
+void statements_learn_backoff(slots_t *slots, registry_endpoint_t *endpoint,
+			      pimento_usec_t span, uint32_t via,
+			      pimento_usec_t now);
 
 /* What the host `source` reports; times in it are ages. */
 void statements_receive_rate_limit(slots_t *slots,
@@ -37,8 +37,8 @@
 				   uint32_t source, pimento_usec_t now);
 void statements_receive_departure(slots_t *slots, const departure_t *departure,
 				  uint32_t source, pimento_usec_t now);
-void statements_receive_rest(slots_t *slots, const packet_rest_t *rest,
-			     uint32_t source, pimento_usec_t now);
+void statements_receive_backoff(slots_t *slots, const packet_backoff_t *backoff,
+				uint32_t source, pimento_usec_t now);
 
 /* Reports to one host that an endpoint leaves, if this host knows it. */
 void statements_report_departure(const slots_t *slots, uint32_t endpoint,
--- a/io/tunnel.c
+++ b/io/tunnel.c
@@ -46,7 +46,7 @@
 	size_t request_length;
 	bool busy;
 	bool closing; /* once the peer has been sent everything */
-	bool told_leaving; /* the peer, to use it no more */
+	bool sent_leaving; /* the peer, to use it no more */
 	pimento_usec_t since; /* it was opened, or last became idle */
 };
 
@@ -333,7 +333,7 @@
 
 	if (!endpoint || strcmp(endpoint->id, id) != 0 ||
 	    !registry_endpoint_accepts_work(endpoint, now) ||
-	    rest_is_asked(&endpoint->rest, now))
+	    backoff_is_active(&endpoint->backoff, now))
 		return NULL;
 	return endpoint;
 }
@@ -443,18 +443,18 @@
 }
 
 /* Has the peer close the tunnel once it is idle. Returns false if it broke. */
-static bool tell_leaving(tunnel_t *tunnel)
+static bool send_leaving(tunnel_t *tunnel)
 {
-	tunnel->told_leaving = true;
+	tunnel->sent_leaving = true;
 	return send_frame(tunnel, FRAME_LEAVING, "", 0);
 }
 
 /* True if this host is to send the endpoint nothing, and the peer may not know. */
 static bool is_to_be_closed(const tunnel_t *tunnel, pimento_usec_t now)
 {
-	return !tunnel->asker && !tunnel->closing && !tunnel->told_leaving &&
+	return !tunnel->asker && !tunnel->closing && !tunnel->sent_leaving &&
 	       (!registry_endpoint_accepts_work(tunnel->target, now) ||
-		rest_is_asked(&tunnel->target->rest, now));
+		backoff_is_active(&tunnel->target->backoff, now));
 }
 
 void tunnels_tick(tunnels_t *tunnels, pimento_usec_t now)
@@ -472,7 +472,7 @@
 		else if (!tunnel->asker && !tunnel->busy &&
 			 now - tunnel->since > IDLE_TIMEOUT)
 			tunnel_end(tunnel, "idle");
-		else if (is_to_be_closed(tunnel, now) && !tell_leaving(tunnel))
+		else if (is_to_be_closed(tunnel, now) && !send_leaving(tunnel))
 			tunnel_end(tunnel, "peer_gone");
 	}
 }
@@ -484,7 +484,7 @@
 	tunnels->stopping = true;
 	for (tunnel_t *tunnel = tunnels->list; tunnel; tunnel = next) {
 		next = tunnel->next;
-		if (!tunnel->asker && !tunnel->closing && !tell_leaving(tunnel))
+		if (!tunnel->asker && !tunnel->closing && !send_leaving(tunnel))
 			tunnel_end(tunnel, "peer_gone");
 	}
 }
--- a/src/explain.c
+++ b/src/explain.c
@@ -35,12 +35,12 @@
 	  "the endpoint refused the request because it is full" },
 	{ "endpoint_left", "the endpoint restarted or stopped accepting work "
 			   "while this host connected to it" },
-	{ "endpoint_rests", "the endpoint asked this host for rest while the "
-			    "host connected to it" },
-	{ "endpoints_rest",
-	  "every endpoint asked this host for rest, for longer "
+	{ "endpoint_in_backoff", "the endpoint stated a backoff while the "
+				 "host connected to it" },
+	{ "endpoints_in_backoff",
+	  "every endpoint stated a backoff for this host, longer "
 	  "than the request could wait; see log lines with "
-	  "event=rest_asked" },
+	  "event=backoff_stated" },
 	{ "endpoints_failed",
 	  "the request failed at every endpoint that may be tried" },
 	{ "endpoints_full", "every endpoint that may be tried is full" },
--- a/src/packet.c
+++ b/src/packet.c
@@ -359,16 +359,17 @@
 	return encode(&message, bytes, size);
 }
 
-static int pack_rest(const packet_rest_t *rest, uint8_t *bytes, size_t size)
+static int pack_backoff(const packet_backoff_t *backoff, uint8_t *bytes,
+			size_t size)
 {
 	Peer__Packet message = PEER__PACKET__INIT;
-	Peer__Rest out = PEER__REST__INIT;
+	Peer__Backoff out = PEER__BACKOFF__INIT;
 
-	out.endpoint = rest->endpoint;
-	out.process = rest->process;
-	out.span_ms = (uint32_t)(rest->span / PIMENTO_MSEC) + 1;
-	message.content_case = PEER__PACKET__CONTENT_REST;
-	message.rest = &out;
+	out.endpoint = backoff->endpoint;
+	out.process = backoff->process;
+	out.span_ms = (uint32_t)(backoff->span / PIMENTO_MSEC) + 1;
+	message.content_case = PEER__PACKET__CONTENT_BACKOFF;
+	message.backoff = &out;
 	return encode(&message, bytes, size);
 }
 
@@ -512,8 +513,8 @@
 		return pack_rate_limit(&packet->as.rate_limit, bytes, size);
 	case PACKET_DEPARTURE:
 		return pack_departure(&packet->as.departure, bytes, size);
-	case PACKET_REST:
-		return pack_rest(&packet->as.rest, bytes, size);
+	case PACKET_BACKOFF:
+		return pack_backoff(&packet->as.backoff, bytes, size);
 	}
 	return PIMENTO_EINVAL;
 }
@@ -882,12 +883,12 @@
 		packet->kind = PACKET_DEPARTURE;
 		copy_departure(&packet->as.departure, message->departure);
 		return 0;
-	case PEER__PACKET__CONTENT_REST:
-		packet->kind = PACKET_REST;
-		packet->as.rest = (packet_rest_t){
-			.endpoint = message->rest->endpoint,
-			.process = message->rest->process,
-			.span = message->rest->span_ms * PIMENTO_MSEC,
+	case PEER__PACKET__CONTENT_BACKOFF:
+		packet->kind = PACKET_BACKOFF;
+		packet->as.backoff = (packet_backoff_t){
+			.endpoint = message->backoff->endpoint,
+			.process = message->backoff->process,
+			.span = message->backoff->span_ms * PIMENTO_MSEC,
 		};
 		return 0;
 	default:
--- a/src/packet.h
+++ b/src/packet.h
@@ -26,7 +26,7 @@
 	PACKET_RATE_LIMIT,
 	PACKET_DEMAND,
 	PACKET_DEPARTURE,
-	PACKET_REST
+	PACKET_BACKOFF
 } packet_kind_t;
 
 typedef enum packet_trial_kind {
@@ -71,12 +71,12 @@
 	uint32_t running;
 } packet_running_report_t;
 
-/* An endpoint that wants no requests from the receiver; see rest.h. */
-typedef struct packet_rest {
+/* An endpoint from which the receiver is to back off; see backoff.h. */
+typedef struct packet_backoff {
 	uint32_t endpoint; /* low 32 bits of the endpoint's key */
 	uint32_t process; /* registry_process_id() */
 	pimento_usec_t span;
-} packet_rest_t;
+} packet_backoff_t;
 
 typedef struct packet {
 	packet_kind_t kind;
@@ -91,7 +91,7 @@
 		rate_limit_report_t rate_limit;
 		demand_report_t demand;
 		departure_t departure; /* at: how long ago */
-		packet_rest_t rest;
+		packet_backoff_t backoff;
 	} as;
 } packet_t;
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -367,49 +367,49 @@
   assert(message->base.descriptor == &peer__departure__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   peer__rest__init
-                     (Peer__Rest         *message)
+void   peer__backoff__init
+                     (Peer__Backoff         *message)
 {
-  static const Peer__Rest init_value = PEER__REST__INIT;
+  static const Peer__Backoff init_value = PEER__BACKOFF__INIT;
   *message = init_value;
 }
-size_t peer__rest__get_packed_size
-                     (const Peer__Rest *message)
+size_t peer__backoff__get_packed_size
+                     (const Peer__Backoff *message)
 {
-  assert(message->base.descriptor == &peer__rest__descriptor);
+  assert(message->base.descriptor == &peer__backoff__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer__rest__pack
-                     (const Peer__Rest *message,
+size_t peer__backoff__pack
+                     (const Peer__Backoff *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &peer__rest__descriptor);
+  assert(message->base.descriptor == &peer__backoff__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer__rest__pack_to_buffer
-                     (const Peer__Rest *message,
+size_t peer__backoff__pack_to_buffer
+                     (const Peer__Backoff *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer__rest__descriptor);
+  assert(message->base.descriptor == &peer__backoff__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Peer__Rest *
-       peer__rest__unpack
+Peer__Backoff *
+       peer__backoff__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Peer__Rest *)
-     protobuf_c_message_unpack (&peer__rest__descriptor,
+  return (Peer__Backoff *)
+     protobuf_c_message_unpack (&peer__backoff__descriptor,
                                 allocator, len, data);
 }
-void   peer__rest__free_unpacked
-                     (Peer__Rest *message,
+void   peer__backoff__free_unpacked
+                     (Peer__Backoff *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &peer__rest__descriptor);
+  assert(message->base.descriptor == &peer__backoff__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   peer__note__init
@@ -1510,7 +1510,7 @@
   (ProtobufCMessageInit) peer__departure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__rest__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer__backoff__field_descriptors[3] =
 {
   {
     "endpoint",
@@ -1518,7 +1518,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Rest, endpoint),
+    offsetof(Peer__Backoff, endpoint),
     NULL,
     NULL,
     0,             /* flags */
@@ -1530,7 +1530,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Rest, process),
+    offsetof(Peer__Backoff, process),
     NULL,
     NULL,
     0,             /* flags */
@@ -1542,36 +1542,36 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Peer__Rest, span_ms),
+    offsetof(Peer__Backoff, span_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer__rest__field_indices_by_name[] = {
+static const unsigned peer__backoff__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
   1,   /* field[1] = process */
   2,   /* field[2] = span_ms */
 };
-static const ProtobufCIntRange peer__rest__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer__backoff__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor peer__rest__descriptor =
+const ProtobufCMessageDescriptor peer__backoff__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "peer.Rest",
-  "Rest",
-  "Peer__Rest",
+  "peer.Backoff",
+  "Backoff",
+  "Peer__Backoff",
   "peer",
-  sizeof(Peer__Rest),
+  sizeof(Peer__Backoff),
   3,
-  peer__rest__field_descriptors,
-  peer__rest__field_indices_by_name,
-  1,  peer__rest__number_ranges,
-  (ProtobufCMessageInit) peer__rest__init,
+  peer__backoff__field_descriptors,
+  peer__backoff__field_indices_by_name,
+  1,  peer__backoff__number_ranges,
+  (ProtobufCMessageInit) peer__backoff__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor peer__note__field_descriptors[22] =
@@ -3095,13 +3095,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rest",
+    "backoff",
     11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Peer__Packet, content_case),
-    offsetof(Peer__Packet, rest),
-    &peer__rest__descriptor,
+    offsetof(Peer__Packet, backoff),
+    &peer__backoff__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -3109,6 +3109,7 @@
 };
 static const unsigned peer__packet__field_indices_by_name[] = {
   1,   /* field[1] = ask */
+  10,   /* field[10] = backoff */
   8,   /* field[8] = demand */
   9,   /* field[9] = departure */
   0,   /* field[0] = note */
@@ -3117,7 +3118,6 @@
   3,   /* field[3] = release */
   2,   /* field[2] = reply */
   4,   /* field[4] = report */
-  10,   /* field[10] = rest */
   6,   /* field[6] = trial */
 };
 static const ProtobufCIntRange peer__packet__number_ranges[1 + 1] =
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -23,7 +23,7 @@
 typedef struct Peer__Evidence Peer__Evidence;
 typedef struct Peer__RateLimit Peer__RateLimit;
 typedef struct Peer__Departure Peer__Departure;
-typedef struct Peer__Rest Peer__Rest;
+typedef struct Peer__Backoff Peer__Backoff;
 typedef struct Peer__Note Peer__Note;
 typedef struct Peer__Report Peer__Report;
 typedef struct Peer__Record Peer__Record;
@@ -241,9 +241,9 @@
 
 
 /*
- * An endpoint wants no requests from the receiver, through whose tunnel it said so.
+ * A backoff from an endpoint that stated it through the receiver's tunnel.
  */
-struct  Peer__Rest
+struct  Peer__Backoff
 {
   ProtobufCMessage base;
   uint32_t endpoint;
@@ -253,8 +253,8 @@
   uint32_t process;
   uint32_t span_ms;
 };
-#define PEER__REST__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__rest__descriptor) \
+#define PEER__BACKOFF__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer__backoff__descriptor) \
     , 0, 0, 0 }
 
 
@@ -692,7 +692,7 @@
   PEER__PACKET__CONTENT_RATE_LIMIT = 8,
   PEER__PACKET__CONTENT_DEMAND = 9,
   PEER__PACKET__CONTENT_DEPARTURE = 10,
-  PEER__PACKET__CONTENT_REST = 11
+  PEER__PACKET__CONTENT_BACKOFF = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__PACKET__CONTENT__CASE)
 } Peer__Packet__ContentCase;
 
@@ -717,7 +717,7 @@
     Peer__RateLimit *rate_limit;
     Peer__Demand *demand;
     Peer__Departure *departure;
-    Peer__Rest *rest;
+    Peer__Backoff *backoff;
   };
 };
 #define PEER__PACKET__INIT \
@@ -877,24 +877,24 @@
 void   peer__departure__free_unpacked
                      (Peer__Departure *message,
                       ProtobufCAllocator *allocator);
-/* Peer__Rest methods */
-void   peer__rest__init
-                     (Peer__Rest         *message);
-size_t peer__rest__get_packed_size
-                     (const Peer__Rest   *message);
-size_t peer__rest__pack
-                     (const Peer__Rest   *message,
+/* Peer__Backoff methods */
+void   peer__backoff__init
+                     (Peer__Backoff         *message);
+size_t peer__backoff__get_packed_size
+                     (const Peer__Backoff   *message);
+size_t peer__backoff__pack
+                     (const Peer__Backoff   *message,
                       uint8_t             *out);
-size_t peer__rest__pack_to_buffer
-                     (const Peer__Rest   *message,
+size_t peer__backoff__pack_to_buffer
+                     (const Peer__Backoff   *message,
                       ProtobufCBuffer     *buffer);
-Peer__Rest *
-       peer__rest__unpack
+Peer__Backoff *
+       peer__backoff__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   peer__rest__free_unpacked
-                     (Peer__Rest *message,
+void   peer__backoff__free_unpacked
+                     (Peer__Backoff *message,
                       ProtobufCAllocator *allocator);
 /* Peer__Note methods */
 void   peer__note__init
@@ -1131,8 +1131,8 @@
 typedef void (*Peer__Departure_Closure)
                  (const Peer__Departure *message,
                   void *closure_data);
-typedef void (*Peer__Rest_Closure)
-                 (const Peer__Rest *message,
+typedef void (*Peer__Backoff_Closure)
+                 (const Peer__Backoff *message,
                   void *closure_data);
 typedef void (*Peer__Note_Closure)
                  (const Peer__Note *message,
@@ -1181,7 +1181,7 @@
 extern const ProtobufCMessageDescriptor peer__evidence__descriptor;
 extern const ProtobufCMessageDescriptor peer__rate_limit__descriptor;
 extern const ProtobufCMessageDescriptor peer__departure__descriptor;
-extern const ProtobufCMessageDescriptor peer__rest__descriptor;
+extern const ProtobufCMessageDescriptor peer__backoff__descriptor;
 extern const ProtobufCMessageDescriptor peer__note__descriptor;
 extern const ProtobufCMessageDescriptor peer__report__descriptor;
 extern const ProtobufCMessageDescriptor peer__record__descriptor;
--- a/src/placement.c
+++ b/src/placement.c
@@ -319,7 +319,7 @@
 {
 	return endpoint->latency.ejected_until > now ||
 	       endpoint_path_is_blocked(&endpoint->path) ||
-	       rest_blocks(&endpoint->rest, now);
+	       backoff_blocks(&endpoint->backoff, now);
 }
 
 /* State of the search over the endpoints. */
@@ -439,7 +439,7 @@
 
 	if (endpoint_path_is_blocked(&endpoint->path))
 		return; /* a probe tells when it is back */
-	if (rest_blocks(&endpoint->rest, now))
+	if (backoff_blocks(&endpoint->backoff, now))
 		return;
 	if (is_ejected(endpoint, now)) {
 		if (endpoint->running == 0)
@@ -583,7 +583,8 @@
 	for (uint32_t i = 0; i < registry->count; i++) {
 		const registry_endpoint_t *e = registry->endpoints[i];
 
-		if (e->service != service || rest_is_asked(&e->rest, now) ||
+		if (e->service != service ||
+		    backoff_is_active(&e->backoff, now) ||
 		    !registry_endpoint_accepts_work(e, now))
 			continue;
 		headroom.capacity += e->slots;
@@ -592,8 +593,8 @@
 	return headroom;
 }
 
-pimento_usec_t placement_rest_end(const registry_t *registry,
-				  pimento_id_t service, pimento_usec_t now)
+pimento_usec_t placement_backoff_end(const registry_t *registry,
+				     pimento_id_t service, pimento_usec_t now)
 {
 	pimento_usec_t first = 0;
 
@@ -603,10 +604,10 @@
 		if (e->service != service ||
 		    !registry_endpoint_accepts_work(e, now))
 			continue;
-		if (!rest_is_asked(&e->rest, now))
+		if (!backoff_is_active(&e->backoff, now))
 			return 0;
-		if (!first || e->rest.until < first)
-			first = e->rest.until;
+		if (!first || e->backoff.until < first)
+			first = e->backoff.until;
 	}
 	return first;
 }
--- a/src/placement.h
+++ b/src/placement.h
@@ -112,11 +112,11 @@
 } placement_view_t;
 
 /*
- * When the first endpoint takes requests of this host again, if all of the
- * service have asked it for rest; otherwise 0.
+ * When the backoff from the first endpoint ends, if this host backs off from all
+ * of the service; otherwise 0.
  */
-pimento_usec_t placement_rest_end(const registry_t *registry,
-				  pimento_id_t service, pimento_usec_t now);
+pimento_usec_t placement_backoff_end(const registry_t *registry,
+				     pimento_id_t service, pimento_usec_t now);
 
 placement_view_t placement_view(registry_t *registry, pimento_id_t service,
 				pimento_usec_t now);
--- a/src/registry.c
+++ b/src/registry.c
@@ -211,7 +211,7 @@
 		endpoint->answered_at = 0;
 		endpoint->ended_at = 0;
 		endpoint->rate_limit = (rate_limit_t){ 0 };
-		endpoint->rest = (rest_t){ 0 };
+		endpoint->backoff = (backoff_t){ 0 };
 		endpoint->stated_leaving = false;
 		endpoint->incarnation++;
 	}
--- a/src/registry.h
+++ b/src/registry.h
@@ -14,7 +14,7 @@
 #include "evacuation.h"
 #include "latency.h"
 #include "rate_limit.h"
-#include "rest.h"
+#include "backoff.h"
 
 /* State of an endpoint as reported by its owner. */
 typedef struct registry_report {
@@ -46,7 +46,7 @@
 	double start_tokens;
 	pimento_usec_t start_tokens_at;
 	rate_limit_t rate_limit; /* that it has stated */
-	rest_t rest; /* of this host alone */
+	backoff_t backoff; /* of this host alone */
 	/*
 	 * In slow start, or with a stated limit: others are preferred until
 	 * then, as it had no slot.
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -24,8 +24,7 @@
  * Each run is a line "ran ID" on standard output, each rejection that /test/state
  * asks for a line "rejected ID". "after_leaving ID MS" is a request of a sender
  * (its field Test-Sender) that was first told at MS that this worker leaves;
- * "in_rest ID MS" is one beyond two in the time of rest that a sender was told of at
- * MS.
+ * "in_backoff ID MS" is one beyond two in the backoff that a sender was told of at MS.
  *
  * GET /test/state/LIMIT/REJECTED/WHERE: from now on this worker states the limit
  * LIMIT (requests a second, a decimal number; 0: none) in all its answers, or in
@@ -33,14 +32,14 @@
  *
  * GET /test/leave: from now on this worker says in all its answers that it leaves.
  *
- * GET /test/rest/VALUE/MS/SENDER: for MS milliseconds this worker rejects all
+ * GET /test/backoff/VALUE/MS/SENDER: for MS milliseconds this worker rejects all
  * requests of SENDER (their field Test-Sender; "all": of everybody) with
  * "Retry-After: VALUE". If VALUE is a number of seconds, it counts for each sender
  * what arrives from half a second after such a rejection until that time is over.
  *
  * GET /test/runs tells {"runs": N, "here": requests that arrived, "open":
- * streams under way, "in_rest": the most that one sender sent in its time of
- * rest, "last": the last request's head as text}.
+ * streams under way, "in_backoff": the most that one sender sent in its
+ * backoff, "last": the last request's head as text}.
  */
 
 #include "httpd.h"
@@ -96,27 +95,27 @@
 	bool leaving;
 } state;
 
-enum { SENDERS_MAX = 48, REST_ALLOWED = 2 };
+enum { SENDERS_MAX = 48, BACKOFF_ALLOWED = 2 };
 
-#define REST_BEGINS (500 * PIMENTO_MSEC) /* after the rejection */
+#define BACKOFF_BEGINS (500 * PIMENTO_MSEC) /* after the rejection */
 
-/* What /test/rest sets. */
+/* What /test/backoff sets. */
 static struct {
 	char value[32];
 	char sender[32];
 	pimento_usec_t until;
-} rest;
+} backoff;
 
 /* What one sender was told, and sent then. */
 static struct {
 	char name[32];
 	pimento_usec_t told_leaving_at; /* 0: never */
-	pimento_usec_t told_rest_at;
+	pimento_usec_t told_backoff_at;
 	pimento_usec_t begins;
 	pimento_usec_t ends;
 	json_int_t arrivals;
 } senders[SENDERS_MAX];
-static json_int_t most_in_rest;
+static json_int_t most_in_backoff;
 
 static const char *sender_of(const httpd_conn_t *conn)
 {
@@ -147,17 +146,17 @@
 	fflush(stdout);
 }
 
-static void count_in_rest(const httpd_conn_t *conn)
+static void count_in_backoff(const httpd_conn_t *conn)
 {
 	int i = find_sender(sender_of(conn));
 	pimento_usec_t now = sys_now();
 
 	if (now < senders[i].begins || now >= senders[i].ends)
 		return;
-	if (++senders[i].arrivals > most_in_rest)
-		most_in_rest = senders[i].arrivals;
-	if (senders[i].arrivals > REST_ALLOWED)
-		tell_at(conn, "in_rest", senders[i].told_rest_at);
+	if (++senders[i].arrivals > most_in_backoff)
+		most_in_backoff = senders[i].arrivals;
+	if (senders[i].arrivals > BACKOFF_ALLOWED)
+		tell_at(conn, "in_backoff", senders[i].told_backoff_at);
 }
 
 static void note_leaving(const httpd_conn_t *conn)
@@ -170,40 +169,41 @@
 		senders[i].told_leaving_at = sys_now();
 }
 
-static bool is_sent_to_rest(const httpd_conn_t *conn)
+static bool is_to_back_off(const httpd_conn_t *conn)
 {
-	return sys_now() < rest.until &&
-	       (strcmp(rest.sender, "all") == 0 ||
-		strcmp(rest.sender, sender_of(conn)) == 0);
+	return sys_now() < backoff.until &&
+	       (strcmp(backoff.sender, "all") == 0 ||
+		strcmp(backoff.sender, sender_of(conn)) == 0);
 }
 
-static void ask_for_rest(const httpd_conn_t *conn, strbuf_t *fields)
+static void state_backoff(const httpd_conn_t *conn, strbuf_t *fields)
 {
 	int i = find_sender(sender_of(conn));
 	pimento_usec_t now = sys_now();
 	pimento_usec_t ends =
-		now + (pimento_usec_t)(strtod(rest.value, NULL) * PIMENTO_SEC);
+		now +
+		(pimento_usec_t)(strtod(backoff.value, NULL) * PIMENTO_SEC);
 
-	strbuf_addf(fields, "Retry-After: %s\r\n", rest.value);
+	strbuf_addf(fields, "Retry-After: %s\r\n", backoff.value);
 	if (now >= senders[i].ends) {
-		senders[i].told_rest_at = now;
-		senders[i].begins = now + REST_BEGINS;
+		senders[i].told_backoff_at = now;
+		senders[i].begins = now + BACKOFF_BEGINS;
 		senders[i].arrivals = 0;
 	}
 	if (ends > senders[i].ends)
 		senders[i].ends = ends;
 }
 
-static void set_rest(httpd_conn_t *conn, const char *text)
+static void set_backoff(httpd_conn_t *conn, const char *text)
 {
 	unsigned ms;
 
-	if (sscanf(text, "%31[^/]/%u/%31s", rest.value, &ms, rest.sender) !=
-	    3) {
+	if (sscanf(text, "%31[^/]/%u/%31s", backoff.value, &ms,
+		   backoff.sender) != 3) {
 		httpd_answer(conn, 400, "", "", 0);
 		return;
 	}
-	rest.until = sys_now() + ms * PIMENTO_MSEC;
+	backoff.until = sys_now() + ms * PIMENTO_MSEC;
 	httpd_answer(conn, 200, "", "", 0);
 }
 
@@ -417,7 +417,7 @@
 	for (int i = 0; i < RUNS_MAX; i++)
 		open += runs[i].conn != NULL;
 	root = json_pack("{s:I, s:I, s:I, s:I, s:s}", "runs", run_count, "here",
-			 arrivals, "open", open, "in_rest", most_in_rest,
+			 arrivals, "open", open, "in_backoff", most_in_backoff,
 			 "last", strbuf_str(&last));
 	text = json_dumps(root, JSON_COMPACT);
 	httpd_answer(conn, 200, "", text, strlen(text));
@@ -455,8 +455,8 @@
 	strbuf_init(&fields);
 	strbuf_addf(&fields, "Not-Executed: 1\r\n");
 	add_state(&fields, true);
-	if (is_sent_to_rest(conn))
-		ask_for_rest(conn, &fields);
+	if (is_to_back_off(conn))
+		state_backoff(conn, &fields);
 	httpd_answer(conn, 503, strbuf_str(&fields), "", 0);
 	strbuf_finish(&fields);
 }
@@ -476,7 +476,7 @@
 		reject(conn);
 		return true;
 	}
-	if (is_sent_to_rest(conn) || is_rejected()) {
+	if (is_to_back_off(conn) || is_rejected()) {
 		tell(conn, "rejected");
 		reject(conn);
 		return true;
@@ -514,8 +514,8 @@
 		httpd_answer(conn, 200, "", "", 0);
 		return;
 	}
-	if (strncmp(conn->target.bytes, "/test/rest/", 11) == 0) {
-		set_rest(conn, conn->target.bytes + 11);
+	if (strncmp(conn->target.bytes, "/test/backoff/", 14) == 0) {
+		set_backoff(conn, conn->target.bytes + 14);
 		return;
 	}
 	if (strncmp(conn->target.bytes, "/test/state/", 12) == 0) {
@@ -524,7 +524,7 @@
 	}
 	arrivals++;
 	keep_head(conn);
-	count_in_rest(conn);
+	count_in_backoff(conn);
 	if (state.leaving)
 		note_leaving(conn);
 	if (refuse(conn))
--- a/test/edge.c
+++ b/test/edge.c
@@ -547,12 +547,12 @@
 	client_reply_finish(&reply);
 }
 
-void edge_rest_worker(const edge_t *edge, uint32_t index, const char *value,
+void edge_set_backoff(const edge_t *edge, uint32_t index, const char *value,
 		      int span_ms, const char *sender)
 {
 	char path[96];
 
-	snprintf(path, sizeof(path), "/test/rest/%s/%d/%s", value, span_ms,
+	snprintf(path, sizeof(path), "/test/backoff/%s/%d/%s", value, span_ms,
 		 sender);
 	worker_call(edge, index, path);
 }
--- a/test/edge.h
+++ b/test/edge.h
@@ -147,7 +147,7 @@
 /* A value of a host's metrics page; -1 if it has none. */
 long edge_metric(const edge_t *edge, uint32_t host, const char *name);
 
-/* A number that the worker's stand-in tells: "runs", "here", "open", "in_rest". */
+/* A number that the worker's stand-in tells: "runs", "here", "open", "in_backoff". */
 long edge_worker(const edge_t *edge, uint32_t index, const char *name);
 
 /*
@@ -161,7 +161,7 @@
  * For so long the worker rejects all requests through a host ("h0"; "all":
  * through any) with this text as Retry-After.
  */
-void edge_rest_worker(const edge_t *edge, uint32_t index, const char *value,
+void edge_set_backoff(const edge_t *edge, uint32_t index, const char *value,
 		      int span_ms, const char *sender);
 /* The worker says from now on in all its answers that it leaves. */
 void edge_leave_worker(const edge_t *edge, uint32_t index);
--- a/test/soak.c
+++ b/test/soak.c
@@ -84,7 +84,7 @@
 	bool undisturbed; /* no fault of its host or a worker but silences */
 	bool crashing; /* its prompt crashes workers */
 	bool after_drain; /* it reached a worker that had left for its host */
-	bool in_rest; /* a worker that wanted none from its host */
+	bool in_backoff; /* in the backoff of its host */
 	bool out_of_order;
 	bool sealed; /* the answer is a worker's own */
 } record_t;
@@ -421,7 +421,7 @@
 	record_t *record;
 
 	if (!leaving &&
-	    sscanf(line, "in_rest soak-%u %lld", &number, &told_ms) != 2)
+	    sscanf(line, "in_backoff soak-%u %lld", &number, &told_ms) != 2)
 		return;
 	if (number >= REQUESTS_MAX)
 		return;
@@ -429,7 +429,7 @@
 	if (record->host_lost_ms >= told_ms)
 		return; /* its host need not know */
 	if (!leaving)
-		record->in_rest = true;
+		record->in_backoff = true;
 	else if (record->sent_ms > told_ms + DRAIN_MS)
 		record->after_drain = true;
 }
@@ -1082,8 +1082,8 @@
 		broke(soak, "it was rejected as not run, and had run", number);
 	if (record->after_drain)
 		broke(soak, "it was sent to a worker that had left", number);
-	if (record->in_rest)
-		broke(soak, "it was sent in a worker's time of rest", number);
+	if (record->in_backoff)
+		broke(soak, "it was sent in a worker's backoff", number);
 	if (record->ran_evacuated)
 		broke(soak, "it ran in an evacuated data centre", number);
 	if (was_quiet(soak, record) &&
@@ -1297,21 +1297,22 @@
 	fault_worker(soak, worker);
 }
 
-/* One worker or all reject everything for a while, and ask hosts for rest. */
-static void play_rest(soak_t *soak, uint32_t worker, int64_t until)
+/* One worker or all reject everything for a while, and state a backoff. */
+static void play_backoff(soak_t *soak, uint32_t worker, int64_t until)
 {
-	static const char *const rests[] = { "0.7", "1.5", "3", "10", "soon" };
+	static const char *const backoffs[] = { "0.7", "1.5", "3", "10",
+						"soon" };
 	uint64_t *draws = &soak->statement_draws;
-	const char *rest =
-		rests[draw_below(draws, sizeof(rests) / sizeof(rests[0]))];
+	const char *backoff = backoffs[draw_below(
+		draws, sizeof(backoffs) / sizeof(backoffs[0]))];
 	bool all = draw_below(draws, 3) == 0;
 	int span = 200 + (int)draw_below(draws, 2500);
 
 	for (uint32_t i = 0; i < soak->terms.workers; i++)
 		if ((all || i == worker) && !soak->worker_down[i])
-			edge_rest_worker(&soak->edge, i, rest, span, "all");
-	add_event(soak, "rest of %s s for %d ms: worker %u, all %d", rest, span,
-		  worker, all);
+			edge_set_backoff(&soak->edge, i, backoff, span, "all");
+	add_event(soak, "backoff of %s s for %d ms: worker %u, all %d", backoff,
+		  span, worker, all);
 	end_hosts(soak, &soak->statement_draws,
 		  process_now_ms() + STATEMENT_HOSTS_MS);
 	wait_healing(soak, until);
@@ -1331,7 +1332,7 @@
 	if (leaves)
 		play_leaving(soak, worker, until);
 	else
-		play_rest(soak, worker, until);
+		play_backoff(soak, worker, until);
 	touch_all(soak);
 	add_event(soak, "end of statement");
 }
--- a/test/soak.h
+++ b/test/soak.h
@@ -7,7 +7,7 @@
  * crash, links that are delayed, reset, cut one way or silent, a store that
  * fails, keys that are taken away, data centres that are evacuated, hosts that
  * lose their paths to workers, prompts that crash workers, workers that fall
- * silent, reject most requests, state a limit, leave or ask for rest, callers who press beyond the
+ * silent, reject most requests, state a limit, leave or state a backoff, callers who press beyond the
  * room, with one account beyond its quota. Callers go on all the while. What they
  * and the workers saw is checked against what is promised.
  */
@@ -56,8 +56,8 @@
 	 */
 	bool bursts;
 	/*
-	 * also workers that say in their answers that they leave, or ask hosts
-	 * for rest, while hosts are killed, frozen or stopped, in place of
+	 * also workers that say in their answers that they leave, or state a
+	 * backoff, while hosts are killed, frozen or stopped, in place of
 	 * faults of the links to workers
 	 */
 	bool statements;
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -9,7 +9,7 @@
  * most), SOAK_CRASHING=1 prompts that crash workers, SOAK_SILENCES=1 sound
  * workers that fall silent, SOAK_STRAINS=1 workers that reject most requests or
  * state a limit, SOAK_BURSTS=1 callers beyond the room and one account beyond its
- * quota, SOAK_STATEMENTS=1 workers that leave or ask for rest; SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
+ * quota, SOAK_STATEMENTS=1 workers that leave or state a backoff; SOAK_HOSTS and SOAK_CALLERS play a larger deployment.
  */
 
 #include "edge.h"
@@ -65,7 +65,7 @@
 	  .strains = true },
 	{ .seed = 9, .why = "none, a fresh seed with bursts", .bursts = true },
 	{ .seed = 10,
-	  .why = "none, a fresh seed with workers that leave or want rest",
+	  .why = "none, a fresh seed with workers that leave or state a backoff",
 	  .series = true,
 	  .statements = true },
 };
