--- a/test/test_departures.c
+++ b/test/test_departures.c
@@ -16,8 +16,7 @@
 	LAST = HOSTS - 1,
 	REQUESTS = 20,
 	START_MS = 8000,
-	DRAIN_MS =
-		2000 /* an endpoint that leaves gets no requests after this */
+	DRAIN_MS = 2000 /* after which it gets no requests */
 };
 
 static edge_t edge;
--- a/test/test_edge_links.c
+++ b/test/test_edge_links.c
@@ -10,8 +10,7 @@
 
 enum {
 	DRAIN_MS = 3000, /* a draining endpoint gets no requests after this */
-	DEPARTURE_MS =
-		2000, /* the same, the shortest time of all deployments */
+	DEPARTURE_MS = 2000, /* the same, the shortest there is */
 	EFFECT_MS = 6000,
 	START_MS = 8000,
 	PROPAGATION_MS = 500, /* of a change over idle links */
--- a/test/test_peers_fleet.c
+++ b/test/test_peers_fleet.c
@@ -131,8 +131,7 @@
 END_TEST
 
 enum {
-	DRAIN_MS =
-		2000, /* an endpoint that leaves gets no requests after this */
+	DRAIN_MS = 2000, /* an endpoint gets no requests after this */
 	DEPARTING = 40, /* endpoints, all at once */
 	POLLERS = 8 /* hosts that read of the departures themselves */
 };
