--- a/review/rig.h
+++ b/review/rig.h
@@ -241,9 +241,9 @@
 	char part[4096];
 
 	while (length > 0) {
-		ssize_t got = rig_read_some(
-			conn, part,
-			length < (long)sizeof(part) ? (size_t)length
+		ssize_t got = rig_read_some(conn, part,
+					    length < (long)sizeof(part)
+						    ? (size_t)length
 						    : sizeof(part));
 
 		if (got <= 0)
@@ -446,8 +446,8 @@
 			wait_ms = strtol(text, NULL, 10);
 			clock_gettime(CLOCK_REALTIME, &until);
 			until.tv_nsec += wait_ms % 1000 * 1000000;
-			until.tv_sec += wait_ms / 1000 +
-					until.tv_nsec / 1000000000;
+			until.tv_sec +=
+				wait_ms / 1000 + until.tv_nsec / 1000000000;
 			until.tv_nsec %= 1000000000;
 		}
 		do
@@ -455,9 +455,10 @@
 		while (watch && !found &&
 		       !pthread_cond_timedwait(&store.changed, &store.lock,
 					       &until));
-		fprintf(to, watch ? "],\"store_revision\":%llu}"
-				  : "],\"more_pages\":false,"
-				    "\"store_revision\":%llu}",
+		fprintf(to,
+			watch ? "],\"store_revision\":%llu}"
+			      : "],\"more_pages\":false,"
+				"\"store_revision\":%llu}",
 			(unsigned long long)store.revision);
 		pthread_mutex_unlock(&store.lock);
 		fclose(to);
