log: name requests by what they ask for, and those under which endpoints end

What callers saw: a request that crashes endpoints reaches one after the other.

The log could not tell whether one attempt of a client reached too many endpoints, or its client's attempts each some: each attempt has an id of its own, and event=ended counted requests without naming them, none at all at plain endpoints.

A fingerprint is the same in all attempts of a client: account, method, host, target, body, and a digest that the dialect makes of the fields that describe the prompt. Lines of requests and attempts bear it; event=ended_under is one line for each request under way at an endpoint that ended, and attempts say how many endpoints ended under them. Requests without parts are looked into as well; nothing follows from that yet, and nothing waits for it.

test_headers: the digest differs where prompts do (22 passed).

--- a/io/arrival.c
+++ b/io/arrival.c
@@ -8,6 +8,7 @@
 
 #include "exchange.h"
 
+#include "fingerprint.h"
 #include "overload.h"
 #include "return_time.h"
 #include "sys.h"
@@ -250,6 +251,7 @@
 static void start(exchange_t *x)
 {
 	fill(x);
+	x->fingerprint = fingerprint(x);
 	link_in(x);
 	if (x->service)
 		admission_begin(x);
--- a/io/crashes.c
+++ b/io/crashes.c
@@ -59,8 +59,6 @@
 	trial_t trial = is_current ? x->trial : (trial_t){ 0 };
 	crash_candidate_t *candidate;
 
-	if (!x->call.part_count)
-		return;
 	candidate = add_candidate(&x->gateway->crashes);
 	if (!candidate)
 		return;
@@ -70,6 +68,7 @@
 		.process = registry_process_id(endpoint),
 		.broke_at = now,
 		.request = x,
+		.fingerprint = x->fingerprint,
 		.trial_part = trial.part,
 		.trial_ticket = trial.granted ? trial.ticket : 0,
 		.begun = crashes_has_begun(x, attempt, now),
@@ -182,6 +181,10 @@
 		begun += candidate->begun;
 		if (candidate->request)
 			candidate->request->ended++;
+		trail(TRAIL_FAILURE, "endpoint", "ended_under",
+		      "endpoint=%s fingerprint=%llx begun=%d", endpoint->id,
+		      (unsigned long long)candidate->fingerprint,
+		      candidate->begun);
 		if (!candidate->begun)
 			charge(gateway, candidate, now);
 		drop_candidate(gateway, i, now);
--- a/io/crashes.h
+++ b/io/crashes.h
@@ -27,6 +27,7 @@
 	pimento_usec_t broke_at;
 	pimento_usec_t reached_at; /* a connection opened since; 0: none did */
 	struct exchange *request; /* NULL: it is over */
+	uint64_t fingerprint; /* of the request */
 	uint64_t trial_part; /* of which it was a trial; 0: of none */
 	uint64_t trial_ticket;
 	bool begun; /* its answer was well under way */
--- a/io/dialect.h
+++ b/io/dialect.h
@@ -28,6 +28,11 @@
 	 */
 	uint64_t parts[DIALECT_PARTS_MAX];
 	uint32_t part_count;
+	/*
+	 * Digest of the head's fields that say what is asked, which are the same
+	 * in all attempts of a client; see fingerprint.h.
+	 */
+	uint64_t digest;
 } dialect_call_t;
 
 /* A request as it goes to an endpoint. */
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -498,15 +498,17 @@
 		pause_refused(x, now);
 	again = may_try_again(x, verdict);
 	trail(TRAIL_FAILURE, "attempt", again ? "again" : "over",
-	      "id=%s endpoint=%s why=%s verdict=%s status=%d arrivals=%u "
+	      "id=%s fingerprint=%llx endpoint=%s why=%s verdict=%s status=%d "
+	      "arrivals=%u ended=%u "
 	      "load=%u ms=%lld reused=%d rested_ms=%lld events=%u begun_ms=%lld "
 	      "silent_ms=%lld left_ms=%lld taken_ms=%lld path=%s parts=%s "
 	      "via=%s",
-	      x->call.id, x->attempt.endpoint->id, why,
-	      pimento_verdict_name(verdict), status, x->arrivals,
-	      x->attempt.load, (long long)((now - x->arrived) / PIMENTO_MSEC),
-	      x->attempt.reused, (long long)(x->attempt.rested / PIMENTO_MSEC),
-	      x->events.count, begun_ms(x, now), silent_ms(x, now),
+	      x->call.id, (unsigned long long)x->fingerprint,
+	      x->attempt.endpoint->id, why, pimento_verdict_name(verdict),
+	      status, x->arrivals, x->ended, x->attempt.load,
+	      (long long)((now - x->arrived) / PIMENTO_MSEC), x->attempt.reused,
+	      (long long)(x->attempt.rested / PIMENTO_MSEC), x->events.count,
+	      begun_ms(x, now), silent_ms(x, now),
 	      (long long)((x->end - now) / PIMENTO_MSEC),
 	      (long long)(x->attempt.retry_age / PIMENTO_MSEC),
 	      endpoint_path_state_name(x->attempt.endpoint->path.state),
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -80,14 +80,15 @@
 
 	trail(good ? TRAIL_ROUTINE : TRAIL_FAILURE, "request",
 	      gateway_outcome_name(outcome),
-	      "id=%s route=%s account=%s status=%d why=%s ms=%lld "
+	      "id=%s fingerprint=%llx route=%s account=%s status=%d why=%s ms=%lld "
 	      "first_ms=%lld waited_ms=%lld left_ms=%lld late=%d attempts=%u "
 	      "endpoint=%s via=%s granted=%d load=%u waiting=%u tokens=%.0f prompt=%u expected=%u "
 	      "events=%u "
 	      "pause_ms=%lld "
 	      "config=%llu copy_age_ms=%lld endpoints_age_ms=%lld",
-	      x->call.id, x->route->name, x->account ? x->account->name : "-",
-	      x->status, why, (long long)msec(now - x->arrived),
+	      x->call.id, (unsigned long long)x->fingerprint, x->route->name,
+	      x->account ? x->account->name : "-", x->status, why,
+	      (long long)msec(now - x->arrived),
 	      x->first_at ? (long long)msec(x->first_at - x->arrived) : -1,
 	      x->attempt.sent_at
 		      ? (long long)msec(x->attempt.sent_at - x->arrived)
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -82,6 +82,7 @@
 	const catalog_route_t *route;
 	const catalog_account_t *account; /* NULL: none */
 	dialect_call_t call;
+	uint64_t fingerprint; /* the same in all attempts of its client */
 	double tokens; /* counted against the quota */
 	uint64_t quota_ticket; /* of the ask under way; 0 none */
 	bool counted; /* it was admitted, */
--- a/test/test_headers.c
+++ b/test/test_headers.c
@@ -72,6 +72,21 @@
 }
 END_TEST
 
+/* Attempts that are not known to ask for the same, or others that are. */
+START_TEST(the_digest_tells_what_is_asked)
+{
+	uint64_t digest = read_field("5c1e07a2:800,91bd3f06:410", NULL).digest;
+
+	ck_assert_uint_eq(digest,
+			  read_field("5c1e07a2:800,91bd3f06:410", NULL).digest);
+	ck_assert_uint_ne(digest,
+			  read_field("5c1e07a2:800,91bd3f06:411", NULL).digest);
+	ck_assert_uint_ne(digest,
+			  read_field("5c1e07a2:800,", "91bd3f06:410").digest);
+	ck_assert_uint_ne(digest, read_field(NULL, NULL).digest);
+}
+END_TEST
+
 static const struct {
 	const char *field; /* NULL: none */
 	uint32_t rate;
@@ -110,6 +125,7 @@
 			    shared_parts_are_read_and_malformed_ones_left_out,
 			    0, sizeof(cases) / sizeof(cases[0]));
 	tcase_add_test(tests, parts_beyond_the_bound_are_left_out);
+	tcase_add_test(tests, the_digest_tells_what_is_asked);
 	tcase_add_loop_test(tests,
 			    stated_limits_are_read_and_malformed_ones_left_out,
 			    0, sizeof(limits) / sizeof(limits[0]));
