--- a/standin/worker.c
+++ b/standin/worker.c
@@ -19,7 +19,10 @@
  *
  * A prompt part whose id begins with "dead" ("Prefix-Hash: dead01:40,7f:20"; not
  * the last one) ends this process soon after the head of a stream; with "dead5"
- * its listener is open for a moment longer than its connections.
+ * its listener is open for a moment longer than its connections, with "dead7" it
+ * ends at the 30th event. A part whose id begins with "beef" does the same as
+ * one with "dead" wherever it stands ("beef7": at the 30th event), and so does a
+ * path with "/crash" in it, also of a plain request.
  *
  * Each run is a line "ran ID" on standard output, each rejection that /test/state
  * asks for a line "rejected ID". "after_leaving ID MS" is a request of a sender
@@ -63,6 +66,7 @@
 	GAP_DEFAULT_MS = 10,
 	MUTE_MS = 100, /* from a stream's head to its reset */
 	CRASH_MS = 20, /* from a stream's head to the end of this process */
+	CRASH_EVENT = 30, /* the same for a late one */
 	LISTENER_MS = 5, /* from the end of its connections to that */
 	CRASHED = 3 /* exit status */
 };
@@ -76,6 +80,7 @@
 	pimento_usec_t due;
 	bool half;
 	bool mute;
+	uint64_t crash_after; /* events of this run, if it is to crash */
 	bool crash;
 	bool crash_slowly;
 } run_t;
@@ -317,6 +322,20 @@
 	return part && strchr(part, ',') && (part == parts || part[-1] == ',');
 }
 
+/* True if any part of the prompt begins with this text. */
+static bool has_any_part(const httpd_conn_t *conn, const char *text)
+{
+	const char *parts = head_get(&conn->head, "Prefix-Hash");
+	const char *part = parts ? strstr(parts, text) : NULL;
+
+	return part && (part == parts || part[-1] == ',');
+}
+
+static bool is_crashing_path(const httpd_conn_t *conn)
+{
+	return strstr(conn->target.bytes, "/crash") != NULL;
+}
+
 static bool is_connection(int fd)
 {
 	struct sockaddr_in peer;
@@ -337,6 +356,12 @@
 	_exit(CRASHED);
 }
 
+static void crash_plainly(void)
+{
+	usleep(CRASH_MS * 1000);
+	crash(false);
+}
+
 static void begin_stream(httpd_conn_t *conn)
 {
 	strbuf_t fields;
@@ -355,9 +380,15 @@
 		runs[i].due = sys_now();
 		runs[i].half = behaves(conn, "half");
 		runs[i].mute = behaves(conn, "mute");
-		runs[i].crash = has_part(conn, "dead");
+		runs[i].crash = has_part(conn, "dead") ||
+				has_any_part(conn, "beef") ||
+				is_crashing_path(conn);
 		runs[i].crash_slowly = has_part(conn, "dead5");
-		if (runs[i].crash)
+		runs[i].crash_after =
+			has_part(conn, "dead7") || has_any_part(conn, "beef7")
+				? CRASH_EVENT
+				: 0;
+		if (runs[i].crash && !runs[i].crash_after)
 			runs[i].due += CRASH_MS * PIMENTO_MSEC;
 		if (runs[i].mute) /* its head must have arrived before */
 			runs[i].due += MUTE_MS * PIMENTO_MSEC;
@@ -385,7 +416,7 @@
 		event, sizeof(event), "id: %llu\ndata: event %llu\n\n",
 		(unsigned long long)run->next, (unsigned long long)run->next);
 
-	if (run->crash)
+	if (run->crash && !run->crash_after--)
 		crash(run->crash_slowly);
 	if (run->mute) {
 		httpd_conn_t *conn = run->conn;
@@ -540,6 +571,8 @@
 	else if (path >= 7 &&
 		 strncmp(conn->target.bytes + path - 7, "/stream", 7) == 0)
 		begin_stream(conn);
+	else if (is_crashing_path(conn))
+		crash_plainly();
 	else
 		answer_plainly(conn);
 }
--- a/test/test_crashing_prompts.c
+++ b/test/test_crashing_prompts.c
@@ -4,7 +4,7 @@
  * parts. Endpoints that crashed are back after some time.
  */
 
-#include "edge.h"
+#include "crash_watch.h"
 
 #include <pthread.h>
 #include <stdio.h>
@@ -26,7 +26,6 @@
 	CRASHES_FREE = 5,
 	FOUND_MS = 3000,
 	CRASHES_AFTER = 3,
-	CRASHES_MAX = 1000,
 	CALLS_MAX = 4000 /* of one caller */
 };
 
@@ -69,10 +68,7 @@
 static volatile bool stopping;
 static volatile bool crashing;
 static uint32_t case_number;
-static int64_t crashes[CRASHES_MAX];
-static uint32_t crash_count;
-static int64_t down_since[WORKERS];
-static uint32_t starts;
+static crash_watch_t watch;
 
 static void call_once(caller_t *caller)
 {
@@ -126,8 +122,7 @@
 	memset(callers, 0, sizeof(callers));
 	stopping = false;
 	crashing = false;
-	crash_count = 0;
-	memset(down_since, 0, sizeof(down_since));
+	watch = (crash_watch_t){ .edge = &edge };
 	for (uint32_t i = 0; i < SOUND_CALLERS + POISON_CALLERS; i++) {
 		callers[i].number = i;
 		callers[i].poison = i >= SOUND_CALLERS;
@@ -144,45 +139,15 @@
 		pthread_join(callers[i].thread, NULL);
 }
 
-/* Counts workers that crashed, and starts them again after a while. */
-static void keep_workers(void)
-{
-	for (uint32_t i = 0; i < WORKERS; i++) {
-		char name[16];
-
-		if (down_since[i] &&
-		    process_now_ms() - down_since[i] > DOWN_MS) {
-			snprintf(name, sizeof(name), "w%u-%u", i, ++starts);
-			edge_start_worker(&edge, i, name);
-			edge_list_worker(&edge, i, "ready");
-			down_since[i] = 0;
-		} else if (!down_since[i] &&
-			   !process_running(&edge.workers[i])) {
-			down_since[i] = process_now_ms();
-			ck_assert_uint_lt(crash_count, CRASHES_MAX);
-			crashes[crash_count++] = down_since[i];
-		}
-	}
-}
-
 static void keep_workers_for(int ms)
 {
-	int64_t until = process_now_ms() + ms;
-
-	while (process_now_ms() < until) {
-		keep_workers();
-		process_sleep_ms(5);
-	}
+	crash_watch_run(&watch, DOWN_MS, ms);
 }
 
 /* Crashes that the rules charge. */
 static uint32_t count_charged(void)
 {
-	uint32_t charged = 0;
-
-	for (uint32_t i = CRASHES_FREE; i < crash_count; i++)
-		charged += crashes[i] > crashes[CRASHES_FREE - 1] + FOUND_MS;
-	return charged;
+	return crash_watch_late(&watch, CRASHES_FREE, FOUND_MS);
 }
 
 /* Share of sound requests in a span that were served at the first attempt. */
@@ -244,20 +209,21 @@
 	end = process_now_ms();
 	stop_callers();
 	before = served_share(begin, begin + BEFORE_MS);
-	ck_assert_uint_gt(crash_count, 0);
-	after = served_share(crashes[0] + FOUND_MS, end);
+	ck_assert_uint_gt(watch.count, 0);
+	after = served_share(watch.at_ms[0] + FOUND_MS, end);
 	fprintf(stderr,
 		"%s: %u crashes, %u later than %d ms after the fifth; sound "
 		"requests served %.2f before, %.2f after\n",
-		cases[_i].name, crash_count, count_charged(), FOUND_MS, before,
+		cases[_i].name, watch.count, count_charged(), FOUND_MS, before,
 		after);
 	ck_assert_uint_le(count_charged(), CRASHES_AFTER);
 	ck_assert(after >= before / 2);
 	ck_assert_uint_eq(count_status(false, begin, 400), 0);
-	ck_assert_uint_gt(count_status(true, crashes[0] + FOUND_MS, 400), 0);
+	ck_assert_uint_gt(count_status(true, watch.at_ms[0] + FOUND_MS, 400),
+			  0);
 	/* no "come again" for what would be refused again */
 	ck_assert(cases[_i].restart ||
-		  !count_status(true, crashes[0] + FOUND_MS, 503));
+		  !count_status(true, watch.at_ms[0] + FOUND_MS, 503));
 	edge_stop(&edge);
 }
 END_TEST
@@ -328,16 +294,16 @@
 	stop_callers();
 	callers[0] = (caller_t){ .number = 1, .poison = true };
 	for (int i = 0; i < 5; i++) {
-		uint32_t before = crash_count;
+		uint32_t before = watch.count;
 
 		process_kill(&edge.hosts[1].process);
 		edge_start_host(&edge, 1);
 		ck_assert(edge_wait_health(&edge, 1, 200, FOUND_MS));
 		callers[0].count = 0;
 		call_once(&callers[0]);
-		keep_workers();
+		crash_watch_step(&watch, DOWN_MS);
 		ck_assert_int_eq(callers[0].calls[0].status, 400);
-		ck_assert_uint_eq(crash_count, before);
+		ck_assert_uint_eq(watch.count, before);
 	}
 	edge_stop(&edge);
 }
