quarantine: a request that its client sends again is held after three ends

What callers saw: a request under which three endpoints had ended was sent to others, and each ended too. Its client got no answer in time, and sound requests at these endpoints broke.

Cause: all that hosts learn from an attempt belongs to its id or to the parts that prompts share. A client's next attempt has another id, the last part of its prompt was left out, plain requests have no parts, and ends later than half a second into an answer counted against nothing. So the same request began anew each time. The class of fault: a bound that is kept for each attempt, or each host, while the cost is that of the request.

Change: a second quarantine, of requests by their fingerprint. An end counts wherever the answer was, each for itself; only a whole answer clears. A request is sent freely until a single end more would hold it, then one attempt at a time, leased by the request's owner; with three ends it gets 400 for ten minutes (request_interval_s), then a single trial. Only the owner is told of the first end, so that the victims of a crash cost one message each; it tells all hosts at once when a second comes, since the client's next attempt is faster than gossip. A suspect request explains an end by itself: the parts that it shares with sound requests are not charged then. Requests have a table of their own, so that they displace no parts.

A request is told from others by all that it asks for, not by its last part: a session's next request may be sound.

The streams of the late cases have 200 events now: with 40 the resumed attempt was whole, and the client had its answer each time.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -141,6 +141,16 @@
 
 #define BYTES_PER_MBIT 125000
 
+static quarantine_limits_t quarantine_limits(const edge_settings_t *settings,
+					     double interval_s)
+{
+	return (quarantine_limits_t){
+		.ends = (uint32_t)settings->quarantine_ends,
+		.interval = seconds(interval_s),
+		.interval_max = seconds(settings->quarantine_interval_max_s),
+	};
+}
+
 static gateway_bounds_t bounds_of(const edge_settings_t *settings)
 {
 	pimento_usec_t revoke = seconds(settings->key_revoke_ms / 1000);
@@ -154,11 +164,11 @@
 		.quota_window = seconds(settings->quota_window_s),
 		.early_rejection = settings->early_rejection,
 		.link_rate = settings->link_mbps * BYTES_PER_MBIT,
-		.quarantine = {
-			.ends = (uint32_t)settings->quarantine_ends,
-			.interval = seconds(settings->quarantine_interval_s),
-			.interval_max =
-				seconds(settings->quarantine_interval_max_s),
+		.quarantines = {
+			[QUARANTINE_PARTS] = quarantine_limits(settings,
+				settings->quarantine_interval_s),
+			[QUARANTINE_REQUESTS] = quarantine_limits(settings,
+				settings->quarantine_request_interval_s),
 		},
 	};
 }
@@ -544,7 +554,7 @@
 		.mirrors = edge->feed.replicas,
 		.registry = &edge->registry,
 		.quota = &edge->gateway.quota,
-		.quarantine = &edge->gateway.trials.quarantine,
+		.quarantines = edge->gateway.trials.quarantines,
 		.slots = &edge->slots,
 	};
 	int error;
--- a/io/crashes.c
+++ b/io/crashes.c
@@ -56,7 +56,6 @@
 {
 	registry_endpoint_t *endpoint = attempt->endpoint;
 	bool is_current = attempt == &x->attempt; /* a trial is its own */
-	trial_t trial = is_current ? x->trial : (trial_t){ 0 };
 	crash_candidate_t *candidate;
 
 	candidate = add_candidate(&x->gateway->crashes);
@@ -69,17 +68,17 @@
 		.broke_at = now,
 		.request = x,
 		.fingerprint = x->fingerprint,
-		.trial_part = trial.part,
-		.trial_ticket = trial.granted ? trial.ticket : 0,
 		.begun = crashes_has_begun(x, attempt, now),
 		.part_count = x->call.part_count,
 	};
 	memcpy(candidate->parts, x->call.parts, sizeof(candidate->parts));
 	endpoint->refs++;
-	x->undecided = true;
+	x->undecided++;
 	x->broke_at = now;
-	if (is_current)
-		x->trial = (trial_t){ 0 }; /* the candidate has it now */
+	if (is_current) {
+		memcpy(candidate->trials, x->trials, sizeof(x->trials));
+		memset(x->trials, 0, sizeof(x->trials));
+	}
 	if (endpoint->ended_at)
 		crashes_ended(x->gateway, endpoint, now);
 	else
@@ -90,12 +89,11 @@
  * Evidence against the request's parts. A part that is held explains the end;
  * the others, which sound requests may share, are not charged with it.
  */
-static void charge(gateway_t *gateway, const crash_candidate_t *candidate,
-		   pimento_usec_t now)
+static void charge_parts(gateway_t *gateway, const crash_candidate_t *candidate,
+			 const quarantine_end_t *end, pimento_usec_t now)
 {
-	quarantine_t *quarantine = &gateway->trials.quarantine;
-	const quarantine_end_t end = { candidate->process,
-				       candidate->broke_at };
+	quarantine_t *quarantine =
+		&gateway->trials.quarantines[QUARANTINE_PARTS];
 	quarantine_verdict_t verdict = quarantine_judge(
 		quarantine, candidate->parts, candidate->part_count, now);
 
@@ -106,11 +104,30 @@
 		if (verdict.state != QUARANTINE_HELD ||
 		    (record &&
 		     quarantine_state(quarantine, record) == QUARANTINE_HELD))
-			quarantine_add_end(quarantine, candidate->parts[i],
-					   &end, now);
+			quarantine_add_end(quarantine, candidate->parts[i], end,
+					   now);
 	}
 }
 
+/*
+ * Evidence against the request, wherever its answer was. One that is suspect
+ * explains the end, and its parts are not charged with it.
+ */
+static void charge(gateway_t *gateway, const crash_candidate_t *candidate,
+		   pimento_usec_t now)
+{
+	quarantine_t *requests =
+		&gateway->trials.quarantines[QUARANTINE_REQUESTS];
+	const quarantine_end_t end = { candidate->process,
+				       candidate->broke_at };
+
+	if (!candidate->begun &&
+	    !quarantine_is_near(requests, candidate->fingerprint, 0))
+		charge_parts(gateway, candidate, &end, now);
+	quarantine_add_end(requests, candidate->fingerprint, &end, now);
+	trials_tell_end(gateway, candidate->fingerprint, now);
+}
+
 /* The break is explained, or has stayed unexplained for too long. */
 static void drop_candidate(gateway_t *gateway, uint32_t index,
 			   pimento_usec_t now)
@@ -119,10 +136,10 @@
 	crash_candidate_t *candidate = &crashes->candidates[index];
 
 	if (candidate->request)
-		candidate->request->undecided = false;
-	if (candidate->trial_ticket)
-		trials_release(gateway, candidate->trial_part,
-			       candidate->trial_ticket, now);
+		candidate->request->undecided--;
+	for (int kind = 0; kind < QUARANTINE_KINDS; kind++)
+		trials_release(gateway, (quarantine_kind_t)kind,
+			       &candidate->trials[kind], now);
 	candidate->endpoint->refs--;
 	*candidate = crashes->candidates[--crashes->count];
 }
@@ -185,8 +202,7 @@
 		      "endpoint=%s fingerprint=%llx begun=%d", endpoint->id,
 		      (unsigned long long)candidate->fingerprint,
 		      candidate->begun);
-		if (!candidate->begun)
-			charge(gateway, candidate, now);
+		charge(gateway, candidate, now);
 		drop_candidate(gateway, i, now);
 	}
 	if (!requests)
@@ -206,6 +222,15 @@
 	conclude(gateway, endpoint, endpoint->incarnation, now);
 }
 
+uint32_t crashes_count_undecided(const crashes_t *crashes, uint64_t fingerprint)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < crashes->count; i++)
+		count += crashes->candidates[i].fingerprint == fingerprint;
+	return count;
+}
+
 void crashes_forget(exchange_t *x)
 {
 	crashes_t *crashes = &x->gateway->crashes;
--- a/io/crashes.h
+++ b/io/crashes.h
@@ -10,9 +10,8 @@
  * process that ends may accept connections for some milliseconds more.
  */
 
-#include "dialect.h"
+#include "trials.h"
 
-#include "../src/quarantine.h"
 #include "../src/registry.h"
 
 struct attempt;
@@ -28,8 +27,7 @@
 	pimento_usec_t reached_at; /* a connection opened since; 0: none did */
 	struct exchange *request; /* NULL: it is over */
 	uint64_t fingerprint; /* of the request */
-	uint64_t trial_part; /* of which it was a trial; 0: of none */
-	uint64_t trial_ticket;
+	trial_t trials[QUARANTINE_KINDS]; /* that it was */
 	bool begun; /* its answer was well under way */
 	uint32_t part_count;
 	uint64_t parts[DIALECT_PARTS_MAX];
@@ -48,6 +46,9 @@
 /* True if the answer of the attempt did not crash the endpoint by beginning. */
 bool crashes_has_begun(const struct exchange *exchange,
 		       const struct attempt *attempt, pimento_usec_t now);
+/* Connections that broke under the request and may mean an end; not known yet. */
+uint32_t crashes_count_undecided(const crashes_t *crashes,
+				 uint64_t fingerprint);
 /* The exchange is over. */
 void crashes_forget(struct exchange *exchange);
 
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -238,9 +238,9 @@
  */
 void exchange_reject(exchange_t *x)
 {
-	quarantine_verdict_t verdict =
-		quarantine_judge(&x->gateway->trials.quarantine, x->call.parts,
-				 x->call.part_count, sys_now());
+	quarantine_verdict_t verdict = trials_judge(x, sys_now());
+	const char *what =
+		verdict.kind == QUARANTINE_PARTS ? "part" : "fingerprint";
 	const char *why = "quarantined";
 	char text[96];
 	int length;
@@ -249,17 +249,18 @@
 		return;
 	x->gateway->trials.rejected++;
 	trail(TRAIL_FAILURE, "quarantine", "rejected",
-	      "id=%s part=%llx state=%s ended=%u runs=%u trial_in_ms=%lld",
-	      x->call.id, (unsigned long long)verdict.part,
+	      "id=%s %s=%llx state=%s ended=%u runs=%u trial_in_ms=%lld",
+	      x->call.id, what, (unsigned long long)verdict.id,
 	      quarantine_state_name(verdict.state), x->ended, x->runs,
 	      (long long)msec(verdict.trial_at - sys_now()));
 	if (x->runs) {
 		exchange_fail(x, HTTP_STATUS_BAD_GATEWAY, why);
 		return;
 	}
-	length = snprintf(text, sizeof(text),
-			  "Not run: prompt part %llx crashes endpoints.\n",
-			  (unsigned long long)verdict.part);
+	length = snprintf(
+		text, sizeof(text), "Not run: %s %llx crashes endpoints.\n",
+		verdict.kind == QUARANTINE_PARTS ? "prompt part" : "request",
+		(unsigned long long)verdict.id);
 	admission_refund(x);
 	httpd_answer(part(x, HTTP_STATUS_BAD_REQUEST, GATEWAY_QUARANTINED, why),
 		     HTTP_STATUS_BAD_REQUEST, "Content-Type: text/plain\r\n",
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -96,7 +96,7 @@
 		lines[GRANTS_QUEUES_MAX]; /* asked for while it waits */
 	uint32_t line_count;
 	uint64_t given; /* ticket of a place that was granted while asking */
-	trial_t trial;
+	trial_t trials[QUARANTINE_KINDS];
 
 	attempt_t attempt; /* under way, or the last one */
 	silent_attempt_t silent;
@@ -119,6 +119,7 @@
 	uint32_t runs; /* of those, that may have run */
 	char sent_to[PIMENTO_NAME_MAX]; /* the last endpoint that it reached */
 	uint32_t ended; /* endpoints that ended under it */
+	uint32_t undecided; /* those of which it is not known yet */
 	pimento_usec_t
 		broke_at; /* the last attempt's connection; 0: none did */
 	int status;
@@ -134,7 +135,6 @@
 	bool tried_all; /* once, and began anew */
 	bool streaming; /* the answer is passed on as it comes */
 	bool is_events; /* and split into events */
-	bool undecided; /* whether the endpoint ended, of the last attempt */
 	bool parts_cleared; /* its answer cleared its parts */
 	bool resuming; /* the head of this attempt is not passed on */
 } exchange_t;
@@ -170,7 +170,7 @@
  */
 void exchange_refuse(exchange_t *exchange, int status, const char *why);
 void exchange_fail(exchange_t *exchange, int status, const char *why);
-/* A part of its prompt crashes endpoints: a final answer. */
+/* It, or a part of its prompt, crashes endpoints: a final answer. */
 void exchange_reject(exchange_t *exchange);
 void exchange_over_quota(exchange_t *exchange, const quota_decision_t *verdict);
 /* The first of its prompt's shared parts as text, or "-". */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -247,7 +247,9 @@
 {
 	gateway->bounds = *bounds;
 	host_load_set_link_rate(&gateway->front.load, bounds->link_rate);
-	gateway->trials.quarantine.limits = bounds->quarantine;
+	for (int kind = 0; kind < QUARANTINE_KINDS; kind++)
+		gateway->trials.quarantines[kind].limits =
+			bounds->quarantines[kind];
 }
 
 int gateway_init(gateway_t *gateway, const gateway_setup_t *setup)
@@ -282,7 +284,7 @@
 	gateway->send_quota = setup->send_quota;
 	gateway->send_demand = setup->send_demand;
 	gateway->send_context = setup->send_context;
-	trials_init(&gateway->trials, &setup->bounds.quarantine);
+	trials_init(&gateway->trials, setup->bounds.quarantines);
 	gateway->trials.send = setup->send_trial;
 	gateway->trials.send_context = setup->send_context;
 	admission_init(gateway, setup);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -31,7 +31,7 @@
 	pimento_usec_t quota_window;
 	bool early_rejection; /* see overload.h */
 	double link_rate; /* bytes per second; 0: see host_load.h */
-	quarantine_limits_t quarantine;
+	quarantine_limits_t quarantines[QUARANTINE_KINDS];
 } gateway_bounds_t;
 
 typedef enum gateway_outcome {
--- a/io/hedge.c
+++ b/io/hedge.c
@@ -32,7 +32,7 @@
 bool hedge_may_begin(const exchange_t *x, pimento_usec_t now)
 {
 	/* a trial shows what one endpoint does with a prompt */
-	return !x->silent.attempt.conn && !x->trial.granted &&
+	return !x->silent.attempt.conn && !trials_is_trial(x) &&
 	       now >= x->hedge_at;
 }
 
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -51,6 +51,22 @@
 	}
 }
 
+/* Requests first, of which few are told of; parts may be many. */
+static void add_evidence(mesh_t *mesh, gossip_message_t *note,
+			 pimento_usec_t now)
+{
+	uint32_t count =
+		quarantine_report(&mesh->quarantines[QUARANTINE_REQUESTS],
+				  note->evidence, GOSSIP_EVIDENCE_MAX / 2, now);
+
+	count += quarantine_report(&mesh->quarantines[QUARANTINE_PARTS],
+				   note->evidence + count,
+				   GOSSIP_EVIDENCE_MAX - count, now);
+	for (uint32_t i = 0; i < count; i++)
+		quarantine_shift(&note->evidence[i], -now);
+	note->evidence_count = count;
+}
+
 /* What each note says beside membership; who is written to follows. */
 static void write_note(mesh_t *mesh, gossip_message_t *note, pimento_usec_t now)
 {
@@ -61,10 +77,7 @@
 	note->owner_report_count = 0;
 	note->quota_count = 0;
 	statements_report(mesh->slots, note, now);
-	note->evidence_count = quarantine_report(
-		mesh->quarantine, note->evidence, GOSSIP_EVIDENCE_MAX, now);
-	for (uint32_t i = 0; i < note->evidence_count; i++)
-		quarantine_shift(&note->evidence[i], -now);
+	add_evidence(mesh, note, now);
 	peers_put_pollers(mesh->roster, mesh->reader, now, note);
 	if (note->membership.count > GOSSIP_FACTS_NORMAL)
 		return; /* after many hosts started, they come first */
@@ -182,7 +195,8 @@
 		quarantine_evidence_t evidence = note->evidence[i];
 
 		quarantine_shift(&evidence, now);
-		quarantine_merge(mesh->quarantine, &evidence, now);
+		quarantine_merge(&mesh->quarantines[evidence.kind], &evidence,
+				 now);
 	}
 	for (uint32_t i = 0; i < note->quota_count; i++)
 		quota_apply_report(&mesh->quota->owned, note->quotas[i].account,
@@ -427,7 +441,7 @@
 	mesh->mirrors = setup->mirrors;
 	mesh->registry = setup->registry;
 	mesh->quota = setup->quota;
-	mesh->quarantine = setup->quarantine;
+	mesh->quarantines = setup->quarantines;
 	mesh->slots = setup->slots;
 	for (int kind = 0; kind < REPLICA_KIND_COUNT; kind++)
 		fetch_init(&mesh->fetches[kind], mesh, (replica_kind_t)kind);
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -36,7 +36,7 @@
 	replica_t *mirrors; /* indexed by replica_kind_t */
 	registry_t *registry;
 	quota_fleet_t *quota;
-	quarantine_t *quarantine;
+	quarantine_t *quarantines; /* QUARANTINE_KINDS */
 	slots_t *slots;
 	mesh_fetch_t fetches[REPLICA_KIND_COUNT];
 	bool reader; /* this host reads the store with success; set by others */
@@ -70,7 +70,7 @@
 	replica_t *mirrors; /* indexed by replica_kind_t */
 	registry_t *registry;
 	quota_fleet_t *quota;
-	quarantine_t *quarantine;
+	quarantine_t *quarantines; /* QUARANTINE_KINDS */
 	slots_t *slots; /* is given the mesh's socket and port */
 } mesh_setup_t;
 
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -109,14 +109,30 @@
 	return limited;
 }
 
-static void quarantine_parts(strbuf_t *text, const quarantine_t *quarantine)
+static uint32_t count_state(const quarantine_t *quarantine,
+			    quarantine_state_t state)
 {
-	uint32_t parts[] = { 0, 0, 0 };
+	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < quarantine->count; i++)
-		parts[quarantine_state(quarantine, &quarantine->records[i])]++;
-	gauge(text, "quarantine_parts_suspect", parts[QUARANTINE_SUSPECT]);
-	gauge(text, "quarantine_parts_held", parts[QUARANTINE_HELD]);
+		count += quarantine_state(quarantine,
+					  &quarantine->records[i]) == state;
+	return count;
+}
+
+static void quarantines(strbuf_t *text, const quarantine_t *quarantines)
+{
+	const quarantine_t *parts = &quarantines[QUARANTINE_PARTS];
+	const quarantine_t *requests = &quarantines[QUARANTINE_REQUESTS];
+
+	gauge(text, "quarantine_parts_suspect",
+	      count_state(parts, QUARANTINE_SUSPECT));
+	gauge(text, "quarantine_parts_held",
+	      count_state(parts, QUARANTINE_HELD));
+	gauge(text, "quarantine_requests_suspect",
+	      count_state(requests, QUARANTINE_SUSPECT));
+	gauge(text, "quarantine_requests_held",
+	      count_state(requests, QUARANTINE_HELD));
 }
 
 static void services(strbuf_t *text, const gateway_t *gateway,
@@ -206,7 +222,7 @@
 	histogram(text, "first_byte_seconds", &counters->first);
 	histogram(text, "wait_seconds", &counters->waited);
 	services(text, gateway, sources->now);
-	quarantine_parts(text, &gateway->trials.quarantine);
+	quarantines(text, gateway->trials.quarantines);
 	gauge(text, "endpoints_slow", endpoints_slow(gateway->registry));
 	gauge(text, "endpoints_leaving",
 	      endpoints_leaving(gateway->registry, sources->now));
--- a/io/quarantine_page.c
+++ b/io/quarantine_page.c
@@ -6,13 +6,20 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Requests are listed, and released, with this before their fingerprint. */
+static const char *const prefixes[QUARANTINE_KINDS] = {
+	[QUARANTINE_PARTS] = "",
+	[QUARANTINE_REQUESTS] = "request/",
+};
+
 static void write_record(strbuf_t *text, const quarantine_t *quarantine,
 			 const quarantine_record_t *record, pimento_usec_t now)
 {
 	const quarantine_evidence_t *evidence = &record->evidence;
 
-	strbuf_addf(text, "%llx %s trial_in_s=%.1f ended_s_ago=",
-		    (unsigned long long)evidence->part,
+	strbuf_addf(text, "%s%llx %s trial_in_s=%.1f ended_s_ago=",
+		    prefixes[quarantine->kind],
+		    (unsigned long long)evidence->id,
 		    quarantine_state_name(quarantine_state(quarantine, record)),
 		    (double)(quarantine_trial_at(quarantine, record, 1) - now) /
 			    (double)PIMENTO_SEC);
@@ -23,48 +30,66 @@
 	strbuf_addf(text, "\n");
 }
 
-static void list_parts(const quarantine_t *quarantine, httpd_conn_t *conn)
+static void add_records(strbuf_t *text, const quarantine_t *quarantine)
 {
-	strbuf_t text;
-
-	strbuf_init(&text);
 	for (uint32_t i = 0; i < quarantine->count; i++) {
 		const quarantine_record_t *record = &quarantine->records[i];
 
 		if (quarantine_state(quarantine, record) != QUARANTINE_CLEAR)
-			write_record(&text, quarantine, record, sys_now());
+			write_record(text, quarantine, record, sys_now());
 	}
+}
+
+static void list_records(const quarantine_t *quarantines, httpd_conn_t *conn)
+{
+	strbuf_t text;
+
+	strbuf_init(&text);
+	for (int kind = 0; kind < QUARANTINE_KINDS; kind++)
+		add_records(&text, &quarantines[kind]);
 	httpd_answer(conn, HTTP_STATUS_OK, "Content-Type: text/plain\r\n",
 		     strbuf_str(&text), text.length);
 	strbuf_finish(&text);
 }
 
-static int release_part(quarantine_t *quarantine, const char *id)
+static int release(quarantine_t *quarantine, const char *text)
 {
 	char *end;
-	uint64_t part = strtoull(id, &end, 16);
+	uint64_t id = strtoull(text, &end, 16);
 
-	if (end == id || *end)
+	if (end == text || *end)
 		return HTTP_STATUS_BAD_REQUEST;
-	if (!quarantine_find(quarantine, part))
+	if (!quarantine_find(quarantine, id))
 		return HTTP_STATUS_NOT_FOUND;
-	quarantine_add_answer(quarantine, part, sys_now());
-	trail(TRAIL_STATE, "quarantine", "released", "part=%llx",
-	      (unsigned long long)part);
+	quarantine_add_answer(quarantine, id, sys_now());
+	trail(TRAIL_STATE, "quarantine", "released", "%s=%llx",
+	      quarantine->kind == QUARANTINE_PARTS ? "part" : "fingerprint",
+	      (unsigned long long)id);
 	return HTTP_STATUS_OK;
 }
 
+static int release_listed(quarantine_t *quarantines, const char *text)
+{
+	const char *prefix = prefixes[QUARANTINE_REQUESTS];
+	size_t length = strlen(prefix);
+
+	if (strncmp(text, prefix, length) == 0)
+		return release(&quarantines[QUARANTINE_REQUESTS],
+			       text + length);
+	return release(&quarantines[QUARANTINE_PARTS], text);
+}
+
 void quarantine_page_serve(gateway_t *gateway, httpd_conn_t *conn)
 {
-	quarantine_t *quarantine = &gateway->trials.quarantine;
+	quarantine_t *quarantines = gateway->trials.quarantines;
 	const char *rest = conn->target.bytes + strlen(QUARANTINE_PAGE_PATH);
 	int method = conn->parser.method;
 
 	if (!*rest && method == HTTP_GET)
-		list_parts(quarantine, conn);
+		list_records(quarantines, conn);
 	else if (*rest == '/' && method == HTTP_DELETE)
-		httpd_answer(conn, release_part(quarantine, rest + 1), "", "",
-			     0);
+		httpd_answer(conn, release_listed(quarantines, rest + 1), "",
+			     "", 0);
 	else
 		httpd_answer(conn,
 			     *rest && *rest != '/'
--- a/io/relay.c
+++ b/io/relay.c
@@ -338,7 +338,7 @@
 	x->attempt.event_at = now;
 	if (!x->parts_cleared && x->call.part_count &&
 	    crashes_has_begun(x, &x->attempt, now))
-		trials_answered(x, now);
+		trials_begun(x, now);
 	placing_tell_pace(x);
 	httpd_write(x->caller, x->events.partial.bytes, (size_t)whole);
 	sse_consume(&x->events, (size_t)whole);
@@ -383,10 +383,9 @@
 }
 
 /* The end of a connection does not show that the answer was whole. */
-static void clear_parts(exchange_t *x)
+static void clear_evidence(exchange_t *x)
 {
-	if (x->call.part_count && x->status / 100 == 2 &&
-	    !x->attempt.conn->until_close)
+	if (x->status / 100 == 2 && !x->attempt.conn->until_close)
 		trials_answered(x, sys_now());
 }
 
@@ -401,7 +400,7 @@
 		return;
 	}
 	learn_length(x);
-	clear_parts(x);
+	clear_evidence(x);
 	dispatch_done(x);
 	caller = exchange_served(x);
 	httpd_end(caller);
@@ -415,7 +414,7 @@
 	httpd_conn_t *caller;
 
 	learn_first(x, sys_now());
-	clear_parts(x);
+	clear_evidence(x);
 	strbuf_init(&x->fields);
 	strbuf_init(&x->body);
 	dispatch_done(x);
--- a/src/edge_settings.c
+++ b/src/edge_settings.c
@@ -42,6 +42,7 @@
 
 #define QUARANTINE_ENDS_DEFAULT 3
 #define QUARANTINE_INTERVAL_S_DEFAULT 2
+#define QUARANTINE_REQUEST_INTERVAL_S_DEFAULT 600
 #define QUARANTINE_INTERVAL_MAX_S_DEFAULT 3600
 
 static const field_t toplevel_fields[] = {
@@ -102,6 +103,7 @@
 	{ "ends", FIELD_DOUBLE, false, OFFSET(quarantine_ends), 2,
 	  QUARANTINE_ENDS_MAX, NULL },
 	NUMBER_FIELD("interval_s", quarantine_interval_s, 1),
+	NUMBER_FIELD("request_interval_s", quarantine_request_interval_s, 1),
 	NUMBER_FIELD("interval_max_s", quarantine_interval_max_s, 1),
 };
 
@@ -233,6 +235,8 @@
 		.slow_start_overrun = SLOW_START_OVERRUN_DEFAULT,
 		.quarantine_ends = QUARANTINE_ENDS_DEFAULT,
 		.quarantine_interval_s = QUARANTINE_INTERVAL_S_DEFAULT,
+		.quarantine_request_interval_s =
+			QUARANTINE_REQUEST_INTERVAL_S_DEFAULT,
 		.quarantine_interval_max_s = QUARANTINE_INTERVAL_MAX_S_DEFAULT,
 	};
 	error = toml_parse(&document, text, length);
--- a/src/edge_settings.h
+++ b/src/edge_settings.h
@@ -16,7 +16,7 @@
  *	[bounds]  key_revoke_ms, retry_ratio, retry_slack, retry_window_s,
  *	          quota_window_s, slow_start_overrun, slow_start_slack
  *
- *	[quarantine] ends, interval_s, interval_max_s
+ *	[quarantine] ends, interval_s, request_interval_s, interval_max_s
  *	[overload] early_rejection
  *
  * [peers], [regions], [limits], [bounds], [quarantine] and [overload] are
@@ -71,6 +71,7 @@
 	 */
 	double quarantine_ends;
 	double quarantine_interval_s;
+	double quarantine_request_interval_s;
 	double quarantine_interval_max_s;
 	/* requests for which there is no slot in time are rejected at arrival */
 	bool early_rejection;
--- a/src/explain.c
+++ b/src/explain.c
@@ -56,8 +56,9 @@
 	  "nothing was sent" },
 	{ "no_id", "the request had no id" },
 	{ "quarantined",
-	  "a part of its prompt crashes endpoints; lines of part=quarantine "
-	  "with the same part= say which ended and when one is tried again" },
+	  "it, or a part of its prompt, crashes endpoints; lines of "
+	  "part=quarantine with the same part= or fingerprint= say when one is "
+	  "tried again" },
 	{ "overload", "all slots were taken and the expected wait for one was "
 		      "too long; look at part=overload lines" },
 	{ "no_place", "no endpoint had a free slot in time; look at waiting, "
--- a/src/packet.c
+++ b/src/packet.c
@@ -84,7 +84,8 @@
 	Peer__Evidence *message = &scratch->message;
 
 	peer__evidence__init(message);
-	message->part = evidence->part;
+	message->kind = evidence->kind;
+	message->id = evidence->id;
 	if (evidence->answered)
 		message->answered_ms = encode_age_ms(-evidence->answered_at);
 	for (uint32_t i = 0; i < evidence->end_count; i++) {
@@ -206,7 +207,7 @@
  * not sent for its size, the host would appear unresponsive. After surplus owner
  * reports, loads are dropped first, as owners count the requests that they
  * granted anyway; then the reports of other owners' endpoints, which follow the
- * sender's own; then quotas, evidence about parts of prompts, limits of
+ * sender's own; then quotas, evidence about prompts, limits of
  * endpoints, and departures last.
  */
 static void trim_to_size(Peer__Packet *message, size_t size)
@@ -580,7 +581,10 @@
 			  const Peer__Evidence *message)
 {
 	*evidence = (quarantine_evidence_t){
-		.part = message->part,
+		.kind = message->kind == QUARANTINE_REQUESTS
+				? QUARANTINE_REQUESTS
+				: QUARANTINE_PARTS,
+		.id = message->id,
 		.answered = message->answered_ms != 0,
 		.answered_at = -decode_evidence_age(message->answered_ms),
 		.end_count =
--- a/src/packet.h
+++ b/src/packet.h
@@ -34,10 +34,11 @@
 	PACKET_TRIAL_GRANT,
 	PACKET_TRIAL_DENIAL,
 	PACKET_TRIAL_RELEASE,
+	PACKET_TRIAL_EVIDENCE, /* of no trial: to the owner, or from it to all */
 	PACKET_TRIAL_KINDS
 } packet_trial_kind_t;
 
-/* A trial of a request with a part that is not clear; see quarantine.h. */
+/* A trial of a request that is not clear, or with such a part; see quarantine.h. */
 typedef struct packet_trial {
 	packet_trial_kind_t kind;
 	uint32_t address; /* of the sender */
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1279,15 +1279,15 @@
   (ProtobufCMessageInit) peer__reader__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__evidence__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer__evidence__field_descriptors[5] =
 {
   {
-    "part",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Peer__Evidence, part),
+    offsetof(Peer__Evidence, id),
     NULL,
     NULL,
     0,             /* flags */
@@ -1329,17 +1329,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kind",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Evidence, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__evidence__field_indices_by_name[] = {
   3,   /* field[3] = ages_ms */
   1,   /* field[1] = answered_ms */
-  0,   /* field[0] = part */
+  0,   /* field[0] = id */
+  4,   /* field[4] = kind */
   2,   /* field[2] = processes */
 };
 static const ProtobufCIntRange peer__evidence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer__evidence__descriptor =
 {
@@ -1349,7 +1362,7 @@
   "Peer__Evidence",
   "peer",
   sizeof(Peer__Evidence),
-  4,
+  5,
   peer__evidence__field_descriptors,
   peer__evidence__field_indices_by_name,
   1,  peer__evidence__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -167,12 +167,13 @@
 
 
 /*
- * Evidence about a part of prompts under which endpoints ended; src/quarantine.h.
+ * Evidence about a part of prompts, or a request, under which endpoints ended;
+ * src/quarantine.h.
  */
 struct  Peer__Evidence
 {
   ProtobufCMessage base;
-  uint64_t part;
+  uint64_t id;
   /*
    * 1 + age of the last answer; 0: none is known
    */
@@ -184,10 +185,14 @@
   uint32_t *processes;
   size_t n_ages_ms;
   uint32_t *ages_ms;
+  /*
+   * quarantine_kind_t
+   */
+  uint32_t kind;
 };
 #define PEER__EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__evidence__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -611,7 +616,7 @@
    */
   uint32_t suspects;
   /*
-   * the sender's, about the part
+   * the sender's, about the part or request
    */
   Peer__Evidence *evidence;
 };
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -12,19 +12,35 @@
 /* A part with an answer so lately needs further ends to count as suspect. */
 #define PROVEN_SPAN (600 * PIMENTO_SEC)
 #define PROVEN_ENDS 3
-/* From the first end to the next trial of a suspect part; grows with each end. */
-#define SUSPECT_DELAY (50 * PIMENTO_MSEC)
 #define SUSPECT_DELAY_GROWTH 5
 #define HELD_GROWTH 8
-#define LEASE_SPAN (5 * PIMENTO_SEC)
 /* Other hosts are told of a cleared part for this long. */
 #define CLEARED_SPAN (30 * PIMENTO_SEC)
 /* Records that changed so lately are reported before all others. */
 #define NEWS_SPAN (3 * PIMENTO_SEC)
 
-void quarantine_init(quarantine_t *q, const quarantine_limits_t *limits)
+/* What differs between parts and requests. */
+static const struct {
+	/* From the first end to the next trial; grows with each end. */
+	pimento_usec_t suspect_delay;
+	/* A trial that does not end otherwise. */
+	pimento_usec_t lease_span;
+	/*
+	 * A request is suspect only once a single end more would hold it, and each
+	 * end counts, as no other request comes between. Only its owner gathers
+	 * evidence before.
+	 */
+	bool is_single;
+} policies[QUARANTINE_KINDS] = {
+	[QUARANTINE_PARTS] = { 50 * PIMENTO_MSEC, 5 * PIMENTO_SEC, false },
+	[QUARANTINE_REQUESTS] = { 0, 30 * PIMENTO_SEC, true },
+};
+
+void quarantine_init(quarantine_t *q, quarantine_kind_t kind,
+		     const quarantine_limits_t *limits)
 {
 	memset(q, 0, sizeof(*q));
+	q->kind = kind;
 	q->limits = *limits;
 }
 
@@ -43,7 +59,7 @@
 	return names[state];
 }
 
-/* Evidence of a single part. */
+/* Evidence of a single part or request. */
 
 static uint32_t count_moments(const quarantine_evidence_t *evidence)
 {
@@ -61,17 +77,28 @@
 	return moments;
 }
 
-/* Ends that count against a part, beyond those that an answer outweighs. */
+/* Ends that count, beyond those that an answer outweighs. */
 static uint32_t count_weight(const quarantine_evidence_t *evidence)
 {
 	uint32_t moments = count_moments(evidence);
 
 	if (!moments || !evidence->answered ||
 	    evidence->ends[0].at - evidence->answered_at > PROVEN_SPAN)
-		return moments;
+		return policies[evidence->kind].is_single ? evidence->end_count
+							  : moments;
 	return moments > PROVEN_ENDS ? moments - PROVEN_ENDS : 0;
 }
 
+static quarantine_state_t state_of_weight(const quarantine_t *q,
+					  uint32_t weight)
+{
+	uint32_t free = policies[q->kind].is_single ? q->limits.ends - 2 : 0;
+
+	if (weight <= free)
+		return QUARANTINE_CLEAR;
+	return weight < q->limits.ends ? QUARANTINE_SUSPECT : QUARANTINE_HELD;
+}
+
 static void remove_end(quarantine_evidence_t *evidence, uint32_t index)
 {
 	evidence->end_count--;
@@ -136,42 +163,42 @@
 
 /* The table. */
 
-static uint32_t answer_index(uint64_t part)
+static uint32_t answer_index(uint64_t id)
 {
-	uint64_t mixed = part * 0x9e3779b97f4a7c15u;
+	uint64_t mixed = id * 0x9e3779b97f4a7c15u;
 
 	return (uint32_t)(mixed >> 32) & (QUARANTINE_ANSWERS_MAX - 1);
 }
 
-static quarantine_answer_t *answer_slot(quarantine_t *q, uint64_t part)
+static quarantine_answer_t *answer_slot(quarantine_t *q, uint64_t id)
 {
-	return &q->answers[answer_index(part)];
+	return &q->answers[answer_index(id)];
 }
 
-bool quarantine_is_proven(const quarantine_t *q, const uint64_t *parts,
+bool quarantine_is_proven(const quarantine_t *q, const uint64_t *ids,
 			  uint32_t count, pimento_usec_t now)
 {
 	for (uint32_t i = 0; i < count; i++) {
 		const quarantine_answer_t *answer =
-			&q->answers[answer_index(parts[i])];
+			&q->answers[answer_index(ids[i])];
 
-		if (answer->part != parts[i] || now - answer->at > PROVEN_SPAN)
+		if (answer->id != ids[i] || now - answer->at > PROVEN_SPAN)
 			return false;
 	}
 	return true;
 }
 
-static quarantine_record_t *find(const quarantine_t *q, uint64_t part)
+static quarantine_record_t *find(const quarantine_t *q, uint64_t id)
 {
 	for (uint32_t i = 0; i < q->count; i++)
-		if (q->records[i].evidence.part == part)
+		if (q->records[i].evidence.id == id)
 			return &q->records[i];
 	return NULL;
 }
 
-const quarantine_record_t *quarantine_find(const quarantine_t *q, uint64_t part)
+const quarantine_record_t *quarantine_find(const quarantine_t *q, uint64_t id)
 {
-	return find(q, part);
+	return find(q, id);
 }
 
 static void remove_record(quarantine_t *q, uint32_t index)
@@ -210,10 +237,10 @@
 }
 
 /* Returns NULL if memory is exhausted. */
-static quarantine_record_t *find_or_add(quarantine_t *q, uint64_t part)
+static quarantine_record_t *find_or_add(quarantine_t *q, uint64_t id)
 {
-	const quarantine_answer_t *answer = answer_slot(q, part);
-	quarantine_record_t *record = find(q, part);
+	const quarantine_answer_t *answer = answer_slot(q, id);
+	quarantine_record_t *record = find(q, id);
 
 	if (record)
 		return record;
@@ -222,54 +249,59 @@
 	if (q->count == q->size && !grow(q))
 		return NULL;
 	record = &q->records[q->count++];
-	*record = (quarantine_record_t){ .evidence.part = part };
-	if (answer->part == part)
+	*record = (quarantine_record_t){ .evidence = { .kind = q->kind,
+						       .id = id } };
+	if (answer->id == id)
 		(void)merge_answer(&record->evidence, answer->at);
 	return record;
 }
 
-static void note_change(quarantine_record_t *record, pimento_usec_t now)
+static void note_change(const quarantine_t *q, quarantine_record_t *record,
+			pimento_usec_t now)
 {
 	record->changed_at = now;
 	record->lease_ticket = 0;
+	if (quarantine_state(q, record) != QUARANTINE_CLEAR)
+		record->was_suspect = true;
 }
 
-void quarantine_add_end(quarantine_t *q, uint64_t part,
+void quarantine_add_end(quarantine_t *q, uint64_t id,
 			const quarantine_end_t *end, pimento_usec_t now)
 {
-	quarantine_record_t *record = find_or_add(q, part);
+	quarantine_record_t *record = find_or_add(q, id);
 
 	if (record && merge_end(&record->evidence, end))
-		note_change(record, now);
+		note_change(q, record, now);
 }
 
-void quarantine_add_answer(quarantine_t *q, uint64_t part, pimento_usec_t now)
+void quarantine_add_answer(quarantine_t *q, uint64_t id, pimento_usec_t now)
 {
-	quarantine_record_t *record = q->count ? find(q, part) : NULL;
+	quarantine_record_t *record = q->count ? find(q, id) : NULL;
 
-	*answer_slot(q, part) = (quarantine_answer_t){ part, now };
+	*answer_slot(q, id) = (quarantine_answer_t){ id, now };
 	if (record && merge_answer(&record->evidence, now))
-		note_change(record, now);
+		note_change(q, record, now);
 }
 
-void quarantine_merge(quarantine_t *q, const quarantine_evidence_t *evidence,
+bool quarantine_merge(quarantine_t *q, const quarantine_evidence_t *evidence,
 		      pimento_usec_t now)
 {
-	quarantine_record_t *record = find(q, evidence->part);
+	quarantine_record_t *record = find(q, evidence->id);
 	bool changed = false;
 
 	if (!record && !evidence->end_count)
-		return;
-	record = find_or_add(q, evidence->part);
+		return false;
+	record = find_or_add(q, evidence->id);
 	if (!record)
-		return;
+		return false;
 	if (evidence->answered)
 		changed =
 			merge_answer(&record->evidence, evidence->answered_at);
 	for (uint32_t i = 0; i < evidence->end_count; i++)
 		changed |= merge_end(&record->evidence, &evidence->ends[i]);
 	if (changed)
-		note_change(record, now);
+		note_change(q, record, now);
+	return changed;
 }
 
 void quarantine_shift(quarantine_evidence_t *evidence, pimento_usec_t span)
@@ -284,16 +316,20 @@
 quarantine_state_t quarantine_state(const quarantine_t *q,
 				    const quarantine_record_t *record)
 {
-	uint32_t weight = count_weight(&record->evidence);
+	return state_of_weight(q, count_weight(&record->evidence));
+}
 
-	if (!weight)
-		return QUARANTINE_CLEAR;
-	return weight < q->limits.ends ? QUARANTINE_SUSPECT : QUARANTINE_HELD;
+bool quarantine_is_near(const quarantine_t *q, uint64_t id, uint32_t ends)
+{
+	const quarantine_record_t *record = find(q, id);
+	uint32_t weight = record ? count_weight(&record->evidence) : 0;
+
+	return state_of_weight(q, weight + ends) != QUARANTINE_CLEAR;
 }
 
 static pimento_usec_t trial_delay(const quarantine_t *q, uint32_t weight)
 {
-	pimento_usec_t delay = SUSPECT_DELAY;
+	pimento_usec_t delay = policies[q->kind].suspect_delay;
 
 	if (weight < q->limits.ends) {
 		for (uint32_t i = 1; i < weight; i++)
@@ -325,10 +361,11 @@
 }
 
 quarantine_verdict_t quarantine_judge(const quarantine_t *q,
-				      const uint64_t *parts, uint32_t count,
+				      const uint64_t *ids, uint32_t count,
 				      pimento_usec_t now)
 {
-	quarantine_verdict_t verdict = { .state = QUARANTINE_CLEAR,
+	quarantine_verdict_t verdict = { .kind = q->kind,
+					 .state = QUARANTINE_CLEAR,
 					 .trial_at = now };
 	const quarantine_record_t *found[QUARANTINE_RECORDS_MAX];
 	uint32_t most = 0;
@@ -336,17 +373,17 @@
 	if (!q->count)
 		return verdict;
 	for (uint32_t i = 0; i < count; i++) {
-		const quarantine_record_t *record = find(q, parts[i]);
+		const quarantine_record_t *record = find(q, ids[i]);
 		uint32_t weight = record ? count_weight(&record->evidence) : 0;
 
-		if (!weight || verdict.suspects == QUARANTINE_RECORDS_MAX)
+		if (state_of_weight(q, weight) == QUARANTINE_CLEAR ||
+		    verdict.suspects == QUARANTINE_RECORDS_MAX)
 			continue;
 		found[verdict.suspects++] = record;
-		if (weight < most ||
-		    (weight == most && parts[i] > verdict.part))
+		if (weight < most || (weight == most && ids[i] > verdict.id))
 			continue;
 		most = weight;
-		verdict.part = parts[i];
+		verdict.id = ids[i];
 		verdict.state = quarantine_state(q, record);
 	}
 	for (uint32_t i = 0; i < verdict.suspects; i++) {
@@ -359,10 +396,10 @@
 	return verdict;
 }
 
-bool quarantine_lease(quarantine_t *q, uint64_t part, uint32_t suspects,
+bool quarantine_lease(quarantine_t *q, uint64_t id, uint32_t suspects,
 		      uint64_t ticket, pimento_usec_t now)
 {
-	quarantine_record_t *record = find(q, part);
+	quarantine_record_t *record = find(q, id);
 
 	if (!record || quarantine_state(q, record) == QUARANTINE_CLEAR)
 		return true;
@@ -372,13 +409,13 @@
 	if (quarantine_trial_at(q, record, suspects) > now)
 		return false;
 	record->lease_ticket = ticket;
-	record->lease_until = now + LEASE_SPAN;
+	record->lease_until = now + policies[q->kind].lease_span;
 	return true;
 }
 
-void quarantine_release(quarantine_t *q, uint64_t part, uint64_t ticket)
+void quarantine_release(quarantine_t *q, uint64_t id, uint64_t ticket)
 {
-	quarantine_record_t *record = find(q, part);
+	quarantine_record_t *record = find(q, id);
 
 	if (record && record->lease_ticket == ticket)
 		record->lease_ticket = 0;
@@ -386,6 +423,11 @@
 
 /* Reports. */
 
+static bool is_for_all(const quarantine_t *q, const quarantine_record_t *record)
+{
+	return record->was_suspect || !policies[q->kind].is_single;
+}
+
 static bool is_news(const quarantine_record_t *record, pimento_usec_t now)
 {
 	return now - record->changed_at < NEWS_SPAN;
@@ -402,7 +444,8 @@
 			uint32_t index = (start + i) % q->count;
 			const quarantine_record_t *record = &q->records[index];
 
-			if (is_news(record, now) != (news != 0))
+			if (is_news(record, now) != (news != 0) ||
+			    !is_for_all(q, record))
 				continue;
 			evidence[count++] = record->evidence;
 			q->next_report = index + 1;
--- a/test/test_crashing_requests.c
+++ b/test/test_crashing_requests.c
@@ -109,7 +109,7 @@
 			     { "Key", EDGE_KEY },
 			     { "Test-Events",
 			       caller->crashing && cases[case_number].late
-				       ? "40"
+				       ? "200"
 				       : "5" },
 			     { "Test-Gap-Ms",
 			       caller->crashing && cases[case_number].late
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -18,7 +18,7 @@
 
 static void setup(void)
 {
-	quarantine_init(&quarantine, &limits);
+	quarantine_init(&quarantine, QUARANTINE_PARTS, &limits);
 }
 
 static void teardown(void)
@@ -45,8 +45,8 @@
 	return quarantine_judge(q, &part, 1, ms(at_ms));
 }
 
-/* What happens to one part: ends at processes, or an answer (process 0). */
-static const struct {
+/* What happens: ends at processes, or an answer (process 0). */
+typedef struct history {
 	const char *name;
 	struct {
 		int64_t at_ms;
@@ -54,7 +54,10 @@
 	} steps[STEPS_MAX];
 	quarantine_state_t state;
 	int64_t trial_ms; /* when the next one may be tried */
-} cases[] = {
+} history_t;
+
+/* To one part. */
+static const history_t cases[] = {
 	{ "nothing", { { 0 } }, QUARANTINE_CLEAR, 0 },
 	{ "one end", { { 1000, 1 } }, QUARANTINE_SUSPECT, 1050 },
 	{ "two ends", { { 1000, 1 }, { 2000, 2 } }, QUARANTINE_SUSPECT, 2250 },
@@ -102,28 +105,114 @@
 	  704000 },
 };
 
-/* Sound parts that are refused, or crashing ones that are not. */
-START_TEST(ends_without_answers_count_against_a_part)
+/* To one request; trials of the quarantine's limits. */
+static const history_t request_cases[] = {
+	{ "one end", { { 1000, 1 } }, QUARANTINE_CLEAR, 0 },
+	{ "two ends", { { 1000, 1 }, { 2000, 2 } }, QUARANTINE_SUSPECT, 2000 },
+	{ "three ends",
+	  { { 1000, 1 }, { 2000, 2 }, { 3000, 3 } },
+	  QUARANTINE_HELD,
+	  5000 },
+	{ "three ends in one moment",
+	  { { 1000, 1 }, { 1001, 2 }, { 1002, 3 } },
+	  QUARANTINE_HELD,
+	  3002 },
+	{ "one end that is reported thrice",
+	  { { 1000, 1 }, { 1300, 1 }, { 1600, 1 } },
+	  QUARANTINE_CLEAR,
+	  0 },
+	{ "ends before an answer",
+	  { { 1000, 1 }, { 2000, 2 }, { 3000, 3 }, { 3100, 0 } },
+	  QUARANTINE_CLEAR,
+	  0 },
+	{ "a popular request under endpoints that end at once",
+	  { { 500, 0 },
+	    { 1000, 1 },
+	    { 1010, 2 },
+	    { 1020, 3 },
+	    { 1030, 4 },
+	    { 1040, 5 } },
+	  QUARANTINE_CLEAR,
+	  0 },
+};
+
+static void play_history(const history_t *history)
 {
 	quarantine_verdict_t verdict;
-	int64_t last = 0;
 
-	for (int i = 0; i < STEPS_MAX && cases[_i].steps[i].at_ms; i++) {
-		last = cases[_i].steps[i].at_ms;
-		if (cases[_i].steps[i].process)
-			add_end(&quarantine, PART, cases[_i].steps[i].process,
-				last);
+	for (int i = 0; i < STEPS_MAX && history->steps[i].at_ms; i++) {
+		int64_t at_ms = history->steps[i].at_ms;
+
+		if (history->steps[i].process)
+			add_end(&quarantine, PART, history->steps[i].process,
+				at_ms);
 		else
-			quarantine_add_answer(&quarantine, PART, ms(last));
+			quarantine_add_answer(&quarantine, PART, ms(at_ms));
 	}
 	verdict = judge(&quarantine, PART, 0);
-	ck_assert_msg(verdict.state == cases[_i].state, "%s: %s",
-		      cases[_i].name, quarantine_state_name(verdict.state));
+	ck_assert_msg(verdict.state == history->state, "%s: %s", history->name,
+		      quarantine_state_name(verdict.state));
 	if (verdict.state != QUARANTINE_CLEAR)
-		ck_assert_msg(verdict.trial_at == ms(cases[_i].trial_ms),
-			      "%s: trial at %lld us", cases[_i].name,
+		ck_assert_msg(verdict.trial_at == ms(history->trial_ms),
+			      "%s: trial at %lld us", history->name,
 			      (long long)verdict.trial_at);
 }
+
+/* Sound parts that are refused, or crashing ones that are not. */
+START_TEST(ends_without_answers_count_against_a_part)
+{
+	play_history(&cases[_i]);
+}
+END_TEST
+
+/* Sound requests that wait or are refused, or crashing ones that are not. */
+START_TEST(ends_without_answers_count_against_a_request)
+{
+	quarantine_init(&quarantine, QUARANTINE_REQUESTS, &limits);
+	play_history(&request_cases[_i]);
+}
+END_TEST
+
+/* Copies of a request that is under two ends, each taken for the only trial. */
+START_TEST(one_attempt_of_a_suspect_request_is_sent_at_a_time)
+{
+	quarantine_init(&quarantine, QUARANTINE_REQUESTS, &limits);
+	add_end(&quarantine, PART, 1, 1000);
+	ck_assert(quarantine_lease(&quarantine, PART, 1, 11, ms(1000)));
+	ck_assert(quarantine_lease(&quarantine, PART, 1, 12, ms(1000)));
+	ck_assert(quarantine_is_near(&quarantine, PART, 1));
+	ck_assert(!quarantine_is_near(&quarantine, PART, 0));
+	add_end(&quarantine, PART, 2, 1010);
+	ck_assert(quarantine_lease(&quarantine, PART, 1, 13, ms(1020)));
+	ck_assert(!quarantine_lease(&quarantine, PART, 1, 14, ms(20000)));
+	add_end(&quarantine, PART, 3, 20100);
+	ck_assert(!quarantine_lease(&quarantine, PART, 1, 14, ms(20200)));
+}
+END_TEST
+
+/* Victims of a wave of ends that displace what all hosts must know. */
+START_TEST(only_suspect_requests_are_reported_to_all)
+{
+	quarantine_evidence_t evidence[GOSSIP_EVIDENCE_MAX];
+
+	quarantine_init(&quarantine, QUARANTINE_REQUESTS, &limits);
+	for (uint32_t i = 0; i < 50; i++)
+		add_end(&quarantine, 100 + i, i, 1000);
+	ck_assert_uint_eq(quarantine_report(&quarantine, evidence,
+					    GOSSIP_EVIDENCE_MAX, ms(1100)),
+			  0);
+	add_end(&quarantine, 120, 99, 1200);
+	ck_assert_uint_eq(quarantine_report(&quarantine, evidence,
+					    GOSSIP_EVIDENCE_MAX, ms(1300)),
+			  1);
+	ck_assert_uint_eq(evidence[0].id, 120);
+	/* cleared: others learn that, too */
+	quarantine_add_answer(&quarantine, 120, ms(1400));
+	ck_assert_uint_eq(quarantine_report(&quarantine, evidence,
+					    GOSSIP_EVIDENCE_MAX, ms(1500)),
+			  1);
+	ck_assert_uint_eq(evidence[0].end_count, 0);
+}
 END_TEST
 
 /* Several requests that crash endpoints at once, each taken for the only trial. */
@@ -158,7 +247,7 @@
 		quarantine_judge(&quarantine, both, 2, ms(1000)).trial_at,
 		ms(1100));
 	quarantine_add_answer(&quarantine, PART, ms(1060));
-	ck_assert_uint_eq(quarantine_judge(&quarantine, both, 2, ms(1100)).part,
+	ck_assert_uint_eq(quarantine_judge(&quarantine, both, 2, ms(1100)).id,
 			  OTHER);
 }
 END_TEST
@@ -221,7 +310,7 @@
 	pimento_usec_t now = ms(10000);
 
 	for (uint32_t i = 0; i < HOSTS; i++)
-		quarantine_init(&hosts[i], &limits);
+		quarantine_init(&hosts[i], QUARANTINE_PARTS, &limits);
 	for (uint32_t i = 0; i < 3; i++) {
 		add_end(&hosts[i], PART, i, 1000 + i * 1000);
 		add_end(&hosts[i], OTHER, i, 1000 + i * 1000);
@@ -256,6 +345,12 @@
 	tcase_add_checked_fixture(tests, setup, teardown);
 	tcase_add_loop_test(tests, ends_without_answers_count_against_a_part, 0,
 			    sizeof(cases) / sizeof(cases[0]));
+	tcase_add_loop_test(tests, ends_without_answers_count_against_a_request,
+			    0,
+			    sizeof(request_cases) / sizeof(request_cases[0]));
+	tcase_add_test(tests,
+		       one_attempt_of_a_suspect_request_is_sent_at_a_time);
+	tcase_add_test(tests, only_suspect_requests_are_reported_to_all);
 	tcase_add_test(tests, one_request_at_a_time_is_tried);
 	tcase_add_test(tests, a_request_with_one_suspect_part_goes_first);
 	tcase_add_test(tests, a_flood_of_parts_displaces_no_held_one);
