soak: a request that crashes workers and is sent again and again

With SOAK_CRASHING=1 the first caller sends, as one in three of its requests, the same stream again and again, through any host; its prompt ends with a part that crashes the worker. Allowed are three runs in all, and two more for each host that was killed, frozen or told to stop, which need not know or tell what was found: an attempt of a client has two.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -385,10 +385,12 @@
 		return verdict;
 	for (uint32_t i = 0; i < count; i++) {
 		const quarantine_record_t *record = find(q, ids[i]);
-		uint32_t weight = record ? count_weight(&record->evidence) : 0;
+		uint32_t weight;
 
-		if (state_of_weight(q, weight) == QUARANTINE_CLEAR ||
-		    verdict.suspects == QUARANTINE_RECORDS_MAX)
+		if (!record || verdict.suspects == QUARANTINE_RECORDS_MAX)
+			continue;
+		weight = count_weight(&record->evidence);
+		if (state_of_weight(q, weight) == QUARANTINE_CLEAR)
 			continue;
 		found[verdict.suspects++] = record;
 		if (weight < most || (weight == most && ids[i] > verdict.id))
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -78,9 +78,9 @@
 	uint64_t events;
 	pimento_usec_t gap;
 	pimento_usec_t due;
+	uint64_t crash_after; /* events of this run, if it is to crash */
 	bool half;
 	bool mute;
-	uint64_t crash_after; /* events of this run, if it is to crash */
 	bool crash;
 	bool crash_slowly;
 } run_t;
--- a/test/soak.c
+++ b/test/soak.c
@@ -45,6 +45,8 @@
 	STARTED_MS = 400,
 	CALLER_PAUSE_MS = 15,
 	CRASHING_SHARE = 6, /* one in so many streams has such a prompt */
+	REPEATS_SHARE = 3, /* one in so many requests of the first caller */
+	ENDS_ALLOWED = 3, /* under one request, with all its repeats */
 	SERIES_MOST = 6, /* signals or changes in one series */
 	SERIES_GAP_MS = 60, /* between two of them, at most */
 	EVENTS_MAX = 512,
@@ -83,6 +85,7 @@
 	bool behaves; /* no worker is asked to misbehave */
 	bool undisturbed; /* no fault of its host or a worker but silences */
 	bool crashing; /* its prompt crashes workers */
+	bool repeated; /* the request that crashes workers and comes again */
 	bool after_drain; /* it reached a worker that had left for its host */
 	bool in_backoff; /* in the backoff of its host */
 	bool out_of_order;
@@ -149,6 +152,7 @@
 	atomic_bool
 		bursting; /* all callers ask for streams, half with HOT_KEY */
 	atomic_int workers_lost; /* killed and not back yet */
+	uint32_t host_faults; /* hosts killed, frozen or told to stop */
 	/* when faults last began or ended that may end streams */
 	_Atomic int64_t worker_lost_ms;
 	_Atomic int64_t host_lost_ms[EDGE_HOSTS_MAX];
@@ -163,6 +167,7 @@
 	soak_t *soak;
 	uint64_t draws;
 	bool extra; /* with streams alone, amid silences and in bursts */
+	bool repeats; /* a request that crashes workers, if there are such */
 	pthread_t thread;
 } caller_t;
 
@@ -277,9 +282,12 @@
 
 		snprintf(parts, sizeof(parts), "5c1e07a2:60,%s%s:100",
 			 record->crashing ? "dead0001:40,1" : "2", id + 5);
+		if (record->repeated)
+			snprintf(parts, sizeof(parts),
+				 "5c1e07a2:60,beef0001:100");
 		fields = add_field(fields, "Prefix-Hash", parts);
 	}
-	if (draw_below(&caller->draws, 10) == 0) {
+	if (draw_below(&caller->draws, 10) == 0 && !record->repeated) {
 		uint32_t count = sizeof(behaviours) / sizeof(behaviours[0]);
 		uint32_t i = draw_below(&caller->draws, count);
 
@@ -388,6 +396,13 @@
 		record->crashing =
 			soak->crashing && record->kind <= ONCE &&
 			draw_below(&caller->draws, CRASHING_SHARE) == 0;
+		if (soak->crashing && caller->repeats &&
+		    draw_below(&caller->draws, REPEATS_SHARE) == 0) {
+			record->kind = STREAM;
+			record->key = 0;
+			record->crashing = true;
+			record->repeated = true;
+		}
 		record->events_wanted = events_of(soak);
 		record->behaves = true;
 		call(caller, curl, record, id);
@@ -551,6 +566,7 @@
 	soak->host_down[host] = true;
 	touch(soak, host);
 	note_host(soak, host);
+	soak->host_faults++;
 	switch (draw_below(&soak->draws, 3)) {
 	case 0:
 		add_event(soak, "host %u killed", host);
@@ -1107,12 +1123,33 @@
 		report(soak, "%u retries of %u requests", retries, count);
 }
 
+/*
+ * A host that is killed, frozen or stopped need not know or tell what was found; an
+ * attempt of a client runs there twice at most.
+ */
+static void check_repeats(soak_t *soak, uint32_t count)
+{
+	uint32_t allowed =
+		ENDS_ALLOWED + kinds[STREAM].runs_max * soak->host_faults;
+	uint32_t runs = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		if (soak->records[i].repeated)
+			runs += soak->records[i].runs;
+	soak->result->repeated_runs = runs;
+	if (runs > allowed)
+		report(soak, "a request that crashes workers ran %u times",
+		       runs);
+}
+
 static void check_all(soak_t *soak)
 {
 	uint32_t count = soak->next < REQUESTS_MAX ? soak->next : REQUESTS_MAX;
 
 	if (soak->terms.strains)
 		check_retries(soak, count);
+	if (soak->terms.crashing)
+		check_repeats(soak, count);
 
 	soak->result->requests = count;
 	for (uint32_t i = 0; i < count; i++) {
@@ -1438,6 +1475,7 @@
 		callers[i].soak = &soak;
 		callers[i].draws = terms->seed * 1000 + i;
 		callers[i].extra = i >= terms->callers;
+		callers[i].repeats = !i;
 		ck_assert_int_eq(pthread_create(&callers[i].thread, NULL,
 						run_caller, &callers[i]),
 				 0);
--- a/test/soak.h
+++ b/test/soak.h
@@ -33,7 +33,8 @@
 	bool paths;
 	/*
 	 * also requests with a prompt part that crashes the worker which begins
-	 * their answer, in place of faults of the links to workers
+	 * their answer, and one that does and is sent again and again, in place
+	 * of faults of the links to workers
 	 */
 	bool crashing;
 	/*
@@ -73,6 +74,7 @@
 	uint32_t failed; /* a failure, or no whole answer */
 	uint32_t faults;
 	uint32_t crashes; /* of workers, under such requests */
+	uint32_t repeated_runs; /* of the one that is sent again and again */
 	uint32_t broken; /* promises */
 	char first[SOAK_TEXT_MAX]; /* the first of them; "" none */
 } soak_result_t;
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -99,10 +99,11 @@
 	soak_play(&terms, &result);
 	fprintf(stderr,
 		"seed %llu: %u requests, %u served, %u refused, %u failed, "
-		"%u faults, %u crashes, %u promises broken\n",
+		"%u faults, %u crashes, %u runs of a repeated request, %u "
+		"promises broken\n",
 		(unsigned long long)what->seed, result.requests, result.served,
 		result.refused, result.failed, result.faults, result.crashes,
-		result.broken);
+		result.repeated_runs, result.broken);
 	ck_assert_msg(result.broken == 0, "seed %llu (%s): %u broken, first %s",
 		      (unsigned long long)what->seed, what->why, result.broken,
 		      result.first);
