relay: a rejection with another request's id is no answer

Cause: relay_head() read over an answer with another id only if it was no rejection, since rejections may come without an id. It did not tell no id from another one.

Change: the dialect says that an answer bears another request's id; such an answer is read over, whatever it states.

--- a/io/dialect.h
+++ b/io/dialect.h
@@ -46,6 +46,7 @@
 /* What an endpoint's answer says beside its status. */
 typedef struct dialect_answer {
 	bool mine; /* it bears the request's id */
+	bool foreign; /* it bears another request's */
 	bool not_run; /* the endpoint promises so */
 	bool sealed; /* a success must be */
 	bool leaving; /* the endpoint takes no new requests */
--- a/io/relay.c
+++ b/io/relay.c
@@ -231,6 +231,15 @@
 			attempt->sent_at, sys_now());
 }
 
+/* Rejections may come without an id, but not with another request's. */
+static bool is_for_request(const dialect_answer_t *answer, const httpc_t *conn)
+{
+	if (answer->foreign)
+		return false;
+	return answer->mine || answer->not_run ||
+	       conn->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+}
+
 bool relay_head(httpc_t *conn)
 {
 	exchange_t *x = conn->user;
@@ -245,8 +254,7 @@
 	x->gateway->dialect->read_answer(&conn->head, x->call.id, &answer);
 	learn_leaving(x, conn, &answer);
 	learn_backoff(x, conn, &answer);
-	if (!answer.mine && !answer.not_run &&
-	    conn->status != HTTP_STATUS_MISDIRECTED_REQUEST)
+	if (!is_for_request(&answer, conn))
 		return false;
 	learn_rate_limit(x, conn, &answer);
 	if (hedge_is_silent(x, conn) && !silent_answers(x, &answer, conn))
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -16,6 +16,7 @@
  *	half	a stream that stops inside its third event
  *	mute	a stream's head, and a reset before its first event
  *	interim	answers 102 by the thousand, then nothing
+ *	stale	a rejection of another request, then the answer
  *
  * A prompt part whose id begins with "dead" ("Prefix-Hash: dead01:40,7f:20"; not
  * the last one) ends this process soon after the head of a stream; with "dead5"
@@ -534,6 +535,9 @@
 static void on_request(httpd_conn_t *conn)
 {
 	static const char rubbish[] = "\x01\x02 no answer\r\n\r\n";
+	static const char stale[] =
+		"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+		"Request-Id: somebody-elses\r\nContent-Length: 0\r\n\r\n";
 	size_t path = strcspn(conn->target.bytes, "?");
 
 	if (strcmp(conn->target.bytes, "/test/runs") == 0) {
@@ -564,6 +568,8 @@
 	tell(conn, "ran");
 	if (behaves(conn, "hang"))
 		return;
+	if (behaves(conn, "stale"))
+		raw(conn, stale, sizeof(stale) - 1);
 	if (behaves(conn, "interim"))
 		answer_interim(conn);
 	else if (behaves(conn, "garble"))
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -82,7 +82,8 @@
 	{ EDGE_ONCE, "half", 0, 1 },	    { EDGE_ONCE, "foreign", 504, 1 },
 	{ EDGE_ONCE, "unsealed", 502, 1 },  { EDGE_SAFE, "full", 503, 0 },
 	{ EDGE_SAFE, "torn", 502, 2 },	    { EDGE_SAFE, "fail", 500, 2 },
-	{ EDGE_SAFE, "extra", 200, 1 },
+	{ EDGE_SAFE, "extra", 200, 1 },	    { EDGE_UNSAFE, "stale", 200, 1 },
+	{ EDGE_ONCE, "stale", 200, 1 },
 };
 
 START_TEST(a_misbehaving_worker_never_makes_the_host_lie)
