httpd: an answer that its caller still reads is not cut

Cause: once an endpoint's answer is whole, its rest lies in the send buffer, of which two places knew nothing: httpd_close_resting() took the connection for idle, and a connection that lingers was closed a second after the end.

Change: a connection is idle once its buffer is empty; one that lingers with bytes in it is closed after the operator's idle timeout without progress. Progress of the buffer counts as activity, so that a caller who has stopped reading is let go.

--- a/io/httpd.c
+++ b/io/httpd.c
@@ -394,16 +394,18 @@
 static void on_writable(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	httpd_conn_t *conn = watcher->data;
+	size_t waiting = sendbuf_waiting(&conn->sendbuf);
 
 	(void)events;
 	if (sendbuf_flush(&conn->sendbuf, conn->fd)) {
 		conn_close(conn, true);
 		return;
 	}
+	if (sendbuf_waiting(&conn->sendbuf) < waiting)
+		conn->last_byte = sys_now();
 	if (sendbuf_waiting(&conn->sendbuf))
 		return;
 	ev_io_stop(loop, &conn->writing);
-	conn->last_byte = sys_now();
 	if (conn->state == HTTPD_LINGERING) {
 		shutdown(conn->fd, SHUT_WR);
 	} else if (conn->server->ops->written) {
@@ -508,7 +510,9 @@
 
 	switch (conn->state) {
 	case HTTPD_LINGERING:
-		return now - conn->last_byte > LINGER;
+		return now - conn->last_byte > (sendbuf_waiting(&conn->sendbuf)
+							? limits->idle_timeout
+							: LINGER);
 	case HTTPD_READING:
 		return now - conn->last_byte > limits->idle_timeout;
 	case HTTPD_WAITING:
@@ -554,7 +558,8 @@
 	while (conn) {
 		httpd_conn_t *next = conn->next;
 
-		if (conn->state == HTTPD_READING && conn->at_rest)
+		if (conn->state == HTTPD_READING && conn->at_rest &&
+		    !sendbuf_waiting(&conn->sendbuf))
 			conn_close(conn, false);
 		conn = next;
 	}
