httpc: a connection reads on for its next request

Cause: reading of an endpoint's connection stops while the caller's buffer is full. If that happens in the turn in which the answer ends, the connection goes into the pool with its reading stopped, and nothing starts it again; nor is its end noticed there.

Change: a connection that rests reads.

Evidence: test_httpd, new case: the second of two requests on such a connection got no answer within 1.5 s before; now it does. test_edge: 47 passed.

--- a/io/httpc.c
+++ b/io/httpc.c
@@ -176,10 +176,12 @@
 	.on_message_complete = on_end,
 };
 
+/* The reader of the last answer may have been slow; the next one is another. */
 static void rest(httpc_t *conn)
 {
 	conn->state = HTTPC_RESTING;
 	conn->since = sys_now();
+	ev_io_start(conn->loop, &conn->reading);
 }
 
 /* Tells the peer that the answer has been read. */
--- a/test/test_httpd.c
+++ b/test/test_httpd.c
@@ -1,5 +1,6 @@
 /* The server of HTTP towards callers, in this process, on loopback. */
 
+#include "httpc.h"
 #include "httpd.h"
 #include "process.h"
 #include "sys.h"
@@ -141,6 +142,78 @@
 }
 END_TEST
 
+/* A connection to an endpoint, which answers each request with two bytes. */
+static uint32_t answers;
+
+static void on_opened(httpc_t *conn)
+{
+	static const char head[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+	ck_assert(httpc_ask(conn, head, sizeof(head) - 1, "", 0, false));
+}
+
+static bool on_head(httpc_t *conn)
+{
+	(void)conn;
+	return true;
+}
+
+static void on_body(httpc_t *conn, const char *bytes, size_t length)
+{
+	(void)bytes;
+	(void)length;
+	httpc_hold(conn, true); /* its reader is slow */
+}
+
+static void on_end(httpc_t *conn)
+{
+	if (++answers < 2)
+		on_opened(conn);
+}
+
+static void on_failed(httpc_t *conn, httpc_failure_t why)
+{
+	(void)conn;
+	(void)why;
+}
+
+static const httpc_ops_t endpoint_ops = { .opened = on_opened,
+					  .head = on_head,
+					  .body = on_body,
+					  .end = on_end,
+					  .failed = on_failed };
+
+static void answer_shortly(httpd_conn_t *conn)
+{
+	httpd_answer(conn, 200, "", "ok", 2);
+}
+
+/* The next request on a connection whose reading had stopped is not answered. */
+START_TEST(a_connection_reads_again_for_its_next_request)
+{
+	static const httpd_ops_t ops = { .request = answer_shortly,
+					 .gone = on_gone };
+	const httpd_limits_t limits = { .head_bytes = 4096,
+					.head_timeout = PIMENTO_SEC,
+					.idle_timeout = 10 * PIMENTO_SEC,
+					.connections = 4 };
+	net_address_t at = address();
+	int64_t until = process_now_ms() + IDLE_MS;
+	httpc_t *conn;
+
+	ck_assert_int_eq(httpd_init(&server, loop, &at, &ops, &limits), 0);
+	answers = 0;
+	conn = httpc_open(loop, &at, &endpoint_ops);
+	ck_assert_ptr_nonnull(conn);
+	while (answers < 2 && process_now_ms() < until) {
+		ev_run(loop, EVRUN_NOWAIT);
+		process_sleep_ms(1);
+	}
+	ck_assert_uint_eq(answers, 2);
+	httpc_close(conn);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("httpd");
@@ -151,6 +224,7 @@
 	tcase_add_loop_test(tests, an_answer_that_is_still_read_is_not_cut, 0,
 			    2);
 	tcase_add_loop_test(tests, a_reader_that_has_stopped_is_let_go, 0, 2);
+	tcase_add_test(tests, a_connection_reads_again_for_its_next_request);
 	suite_add_tcase(suite, tests);
 	return process_run_suite(suite);
 }
