quota: a host whose seeds never answered admits a part of a limit

Cause: such a host defers requests for 0.4 s, then takes itself for the owner of all accounts and knows of no host that it has lost, so that nothing makes its part less than the whole. A seed that never answered counted as neither alive nor lost.

Change: as long as a host has seen no peer, and for 20 s after its start at most (the time for which lost hosts count), its seeds count as lost, as behind a network partition, and it decides in place of the owner, as a host does that does not reach the owner.

A host that starts while all others are gone for good admits less for 20 s; requests without a limit are not affected.

--- a/src/peers.c
+++ b/src/peers.c
@@ -475,9 +475,27 @@
 	return membership_live_hosts(&peers->membership, NULL, 0);
 }
 
+bool peers_has_only_seeds(const peers_t *peers, pimento_usec_t span,
+			  pimento_usec_t now)
+{
+	return peers->count && !peers->any_peer_seen &&
+	       now - peers->first_added_at < span;
+}
+
+static uint32_t count_seeds(const peers_t *peers)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < peers->count; i++)
+		count += peers->list[i]->seed;
+	return count;
+}
+
 double peers_known_live_share(const peers_t *peers, pimento_usec_t span,
 			      pimento_usec_t now)
 {
+	if (peers_has_only_seeds(peers, span, now))
+		return 1.0 / (1 + count_seeds(peers));
 	return membership_known_live_share(&peers->membership, span, now);
 }
 
--- a/src/peers.h
+++ b/src/peers.h
@@ -314,9 +314,17 @@
  */
 uint32_t peers_live_count(const peers_t *peers);
 
+/*
+ * True if this host was started within the span and none of its seeds has ever
+ * answered: they may be stale, and other hosts alive.
+ */
+bool peers_has_only_seeds(const peers_t *peers, pimento_usec_t span,
+			  pimento_usec_t now);
+
 /*
  * Share of the known hosts that are live, (0, 1]; below 1 on each side of a
- * network partition. Hosts that died longer ago than span do not count.
+ * network partition. Hosts that died longer ago than span do not count; seeds
+ * that never answered do, while they are all that is known.
  */
 double peers_known_live_share(const peers_t *peers, pimento_usec_t span,
 			      pimento_usec_t now);
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -380,6 +380,23 @@
 }
 END_TEST
 
+/* A host that admits whole quotas beside others, as its seeds are stale. */
+START_TEST(seeds_that_never_answered_count_as_lost_hosts)
+{
+	const pimento_usec_t at = 1000 * PIMENTO_MSEC;
+	const pimento_usec_t span = 20 * PIMENTO_SEC;
+	pimento_usec_t confirmed_at[REPLICA_KIND_COUNT];
+	gossip_message_t message = make_message(PEER + 1, 100);
+
+	ck_assert(peers_known_live_share(&peers, span, at) >= 1);
+	peers_add(&peers, PEER, true, at);
+	ck_assert(peers_known_live_share(&peers, span, at + span / 2) <= 0.5);
+	ck_assert(peers_known_live_share(&peers, span, at + span) >= 1);
+	peers_receive(&peers, &message, at + span / 2, confirmed_at);
+	ck_assert(peers_known_live_share(&peers, span, at + span / 2) >= 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("peers");
@@ -405,6 +422,7 @@
 		tests, discovery_ends_when_no_more_peers_are_added, 0,
 		sizeof(discovery_cases) / sizeof(discovery_cases[0]));
 	tcase_add_test(tests, discovery_lasts_until_a_peer_responds);
+	tcase_add_test(tests, seeds_that_never_answered_count_as_lost_hosts);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
