quarantine, trials: shorter searches, names and messages

Read as a newcomer would. trials_release() asked for the owner, a hash for each host, at the end of each request, whether a trial had been granted or not; it looks at that first. The ids of records lie close together, as each request is searched for in three tables now. A request that is rejected for a part under which endpoints end late was told that it crashes endpoints itself; it is told of the part.

--- a/io/exchange.c
+++ b/io/exchange.c
@@ -258,7 +258,7 @@
 	}
 	length = snprintf(
 		text, sizeof(text), "Not run: %s %llx crashes endpoints.\n",
-		verdict.kind == QUARANTINE_PARTS ? "prompt part" : "request",
+		verdict.kind == QUARANTINE_REQUESTS ? "request" : "prompt part",
 		(unsigned long long)verdict.id);
 	admission_refund(x);
 	httpd_answer(part(x, HTTP_STATUS_BAD_REQUEST, GATEWAY_QUARANTINED, why),
--- a/io/quarantine_page.c
+++ b/io/quarantine_page.c
@@ -11,13 +11,14 @@
 {
 	const quarantine_evidence_t *evidence = &record->evidence;
 
-	strbuf_addf(
-		text, "%s%s%llx %s trial_in_s=%.1f ended_s_ago=",
-		quarantine->kind ? quarantine_kind_name(quarantine->kind) : "",
-		quarantine->kind ? "/" : "", (unsigned long long)evidence->id,
-		quarantine_state_name(quarantine_state(quarantine, record)),
-		(double)(quarantine_trial_at(quarantine, record, 1) - now) /
-			(double)PIMENTO_SEC);
+	if (quarantine->kind != QUARANTINE_PARTS)
+		strbuf_addf(text, "%s/",
+			    quarantine_kind_name(quarantine->kind));
+	strbuf_addf(text, "%llx %s trial_in_s=%.1f ended_s_ago=",
+		    (unsigned long long)evidence->id,
+		    quarantine_state_name(quarantine_state(quarantine, record)),
+		    (double)(quarantine_trial_at(quarantine, record, 1) - now) /
+			    (double)PIMENTO_SEC);
 	for (uint32_t i = 0; i < evidence->end_count; i++)
 		strbuf_addf(text, "%s%.1f", i ? "," : "",
 			    (double)(now - evidence->ends[i].at) /
--- a/io/trials.c
+++ b/io/trials.c
@@ -61,10 +61,11 @@
 void trials_release(gateway_t *gateway, quarantine_kind_t kind,
 		    const trial_t *trial, pimento_usec_t now)
 {
-	uint32_t owner = peers_owner(gateway->roster, trial->id);
+	uint32_t owner;
 
 	if (!trial->granted)
 		return;
+	owner = peers_owner(gateway->roster, trial->id);
 	if (owner == gateway->roster->self)
 		quarantine_release(quarantine_of(gateway, kind), trial->id,
 				   trial->ticket);
@@ -196,7 +197,7 @@
 
 quarantine_verdict_t trials_judge(const exchange_t *x, pimento_usec_t now)
 {
-	quarantine_verdict_t worst = judge_as(x, QUARANTINE_PARTS, now);
+	quarantine_verdict_t worst = { .state = QUARANTINE_CLEAR };
 
 	for (int kind = 0; kind < QUARANTINE_KINDS; kind++) {
 		quarantine_verdict_t verdict =
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -26,7 +26,7 @@
 	pimento_usec_t suspect_delay;
 	/* A trial that does not end otherwise. */
 	pimento_usec_t lease_span;
-	/* It is suspect with any, or only so few ends less than hold it. */
+	/* It is suspect once so many ends more, or fewer, would hold it. */
 	uint32_t suspect_within;
 	/*
 	 * It is in one request only: each end counts, as no other request comes
@@ -202,7 +202,7 @@
 static quarantine_record_t *find(const quarantine_t *q, uint64_t id)
 {
 	for (uint32_t i = 0; i < q->count; i++)
-		if (q->records[i].evidence.id == id)
+		if (q->ids[i] == id)
 			return &q->records[i];
 	return NULL;
 }
@@ -215,6 +215,7 @@
 static void remove_record(quarantine_t *q, uint32_t index)
 {
 	q->records[index] = q->records[--q->count];
+	q->ids[index] = q->ids[q->count];
 }
 
 /* The record that is missed least: fewest ends, then the oldest. */
@@ -259,6 +260,7 @@
 		remove_record(q, least_record(q));
 	if (q->count == q->size && !grow(q))
 		return NULL;
+	q->ids[q->count] = id;
 	record = &q->records[q->count++];
 	*record = (quarantine_record_t){ .evidence = { .kind = q->kind,
 						       .id = id } };
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -89,6 +89,7 @@
 	quarantine_kind_t kind;
 	quarantine_limits_t limits;
 	quarantine_record_t *records;
+	uint64_t ids[QUARANTINE_RECORDS_MAX]; /* theirs, close together */
 	uint32_t count;
 	uint32_t size;
 	uint32_t next_report; /* record whose turn it is */
@@ -127,9 +128,10 @@
 				      pimento_usec_t now);
 
 /*
- * For the owner: leases a trial to a request with this number of suspect parts,
- * or to an attempt of the request. Returns false if another one is under way or none is due. The lease
- * ends with quarantine_release(), with new evidence, or by itself.
+ * For the owner: leases a trial to a request with this number of suspect parts, or
+ * to an attempt of the request. Returns false if another one is under way or none
+ * is due. The lease ends with quarantine_release(), with new evidence, or by
+ * itself.
  */
 bool quarantine_lease(quarantine_t *quarantine, uint64_t id, uint32_t suspects,
 		      uint64_t ticket, pimento_usec_t now);
