dispatch: a failure is told once it is known whether the endpoint ended

Cause: a host answers its client as soon as the connection breaks, and finds out some milliseconds later whether the endpoint ended. The client may be at the next host before the evidence is, which under load came too late twice in a row.

Change: the last attempt's failure is told once that is known, 0.2 s at most. It is some milliseconds after a refused connection, and 50 ms where the endpoint lives. Requests that are tried again by the host are not delayed.

--- a/io/crashes.c
+++ b/io/crashes.c
@@ -135,14 +135,18 @@
 {
 	crashes_t *crashes = &gateway->crashes;
 	crash_candidate_t *candidate = &crashes->candidates[index];
+	exchange_t *request = candidate->request;
 
-	if (candidate->request)
-		candidate->request->undecided--;
+	if (request)
+		request->undecided--;
 	for (int kind = 0; kind < QUARANTINE_KINDS; kind++)
 		trials_release(gateway, (quarantine_kind_t)kind,
 			       &candidate->trials[kind], now);
 	candidate->endpoint->refs--;
 	*candidate = crashes->candidates[--crashes->count];
+	if (request && !request->undecided &&
+	    request->state == EXCHANGE_FAILING)
+		dispatch_tell_failure(request);
 }
 
 void crashes_reached(gateway_t *gateway, registry_endpoint_t *endpoint,
@@ -192,6 +196,8 @@
 	for (uint32_t i = crashes->count; i-- > 0;) {
 		const crash_candidate_t *candidate = &crashes->candidates[i];
 
+		if (i >= crashes->count)
+			continue; /* dropped with another one */
 		if (candidate->endpoint != endpoint ||
 		    candidate->incarnation != incarnation)
 			continue;
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -437,6 +437,23 @@
 			      why);
 }
 
+/*
+ * A caller that is told of a failure may come again at once, at a host that must
+ * have heard of the end by then.
+ */
+static void hold_failure(exchange_t *x, int status, const char *why)
+{
+	dispatch_abandon(x);
+	x->state = EXCHANGE_FAILING;
+	x->failure_status = status;
+	x->failure_why = why;
+}
+
+void dispatch_tell_failure(exchange_t *x)
+{
+	give_up(x, x->failure_status, x->failure_why);
+}
+
 /* Without a pause a stream would use up the service's retries at once. */
 static void pause_refused(exchange_t *x, pimento_usec_t now)
 {
@@ -514,7 +531,10 @@
 	      endpoint_path_state_name(x->attempt.endpoint->path.state),
 	      exchange_parts(x, parts), exchange_via(x, via));
 	if (!again) {
-		give_up(x, status, why);
+		if (x->undecided && !x->silent.attempt.conn)
+			hold_failure(x, status, why);
+		else
+			give_up(x, status, why);
 		return;
 	}
 	dispatch_abandon(x);
@@ -751,6 +771,12 @@
 		return false;
 	if (x->state == EXCHANGE_WAITING)
 		return placing_sweep(x, now);
+	if (x->state == EXCHANGE_FAILING) {
+		if (trials_holds_failure(x, now))
+			return false;
+		dispatch_tell_failure(x);
+		return true;
+	}
 	if (x->state == EXCHANGE_CONNECTING &&
 	    gateway_elapsed(x->gateway, x->attempt.conn->since, now) >
 		    connect_timeout(x)) {
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -13,7 +13,8 @@
 	EXCHANGE_WAITING, /* for a place */
 	EXCHANGE_CONNECTING, /* nothing has been sent */
 	EXCHANGE_SENT, /* may run; no answer yet */
-	EXCHANGE_ANSWERING /* the caller has the head of the answer */
+	EXCHANGE_ANSWERING, /* the caller has the head of the answer */
+	EXCHANGE_FAILING /* its last attempt broke; the caller is told soon */
 } exchange_state_t;
 
 /* A place at an engine, asked of its owner. */
@@ -123,6 +124,8 @@
 	pimento_usec_t
 		broke_at; /* the last attempt's connection; 0: none did */
 	int status;
+	int failure_status; /* that its caller is told */
+	const char *failure_why;
 	exchange_state_t state;
 
 	uint32_t unreached_count; /* attempts that reached nothing */
@@ -227,6 +230,8 @@
 /* The attempt failed: tries again or ends the exchange. */
 void dispatch_over(exchange_t *exchange, pimento_verdict_t verdict, int status,
 		   const char *why);
+/* Tells the caller of a failure that was held back. */
+void dispatch_tell_failure(exchange_t *exchange);
 /* Lets go of an attempt; its connection is closed. */
 void dispatch_close(exchange_t *exchange, attempt_t *attempt);
 /* The same for the one under way, if there is one. */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -103,6 +103,9 @@
 	case EXCHANGE_ANSWERING:
 		exchange_cut(x, why);
 		break;
+	case EXCHANGE_FAILING:
+		dispatch_tell_failure(x);
+		break;
 	}
 }
 
--- a/io/trials.c
+++ b/io/trials.c
@@ -184,6 +184,11 @@
 				     x->call.parts, x->call.part_count, now);
 }
 
+bool trials_holds_failure(const exchange_t *x, pimento_usec_t now)
+{
+	return x->undecided && now - x->broke_at < UNDECIDED_WAIT;
+}
+
 static quarantine_verdict_t judge_as(const exchange_t *x,
 				     quarantine_kind_t kind, pimento_usec_t now)
 {
--- a/io/trials.h
+++ b/io/trials.h
@@ -54,6 +54,8 @@
  * asks owners for a trial where that is needed.
  */
 trial_decision_t trials_check(struct exchange *exchange, pimento_usec_t now);
+/* True if its caller is not told of the failure yet: the endpoint may have ended. */
+bool trials_holds_failure(const struct exchange *exchange, pimento_usec_t now);
 /* The request is being sent. */
 void trials_sent(struct exchange *exchange);
 /* Its answer has gone on for a while: beginning it crashes nothing. */
