trials: the host that sees the second end under a request tells all hosts

Cause: two ends at one host went to the request's owner, which told the others; the client's next attempt was at another host before the second message.

Change: a host that knows of two ends tells all others itself. The owner still does so when two hosts saw one each.

The race between a message and a client remains, but is one hop shorter.

--- a/io/trials.c
+++ b/io/trials.c
@@ -106,12 +106,12 @@
 	uint32_t owner = peers_owner(gateway->roster, fingerprint);
 	const trial_t none = { .id = fingerprint };
 
-	if (owner != gateway->roster->self)
+	if (quarantine_is_near(quarantine_of(gateway, QUARANTINE_REQUESTS),
+			       fingerprint, 0))
+		tell_all(gateway, fingerprint, now);
+	else if (owner != gateway->roster->self)
 		send_trial(gateway, owner, PACKET_TRIAL_EVIDENCE,
 			   QUARANTINE_REQUESTS, &none, 0, now);
-	else if (quarantine_is_near(quarantine_of(gateway, QUARANTINE_REQUESTS),
-				    fingerprint, 0))
-		tell_all(gateway, fingerprint, now);
 }
 
 /* Requests. */
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -15,8 +15,8 @@
  * part's owner, one of the hosts.
  *
  * A request is sent freely until one more end would hold it; then one attempt at
- * a time. Ends under requests are rarely news to others, so that only the request's
- * owner is told of the first ones, and tells all hosts once they matter.
+ * a time. Ends under requests are rarely news to others: all hosts are told once
+ * they matter, and only the request's owner before.
  *
  * Late in an answer most ends hit sound streams, of which there are many. Only
  * whole answers clear parts of these ends, more of them are needed, and none makes
