httpc: an answer needs a status of three digits, 100 to 599

What callers saw: an endpoint answered with status 000, and its client got that as an answer ("HTTP/1.1 0 <unknown>"); the same with 0, 20, "2 00", 099, 600 and 999. "0200" came back as 200, a "0503" with "not run" as a promise, and "0102" was read over until the deadline (504).

Change: status_line reads the code's digits off the line. The parser pauses where a message begins, which tells where in the bytes its status line is; the line may come in pieces and behind others. A code that is none of HTTP ends the connection as "garbled" before the user of the connection hears of the head: nothing is learned of the endpoint, nothing is promised, and no crash is charged. What may be repeated goes to another endpoint within its attempts and budget, all else gets 502.

--- a/io/httpc.c
+++ b/io/httpc.c
@@ -88,6 +88,8 @@
 		return -1; /* bytes behind the answer */
 	head_clear(&conn->head);
 	conn->taking = false;
+	status_line_begin(&conn->status_line);
+	http_parser_pause(parser, 1); /* parse() reads the line, too */
 	return 0;
 }
 
@@ -133,7 +135,7 @@
 	httpc_t *conn = of(parser);
 
 	head_end(&conn->head);
-	if (conn->head.failed)
+	if (conn->head.failed || !status_line_is_valid(&conn->status_line))
 		return -1;
 	if (is_interim(parser))
 		return 0;
@@ -211,12 +213,33 @@
 	conn->ops->end(conn);
 }
 
+static bool is_paused(const httpc_t *conn)
+{
+	return HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED;
+}
+
+/* Feeds the parser, which pauses in each status line. Returns bytes taken. */
+static size_t parse(httpc_t *conn, const char *bytes, size_t length)
+{
+	size_t taken = 0;
+
+	do {
+		if (is_paused(conn))
+			http_parser_pause(&conn->parser, 0);
+		status_line_feed(&conn->status_line, bytes + taken,
+				 length - taken);
+		taken += http_parser_execute(&conn->parser, &callbacks,
+					     bytes + taken, length - taken);
+	} while (is_paused(conn) && taken < length);
+	return taken;
+}
+
 /* Feeds what came; length 0 is the end of the connection. */
 static void take(httpc_t *conn, const char *bytes, size_t length)
 {
-	size_t taken =
-		http_parser_execute(&conn->parser, &callbacks, bytes, length);
-	bool good = HTTP_PARSER_ERRNO(&conn->parser) == HPE_OK;
+	size_t taken = parse(conn, bytes, length);
+	bool good =
+		is_paused(conn) || HTTP_PARSER_ERRNO(&conn->parser) == HPE_OK;
 
 	if (conn->dead)
 		return;
--- a/io/httpc.h
+++ b/io/httpc.h
@@ -13,6 +13,7 @@
 #include "head.h"
 #include "net.h"
 #include "sendbuf.h"
+#include "status_line.h"
 
 #include <http_parser.h>
 
@@ -63,6 +64,7 @@
 	ev_io reading;
 	ev_io writing;
 	http_parser parser;
+	status_line_t status_line; /* of the answer under way */
 	head_t head;
 	sendbuf_t sendbuf;
 	int status;
