httpc: names of an answer's fields are tokens

What callers saw: an endpoint's answer with "X Bad: 1" in its head came back with that line, as a 200, a 404, a 500 or a stream. With "Content-Length : 3" before 8 bytes a caller got 200 and 3 bytes, complete; with "Transfer-Encoding : chunked" the answer, with that line; a first line " Content-Length: 3" was passed on. A 503 with "not run", or a 421, was a promise in spite of such a line, and what it said of leaving, backoff and limits was believed.

Cause: http_parser lets a blank pass in a name. httpd judges the heads of requests with head_is_sound(); httpc never did for answers.

Change: on_head() judges the head of each answer before its user hears of it; a malformed one ends the connection as "garbled". Fields of interim answers, which are read over, and of trailers are not judged: nothing of them is passed on.

Ruled out: a control byte, a tab or a byte above 127 in a name, an empty name, a line without a colon and two lengths; http_parser refuses them, and they are kept as cases.

--- a/io/httpc.c
+++ b/io/httpc.c
@@ -139,6 +139,8 @@
 		return -1;
 	if (is_interim(parser))
 		return 0;
+	if (!head_is_sound(&conn->head))
+		return -1;
 	conn->status = (int)parser->status_code;
 	conn->until_close = ends_with_connection(conn, parser);
 	read_keep(conn);
--- a/test/test_broken_answers.c
+++ b/test/test_broken_answers.c
@@ -63,8 +63,40 @@
 	{ "HTTP/1.1 00000200", "", NULL },
 	{ "HTTP/1.1 0503 Busy", "Not-Executed: 1\r\n", NULL },
 	{ "HTTP/1.1 0102 Processing", "", NULL },
-	/* What such a head says of the endpoint is not believed. */
+	{ "HTTP/1.1 200 OK", "X Bad: 1\r\n", NULL },
+	{ "HTTP/1.1 200 OK", "X-Bad : 1\r\n", NULL },
+	{ "HTTP/1.1 500 Failed", "X Bad: 1\r\n", NULL },
+	{ "HTTP/1.1 404 None", "X Bad: 1\r\n", NULL },
+	{ "HTTP/1.1 200 OK", "Content-Length : 3\r\n", "\r\nanswered" },
+	{ "HTTP/1.1 200 OK", "Transfer-Encoding : chunked\r\n",
+	  "\r\n8\r\nanswered\r\n" LAST_CHUNK },
+	{ "HTTP/1.1 200 OK", "X\tBad: 1\r\n", NULL },
+	{ "HTTP/1.1 200 OK",
+	  "X\x01"
+	  "Bad: 1\r\n",
+	  NULL },
+	{ "HTTP/1.1 200 OK",
+	  "X\x7f"
+	  "Bad: 1\r\n",
+	  NULL },
+	{ "HTTP/1.1 200 OK",
+	  "X\xe4"
+	  "Bad: 1\r\n",
+	  NULL },
+	{ "HTTP/1.1 200 OK", ": 1\r\n", NULL },
+	{ "HTTP/1.1 200 OK\r\n X-First: 1", "", NULL },
+	{ "HTTP/1.1 200 OK\r\n Content-Length: 3", "", NULL },
+	{ "HTTP/1.1 200 OK", "No-Colon\r\n", NULL },
+	{ "HTTP/1.1 200 OK", "Content-Length: 3\r\n", NULL },
+	/* What such a head says of the endpoint or the request is not believed. */
+	{ "HTTP/1.1 503 Busy", "Not-Executed: 1\r\nX Bad: 1\r\n", NULL },
+	{ "HTTP/1.1 429 Busy", "Not-Executed: 1\r\nX Bad: 1\r\n", NULL },
+	{ "HTTP/1.1 421 Other", "X Bad: 1\r\n", NULL },
+	{ "HTTP/1.1 503 Busy",
+	  "Not-Executed: 1\r\nRetry-After: 30\r\nX Bad: 1\r\n", NULL },
+	{ "HTTP/1.1 200 OK", "Server-Leaving: 1\r\nX Bad: 1\r\n", NULL },
 	{ "HTTP/1.1 600 High", "Server-Leaving: 1\r\n", NULL },
+	{ "HTTP/1.1 200 OK", "Server-Limit: 0.01\r\nX Bad: 1\r\n", NULL },
 };
 
 #define BROKEN_HEADS (sizeof(broken_heads) / sizeof(broken_heads[0]))
@@ -545,6 +577,7 @@
 } state_answers[] = {
 	{ "HTTP/1.1 200 OK\r\n", true },
 	{ "HTTP/1.1 0200 OK\r\n", false },
+	{ "HTTP/1.1 200 OK\r\nX Bad: 1\r\n", false },
 };
 
 #define STATE_ANSWERS (sizeof(state_answers) / sizeof(state_answers[0]))
