httpc: a peer's answer to the request for a tunnel is judged like others

What callers saw: a peer, or whoever has its address by then, answered the request for a tunnel with "0101", with "X Bad: 1" in the head, or with a line without a colon. The tunnel counted as open, and a request that may run once was sent into it: 504 at its deadline, where 503 and another try would have been due.

Cause: the answer was read with sscanf() and the end of the head looked for; fields were not read at all. A "0502" was counted as a peer's word that it does not reach the endpoint.

Change: the parser and the judgement of all other answers read this one, too.

Evidence: test_broken_answers, five answers of a peer: three fail on the commit before; none fails now, and a sound 101 and a sound 502 are taken as before.

--- a/io/httpc.c
+++ b/io/httpc.c
@@ -27,6 +27,10 @@
  */
 #define PREAMBLE_MAX ((size_t)256 * 1024)
 
+/* What on_head() returns to the parser. */
+#define HAS_NO_BODY 1
+#define NOTHING_FOLLOWS 2
+
 static char read_buffer[READ_BYTES];
 
 const char *httpc_failure_name(httpc_failure_t failure)
@@ -148,17 +152,21 @@
 	head_end(&conn->head);
 	if (conn->head.failed || !status_line_is_valid(&conn->status_line))
 		return -1;
-	if (is_interim(parser))
+	if (is_interim(parser) && conn->state != HTTPC_TUNNELLING)
 		return 0;
 	if (!head_is_sound(&conn->head))
 		return -1;
+	if (conn->state == HTTPC_TUNNELLING) {
+		conn->tunnel_status = (int)parser->status_code;
+		return NOTHING_FOLLOWS;
+	}
 	conn->status = (int)parser->status_code;
 	conn->until_close = ends_with_connection(conn, parser);
 	read_keep(conn);
 	conn->taking = conn->ops->head(conn);
 	if (!conn->taking)
 		conn->reusable = false;
-	return conn->headless ? 1 : 0;
+	return conn->headless ? HAS_NO_BODY : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t length)
@@ -272,20 +280,14 @@
 		fail(conn, HTTPC_BROKEN);
 }
 
-/* The peer's answer to the request for a tunnel; nothing else comes yet. */
+/*
+ * The peer's answer to the request for a tunnel. It comes in one piece, with
+ * nothing behind it.
+ */
 static void take_tunnel_answer(httpc_t *conn, const char *bytes, size_t length)
 {
-	char text[512];
-
-	if (length >= sizeof(text)) {
-		fail(conn, HTTPC_UNREACHED);
-		return;
-	}
-	memcpy(text, bytes, length);
-	text[length] = '\0';
-	if (sscanf(text, "HTTP/1.1 %d ", &conn->tunnel_status) != 1 ||
-	    conn->tunnel_status != HTTP_STATUS_SWITCHING_PROTOCOLS ||
-	    length < 4 || strcmp(text + length - 4, "\r\n\r\n") != 0) {
+	if (parse(conn, bytes, length) < length ||
+	    conn->tunnel_status != HTTP_STATUS_SWITCHING_PROTOCOLS) {
 		fail(conn, HTTPC_UNREACHED);
 		return;
 	}
--- a/test/test_broken_answers.c
+++ b/test/test_broken_answers.c
@@ -640,6 +640,57 @@
 }
 END_TEST
 
+/* Answers of a peer to the request for a tunnel. */
+static const struct {
+	const char *answer;
+	bool sound;
+} tunnel_answers[] = {
+	{ "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
+	  "Upgrade: pimento-tunnel/1\r\n\r\n",
+	  true },
+	{ "HTTP/1.1 0101 Switching Protocols\r\nConnection: Upgrade\r\n"
+	  "Upgrade: pimento-tunnel/1\r\n\r\n",
+	  false },
+	{ "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n"
+	  "X Bad: 1\r\nUpgrade: pimento-tunnel/1\r\n\r\n",
+	  false },
+	{ "HTTP/1.1 101 garbled\r\nno field\r\n\r\n", false },
+	{ "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n", false },
+};
+
+#define TUNNEL_ANSWERS (sizeof(tunnel_answers) / sizeof(tunnel_answers[0]))
+
+static void setup_paths(void)
+{
+	edge_start_paths(&edge, 2, 1);
+}
+
+/* Guards against requests that are sent into a tunnel that there is not. */
+START_TEST(a_broken_answer_of_a_peer_opens_no_tunnel)
+{
+	process_t *host = &edge.hosts[0].process;
+	client_reply_t reply;
+
+	ck_assert_int_eq(scripted_init(&server, PEERS_IP + 2,
+				       process_free_port(), "/tunnel/"),
+			 0);
+	answer_with(tunnel_answers[_i].answer);
+	process_kill(host);
+	edge.peer_fronts[0] = server.port;
+	edge_start_host(&edge, 0);
+	ck_assert(edge_wait_health(&edge, 0, 200, READY_MS));
+	edge_cut_path(&edge, 0, 0, EDGE_CUT_RESET);
+	reply = edge_ask(&edge, 0, EDGE_UNSAFE, NULL, "x");
+	ck_assert_uint_gt(scripted_requests(&server), 0);
+	ck_assert_msg((tunnelled() > 0) == tunnel_answers[_i].sound,
+		      "%s: got %ld, %ld sent", tunnel_answers[_i].answer,
+		      reply.status, tunnelled());
+	if (!tunnel_answers[_i].sound)
+		ck_assert_int_eq(reply.status, 503);
+	client_reply_finish(&reply);
+}
+END_TEST
+
 static TCase *add_case(Suite *suite, const char *name, SFun setup)
 {
 	TCase *tcase = tcase_create(name);
@@ -657,6 +708,7 @@
 	TCase *tunnel = add_case(suite, "tunnel", setup_tunnel);
 	TCase *store = add_case(suite, "store", setup_plain);
 	TCase *peers = add_case(suite, "peers", setup_two_hosts);
+	TCase *paths = add_case(suite, "paths", setup_paths);
 
 	tcase_add_loop_test(direct, a_broken_head_is_no_answer, 0,
 			    BROKEN_HEADS);
@@ -686,5 +738,7 @@
 			    0, STATE_ANSWERS);
 	tcase_add_loop_test(peers, a_broken_answer_of_a_peer_is_no_snapshot, 0,
 			    STATE_ANSWERS);
+	tcase_add_loop_test(paths, a_broken_answer_of_a_peer_opens_no_tunnel, 0,
+			    TUNNEL_ANSWERS);
 	return process_run_suite(suite);
 }
