traffic: an engine's answer with a malformed head is none

What callers of pimentod saw: an engine's status 600 or 999 came back as an answer. With "X Bad: 1", "X-Bad : 1", a control byte in a name, or "Content-Length : 3" the answer counted as whole, was kept for its idempotency key, and could go on with a stream that had broken. A 404 with such a line, in answer to a call that resumes a stream, was believed: the stream was given up.

Cause: libcurl refuses some status lines (000, 099, 0200) and lines without a colon, but no names and no code above 599, and on_header() looked for the content type only.

Change: head_lines judges the lines of a head, with the status line's reader of the data path and its rule for names. A malformed line ends the exchange: it counts as a connection that broke, so that a repeatable request is sent again and any other one may have run. A 404 tells that a stream is unknown only with a head that was read whole. Interim answers are judged by their status only, trailers not at all, as httpc does.

--- a/io/head.c
+++ b/io/head.c
@@ -101,23 +101,25 @@
 		head->failed = true;
 }
 
-static bool is_token(const char *name)
+bool head_is_token(const char *text, size_t length)
 {
 	static const char others[] = "!#$%&'*+-.^_`|~";
 
-	if (!*name)
-		return false;
-	for (; *name; name++)
-		if (!isalnum((unsigned char)*name) && !strchr(others, *name))
+	for (size_t i = 0; i < length; i++)
+		if (!isalnum((unsigned char)text[i]) &&
+		    (!text[i] || !strchr(others, text[i])))
 			return false;
-	return true;
+	return length > 0;
 }
 
 bool head_is_sound(const head_t *head)
 {
-	for (uint32_t i = 0; i < head->count; i++)
-		if (!is_token(head_name(head, i)))
+	for (uint32_t i = 0; i < head->count; i++) {
+		const char *name = head_name(head, i);
+
+		if (!head_is_token(name, strlen(name)))
 			return false;
+	}
 	return true;
 }
 
--- a/io/head.h
+++ b/io/head.h
@@ -33,6 +33,9 @@
 /* After the last piece. */
 void head_end(head_t *head);
 
+/* True for what HTTP allows as the name of a field. */
+bool head_is_token(const char *text, size_t length);
+
 /*
  * True if every name is a token as HTTP defines it. The parser lets a space
  * before the colon pass; another server might read such a field as another one.
--- a/io/status_line.c
+++ b/io/status_line.c
@@ -39,3 +39,8 @@
 	return line->state == STATUS_LINE_READ && line->digits == CODE_DIGITS &&
 	       line->first >= '1' && line->first <= '5';
 }
+
+bool status_line_is_interim(const status_line_t *line)
+{
+	return status_line_is_valid(line) && line->first == '1';
+}
--- a/io/status_line.h
+++ b/io/status_line.h
@@ -30,4 +30,7 @@
 /* True if the code has been read and is one of HTTP: three digits, 100 to 599. */
 bool status_line_is_valid(const status_line_t *line);
 
+/* True for the code of an answer that is followed by the one proper. */
+bool status_line_is_interim(const status_line_t *line);
+
 #endif
--- a/io/traffic.c
+++ b/io/traffic.c
@@ -8,6 +8,7 @@
  */
 
 #include "traffic.h"
+#include "head_lines.h"
 #include "log.h"
 #include "sys.h"
 
@@ -42,6 +43,7 @@
 	bool committed; /* the first byte may leave */
 	bool done_seen; /* the stream's proper end came */
 	bool aborted; /* on our side: caller left, or too large */
+	head_lines_t head; /* of the answer */
 	char type[LINE_TYPE_MAX];
 	char *partial; /* bytes of an event that is not whole yet */
 	size_t partial_used;
@@ -88,6 +90,7 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/* Returns less than the length if the answer is not to be read further. */
 static size_t on_header(char *bytes, size_t size, size_t count, void *data)
 {
 	static const char name[] = "content-type:";
@@ -95,6 +98,8 @@
 	size_t length = size * count;
 	size_t skip = sizeof(name) - 1;
 
+	if (!head_lines_take(&exchange->head, bytes, length))
+		return 0;
 	if (length > skip && !strncasecmp(bytes, name, skip)) {
 		while (skip < length && bytes[skip] == ' ')
 			skip++;
@@ -347,7 +352,8 @@
 {
 	if (!exchange->committed)
 		return PIMENTO_EVENT_UNREACHABLE;
-	if (exchange->kind == PIMENTO_ACTION_RESUME && status == HTTP_NOT_FOUND)
+	if (exchange->kind == PIMENTO_ACTION_RESUME &&
+	    status == HTTP_NOT_FOUND && exchange->head.whole)
 		return PIMENTO_EVENT_STREAM_UNKNOWN;
 	if (code != CURLE_OK)
 		return PIMENTO_EVENT_CONNECTION_LOST;
