platform: a malformed head brings no configuration

What hosts did: pimentod took a configuration, a list of hosts or an endpoint's load from an answer with "X Bad: 1" or "Content-Length : 3" in its head.

Cause: the ulfius client looks at neither names nor codes, and gives the fields of a head without the blanks around their names, so that its caller cannot tell.

Change: get() reads over libcurl, as traffic does, and judges the lines of the head with head_lines. X-Revision counts only in the head of the answer itself. A malformed answer counts as none: the read is repeated with the usual backoff.

Ruled out: a check of ulfius's map of fields, which finds "X Bad" but not "Content-Length ".

--- a/io/platform.c
+++ b/io/platform.c
@@ -5,12 +5,18 @@
  */
 
 #include "platform.h"
+#include "head_lines.h"
 #include "log.h"
 #include "sys.h"
 
+#include "../src/strbuf.h"
+
+#include <curl/curl.h>
+#include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <ulfius.h>
+#include <strings.h>
 #include <unistd.h>
 
 #define WATCH_SECONDS 20
@@ -39,21 +45,64 @@
 	return span / 2 + (pimento_usec_t)(sys_random() % (uint64_t)(span / 2));
 }
 
-/* Returns the HTTP status, or 0 if there was no answer. */
-static long get(const char *url, unsigned long timeout,
-		struct _u_response *response)
+/* An answer of the platform or of an endpoint. */
+typedef struct answer {
+	long status; /* 0: there was none, or a malformed one */
+	head_lines_t head;
+	uint64_t revision; /* 0: none is stated */
+	strbuf_t body;
+} answer_t;
+
+/* Returns less than the length if the answer is not to be read further. */
+static size_t on_header(char *bytes, size_t size, size_t count, void *data)
 {
-	struct _u_request request;
-	int result;
-
-	ulfius_init_request(&request);
-	request.http_verb = o_strdup("GET");
-	request.http_url = o_strdup(url);
-	request.proxy = o_strdup("");
-	request.timeout = timeout;
-	result = ulfius_send_http_request(&request, response);
-	ulfius_clean_request(&request);
-	return result == U_OK ? response->status : 0;
+	static const char name[] = "x-revision:";
+	size_t length = size * count;
+	size_t skip = sizeof(name) - 1;
+	answer_t *answer = data;
+
+	if (!head_lines_take(&answer->head, bytes, length))
+		return 0;
+	if (answer->head.in_head && length > skip &&
+	    strncasecmp(bytes, name, skip) == 0)
+		answer->revision = strtoull(bytes + skip, NULL, 10);
+	return length;
+}
+
+static size_t on_body(char *bytes, size_t size, size_t count, void *data)
+{
+	answer_t *answer = data;
+
+	strbuf_add(&answer->body, bytes, size * count);
+	return strbuf_error(&answer->body) ? 0 : size * count;
+}
+
+/*
+ * Over libcurl: the ulfius client gives the fields of a head, not its lines.
+ * The body is to be freed with strbuf_finish().
+ */
+static void get(const char *url, long timeout, answer_t *answer)
+{
+	CURL *curl = curl_easy_init();
+
+	*answer = (answer_t){ 0 };
+	strbuf_init(&answer->body);
+	if (!curl)
+		return;
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT, timeout);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, answer);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
+	if (curl_easy_perform(curl) == CURLE_OK)
+		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE,
+				  &answer->status);
+	curl_easy_cleanup(curl);
 }
 
 typedef struct plan {
@@ -119,22 +168,19 @@
  * correction comes at once. Not for longer: a platform that for a moment gave
  * a revision far ahead would never be listened to again.
  */
-static outcome_t hand_over(platform_reader_t *reader,
-			   const struct _u_response *response, long status,
+static outcome_t hand_over(platform_reader_t *reader, const answer_t *answer,
 			   pimento_usec_t begun)
 {
-	const char *revision =
-		u_map_get_case(response->map_header, "X-Revision");
 	reading_t reading = { .hosts = reader->hosts,
 			      .begun = begun,
 			      .outcome = READ_USELESS };
 
-	if (status != 200 && status != 304)
+	if (answer->status != 200 && answer->status != 304)
 		return READ_FAILED;
-	if (status == 200) {
-		reading.revision = revision ? strtoull(revision, NULL, 10) : 0;
-		reading.text = response->binary_body;
-		reading.length = response->binary_body_length;
+	if (answer->status == 200) {
+		reading.revision = answer->revision;
+		reading.text = answer->body.bytes;
+		reading.length = answer->body.length;
 		if (!reading.revision || !reading.text)
 			return READ_FAILED;
 	}
@@ -148,10 +194,9 @@
 	const settings_t *settings = reader->control->settings;
 	uint64_t after = plan->in_force;
 	pimento_usec_t begun = sys_now();
-	struct _u_response response;
+	answer_t answer;
 	char url[URL_MAX];
 	outcome_t outcome;
-	long status;
 
 	if (plan->watch && reader->passed > after)
 		after = reader->passed;
@@ -159,15 +204,13 @@
 		 settings->platform_address, settings->platform_port,
 		 reader->hosts ? "hosts" : "config", (unsigned long long)after,
 		 plan->watch ? WATCH_SECONDS : 0);
-	ulfius_init_response(&response);
 	reader->control->counters.platform_calls++;
-	status = get(url,
-		     READ_TIMEOUT_SECONDS + (plan->watch ? WATCH_SECONDS : 0UL),
-		     &response);
-	outcome = hand_over(reader, &response, status, begun);
+	get(url, READ_TIMEOUT_SECONDS + (plan->watch ? WATCH_SECONDS : 0),
+	    &answer);
+	outcome = hand_over(reader, &answer, begun);
 	if (outcome == READ_FAILED)
 		reader->control->counters.platform_failures++;
-	ulfius_clean_response(&response);
+	strbuf_finish(&answer.body);
 	return outcome;
 }
 
@@ -280,16 +323,16 @@
 
 static void read_report(control_t *control, const report_target_t *target)
 {
-	struct _u_response response;
+	answer_t answer;
 	char url[URL_MAX];
 	json_t *body;
 
 	snprintf(url, sizeof(url), "http://%s:%u/load", target->address,
 		 target->port);
-	ulfius_init_response(&response);
-	if (get(url, REPORT_TIMEOUT_SECONDS, &response) == 200) {
-		body = json_loadb(response.binary_body,
-				  response.binary_body_length, 0, NULL);
+	get(url, REPORT_TIMEOUT_SECONDS, &answer);
+	if (answer.status == 200) {
+		body = json_loadb(answer.body.bytes, answer.body.length, 0,
+				  NULL);
 		if (json_is_object(body)) {
 			report_t report = { .endpoint = target->id };
 
@@ -305,7 +348,7 @@
 		}
 		json_decref(body);
 	}
-	ulfius_clean_response(&response);
+	strbuf_finish(&answer.body);
 }
 
 static void *run_reports(void *data)
--- a/test/test_broken_engine_answers.c
+++ b/test/test_broken_engine_answers.c
@@ -1,4 +1,4 @@
-/* Answers that are broken, as pimentod reads them of engines. */
+/* Answers that are broken, as pimentod reads them of engines and the platform. */
 
 #include "../standin/scripted.h"
 #include "fleet.h"
@@ -380,6 +380,49 @@
 }
 END_TEST
 
+static void start_engines(void)
+{
+	const fleet_options_t options = { .hosts = 1, .engines = 1 };
+
+	ck_assert_int_eq(fleet_start(&fleet, &options), 0);
+}
+
+/* Answers of the platform with a configuration that is none. */
+static const struct {
+	const char *head;
+	bool sound;
+} config_answers[] = {
+	{ "HTTP/1.1 200 OK\r\n", true },
+	{ "HTTP/1.1 0200 OK\r\n", false },
+	{ "HTTP/1.1 200 OK\r\nX Bad: 1\r\n", false },
+	{ "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n", false },
+};
+
+/* Guards against a configuration that is read from a broken answer. */
+START_TEST(a_broken_answer_of_the_platform_is_not_believed)
+{
+	static const char refused[] = "revision 9 refused";
+	uint16_t port = fleet.platform[0].port;
+	char text[TEXT_BYTES];
+	const scripted_answer_t answer = { .bytes = text,
+					   .end = SCRIPTED_CLOSE };
+	int64_t until;
+
+	snprintf(text, sizeof(text), "%sX-Revision: 9\r\n\r\nno configuration",
+		 config_answers[_i].head);
+	process_kill(&fleet.platform[0]);
+	ck_assert_int_eq(
+		scripted_init(&server, INADDR_LOOPBACK, port, "/v1/config"), 0);
+	scripted_set(&server, &answer, 1);
+	until = process_now_ms() + READ_MS;
+	while (scripted_requests(&server) < 2 && process_now_ms() < until)
+		process_sleep_ms(20);
+	ck_assert_uint_ge(scripted_requests(&server), 2);
+	ck_assert_int_eq(process_logged(&fleet.host[0], refused),
+			 config_answers[_i].sound);
+}
+END_TEST
+
 static TCase *add_case(Suite *suite, const char *name, SFun setup, SFun finish)
 {
 	TCase *tcase = tcase_create(name);
@@ -394,6 +437,7 @@
 {
 	Suite *suite = suite_create("broken engine answers");
 	TCase *engine = add_case(suite, "engine", start_engine, stop);
+	TCase *platform = add_case(suite, "platform", start_engines, stop);
 
 	tcase_add_test(engine, a_broken_head_is_no_answer);
 	tcase_add_test(engine, an_unusual_head_is_an_answer);
@@ -404,5 +448,8 @@
 				    sizeof(broken_refusals[0]));
 	tcase_add_loop_test(engine, an_answer_that_is_reset_is_not_whole, 0,
 			    UPLOADS);
+	tcase_add_loop_test(platform,
+			    a_broken_answer_of_the_platform_is_not_believed, 0,
+			    sizeof(config_answers) / sizeof(config_answers[0]));
 	return process_run_suite(suite);
 }
