pimentoctl: a malformed head promises nothing

What operators saw: a host's 503 with "Pimento-Verdict: not-run" and "X Bad: 1" in its head, or a 603, counted as "not run": the next entry host was tried, though the request may have run. A key was taken from such an answer, too.

Cause: the ulfius client judges neither names nor codes.

Change: response_is_sound() looks at what ulfius has read.

Not told: a blank behind a name, which ulfius takes off (RFC 9112, section 5.1, has proxies do the same).

--- a/daemon/ctl_http.c
+++ b/daemon/ctl_http.c
@@ -6,6 +6,7 @@
 #include "ctl.h"
 #include "ctl_http.h"
 
+#include "../io/response.h"
 #include "../src/fields.h"
 
 #include <arpa/inet.h>
@@ -120,6 +121,8 @@
 	error = ulfius_send_http_streaming_request(&request, &response, on_body,
 						   sink);
 	*status = response.status;
+	if (error == U_OK && !response_is_sound(&response))
+		error = U_ERROR;
 	ulfius_clean_request(&request);
 	ulfius_clean_response(&response);
 	return error;
--- a/daemon/ctl_send.c
+++ b/daemon/ctl_send.c
@@ -11,6 +11,7 @@
 #include "ctl_order.h"
 
 #include "../io/answer_reader.h"
+#include "../io/response.h"
 
 #include <jansson.h>
 #include <stdio.h>
@@ -144,6 +145,24 @@
 			 "the answer is not whole");
 }
 
+/* What an answer says whose head is none of HTTP is not believed. */
+static void judge_malformed(outcome_t *outcome)
+{
+	snprintf(outcome->verdict, VALUE_BYTES, "%s",
+		 pimento_verdict_name(PIMENTO_MAY_HAVE_RUN));
+	snprintf(outcome->message, VALUE_BYTES, "the answer is malformed");
+}
+
+static void keep_headers(order_t *order, const struct _u_response *response,
+			 outcome_t *outcome)
+{
+	outcome->status = response->status;
+	keep_header(outcome->verdict, response, "Pimento-Verdict");
+	keep_header(outcome->request_id, response, "Pimento-Request-Id");
+	keep_header(outcome->retry_after, response, "Retry-After");
+	keep_header(order->attempt, response, "Pimento-Attempt");
+}
+
 static void perform(order_t *order, const char *entry, const char *body,
 		    size_t length, outcome_t *outcome)
 {
@@ -158,14 +177,14 @@
 	add_call(&request, order, entry, body, length);
 	error = ulfius_send_http_streaming_request(&request, &response, on_body,
 						   &reader);
-	outcome->status = response.status;
-	keep_header(outcome->verdict, &response, "Pimento-Verdict");
-	keep_header(outcome->request_id, &response, "Pimento-Request-Id");
-	keep_header(outcome->retry_after, &response, "Retry-After");
-	keep_header(order->attempt, &response, "Pimento-Attempt");
-	if (error == U_OK)
-		answer_reader_end(&reader);
-	judge(outcome, &reader, error);
+	if (error == U_OK && !response_is_sound(&response)) {
+		judge_malformed(outcome);
+	} else {
+		keep_headers(order, &response, outcome);
+		if (error == U_OK)
+			answer_reader_end(&reader);
+		judge(outcome, &reader, error);
+	}
 	answer_reader_finish(&reader);
 	ulfius_clean_request(&request);
 	ulfius_clean_response(&response);
@@ -295,7 +314,7 @@
 	add_header(&request, "Content-Type", "application/json");
 	add_key(&request, order);
 	if (ulfius_send_http_request(&request, &response) == U_OK &&
-	    response.status == 200)
+	    response_is_sound(&response) && response.status == 200)
 		issued = keep_issued(order, &response);
 	ulfius_clean_request(&request);
 	ulfius_clean_response(&response);
--- a/test/test_broken_engine_answers.c
+++ b/test/test_broken_engine_answers.c
@@ -1,4 +1,7 @@
-/* Answers that are broken, as pimentod reads them of engines and the platform. */
+/*
+ * Answers that are broken, as pimentod reads them of engines and of the
+ * platform, and as pimentoctl reads them of hosts.
+ */
 
 #include "../standin/scripted.h"
 #include "fleet.h"
@@ -423,6 +426,51 @@
 }
 END_TEST
 
+static const struct {
+	const char *answer;
+	const char *verdict;
+} refusals[] = {
+	{ "HTTP/1.1 503 Busy\r\nPimento-Verdict: not-run\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  "verdict: not-run" },
+	{ "HTTP/1.1 503 Busy\r\nPimento-Verdict: not-run\r\nX Bad: 1\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  "verdict: may-have-run" },
+	{ "HTTP/1.1 603 Busy\r\nPimento-Verdict: not-run\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  "verdict: may-have-run" },
+};
+
+static void start_server(void)
+{
+	ck_assert_int_eq(scripted_init(&server, INADDR_LOOPBACK, 0, "/v1/"), 0);
+}
+
+static void stop_server(void)
+{
+	scripted_finish(&server);
+}
+
+/* Guards against pimentoctl trying a request again that may have run. */
+START_TEST(a_broken_head_promises_nothing_to_pimentoctl)
+{
+	const scripted_answer_t answer = { .bytes = refusals[_i].answer,
+					   .end = SCRIPTED_CLOSE };
+	char entry[32];
+	const char *args[] = { "send",	  "-e", entry, "-m",
+			       "planner", "-p", "x",   NULL };
+	process_t ctl;
+
+	snprintf(entry, sizeof(entry), "127.0.0.1:%u", server.port);
+	scripted_set(&server, &answer, 1);
+	setenv("PIMENTO_KEY", FLEET_KEY, 1);
+	ck_assert_int_eq(process_start(&ctl, "ctl", "pimentoctl", args), 0);
+	ck_assert_int_ne(process_wait(&ctl, READ_MS), 0);
+	ck_assert(process_logged(&ctl, refusals[_i].verdict));
+	ck_assert_uint_eq(scripted_requests(&server), 1);
+}
+END_TEST
+
 static TCase *add_case(Suite *suite, const char *name, SFun setup, SFun finish)
 {
 	TCase *tcase = tcase_create(name);
@@ -438,6 +486,7 @@
 	Suite *suite = suite_create("broken engine answers");
 	TCase *engine = add_case(suite, "engine", start_engine, stop);
 	TCase *platform = add_case(suite, "platform", start_engines, stop);
+	TCase *ctl = add_case(suite, "pimentoctl", start_server, stop_server);
 
 	tcase_add_test(engine, a_broken_head_is_no_answer);
 	tcase_add_test(engine, an_unusual_head_is_an_answer);
@@ -451,5 +500,7 @@
 	tcase_add_loop_test(platform,
 			    a_broken_answer_of_the_platform_is_not_believed, 0,
 			    sizeof(config_answers) / sizeof(config_answers[0]));
+	tcase_add_loop_test(ctl, a_broken_head_promises_nothing_to_pimentoctl,
+			    0, sizeof(refusals) / sizeof(refusals[0]));
 	return process_run_suite(suite);
 }
