head_lines: an answer states one length, as a number

What callers of pimentod saw: an engine's answer with "Content-Length: 8" and another one of 9 or 33 came back as whole; which of them bounds the body is libcurl's choice. Found while the cases of the data path, which refuses it, were put beside these.

Cause: as for names, libcurl takes such a head, and nobody judged it.

Change: head_lines refuses a second length that differs from the first, and a value that is no number.

--- a/io/head_lines.c
+++ b/io/head_lines.c
@@ -4,6 +4,10 @@
 #include "status_line.h"
 
 #include <string.h>
+#include <strings.h>
+
+/* More would overflow. */
+#define LENGTH_DIGITS_MAX 18
 
 static bool is_status_line(const char *line, size_t length)
 {
@@ -20,8 +24,7 @@
 
 	status_line_begin(&status);
 	status_line_feed(&status, line, length);
-	lines->in_head = !status_line_is_interim(&status);
-	lines->whole = false;
+	*lines = (head_lines_t){ .in_head = !status_line_is_interim(&status) };
 	return status_line_is_valid(&status);
 }
 
@@ -36,11 +39,48 @@
 	return *line == ' ' || *line == '\t';
 }
 
-static bool is_field(const char *line, size_t length)
+static size_t skip_blanks(const char *text, size_t length)
+{
+	size_t i = 0;
+
+	while (i < length && (text[i] == ' ' || text[i] == '\t'))
+		i++;
+	return i;
+}
+
+/* False for what is no number, and for another one than was stated before. */
+static bool take_length(head_lines_t *lines, const char *value, size_t length)
 {
+	size_t i = skip_blanks(value, length);
+	size_t digits = i;
+	uint64_t number = 0;
+
+	for (; i < length && value[i] >= '0' && value[i] <= '9'; i++)
+		number = number * 10 + (uint64_t)(value[i] - '0');
+	digits = i - digits;
+	i += skip_blanks(value + i, length - i);
+	if (!digits || digits > LENGTH_DIGITS_MAX ||
+	    !is_last(value + i, length - i))
+		return false;
+	if (lines->has_length && lines->length != number)
+		return false;
+	lines->has_length = true;
+	lines->length = number;
+	return true;
+}
+
+static bool take_field(head_lines_t *lines, const char *line, size_t length)
+{
+	static const char length_name[] = "content-length";
 	const char *colon = memchr(line, ':', length);
+	size_t name = colon ? (size_t)(colon - line) : 0;
 
-	return colon && head_is_token(line, (size_t)(colon - line));
+	if (!head_is_token(line, name))
+		return false;
+	if (name != sizeof(length_name) - 1 ||
+	    strncasecmp(line, length_name, name) != 0)
+		return true;
+	return take_length(lines, colon + 1, length - name - 1);
 }
 
 bool head_lines_take(head_lines_t *lines, const char *line, size_t length)
@@ -54,5 +94,5 @@
 		lines->whole = true;
 		return true;
 	}
-	return is_continuation(line) || is_field(line, length);
+	return is_continuation(line) || take_field(lines, line, length);
 }
--- a/io/head_lines.h
+++ b/io/head_lines.h
@@ -3,16 +3,19 @@
 
 /*
  * Judges the head of an answer line by line, for readers over libcurl, which
- * lets status codes and names pass that are none of HTTP. All zero at the start
- * of an answer.
+ * lets status codes, names and lengths pass that are none of HTTP. All zero at
+ * the start of an answer.
  */
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 typedef struct head_lines {
 	bool in_head; /* of the answer itself, not of an interim one */
 	bool whole; /* that head was read, and is sound */
+	bool has_length;
+	uint64_t length; /* of the body, as it is stated */
 } head_lines_t;
 
 /*
--- a/test/test_broken_engine_answers.c
+++ b/test/test_broken_engine_answers.c
@@ -65,7 +65,11 @@
 	{ "HTTP/1.1 200 OK", "X\x01"
 			     "Bad: 1\r\n" },
 	{ "HTTP/1.1 200 OK", "Content-Length : 3\r\n" },
+	{ "HTTP/1.1 200 OK", ": 1\r\n" },
 	{ "HTTP/1.1 200 OK", "No-Colon\r\n" },
+	{ "HTTP/1.1 200 OK", "Content-Length: 8\r\nContent-Length: 9\r\n" },
+	{ "HTTP/1.1 200 OK", "Content-Length: 3, 3\r\n" },
+	{ "HTTP/1.1 200 OK", "Content-Length: 3x\r\n" },
 	{ "HTTP/1.1 500 Failed", "X Bad: 1\r\n" },
 	{ "HTTP/1.1 503 Busy", "X Bad: 1\r\n" },
 };
