httpc, traffic, tests: names, comments, a log line for a malformed head

The diff read by someone new to it: the tables hold sound heads, too, so that their type is answer_head_t; the status line's header says what parsers do with a code of four digits; pimentod logs a malformed head as one, where libcurl's message names a failed write. No behaviour changes otherwise.

--- a/io/httpc.c
+++ b/io/httpc.c
@@ -93,7 +93,7 @@
 	head_clear(&conn->head);
 	conn->taking = false;
 	status_line_begin(&conn->status_line);
-	http_parser_pause(parser, 1); /* parse() reads the line, too */
+	http_parser_pause(parser, 1); /* shows parse() where the line is */
 	return 0;
 }
 
--- a/io/status_line.h
+++ b/io/status_line.h
@@ -2,8 +2,8 @@
 #define STATUS_LINE_H
 
 /*
- * The status code of an answer, as its digits stand in the status line. Parsers
- * give the code's number, by which "0200" or "20" cannot be told from a code.
+ * The digits of an answer's status code, read off the status line. Parsers give
+ * the number alone, and take "0200" for 200.
  */
 
 #include <stdbool.h>
@@ -21,7 +21,7 @@
 	char first; /* digit */
 } status_line_t;
 
-/* Starts a line, of which a beginning without a blank may have been passed over. */
+/* Starts a line. Its first bytes, up to the blank, need not be fed. */
 void status_line_begin(status_line_t *line);
 
 /* Takes the next bytes; those behind the code are ignored. */
--- a/io/traffic.c
+++ b/io/traffic.c
@@ -98,8 +98,10 @@
 	size_t length = size * count;
 	size_t skip = sizeof(name) - 1;
 
-	if (!head_lines_take(&exchange->head, bytes, length))
+	if (!head_lines_take(&exchange->head, bytes, length)) {
+		log_line(LOG_LEVEL_DEBUG, "traffic", "malformed head");
 		return 0;
+	}
 	if (length > skip && !strncasecmp(bytes, name, skip)) {
 		while (skip < length && bytes[skip] == ' ')
 			skip++;
--- a/test/test_broken_answers.c
+++ b/test/test_broken_answers.c
@@ -43,14 +43,14 @@
 static scripted_t server;
 static bool behind_tunnel; /* the server, for host 0 */
 
-/* A head with what is wrong with it; else the answer is whole and sealed. */
-typedef struct broken_head {
+/* What makes a head unusual; else the answer is whole and sealed. */
+typedef struct answer_head {
 	const char *line;
 	const char *fields;
 	const char *body; /* with its framing; NULL: a stated length */
-} broken_head_t;
+} answer_head_t;
 
-static const broken_head_t broken_heads[] = {
+static const answer_head_t broken_heads[] = {
 	{ "HTTP/1.1 000 None", "", NULL },
 	{ "HTTP/1.1 0 None", "", NULL },
 	{ "HTTP/1.1 20 OK", "", NULL },
@@ -105,7 +105,7 @@
 #define BROKEN_HEADS (sizeof(broken_heads) / sizeof(broken_heads[0]))
 
 /* Unusual heads that are answers all the same. */
-static const broken_head_t sound_heads[] = {
+static const answer_head_t sound_heads[] = {
 	{ "HTTP/1.1 200 OK", "", NULL },
 	{ "HTTP/1.1 200", "", NULL },
 	{ "HTTP/1.1  200 OK", "", NULL },
@@ -119,7 +119,7 @@
 
 #define SOUND_HEADS (sizeof(sound_heads) / sizeof(sound_heads[0]))
 
-static const char *write_plain(char text[TEXT_BYTES], const broken_head_t *head)
+static const char *write_plain(char text[TEXT_BYTES], const answer_head_t *head)
 {
 	snprintf(text, TEXT_BYTES, "%s\r\n" MARKS "%s%s", head->line,
 		 head->fields,
@@ -128,7 +128,7 @@
 }
 
 static const char *write_stream(char text[TEXT_BYTES],
-				const broken_head_t *head, const char *events)
+				const answer_head_t *head, const char *events)
 {
 	snprintf(text, TEXT_BYTES, "%s\r\n" MARKS "%s" EVENTS_HEAD "%s",
 		 head->line, head->fields, events);
@@ -232,7 +232,7 @@
 	return edge_metric(&edge, 0, "pimento_attempts_tunnelled_total");
 }
 
-static void check_route(size_t route, const broken_head_t *head, bool sound)
+static void check_route(size_t route, const answer_head_t *head, bool sound)
 {
 	char text[TEXT_BYTES];
 	const char *stream = routes[route].stream ? "stream" : "plain";
@@ -369,8 +369,8 @@
 /* Guards against a stream that goes on with an answer whose head is broken. */
 START_TEST(a_stream_is_not_resumed_from_a_broken_head)
 {
-	static const broken_head_t sound = { "HTTP/1.1 200 OK", "", NULL };
-	const broken_head_t *head = _i ? &broken_heads[_i - 1] : &sound;
+	static const answer_head_t sound = { "HTTP/1.1 200 OK", "", NULL };
+	const answer_head_t *head = _i ? &broken_heads[_i - 1] : &sound;
 	char text[TEXT_BYTES];
 	const scripted_answer_t answers[] = {
 		{ .bytes =
--- a/test/test_broken_engine_answers.c
+++ b/test/test_broken_engine_answers.c
@@ -48,12 +48,13 @@
 static fleet_t fleet;
 static scripted_t server;
 
-typedef struct broken_head {
+/* What makes a head unusual. */
+typedef struct answer_head {
 	const char *line;
 	const char *fields;
-} broken_head_t;
+} answer_head_t;
 
-static const broken_head_t broken_heads[] = {
+static const answer_head_t broken_heads[] = {
 	{ "HTTP/1.1 000 None", "" },
 	{ "HTTP/1.1 20 OK", "" },
 	{ "HTTP/1.1 099 Low", "" },
@@ -76,7 +77,7 @@
 
 #define BROKEN_HEADS (sizeof(broken_heads) / sizeof(broken_heads[0]))
 
-static const broken_head_t sound_heads[] = {
+static const answer_head_t sound_heads[] = {
 	{ "HTTP/1.1 200 OK", "" },
 	{ "HTTP/1.1 200", "" },
 	{ "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK", "" },
@@ -87,7 +88,7 @@
 
 #define SOUND_HEADS (sizeof(sound_heads) / sizeof(sound_heads[0]))
 
-static const char *write_plain(char text[TEXT_BYTES], const broken_head_t *head)
+static const char *write_plain(char text[TEXT_BYTES], const answer_head_t *head)
 {
 	snprintf(text, TEXT_BYTES,
 		 "%s\r\n%sContent-Type: application/json\r\n"
@@ -97,7 +98,7 @@
 }
 
 static const char *write_stream(char text[TEXT_BYTES],
-				const broken_head_t *head, const char *events)
+				const answer_head_t *head, const char *events)
 {
 	snprintf(text, TEXT_BYTES, "%s\r\n%s" EVENTS_HEAD "%s", head->line,
 		 head->fields, events);
@@ -160,7 +161,7 @@
 }
 
 static const char *write_answer(char text[TEXT_BYTES],
-				const broken_head_t *head, bool stream)
+				const answer_head_t *head, bool stream)
 {
 	return stream ? write_stream(text, head, EVENT("1") EVENT("2") DONE)
 		      : write_plain(text, head);
@@ -172,7 +173,7 @@
 	char text[TEXT_BYTES];
 
 	for (size_t i = 0; i < 2 * BROKEN_HEADS; i++) {
-		const broken_head_t *head = &broken_heads[i / 2];
+		const answer_head_t *head = &broken_heads[i / 2];
 		bool stream = i % 2;
 		const scripted_answer_t answers[] = {
 			{ .bytes = write_answer(text, head, stream),
@@ -224,7 +225,7 @@
 	char text[TEXT_BYTES];
 
 	for (size_t i = 0; i < 2 * BROKEN_HEADS; i++) {
-		const broken_head_t *head = &broken_heads[i / 2];
+		const answer_head_t *head = &broken_heads[i / 2];
 		bool stream = i % 2;
 		char later[TEXT_BYTES];
 		const scripted_answer_t answers[] = {
