trials: a trial granted before the end that holds a request is void

Other copies were under way, the third end held the request some milliseconds later, and there was no endpoint left. The copy with the trial waited, and when the first endpoint was back its trial, good for 4 s, was looked at before the state: it was sent, and ended that endpoint too. The owner's lease ends with new evidence; the grant at the host did not.

trials_check() now looks at a hold first.

--- a/io/trials.c
+++ b/io/trials.c
@@ -224,11 +224,13 @@
 		return TRIAL_SEND;
 	if (x->ended >= ENDS_MAX)
 		return TRIAL_REJECT;
+	/* also if a trial was granted before the end that holds it */
+	if (verdict.state == QUARANTINE_HELD && verdict.trial_at > now)
+		return TRIAL_REJECT;
 	if (trial->until > now && trial->id == verdict.id)
 		return TRIAL_SEND;
 	if (verdict.trial_at > now)
-		return verdict.state == QUARANTINE_HELD ? TRIAL_REJECT
-							: TRIAL_WAIT;
+		return TRIAL_WAIT;
 	return check_trial(x, &verdict, now);
 }
 
