--- /dev/null
+++ b/review/standin-2.c
@@ -0,0 +1,346 @@
+/*
+ * Stand-ins for the cases of the second review: a worker that answers after a
+ * stated time with a stated number of bytes, and clients that read an answer at
+ * a steady rate.
+ *
+ *	standin-2 ports COUNT
+ *		prints COUNT free ports of the loopback address, a line each
+ *	standin-2 worker PORT ID RECORD
+ *		answers until it is killed; "Test-Delay-Ms" and "Test-Bytes" of
+ *		a request say when and with how many bytes
+ *	standin-2 clients ADDRESS PORT KEY DELAY_MS RATE FIRST STEP COUNT RECORD
+ *		COUNT clients at once, each with a channel of its own: a short
+ *		request, and then one whose answer comes after DELAY_MS and has
+ *		FIRST, FIRST + STEP, ... bytes; each reads RATE bytes a second.
+ *		Exits with 0 if all answers were whole, 1 if not, 2 if a client
+ *		could not run.
+ */
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+enum {
+	HEAD_MAX = 16384,
+	BLOCK = 65536,
+	READ_BLOCK = 16384,
+	CLIENTS_MAX = 200,
+	PORTS_MAX = 64,
+	ANSWER_WAIT_S = 30
+};
+
+static FILE *record;
+static pthread_mutex_t record_mutex = PTHREAD_MUTEX_INITIALIZER;
+
+static void note(const char *format, ...)
+{
+	struct timespec now;
+	va_list args;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	va_start(args, format);
+	pthread_mutex_lock(&record_mutex);
+	fprintf(record, "%lld.%03ld ", (long long)now.tv_sec,
+		now.tv_nsec / 1000000);
+	vfprintf(record, format, args);
+	fputc('\n', record);
+	fflush(record);
+	pthread_mutex_unlock(&record_mutex);
+	va_end(args);
+}
+
+static void sleep_us(long long us)
+{
+	struct timespec span = { us / 1000000, us % 1000000 * 1000 };
+
+	while (nanosleep(&span, &span) && errno == EINTR)
+		;
+}
+
+static struct sockaddr_in address_of(const char *ip, int port)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+
+	at.sin_port = htons((uint16_t)port);
+	inet_pton(AF_INET, ip, &at.sin_addr);
+	return at;
+}
+
+static int print_ports(int count)
+{
+	int fds[PORTS_MAX];
+
+	for (int i = 0; i < count && i < PORTS_MAX; i++) {
+		struct sockaddr_in at = address_of("127.0.0.1", 0);
+		socklen_t length = sizeof(at);
+
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		if (bind(fds[i], (struct sockaddr *)&at, sizeof(at)) ||
+		    getsockname(fds[i], (struct sockaddr *)&at, &length))
+			return 2;
+		printf("%d\n", ntohs(at.sin_port));
+	}
+	return 0;
+}
+
+static bool send_all(int fd, const char *bytes, size_t length)
+{
+	while (length) {
+		ssize_t sent = send(fd, bytes, length, MSG_NOSIGNAL);
+
+		if (sent <= 0)
+			return false;
+		bytes += sent;
+		length -= (size_t)sent;
+	}
+	return true;
+}
+
+/* Reads up to the end of a head; returns its length, or 0. */
+static size_t read_head(int fd, char *head)
+{
+	size_t length = 0;
+
+	while (length < HEAD_MAX - 1 && recv(fd, head + length, 1, 0) == 1) {
+		head[++length] = '\0';
+		if (length > 3 && strcmp(head + length - 4, "\r\n\r\n") == 0)
+			return length;
+	}
+	return 0;
+}
+
+static const char *field(const char *head, const char *name)
+{
+	size_t length = strlen(name);
+
+	for (const char *line = strstr(head, "\r\n"); line;
+	     line = strstr(line + 2, "\r\n"))
+		if (strncasecmp(line + 2, name, length) == 0 &&
+		    line[2 + length] == ':')
+			return line + 3 + length;
+	return NULL;
+}
+
+static long long number(const char *head, const char *name, long long other)
+{
+	const char *text = field(head, name);
+
+	return text ? atoll(text) : other;
+}
+
+/* The worker. */
+
+static const char *worker_id;
+
+static bool answer(int fd, const char *head)
+{
+	static const char bytes[BLOCK];
+	long long left = number(head, "Test-Bytes", 2);
+	const char *text = field(head, "Request-Id");
+	char id[64] = "-";
+	char line[256];
+	int length;
+
+	if (text)
+		(void)sscanf(text, " %63s", id);
+	note("worker %s runs %s", worker_id, id);
+	sleep_us(number(head, "Test-Delay-Ms", 0) * 1000);
+	length = snprintf(line, sizeof(line),
+			  "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+			  "Response-Seal: seal-%s\r\nContent-Length: %lld\r\n\r\n",
+			  id, id, left);
+	if (!send_all(fd, line, (size_t)length))
+		return false;
+	for (; left > 0; left -= BLOCK)
+		if (!send_all(fd, bytes,
+			      left < BLOCK ? (size_t)left : (size_t)BLOCK))
+			return false;
+	note("worker %s has sent all of %s", worker_id, id);
+	return true;
+}
+
+static void *serve(void *argument)
+{
+	int fd = (int)(intptr_t)argument;
+	char head[HEAD_MAX];
+
+	while (read_head(fd, head) && answer(fd, head))
+		;
+	close(fd);
+	return NULL;
+}
+
+static int run_worker(int port)
+{
+	struct sockaddr_in at = address_of("127.0.0.1", port);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int on = 1;
+
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(listener, (struct sockaddr *)&at, sizeof(at)) ||
+	    listen(listener, 128))
+		return 2;
+	for (;;) {
+		int fd = accept(listener, NULL, NULL);
+		pthread_t thread;
+
+		if (fd < 0)
+			continue;
+		if (pthread_create(&thread, NULL, serve, (void *)(intptr_t)fd))
+			close(fd);
+		else
+			pthread_detach(thread);
+	}
+}
+
+/* Clients. */
+
+static struct {
+	const char *ip;
+	int port;
+	const char *key;
+	long long delay_ms;
+	long long rate;
+	long long first;
+	long long step;
+} terms;
+
+typedef struct client {
+	pthread_t thread;
+	int number;
+	long long wanted;
+	long long got;
+	int status;
+	bool ran;
+} client_t;
+
+/* One request on the channel. Returns false if no whole head came. */
+static bool ask(int fd, client_t *client, const char *kind, long long delay_ms,
+		long long bytes)
+{
+	char head[HEAD_MAX];
+	char block[READ_BLOCK];
+	int length = snprintf(head, sizeof(head),
+			      "GET /report/%d HTTP/1.1\r\nHost: shop.example\r\n"
+			      "Request-Id: %s-%d\r\nDeadline-Ms: 15000\r\n"
+			      "Key: %s\r\nTest-Delay-Ms: %lld\r\n"
+			      "Test-Bytes: %lld\r\n\r\n",
+			      client->number, kind, client->number, terms.key,
+			      delay_ms, bytes);
+
+	note("client %d sends %s-%d", client->number, kind, client->number);
+	client->got = 0;
+	client->status = 0;
+	if (!send_all(fd, head, (size_t)length) || !read_head(fd, head))
+		return false;
+	client->status = atoi(head + 9);
+	client->wanted = number(head, "Content-Length", 0);
+	while (client->got < client->wanted) {
+		long long left = client->wanted - client->got;
+		ssize_t got = recv(fd, block,
+				   left < READ_BLOCK ? (size_t)left
+						     : sizeof(block),
+				   0);
+
+		if (got <= 0)
+			break;
+		client->got += got;
+		sleep_us(got * 1000000LL / terms.rate);
+	}
+	note("client %d: %s-%d status %d, %lld of %lld bytes%s",
+	     client->number, kind, client->number, client->status, client->got,
+	     client->wanted,
+	     client->got < client->wanted ? ", the channel has ended" : "");
+	return true;
+}
+
+static void *run_client(void *argument)
+{
+	client_t *client = argument;
+	struct sockaddr_in at = address_of(terms.ip, terms.port);
+	struct timeval wait = { .tv_sec = ANSWER_WAIT_S };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	if (connect(fd, (struct sockaddr *)&at, sizeof(at)) == 0 &&
+	    ask(fd, client, "short", 0, 2) && client->status == 200 &&
+	    client->got == 2) {
+		client->ran = true;
+		(void)ask(fd, client, "long", terms.delay_ms,
+			  terms.first + terms.step * client->number);
+	}
+	close(fd);
+	return NULL;
+}
+
+static int run_clients(int count)
+{
+	static client_t clients[CLIENTS_MAX];
+	int cut = 0;
+	int whole = 0;
+	int unrun = 0;
+
+	for (int i = 0; i < count; i++) {
+		clients[i].number = i;
+		if (pthread_create(&clients[i].thread, NULL, run_client,
+				   &clients[i]))
+			return 2;
+	}
+	for (int i = 0; i < count; i++) {
+		const client_t *c = &clients[i];
+
+		pthread_join(c->thread, NULL);
+		if (!c->ran || c->status != 200)
+			unrun++;
+		else if (c->got < c->wanted)
+			cut++;
+		else
+			whole++;
+	}
+	note("clients: %d answers whole, %d cut, %d clients without one", whole,
+	     cut, unrun);
+	printf("%d whole, %d cut, %d without an answer\n", whole, cut, unrun);
+	if (unrun)
+		return 2;
+	return cut ? 1 : 0;
+}
+
+int main(int argc, char **argv)
+{
+	signal(SIGPIPE, SIG_IGN);
+	if (argc == 3 && strcmp(argv[1], "ports") == 0)
+		return print_ports(atoi(argv[2]));
+	if (argc < 5)
+		return 2;
+	record = fopen(argv[argc - 1], "a");
+	if (!record)
+		return 2;
+	if (argc == 5 && strcmp(argv[1], "worker") == 0) {
+		worker_id = argv[3];
+		return run_worker(atoi(argv[2]));
+	}
+	if (argc == 11 && strcmp(argv[1], "clients") == 0) {
+		terms.ip = argv[2];
+		terms.port = atoi(argv[3]);
+		terms.key = argv[4];
+		terms.delay_ms = atoll(argv[5]);
+		terms.rate = atoll(argv[6]);
+		terms.first = atoll(argv[7]);
+		terms.step = atoll(argv[8]);
+		return atoi(argv[9]) > CLIENTS_MAX
+			       ? 2
+			       : run_clients(atoi(argv[9]));
+	}
+	return 2;
+}
