--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -14,6 +14,11 @@
  *		FIRST, FIRST + STEP, ... bytes; each reads RATE bytes a second.
  *		Exits with 0 if all answers were whole, 1 if not, 2 if a client
  *		could not run.
+ *	standin-2 jobs ADDRESS PORT KEY NAME DELAY_MS COUNT RECORD
+ *		COUNT clients at once with a request each, NAME-0, NAME-1, ..., at
+ *		which a worker works for DELAY_MS; prints and records for each its
+ *		answer's status, or that its channel ended without an answer.
+ *		Exits with 0, or with 2 if a client could not run.
  */
 
 #include <arpa/inet.h>
@@ -37,7 +42,9 @@
 	READ_BLOCK = 16384,
 	CLIENTS_MAX = 200,
 	PORTS_MAX = 64,
-	ANSWER_WAIT_S = 30
+	ANSWER_WAIT_S = 30,
+	JOB_WAIT_S = 70,
+	JOB_SPACING_US = 5000
 };
 
 static FILE *record;
@@ -316,6 +323,64 @@
 	return cut ? 1 : 0;
 }
 
+/* Jobs: requests that keep a worker busy. */
+
+static const char *job_name;
+
+static void *run_job(void *argument)
+{
+	client_t *client = argument;
+	struct sockaddr_in at = address_of(terms.ip, terms.port);
+	struct timeval wait = { .tv_sec = JOB_WAIT_S };
+	char head[HEAD_MAX];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int length = snprintf(head, sizeof(head),
+			      "POST /job/%d HTTP/1.1\r\nHost: shop.example\r\n"
+			      "Request-Id: %s-%d\r\nDeadline-Ms: 60000\r\n"
+			      "Key: %s\r\nTest-Delay-Ms: %lld\r\n"
+			      "Content-Length: 4\r\n\r\nwork",
+			      client->number, job_name, client->number,
+			      terms.key, terms.delay_ms);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	if (connect(fd, (struct sockaddr *)&at, sizeof(at)) == 0 &&
+	    send_all(fd, head, (size_t)length)) {
+		client->ran = true;
+		note("client sent %s-%d", job_name, client->number);
+		client->status = read_head(fd, head) ? atoi(head + 9) : 0;
+		if (client->status)
+			note("client has %s-%d status %d", job_name,
+			     client->number, client->status);
+		else
+			note("client has %s-%d channel ended without an answer",
+			     job_name, client->number);
+	}
+	close(fd);
+	return NULL;
+}
+
+static int run_jobs(int count)
+{
+	static client_t clients[CLIENTS_MAX];
+	int unrun = 0;
+
+	for (int i = 0; i < count; i++) {
+		clients[i].number = i;
+		if (pthread_create(&clients[i].thread, NULL, run_job,
+				   &clients[i]))
+			return 2;
+		sleep_us(JOB_SPACING_US);
+	}
+	for (int i = 0; i < count; i++) {
+		pthread_join(clients[i].thread, NULL);
+		if (clients[i].ran)
+			printf("%s-%d %d\n", job_name, i, clients[i].status);
+		else
+			unrun++;
+	}
+	return unrun ? 2 : 0;
+}
+
 int main(int argc, char **argv)
 {
 	signal(SIGPIPE, SIG_IGN);
@@ -342,5 +407,14 @@
 			       ? 2
 			       : run_clients(atoi(argv[9]));
 	}
+	if (argc == 9 && strcmp(argv[1], "jobs") == 0) {
+		terms.ip = argv[2];
+		terms.port = atoi(argv[3]);
+		terms.key = argv[4];
+		job_name = argv[5];
+		terms.delay_ms = atoll(argv[6]);
+		return atoi(argv[7]) > CLIENTS_MAX ? 2
+						   : run_jobs(atoi(argv[7]));
+	}
 	return 2;
 }
