--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -69,14 +69,14 @@
 	name = "edge-zone-a-$1"
 	datacentre = "zone-a"
 	address = "$ip"
-	first_start = true
+	first_start = ${first_start:-true}
 	[listen]
 	callers = "$ip:$front"
 	health = "$ip:$ready"
 	peers = "$ip:$control"
 	gossip_port = $gossip
 	[peers]
-	seeds = ["127.0.1.1:$control", "127.0.1.2:$control"]
+	seeds = ["127.0.1.1:$control", "127.0.1.2:$control", "127.0.1.3:$control"]
 	[store]
 	address = "127.0.0.1:$store"
 	[regions]
--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -19,6 +19,9 @@
  *		which a worker works for DELAY_MS; prints and records for each its
  *		answer's status, or that its channel ended without an answer.
  *		Exits with 0, or with 2 if a client could not run.
+ *	standin-2 load ADDRESS PORT KEY TOKENS GAP_MS SPAN_MS RECORD
+ *		for SPAN_MS a request of TOKENS tokens each GAP_MS, all on one
+ *		channel; prints how many got 200, 429 and other answers
  */
 
 #include <arpa/inet.h>
@@ -155,13 +158,19 @@
 	static const char bytes[BLOCK];
 	long long left = number(head, "Test-Bytes", 2);
 	const char *text = field(head, "Request-Id");
+	long long tokens_in = 0;
+	long long tokens_out = 0;
 	char id[64] = "-";
 	char line[256];
 	int length;
 
 	if (text)
 		(void)sscanf(text, " %63s", id);
-	note("worker %s runs %s", worker_id, id);
+	text = field(head, "Token-Usage");
+	if (text)
+		(void)sscanf(text, " %lld,%lld", &tokens_in, &tokens_out);
+	note("worker %s runs %s tokens %lld", worker_id, id,
+	     tokens_in + tokens_out);
 	sleep_us(number(head, "Test-Delay-Ms", 0) * 1000);
 	length = snprintf(line, sizeof(line),
 			  "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
@@ -381,6 +390,63 @@
 	return unrun ? 2 : 0;
 }
 
+/* A tenant that asks for more than its allotment. */
+
+static long long now_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return now.tv_sec * 1000LL + now.tv_nsec / 1000000;
+}
+
+static int run_load(long long tokens, long long gap_ms, long long span_ms)
+{
+	struct sockaddr_in at = address_of(terms.ip, terms.port);
+	long long begin = now_ms();
+	int counts[3] = { 0 };
+	int fd = -1;
+
+	for (long long n = 0; n * gap_ms < span_ms; n++) {
+		char head[HEAD_MAX];
+		int status = 0;
+		int length;
+
+		if (n * gap_ms > now_ms() - begin)
+			sleep_us((begin + n * gap_ms - now_ms()) * 1000);
+		if (fd < 0) {
+			fd = socket(AF_INET, SOCK_STREAM, 0);
+			if (connect(fd, (struct sockaddr *)&at, sizeof(at)))
+				return 2;
+		}
+		length = snprintf(
+			head, sizeof(head),
+			"GET /ask/%lld HTTP/1.1\r\nHost: shop.example\r\n"
+			"Request-Id: %s-%lld\r\nDeadline-Ms: 4000\r\n"
+			"Key: %s\r\nModel: m\r\nToken-Usage: %lld,100\r\n\r\n",
+			n, terms.ip, n, terms.key, tokens - 100);
+		if (send_all(fd, head, (size_t)length) && read_head(fd, head)) {
+			char body[BLOCK];
+			long long left = number(head, "Content-Length", 0);
+
+			status = atoi(head + 9);
+			if (left > 0 && recv(fd, body, (size_t)left,
+					     MSG_WAITALL) != left)
+				status = 0;
+		}
+		counts[status == 200 ? 0 : status == 429 ? 1 : 2]++;
+		if (!status || field(head, "Connection")) {
+			close(fd);
+			fd = -1;
+		}
+	}
+	note("load by %s: %d served, %d got 429, %d others", terms.ip, counts[0],
+	     counts[1], counts[2]);
+	printf("%s: %d served, %d got 429, %d others\n", terms.ip, counts[0],
+	       counts[1], counts[2]);
+	return 0;
+}
+
 int main(int argc, char **argv)
 {
 	signal(SIGPIPE, SIG_IGN);
@@ -407,6 +473,12 @@
 			       ? 2
 			       : run_clients(atoi(argv[9]));
 	}
+	if (argc == 9 && strcmp(argv[1], "load") == 0) {
+		terms.ip = argv[2];
+		terms.port = atoi(argv[3]);
+		terms.key = argv[4];
+		return run_load(atoll(argv[5]), atoll(argv[6]), atoll(argv[7]));
+	}
 	if (argc == 9 && strcmp(argv[1], "jobs") == 0) {
 		terms.ip = argv[2];
 		terms.port = atoi(argv[3]);
