--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -27,7 +27,7 @@
 }
 
 take_ports 10
-start store "$tools/store" "$store"
+start store "$tools/standin-2" store "$store" "$record"
 configure 1 15000
 for i in 0 1 2 3 4
 do
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -13,7 +13,7 @@
 WINDOW=8     # quota_window_s
 
 take_ports 7
-start store "$tools/store" "$store"
+start store "$tools/standin-2" store "$store" "$record"
 put op/config '{"version":1,"routes":[{"name":"r-ask","host":"shop.example",
 "prefix":"/ask/","route_type":"idempotent","timeout_ms":4000,"goal_ms":400,
 "priority":1,"service":"llm","max_attempts":1,"public":false}],
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -46,9 +46,7 @@
 # put KEY VALUE: the store's answer is the acknowledgement.
 put()
 {
-	curl -sS -f -o /dev/null -m 5 --retry 20 --retry-connrefused \
-		--retry-delay 1 --data-binary "$2" \
-		"http://127.0.0.1:$store/test/put?key=$1" ||
+	printf '%s' "$2" | "$tools/standin-2" put "$store" "$1" ||
 		cannot_run "the store does not take $1"
 }
 
@@ -105,8 +103,7 @@
 	local i
 	for i in $(seq 100)
 	do
-		[ "$(curl -s -o /dev/null -m 1 -w '%{http_code}' \
-			"http://127.0.1.$1:$ready/ready")" = 200 ] && return
+		"$tools/standin-2" ready "127.0.1.$1" "$ready" && return
 		sleep 0.1
 	done
 	cannot_run "host $1 is not ready"
@@ -125,5 +122,5 @@
 
 : >"$record"
 [ -x "$edge" ] || cannot_run "target/build/pimentoedge is not built"
-[ -x "$tools/standin-2" ] && [ -x "$tools/store" ] ||
+[ -x "$tools/standin-2" ] ||
 	cannot_run "review/build-2.sh has not run"
