--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -29,6 +29,14 @@
  *	standin-2 load ADDRESS PORT KEY TOKENS GAP_MS SPAN_MS RECORD
  *		for SPAN_MS a request of TOKENS tokens each GAP_MS, all on one
  *		channel; prints how many got 200, 429 and other answers
+ *	standin-2 streams ADDRESS PORT KEY COUNT GARBLED RECORD
+ *		COUNT streams of four events, one after the other, and GARBLED
+ *		(0 or 1) more whose worker sends lines without end and no event
+ *	standin-2 steady ADDRESS PORT KEY GAP_MS SPAN_MS RECORD
+ *		for SPAN_MS a request each GAP_MS, each on a channel of its own, on a
+ *		route whose timeout_ms is 1,000; prints how many had no answer
+ *		then, and half a second later. Exits with 1 if the latter are eight
+ *		or more and over half of the former, else with 0
  */
 
 #include <arpa/inet.h>
@@ -57,6 +65,12 @@
 	JOB_SPACING_US = 5000,
 	ITEMS_MAX = 64,
 	KEY_MAX = 200,
+	GARBLE_LINES = 100,
+	GARBLE_PAUSE_US = 500,
+	EVENT_GAP_US = 1000,
+	ROUTE_TIMEOUT_MS = 1000,
+	STEADY_WAIT_S = 30,
+	STEADY_MAX = 600,
 	VALUE_MAX = 65536
 };
 
@@ -361,6 +375,39 @@
 
 static const char *worker_id;
 
+/* Events, or lines that never make one, a chunk each. */
+static bool answer_stream(int fd, const char *head, const char *id)
+{
+	char text[BLOCK];
+	int length = snprintf(text, sizeof(text),
+			      "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+			      "Response-Seal: seal-%s\r\n"
+			      "Content-Type: text/event-stream\r\n"
+			      "Transfer-Encoding: chunked\r\n\r\n",
+			      id, id);
+
+	if (!send_all(fd, text, (size_t)length))
+		return false;
+	if (field(head, "Test-Garble")) {
+		note("worker %s sends lines without end for %s", worker_id, id);
+		length = 0;
+		for (int i = 0; i < GARBLE_LINES; i++)
+			length += sprintf(text + length, "5\r\nd: 0\n\r\n");
+		while (send_all(fd, text, (size_t)length))
+			sleep_us(GARBLE_PAUSE_US);
+		note("worker %s: %s was closed", worker_id, id);
+		return false;
+	}
+	for (long long i = 1; i <= number(head, "Test-Events", 1); i++) {
+		length = snprintf(text, sizeof(text),
+				  "10\r\nid: %04lld\ndata:\n\n\r\n", i);
+		if (!send_all(fd, text, (size_t)length))
+			return false;
+		sleep_us(EVENT_GAP_US);
+	}
+	return send_all(fd, "0\r\n\r\n", 5);
+}
+
 static bool answer(int fd, const char *head)
 {
 	static const char bytes[BLOCK];
@@ -379,6 +426,8 @@
 		(void)sscanf(text, " %lld,%lld", &tokens_in, &tokens_out);
 	note("worker %s runs %s tokens %lld", worker_id, id,
 	     tokens_in + tokens_out);
+	if (field(head, "Test-Events"))
+		return answer_stream(fd, head, id);
 	sleep_us(number(head, "Test-Delay-Ms", 0) * 1000);
 	length = snprintf(line, sizeof(line),
 			  "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
@@ -658,6 +707,103 @@
 	return 0;
 }
 
+/* Streams, and requests that meet what becomes of their host. */
+
+static int run_streams(int count, int garbled)
+{
+	struct sockaddr_in at = address_of(terms.ip, terms.port);
+	int whole = 0;
+
+	for (int i = 0; i < count + garbled; i++) {
+		struct timeval wait = { .tv_sec = ANSWER_WAIT_S };
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		char text[HEAD_MAX];
+		char last[5] = "";
+		ssize_t got;
+		int length = snprintf(
+			text, sizeof(text),
+			"POST /chat/%d HTTP/1.1\r\nHost: shop.example\r\n"
+			"Request-Id: chat-%d\r\nDeadline-Ms: 12000\r\nKey: %s\r\n"
+			"Model: m\r\nToken-Usage: 628,300\r\nTest-Events: 4\r\n%s"
+			"Connection: close\r\nContent-Length: 0\r\n\r\n",
+			i, i, terms.key, i < count ? "" : "Test-Garble: 1\r\n");
+
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+		if (connect(fd, (struct sockaddr *)&at, sizeof(at)) ||
+		    !send_all(fd, text, (size_t)length))
+			return 2;
+		while ((got = recv(fd, text, sizeof(text), 0)) > 0)
+			if (got >= 5)
+				memcpy(last, text + got - 5, 5);
+		whole += memcmp(last, "0\r\n\r\n", 5) == 0;
+		if (i >= count)
+			note("client: the channel of chat-%d has ended", i);
+		close(fd);
+	}
+	note("streams: %d of %d whole", whole, count + garbled);
+	return whole == count ? 0 : 2;
+}
+
+static void *run_steady_one(void *argument)
+{
+	client_t *client = argument;
+	struct sockaddr_in at = address_of(terms.ip, terms.port);
+	struct timeval wait = { .tv_sec = STEADY_WAIT_S };
+	long long begin = now_ms();
+	char head[HEAD_MAX];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int length = snprintf(head, sizeof(head),
+			      "GET /look/%d HTTP/1.1\r\nHost: shop.example\r\n"
+			      "Request-Id: look-%d\r\nDeadline-Ms: 4000\r\n"
+			      "Key: %s\r\n\r\n",
+			      client->number, client->number, terms.key);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	if (connect(fd, (struct sockaddr *)&at, sizeof(at)) == 0 &&
+	    send_all(fd, head, (size_t)length)) {
+		client->ran = true;
+		client->status = read_head(fd, head) ? atoi(head + 9) : 0;
+	}
+	client->got = now_ms() - begin;
+	if (client->got > ROUTE_TIMEOUT_MS)
+		note("client: look-%d status %d after %lld ms", client->number,
+		     client->status, client->got);
+	close(fd);
+	return NULL;
+}
+
+static int run_steady(long long gap_ms, long long span_ms)
+{
+	static client_t clients[STEADY_MAX];
+	int count = (int)(span_ms / gap_ms);
+	int late = 0;
+	int later = 0;
+	int served = 0;
+
+	if (count > STEADY_MAX)
+		return 2;
+	for (int i = 0; i < count; i++) {
+		clients[i].number = i;
+		if (pthread_create(&clients[i].thread, NULL, run_steady_one,
+				   &clients[i]))
+			return 2;
+		sleep_us(gap_ms * 1000);
+	}
+	for (int i = 0; i < count; i++) {
+		pthread_join(clients[i].thread, NULL);
+		served += clients[i].status == 200;
+		late += clients[i].got > ROUTE_TIMEOUT_MS;
+		later += clients[i].got > ROUTE_TIMEOUT_MS + 500;
+	}
+	note("steady: %d requests, %d served, %d unanswered at timeout_ms, %d "
+	     "half a second later",
+	     count, served, late, later);
+	printf("%d requests, %d served, %d unanswered at timeout_ms, %d half a "
+	       "second later\n",
+	       count, served, late, later);
+	return later >= 8 && 2 * later > late ? 1 : 0;
+}
+
 int main(int argc, char **argv)
 {
 	signal(SIGPIPE, SIG_IGN);
@@ -693,6 +839,18 @@
 			       ? 2
 			       : run_clients(atoi(argv[9]));
 	}
+	if (argc == 8 && strcmp(argv[1], "streams") == 0) {
+		terms.ip = argv[2];
+		terms.port = atoi(argv[3]);
+		terms.key = argv[4];
+		return run_streams(atoi(argv[5]), atoi(argv[6]));
+	}
+	if (argc == 8 && strcmp(argv[1], "steady") == 0) {
+		terms.ip = argv[2];
+		terms.port = atoi(argv[3]);
+		terms.key = argv[4];
+		return run_steady(atoll(argv[5]), atoll(argv[6]));
+	}
 	if (argc == 9 && strcmp(argv[1], "load") == 0) {
 		terms.ip = argv[2];
 		terms.port = atoi(argv[3]);
