--- a/io/httpd.c
+++ b/io/httpd.c
@@ -8,6 +8,7 @@
 #include "httpd.h"
 
 #include "sys.h"
+#include "turn.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -339,20 +340,26 @@
 
 /*
  * After its user was called: serves what was sent ahead, if the user has
- * answered, and frees the connection if it was closed meanwhile.
+ * answered, and frees the connection if it was closed meanwhile. Returns false
+ * if it was.
  */
-static void settle(httpd_conn_t *conn)
+static bool settle(httpd_conn_t *conn)
 {
 	conn->in_call = true;
 	if (!conn->dead && conn->state == HTTPD_READING)
 		take_ahead(conn);
 	conn->in_call = false;
-	if (conn->dead)
+	if (conn->dead) {
 		conn_free(conn);
-	else if (strbuf_error(&conn->ahead))
+		return false;
+	}
+	if (strbuf_error(&conn->ahead)) {
 		conn_close(conn, true);
-	else if (conn->ahead.length > AHEAD_MOST)
+		return false;
+	}
+	if (conn->ahead.length > AHEAD_MOST)
 		ev_io_stop(conn->server->loop, &conn->reading);
+	return true;
 }
 
 /* Whoever sends the whole body first still gets the answer. */
@@ -368,6 +375,7 @@
 {
 	httpd_conn_t *conn = watcher->data;
 	ssize_t got = read(conn->fd, read_buffer, sizeof(read_buffer));
+	turn_t turn;
 
 	(void)loop;
 	(void)events;
@@ -377,6 +385,7 @@
 		conn_close(conn, false);
 		return;
 	}
+	turn = turn_begin("caller", conn->fd, got);
 	host_load_add_received(&conn->server->load, (uint64_t)got, sys_now());
 	if (conn->state == HTTPD_LINGERING) {
 		drain(conn);
@@ -388,7 +397,9 @@
 		take(conn, read_buffer, (size_t)got);
 	else
 		strbuf_add(&conn->ahead, read_buffer, (size_t)got);
-	settle(conn);
+	if (!settle(conn))
+		turn.fd = -1;
+	turn_end(&turn);
 }
 
 static void on_writable(struct ev_loop *loop, ev_io *watcher, int events)
@@ -411,7 +422,7 @@
 	} else if (conn->server->ops->written) {
 		conn->in_call = true;
 		conn->server->ops->written(conn);
-		settle(conn);
+		(void)settle(conn);
 	}
 }
 
@@ -660,7 +671,7 @@
 	if (!ev_is_active(&conn->reading))
 		ev_io_start(conn->server->loop, &conn->reading);
 	if (!conn->in_call) /* else whoever calls settles it */
-		settle(conn);
+		(void)settle(conn);
 }
 
 void httpd_abort(httpd_conn_t *conn)
