sse: look at each byte of a stream once

Cause: sse_feed() looked for a whole event from the start of what had come, at each call, and a call is a chunk. 64 KB of socket hold 6,500 such chunks, and nothing else runs between them; the work grew with the square of the event, up to its bound of 1 MiB.

Change: the splitter keeps how far it has read, where the line began, and the id of the event under way. This goes with the partial event when an attempt is set aside for another one. The work is linear in bytes, however they are cut.

--- a/io/exchange.h
+++ b/io/exchange.h
@@ -67,7 +67,7 @@
 	int64_t length;
 	strbuf_t fields;
 	strbuf_t body;
-	strbuf_t partial; /* event */
+	sse_partial_t partial; /* event */
 	bool is_events;
 	bool resuming;
 } silent_attempt_t;
--- a/io/hedge.c
+++ b/io/hedge.c
@@ -53,7 +53,7 @@
 	};
 	strbuf_init(&x->fields);
 	strbuf_init(&x->body);
-	strbuf_init(&x->events.partial);
+	sse_partial_init(&x->events.partial);
 	x->attempt.endpoint = NULL;
 	x->attempt.conn = NULL;
 	x->attempt.place = (exchange_place_t){ 0 };
@@ -86,7 +86,7 @@
 	end_search(x);
 	strbuf_finish(&x->fields);
 	strbuf_finish(&x->body);
-	strbuf_finish(&x->events.partial);
+	sse_partial_finish(&x->events.partial);
 	x->attempt = silent.attempt;
 	x->state = silent.state;
 	x->status = silent.status;
@@ -111,7 +111,7 @@
 	x->silent = (silent_attempt_t){ 0 };
 	strbuf_finish(&silent.fields);
 	strbuf_finish(&silent.body);
-	strbuf_finish(&silent.partial);
+	sse_partial_finish(&silent.partial);
 	dispatch_close(x, &silent.attempt);
 }
 
--- a/io/relay.c
+++ b/io/relay.c
@@ -348,7 +348,7 @@
 	    crashes_has_begun(x, &x->attempt, now))
 		trials_begun(x, now);
 	placing_tell_pace(x);
-	httpd_write(x->caller, x->events.partial.bytes, (size_t)whole);
+	httpd_write(x->caller, x->events.partial.text.bytes, (size_t)whole);
 	sse_consume(&x->events, (size_t)whole);
 	if (sendbuf_waiting(&x->caller->sendbuf) > UNREAD_MOST)
 		httpc_hold(x->attempt.conn, true);
@@ -401,7 +401,7 @@
 {
 	httpd_conn_t *caller;
 
-	if (x->is_events && x->events.partial.length) {
+	if (x->is_events && sse_is_within_event(&x->events)) {
 		/* it ended in the middle of an event: it is not whole */
 		crashes_broken(x, &x->attempt, sys_now());
 		dispatch_over(x, PIMENTO_RAN, 0, "stream_torn");
--- a/src/sse.c
+++ b/src/sse.c
@@ -8,18 +8,30 @@
  */
 #define SSE_EVENT_BYTES_MAX ((size_t)1024 * 1024)
 
+void sse_partial_init(sse_partial_t *partial)
+{
+	*partial = (sse_partial_t){ 0 };
+	strbuf_init(&partial->text);
+}
+
+void sse_partial_finish(sse_partial_t *partial)
+{
+	strbuf_finish(&partial->text);
+	sse_partial_init(partial);
+}
+
 void sse_init(sse_t *sse)
 {
 	*sse = (sse_t){ 0 };
-	strbuf_init(&sse->partial);
+	sse_partial_init(&sse->partial);
 }
 
 void sse_finish(sse_t *sse)
 {
-	strbuf_finish(&sse->partial);
+	sse_partial_finish(&sse->partial);
 }
 
-static void parse_id(sse_t *sse, const char *line, size_t length)
+static void read_id(sse_partial_t *partial, const char *line, size_t length)
 {
 	if (length < 3 || memcmp(line, "id:", 3) != 0)
 		return;
@@ -29,92 +41,90 @@
 		line++;
 		length--;
 	}
-	if (length >= sizeof(sse->last_id))
+	if (length >= sizeof(partial->id))
 		return;
-	memcpy(sse->last_id, line, length);
-	sse->last_id[length] = '\0';
+	memcpy(partial->id, line, length);
+	partial->id[length] = '\0';
+	partial->has_id = true;
 }
 
-/*
- * Returns the length of the first line of text, line end included, or 0 if it is
- * incomplete. Sets content to its length without the line end.
- */
-static size_t line_length(const char *text, size_t length, size_t *content)
+static void end_event(sse_t *sse)
 {
-	const char *end = memchr(text, '\n', length);
+	sse_partial_t *partial = &sse->partial;
 
-	if (!end)
-		return 0;
-	*content = (size_t)(end - text);
-	if (*content && text[*content - 1] == '\r')
-		(*content)--;
-	return (size_t)(end - text) + 1;
+	if (partial->has_id)
+		memcpy(sse->last_id, partial->id, sizeof(sse->last_id));
+	partial->has_id = false;
+	partial->complete = partial->scanned;
+	sse->count++;
 }
 
-/* Returns the length of the event at the start of text; 0 if incomplete. */
-static size_t event_length(const char *text, size_t length)
+/* An empty line ends an event. */
+static void end_line(sse_t *sse)
 {
-	size_t at = 0;
+	sse_partial_t *partial = &sse->partial;
+	const char *line = partial->text.bytes + partial->line;
+	size_t length = partial->scanned - 1 - partial->line;
 
-	while (at < length) {
-		size_t content = 0;
-		size_t line = line_length(text + at, length - at, &content);
-
-		if (!line)
-			return 0;
-		at += line;
-		if (!content)
-			return at;
-	}
-	return 0;
+	if (length && line[length - 1] == '\r')
+		length--;
+	if (length)
+		read_id(partial, line, length);
+	else
+		end_event(sse);
+	partial->line = partial->scanned;
 }
 
-static void parse_event(sse_t *sse, const char *text, size_t length)
+static void scan(sse_t *sse)
 {
-	size_t at = 0;
+	sse_partial_t *partial = &sse->partial;
 
-	while (at < length) {
-		size_t content = 0;
-		size_t line = line_length(text + at, length - at, &content);
+	while (partial->scanned < partial->text.length) {
+		char byte = partial->text.bytes[partial->scanned++];
 
-		parse_id(sse, text + at, content);
-		at += line;
+		if (byte == '\n')
+			end_line(sse);
 	}
-	sse->count++;
 }
 
 int64_t sse_feed(sse_t *sse, const char *bytes, size_t length)
 {
-	size_t complete = 0;
-	size_t event;
+	sse_partial_t *partial = &sse->partial;
 
 	if (!length)
 		return 0;
-	strbuf_add(&sse->partial, bytes, length);
-	if (strbuf_error(&sse->partial))
+	strbuf_add(&partial->text, bytes, length);
+	if (strbuf_error(&partial->text))
 		return PIMENTO_ENOMEM;
-	while ((event = event_length(sse->partial.bytes + complete,
-				     sse->partial.length - complete))) {
-		parse_event(sse, sse->partial.bytes + complete, event);
-		complete += event;
-	}
-	if (sse->partial.length - complete > SSE_EVENT_BYTES_MAX)
+	scan(sse);
+	if (partial->text.length - partial->complete > SSE_EVENT_BYTES_MAX)
 		return PIMENTO_ETOOBIG;
-	return (int64_t)complete;
+	return (int64_t)partial->complete;
 }
 
 void sse_consume(sse_t *sse, size_t complete)
 {
-	strbuf_t *partial = &sse->partial;
+	sse_partial_t *partial = &sse->partial;
 
 	if (!complete)
 		return;
-	memmove(partial->bytes, partial->bytes + complete,
-		partial->length - complete);
-	partial->length -= complete;
+	memmove(partial->text.bytes, partial->text.bytes + complete,
+		partial->text.length - complete);
+	partial->text.length -= complete;
+	partial->complete -= complete;
+	partial->line -= complete;
+	partial->scanned -= complete;
+}
+
+bool sse_is_within_event(const sse_t *sse)
+{
+	return sse->partial.text.length > 0;
 }
 
 void sse_discard_partial(sse_t *sse)
 {
-	sse->partial.length = 0;
+	strbuf_t text = sse->partial.text;
+
+	text.length = 0;
+	sse->partial = (sse_partial_t){ .text = text };
 }
--- a/test/test_sse.c
+++ b/test/test_sse.c
@@ -3,8 +3,10 @@
 #include "sse.h"
 
 #include <check.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 static const char stream[] = "id: 1\ndata: a\n\n"
 			     ": a comment\r\nid:2\r\ndata: b\r\n\r\n"
@@ -28,7 +30,7 @@
 			length = (size_t)_i;
 		complete = sse_feed(&sse, stream + at, length);
 		ck_assert_int_ge(complete, 0);
-		ck_assert_mem_eq(sse.partial.bytes, stream + consumed,
+		ck_assert_mem_eq(sse.partial.text.bytes, stream + consumed,
 				 (size_t)complete);
 		consumed += (size_t)complete;
 		sse_consume(&sse, (size_t)complete);
@@ -37,7 +39,7 @@
 	ck_assert_uint_eq(sse.count, 3);
 	ck_assert_str_eq(sse.last_id, "2");
 	sse_discard_partial(&sse);
-	ck_assert_uint_eq(sse.partial.length, 0);
+	ck_assert_uint_eq(sse.partial.text.length, 0);
 	sse_finish(&sse);
 }
 END_TEST
@@ -71,6 +73,89 @@
 }
 END_TEST
 
+/* Bytes that a connection delivers to its reader at once. */
+#define READ_BYTES 65536
+/* An event is bounded at 1 MiB. */
+#define ENDLESS_BYTES (15 * READ_BYTES)
+/* The event loop's tick: one read must not take as long. */
+#define READ_MS_MAX 50.0
+
+static double processor_ms(void)
+{
+	return (double)clock() * 1000 / CLOCKS_PER_SEC;
+}
+
+/* The input is this text, repeated, in pieces of so many bytes. */
+static const struct {
+	const char *text;
+	size_t piece;
+	bool has_events;
+} inputs[] = {
+	{ "d: 0\n", 5, false },	  { "d: 0\r\n", 6, false },
+	{ "d: 0\r\n", 1, false }, { ": comment\n", 10, false },
+	{ "id: 7\n", 6, false },  { "x", 1, false },
+	{ "x", 1000, false },	  { "d: 0\n", READ_BYTES, false },
+	{ "data\n\n", 6, true },  { "data\r\n\r\n", 1, true },
+	{ "\n", 1, true },	  { "\r", 1, false },
+};
+
+/*
+ * Feeds one read's bytes in pieces; returns the processor time that it took.
+ * Checks nothing on the way, as each check would write to a file.
+ */
+static double feed_read(sse_t *sse, const char *bytes, size_t length,
+			size_t piece)
+{
+	double begun = processor_ms();
+
+	for (size_t at = 0; at + piece <= length; at += piece) {
+		int64_t complete = sse_feed(sse, bytes + at, piece);
+
+		if (complete < 0)
+			return HUGE_VAL;
+		sse_consume(sse, (size_t)complete);
+	}
+	return processor_ms() - begun;
+}
+
+/* Guards against work that grows with the square of an event's bytes. */
+START_TEST(work_is_linear_however_bytes_are_cut)
+{
+	const char *text = inputs[_i].text;
+	char input[READ_BYTES];
+	sse_t sse;
+
+	for (size_t i = 0; i < sizeof(input); i++)
+		input[i] = text[i % strlen(text)];
+	sse_init(&sse);
+	for (size_t at = 0; at < ENDLESS_BYTES; at += READ_BYTES) {
+		double ms =
+			feed_read(&sse, input, sizeof(input), inputs[_i].piece);
+
+		ck_assert_msg(ms < READ_MS_MAX, "%.0f ms for the read at %zu",
+			      ms, at);
+	}
+	ck_assert_int_eq(sse.count > 0, inputs[_i].has_events);
+	sse_finish(&sse);
+}
+END_TEST
+
+/* Guards against resuming behind an event that its caller has not got. */
+START_TEST(id_of_an_incomplete_event_is_not_kept)
+{
+	sse_t sse;
+
+	sse_init(&sse);
+	ck_assert_int_eq(sse_feed(&sse, "id: 1\n\nid: 2\n", 14), 7);
+	ck_assert_str_eq(sse.last_id, "1");
+	sse_consume(&sse, 7);
+	sse_discard_partial(&sse);
+	ck_assert_int_eq(sse_feed(&sse, "data: a\n\n", 9), 9);
+	ck_assert_str_eq(sse.last_id, "1");
+	sse_finish(&sse);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sse");
@@ -82,6 +167,9 @@
 			    sizeof(stream));
 	tcase_add_test(tests, empty_chunk_is_ignored);
 	tcase_add_test(tests, oversized_id_is_ignored);
+	tcase_add_loop_test(tests, work_is_linear_however_bytes_are_cut, 0,
+			    sizeof(inputs) / sizeof(inputs[0]));
+	tcase_add_test(tests, id_of_an_incomplete_event_is_not_kept);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
