sse: a line may end with a CR

An event whose lines end with CR alone, or with CR behind LF, is sound by the standard and was never whole here: its caller got nothing until the bound or its timeout. Found while looking for other ways to an event without an end.

Each of LF, CRLF and CR ends a line now, in any mixture. An event that ends with a CR is passed on at once; an LF that comes in the next piece belongs to it and is passed on then, not taken for an empty line or a torn stream.

--- a/src/sse.c
+++ b/src/sse.c
@@ -60,19 +60,27 @@
 }
 
 /* An empty line ends an event. */
-static void end_line(sse_t *sse)
+static void end_line(sse_t *sse, char end)
 {
 	sse_partial_t *partial = &sse->partial;
-	const char *line = partial->text.bytes + partial->line;
 	size_t length = partial->scanned - 1 - partial->line;
 
-	if (length && line[length - 1] == '\r')
-		length--;
 	if (length)
-		read_id(partial, line, length);
+		read_id(partial, partial->text.bytes + partial->line, length);
 	else
 		end_event(sse);
 	partial->line = partial->scanned;
+	partial->after_cr = end == '\r';
+}
+
+/* The line that a CR ended, and the event that it may have ended, go on. */
+static void skip_lf(sse_partial_t *partial)
+{
+	if (partial->complete == partial->scanned)
+		partial->complete++;
+	partial->scanned++;
+	partial->line = partial->scanned;
+	partial->after_cr = false;
 }
 
 static void scan(sse_t *sse)
@@ -80,10 +88,16 @@
 	sse_partial_t *partial = &sse->partial;
 
 	while (partial->scanned < partial->text.length) {
-		char byte = partial->text.bytes[partial->scanned++];
-
-		if (byte == '\n')
-			end_line(sse);
+		char byte = partial->text.bytes[partial->scanned];
+
+		if (byte == '\n' && partial->after_cr) {
+			skip_lf(partial);
+			continue;
+		}
+		partial->after_cr = false;
+		partial->scanned++;
+		if (byte == '\n' || byte == '\r')
+			end_line(sse, byte);
 	}
 }
 
--- a/src/sse.h
+++ b/src/sse.h
@@ -18,6 +18,7 @@
 	size_t complete; /* its first bytes, which may be passed on */
 	size_t line; /* start of the line that is being received */
 	size_t scanned; /* bytes in which the end of that line was sought */
+	bool after_cr; /* an LF that follows belongs to the line before */
 	bool has_id;
 	char id[SSE_ID_MAX]; /* of the incomplete event */
 } sse_partial_t;
