traffic: engines' streams are split like those of other endpoints

What callers of pimentod saw: a stream whose lines end with CRLF or CR, sound by the standard, gave nothing and then "endpoint failed during the answer".

Cause: hand_on_events() had a splitter of its own, which looked for LF LF.

Change: it uses sse_feed().

--- a/io/traffic.c
+++ b/io/traffic.c
@@ -12,6 +12,8 @@
 #include "log.h"
 #include "sys.h"
 
+#include "../src/sse.h"
+
 #include <curl/curl.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -45,9 +47,7 @@
 	bool aborted; /* on our side: caller left, or too large */
 	head_lines_t head; /* of the answer */
 	char type[LINE_TYPE_MAX];
-	char *partial; /* bytes of an event that is not whole yet */
-	size_t partial_used;
-	size_t partial_size;
+	sse_t events; /* of a stream */
 	pimento_usec_t told;
 	pimento_usec_t last_token; /* when the last whole event came */
 } exchange_t;
@@ -126,55 +126,33 @@
 	control_event(exchange->control, exchange->call, &event);
 }
 
-static bool keep_partial(exchange_t *exchange, const char *bytes, size_t length)
+/* The mark is the last event of a stream, and none of its answer. */
+static bool has_done_mark(const char *events, size_t length)
 {
-	size_t need = exchange->partial_used + length;
-
-	if (need > CALL_STREAM_MAX)
-		return false;
-	if (need > exchange->partial_size) {
-		char *partial = realloc(exchange->partial, need * 2);
-
-		if (!partial)
-			return false;
-		exchange->partial = partial;
-		exchange->partial_size = need * 2;
-	}
-	memcpy(exchange->partial + exchange->partial_used, bytes, length);
-	exchange->partial_used = need;
-	return true;
-}
-
-static bool is_done_mark(const char *event, size_t length)
-{
-	return length >= strlen(DONE_MARK) &&
-	       memmem(event, length, DONE_MARK, strlen(DONE_MARK));
+	return length && memmem(events, length, DONE_MARK, strlen(DONE_MARK));
 }
 
 /*
  * Hands on whole events only, and counts them: a stream that breaks inside one
  * is resumed at that event, and the caller sees no half of it.
  */
-static bool hand_on_events(exchange_t *exchange)
+static bool hand_on_events(exchange_t *exchange, const char *bytes,
+			   size_t length)
 {
-	char *at = exchange->partial;
-	size_t left = exchange->partial_used;
-	char *end;
-
-	while (left && (end = memmem(at, left, "\n\n", 2))) {
-		size_t length = (size_t)(end - at) + 2;
-
-		if (!call_write(exchange->call, at, length))
-			return false;
-		if (is_done_mark(at, length))
-			exchange->done_seen = true;
-		else
-			exchange->call->events++;
-		at += length;
-		left -= length;
+	sse_t *events = &exchange->events;
+	uint32_t before = events->count;
+	int64_t whole = sse_feed(events, bytes, length);
+	const char *text = events->partial.text.bytes;
+
+	if (whole < 0 ||
+	    (whole && !call_write(exchange->call, text, (size_t)whole)))
+		return false;
+	exchange->call->events += events->count - before;
+	if (has_done_mark(text, (size_t)whole)) {
+		exchange->done_seen = true;
+		exchange->call->events--;
 	}
-	memmove(exchange->partial, at, left);
-	exchange->partial_used = left;
+	sse_consume(events, (size_t)whole);
 	tell_tokens(exchange);
 	return true;
 }
@@ -194,8 +172,7 @@
 		call_begin(exchange->call, (int)status_of(exchange),
 			   exchange->type);
 	if (is_stream(exchange)) {
-		taken = keep_partial(exchange, bytes, length) &&
-			hand_on_events(exchange);
+		taken = hand_on_events(exchange, bytes, length);
 	} else {
 		taken = call_write(exchange->call, bytes, length);
 	}
@@ -392,7 +369,7 @@
 	if (exchange->curl)
 		curl_easy_cleanup(exchange->curl);
 	curl_slist_free_all(exchange->headers);
-	free(exchange->partial);
+	sse_finish(&exchange->events);
 	call_drop(exchange->call);
 	free(exchange);
 	running--;
@@ -441,6 +418,7 @@
 
 	if (!exchange)
 		return PIMENTO_ENOMEM;
+	sse_init(&exchange->events);
 	exchange->control = control;
 	exchange->call = call_hold(call);
 	exchange->kind = action->kind;
--- a/test/test_broken_engine_answers.c
+++ b/test/test_broken_engine_answers.c
@@ -219,6 +219,35 @@
 }
 END_TEST
 
+#define LINES(end)                                        \
+	"HTTP/1.1 200 OK\r\n" EVENTS_HEAD "id: 1" end     \
+	"data: {\"choices\":[{\"text\":\"t1\"}]}" end end \
+	"data: {\"choices\":[{\"text\":\"t2\"}]}" end end \
+	"data: [DONE]" end end
+
+/* Guards against a stream whose events are never whole for want of an LF. */
+START_TEST(a_stream_with_any_line_end_is_passed_on)
+{
+	static const char *const streams[] = { LINES("\n"), LINES("\r\n"),
+					       LINES("\r") };
+	const scripted_answer_t answers[] = {
+		{ .bytes = streams[_i], .end = SCRIPTED_CLOSE },
+		{ .bytes = NOT_FOUND },
+	};
+	client_reply_t reply;
+
+	scripted_set(&server, answers, 2);
+	reply = ask("plan-once", true, "x");
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_msg(reply.whole && strstr(reply.body, "t1") &&
+			      strstr(reply.body, "t2"),
+		      "%s", reply.body);
+	ck_assert_str_eq(reply.verdict, "ran");
+	ck_assert_uint_eq(scripted_requests(&server), 1);
+	client_reply_finish(&reply);
+}
+END_TEST
+
 /* Guards against a repeatable request that gets the broken answer. */
 START_TEST(what_may_be_repeated_gets_a_sound_answer)
 {
@@ -495,6 +524,8 @@
 
 	tcase_add_test(engine, a_broken_head_is_no_answer);
 	tcase_add_test(engine, an_unusual_head_is_an_answer);
+	tcase_add_loop_test(engine, a_stream_with_any_line_end_is_passed_on, 0,
+			    3);
 	tcase_add_test(engine, what_may_be_repeated_gets_a_sound_answer);
 	tcase_add_test(engine, a_stream_is_not_resumed_from_a_broken_head);
 	tcase_add_loop_test(engine, a_broken_head_does_not_end_a_stream, 0,
