relay: an event beyond its bound ends the attempt, not the request

What callers saw: a stream that may be resumed was cut when its endpoint sent an event of more than 1 MiB, and the endpoint was not judged for it.

Cause: pass_events() cut the exchange, also where other attempts were left.

Change: the attempt has failed, as with any answer that is none; the endpoint counts a failure, and the request goes on elsewhere within its attempts and budget, behind the last whole event. test_endless_answers, another_endpoint_goes_on_with_what_may_be_resumed, failed before in four of five cases (the other endpoint was not asked).

--- a/io/relay.c
+++ b/io/relay.c
@@ -328,8 +328,13 @@
 	int64_t whole = sse_feed(&x->events, bytes, length);
 	pimento_usec_t now = sys_now();
 
+	if (whole == PIMENTO_ENOMEM) {
+		exchange_cut(x, "memory");
+		return;
+	}
 	if (whole < 0) {
-		exchange_cut(x, "event_too_big");
+		failed(x);
+		dispatch_over(x, PIMENTO_RAN, 0, "event_too_big");
 		return;
 	}
 	note_heard(x->attempt.conn, now);
--- a/test/test_endless_answers.c
+++ b/test/test_endless_answers.c
@@ -133,6 +133,27 @@
 }
 END_TEST
 
+#define REST EVENTS_HEAD EVENT("3") EVENT("4") EVENT("5") LAST_CHUNK
+
+/* Guards against a request that is lost though another endpoint may serve it. */
+START_TEST(another_endpoint_goes_on_with_what_may_be_resumed)
+{
+	const scripted_answer_t answers[] = { { .bytes = endless },
+					      { .bytes = REST } };
+	client_reply_t reply;
+
+	fill_endless(chunks[_i]);
+	scripted_set(&server, answers, 2);
+	reply = edge_ask(&edge, 0, EDGE_STREAM, NULL, NULL);
+	ck_assert_uint_eq(scripted_requests(&server), 2);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_msg(reply.whole, "%s", reply.body);
+	ck_assert_ptr_nonnull(strstr(reply.body, "event 2\n\nid: 3\n"));
+	ck_assert_ptr_nonnull(strstr(reply.body, "event 5\n\n"));
+	client_reply_finish(&reply);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("endless_answers");
@@ -144,6 +165,9 @@
 	tcase_set_timeout(direct, 60);
 	tcase_add_loop_test(direct, an_event_without_an_end_holds_up_nobody, 0,
 			    CHUNKS);
+	tcase_add_loop_test(direct,
+			    another_endpoint_goes_on_with_what_may_be_resumed,
+			    0, CHUNKS);
 	suite_add_tcase(suite, direct);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
