relay: only an event ends the search beside a silent stream

What callers saw: an endpoint that sent lines slowly and never ended an event kept a stream that may be resumed until its deadline, though another endpoint would have gone on with it.

Cause: a stream without events counts as silent, and another endpoint is tried beside it; but any byte of the silent one ended that search, 50 ms after it had begun.

Change: bytes of a silent stream are kept and split where the attempt was set aside; a whole event takes it back, with all that came, and an event beyond the bound ends it. The other endpoint goes on meanwhile, within the attempts and the budget, as for any silent one. test_endless_answers, bytes_without_an_event_end_no_search, failed before in five of five cases (no answer in 5 s); a_silent_endpoint_that_delivers_is_kept passed before and after.

--- a/io/relay.c
+++ b/io/relay.c
@@ -359,14 +359,43 @@
 		httpc_hold(x->attempt.conn, true);
 }
 
+/*
+ * Keeps what comes of a silent stream. Only an event ends the search for another
+ * endpoint: bytes may come for ever and make none.
+ */
+static bool silent_delivers(exchange_t *x, const char *bytes, size_t length)
+{
+	attempt_t *attempt = &x->silent.attempt;
+	latency_service_t *service = pace_of(x);
+	pimento_usec_t now = sys_now();
+	int64_t whole;
+
+	if (!x->silent.is_events || !x->streaming)
+		return true;
+	note_heard(attempt->conn, now);
+	whole = sse_partial_feed(&x->silent.partial, bytes, length);
+	if (whole >= 0)
+		return whole > 0;
+	attempt->finding = LATENCY_OUTCOME_FAILED;
+	if (service)
+		latency_add_failure(&attempt->endpoint->latency, service, now);
+	hedge_end(x, "event_too_big");
+	return false;
+}
+
 void relay_body(httpc_t *conn, const char *bytes, size_t length)
 {
 	exchange_t *x = conn->user;
 
 	if (!x)
 		return;
-	if (hedge_is_silent(x, conn))
+	if (hedge_is_silent(x, conn)) {
+		if (!silent_delivers(x, bytes, length))
+			return;
 		(void)hedge_return(x, "answered");
+		if (x->is_events && x->streaming)
+			length = 0; /* the attempt has them already */
+	}
 	if (x->is_events && x->streaming) {
 		pass_events(x, bytes, length);
 		return;
--- a/src/sse.c
+++ b/src/sse.c
@@ -48,27 +48,26 @@
 	partial->has_id = true;
 }
 
-static void end_event(sse_t *sse)
+static void end_event(sse_partial_t *partial)
 {
-	sse_partial_t *partial = &sse->partial;
-
-	if (partial->has_id)
-		memcpy(sse->last_id, partial->id, sizeof(sse->last_id));
+	if (partial->has_id) {
+		memcpy(partial->last_id, partial->id, sizeof(partial->id));
+		partial->has_last_id = true;
+	}
 	partial->has_id = false;
 	partial->complete = partial->scanned;
-	sse->count++;
+	partial->events++;
 }
 
 /* An empty line ends an event. */
-static void end_line(sse_t *sse, char end)
+static void end_line(sse_partial_t *partial, char end)
 {
-	sse_partial_t *partial = &sse->partial;
 	size_t length = partial->scanned - 1 - partial->line;
 
 	if (length)
 		read_id(partial, partial->text.bytes + partial->line, length);
 	else
-		end_event(sse);
+		end_event(partial);
 	partial->line = partial->scanned;
 	partial->after_cr = end == '\r';
 }
@@ -83,10 +82,8 @@
 	partial->after_cr = false;
 }
 
-static void scan(sse_t *sse)
+static void scan(sse_partial_t *partial)
 {
-	sse_partial_t *partial = &sse->partial;
-
 	while (partial->scanned < partial->text.length) {
 		char byte = partial->text.bytes[partial->scanned];
 
@@ -97,25 +94,35 @@
 		partial->after_cr = false;
 		partial->scanned++;
 		if (byte == '\n' || byte == '\r')
-			end_line(sse, byte);
+			end_line(partial, byte);
 	}
 }
 
-int64_t sse_feed(sse_t *sse, const char *bytes, size_t length)
+int64_t sse_partial_feed(sse_partial_t *partial, const char *bytes,
+			 size_t length)
 {
-	sse_partial_t *partial = &sse->partial;
-
-	if (!length)
-		return 0;
 	strbuf_add(&partial->text, bytes, length);
 	if (strbuf_error(&partial->text))
 		return PIMENTO_ENOMEM;
-	scan(sse);
+	scan(partial);
 	if (partial->text.length - partial->complete > SSE_EVENT_BYTES_MAX)
 		return PIMENTO_ETOOBIG;
 	return (int64_t)partial->complete;
 }
 
+int64_t sse_feed(sse_t *sse, const char *bytes, size_t length)
+{
+	sse_partial_t *partial = &sse->partial;
+	int64_t complete = sse_partial_feed(partial, bytes, length);
+
+	if (partial->has_last_id)
+		memcpy(sse->last_id, partial->last_id, sizeof(sse->last_id));
+	partial->has_last_id = false;
+	sse->count += partial->events;
+	partial->events = 0;
+	return complete;
+}
+
 void sse_consume(sse_t *sse, size_t complete)
 {
 	sse_partial_t *partial = &sse->partial;
--- a/src/sse.h
+++ b/src/sse.h
@@ -21,6 +21,10 @@
 	bool after_cr; /* an LF that follows belongs to the line before */
 	bool has_id;
 	char id[SSE_ID_MAX]; /* of the incomplete event */
+	/* of complete events that sse_feed() has not seen yet */
+	uint32_t events;
+	bool has_last_id;
+	char last_id[SSE_ID_MAX];
 } sse_partial_t;
 
 typedef struct sse {
@@ -34,11 +38,14 @@
 
 void sse_partial_init(sse_partial_t *partial);
 void sse_partial_finish(sse_partial_t *partial);
+/* As sse_feed(), for a partial that is set aside: counts no events yet. */
+int64_t sse_partial_feed(sse_partial_t *partial, const char *bytes,
+			 size_t length);
 
 /*
- * Appends received bytes to partial. Returns how many bytes, from the start of
- * partial.text.bytes, are now complete events; the caller forwards them and then
- * calls sse_consume() with that number. Returns PIMENTO_ENOMEM, or
+ * Appends received bytes, if any, to partial. Returns how many bytes, from the
+ * start of partial.text.bytes, are now complete events; the caller forwards them
+ * and then calls sse_consume() with that number. Returns PIMENTO_ENOMEM, or
  * PIMENTO_ETOOBIG if an incomplete event exceeds 1 MiB.
  */
 int64_t sse_feed(sse_t *sse, const char *bytes, size_t length);
--- a/standin/scripted.c
+++ b/standin/scripted.c
@@ -129,8 +129,26 @@
 	nanosleep(&span, NULL);
 }
 
+static bool send_pieces(int fd, const scripted_answer_t *answer)
+{
+	size_t left = strlen(answer->bytes);
+
+	for (const char *at = answer->bytes; left;) {
+		size_t part = left < answer->split ? left : answer->split;
+
+		if (!send_all(fd, at, part))
+			return false;
+		at += part;
+		left -= part;
+		wait_ms(answer->piece_ms);
+	}
+	return true;
+}
+
 static bool send_bytes(int fd, const scripted_answer_t *answer)
 {
+	if (answer->piece_ms)
+		return send_pieces(fd, answer);
 	if (answer->split) {
 		if (!send_all(fd, answer->bytes, answer->split))
 			return false;
--- a/standin/scripted.h
+++ b/standin/scripted.h
@@ -31,6 +31,8 @@
 	int delay_ms; /* before it is sent */
 	int pause_ms; /* before the end */
 	uint32_t split; /* bytes that go out ahead of the others; 0: all */
+	/* more than 0: split bytes go out at a time, with this pause between */
+	int piece_ms;
 } scripted_answer_t;
 
 struct scripted;
--- a/test/test_endless_answers.c
+++ b/test/test_endless_answers.c
@@ -18,6 +18,13 @@
 	LEARN_MS = 300,
 	ENDLESS_BYTES = 4000000, /* holds more than the largest event */
 	WATCHED_MS = 3000,
+	/* an event that never ends, slowly */
+	DRIBBLE_BYTES = 100,
+	DRIBBLE_MS = 50,
+	BUSY_MS = 400, /* an endpoint's usual time to the first event */
+	SILENCE_MS = 2000, /* longer than four of the route's longest pauses */
+	STUCK_MS = 4000,
+	EVENT_PART = 10, /* bytes of the event that the silence cuts */
 	HELD_UP_MS = 500 /* CONFIG: an answer is due this long after its time */
 };
 
@@ -154,6 +161,52 @@
 }
 END_TEST
 
+/*
+ * Guards against a search for another endpoint that ends whenever a byte comes
+ * from the silent one, though it completes no event.
+ */
+START_TEST(bytes_without_an_event_end_no_search)
+{
+	const scripted_answer_t answers[] = { { .bytes = endless,
+						.split = DRIBBLE_BYTES,
+						.piece_ms = DRIBBLE_MS },
+					      { .bytes = REST,
+						.delay_ms = BUSY_MS } };
+	client_reply_t reply;
+
+	fill_endless(chunks[_i]);
+	scripted_set(&server, answers, 2);
+	reply = edge_ask(&edge, 0, EDGE_STREAM, NULL, NULL);
+	ck_assert_uint_eq(scripted_requests(&server), 2);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_msg(reply.whole, "%s", reply.body);
+	ck_assert_ptr_nonnull(strstr(reply.body, "event 2\n\nid: 3\n"));
+	client_reply_finish(&reply);
+}
+END_TEST
+
+/* Guards against a silent endpoint that delivers and is cancelled all the same. */
+START_TEST(a_silent_endpoint_that_delivers_is_kept)
+{
+	const scripted_answer_t answers[] = {
+		{ .bytes = EVENTS_HEAD EVENT("1") EVENT("2") EVENT("3")
+			  EVENT("4") EVENT("5") LAST_CHUNK,
+		  .split = sizeof(BEGINNING) - 1 + EVENT_PART,
+		  .piece_ms = SILENCE_MS },
+		{ .bytes = REST, .delay_ms = STUCK_MS }
+	};
+	client_reply_t reply;
+
+	scripted_set(&server, answers, 2);
+	reply = edge_ask(&edge, 0, EDGE_STREAM, NULL, NULL);
+	ck_assert_uint_eq(scripted_requests(&server), 2);
+	ck_assert_msg(reply.whole, "%s", reply.body);
+	ck_assert_ptr_nonnull(strstr(reply.body, "event 2\n\nid: 3\n"));
+	ck_assert_ptr_nonnull(strstr(reply.body, "event 5\n\n"));
+	client_reply_finish(&reply);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("endless_answers");
@@ -168,6 +221,9 @@
 	tcase_add_loop_test(direct,
 			    another_endpoint_goes_on_with_what_may_be_resumed,
 			    0, CHUNKS);
+	tcase_add_loop_test(direct, bytes_without_an_event_end_no_search, 0,
+			    CHUNKS);
+	tcase_add_test(direct, a_silent_endpoint_that_delivers_is_kept);
 	suite_add_tcase(suite, direct);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
