stopping: what cannot be finished is refused, and nobody goes unanswered

What callers saw: a host got SIGTERM while requests waited there for a slot.

Cause: may_exit() broke the event loop at its limit whatever waited, and the wait queue knew of no end of its host: a request might be told to wait for longer than its host lived. No log line was missing: "stopped pending=N" and the absence of last lines show it.

Change: - The gateway knows when its last answers are due. A request that waits, or that comes, is refused as soon as its answer would not be whole by then: the time that answers of its route have taken (mean and two deviations; for engines the model of prompt and length), from now. So one that takes longer than what is left is told at once, with the most time left for another host, and one that can be finished is served as before. - The same for one that so many wait before that no slot comes round to it in time, counted twice over, as hosts share slots. - At the end, 0.6 s before the limit as before, all that have no part of an answer get one: 503 "not run" without an attempt that may have run, else 502. The process stays until these have left its buffers, up to 0.3 s more.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -53,8 +53,10 @@
  * noticed: it asks once a second and wants two misses.
  */
 #define NOTICE (2500 * PIMENTO_MSEC)
-/* Owned before the platform's SIGKILL. */
+/* Before the platform's SIGKILL: the last answers are given, */
 #define STOP_MARGIN (600 * PIMENTO_MSEC)
+/* and the process exits though callers have not read theirs. */
+#define EXIT_MARGIN (300 * PIMENTO_MSEC)
 
 /* Descriptors: some are the system's, and half of the rest face callers. */
 #define DESCRIPTORS_KEPT 200
@@ -368,16 +370,20 @@
 	edge->mesh.reader = well && edge->reader;
 }
 
+/* Gives the last answers; true when they have left, or time is up. */
+static bool end_requests(edge_t *edge, pimento_usec_t now)
+{
+	gateway_end(&edge->gateway);
+	return !gateway_unsent(&edge->gateway) ||
+	       now - edge->gateway.ends_at > STOP_MARGIN - EXIT_MARGIN;
+}
+
 /* True when nothing is left to do, or time is up. */
 static bool may_exit(edge_t *edge, pimento_usec_t now)
 {
-	pimento_usec_t passed = now - edge->stopping;
-	pimento_usec_t most =
-		seconds(edge->settings.stop_seconds) - STOP_MARGIN;
-
-	if (passed > most)
-		return true;
-	if (passed < NOTICE)
+	if (now >= edge->gateway.ends_at)
+		return end_requests(edge, now);
+	if (now - edge->stopping < NOTICE)
 		return false;
 	httpd_close_resting(&edge->gateway.front);
 	return gateway_pending(&edge->gateway) == 0 &&
@@ -418,7 +424,9 @@
 	if (edge->stopping)
 		return; /* one stop is enough */
 	edge->stopping = sys_now();
-	gateway_stop(&edge->gateway, edge->stopping + NOTICE);
+	gateway_stop(&edge->gateway, edge->stopping + NOTICE,
+		     edge->stopping + seconds(edge->settings.stop_seconds) -
+			     STOP_MARGIN);
 	peers_leave(&edge->roster, edge->stopping);
 	tunnels_stop(&edge->mesh.tunnels);
 	trail(TRAIL_STATE, "edge", "stopping", "pending=%u seconds=%.1f",
--- a/io/arrival.c
+++ b/io/arrival.c
@@ -11,6 +11,7 @@
 #include "fingerprint.h"
 #include "overload.h"
 #include "return_time.h"
+#include "stopping.h"
 #include "sys.h"
 #include "trail.h"
 
@@ -19,23 +20,6 @@
 /* A caller told to come back while this host itself is not able. */
 #define RETRY_AFTER_SOON (300 * PIMENTO_MSEC)
 
-static gateway_route_t *learnt_of(gateway_t *gateway, pimento_id_t key)
-{
-	gateway_route_t *grown;
-
-	for (uint32_t i = 0; i < gateway->route_count; i++)
-		if (gateway->routes[i].key == key)
-			return &gateway->routes[i];
-	grown = realloc(gateway->routes,
-			(gateway->route_count + 1) * sizeof(*grown));
-	if (!grown)
-		return NULL;
-	gateway->routes = grown;
-	grown += gateway->route_count++;
-	*grown = (gateway_route_t){ .key = key };
-	return grown;
-}
-
 /* True if keys may be honoured: none that we hold can have been dead long. */
 static bool is_fresh(const gateway_t *gateway, pimento_usec_t now)
 {
@@ -127,7 +111,7 @@
 /* What the caller has surely spent before, in earlier attempts. */
 static pimento_usec_t spent_before(gateway_t *gateway, exchange_t *x)
 {
-	gateway_route_t *learnt = learnt_of(gateway, x->route->key);
+	gateway_route_t *learnt = gateway_route(gateway, x->route->key);
 	pimento_usec_t elapsed;
 
 	if (!learnt)
@@ -271,6 +255,10 @@
 	retry_budget_add_request(&x->service->budget, &gateway->bounds.retry,
 				 now);
 	set_wait(x);
+	if (stopping_is_too_late(x, now)) {
+		stopping_turn_away(x);
+		return;
+	}
 	if (overload_reject(x, now))
 		return;
 	x->state = EXCHANGE_WAITING;
--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -114,6 +114,16 @@
 	dispatch_close(x, &x->attempt);
 }
 
+static void learn_answer_time(exchange_t *x, registry_service_t *service,
+			      pimento_usec_t span)
+{
+	gateway_route_t *learnt = gateway_route(x->gateway, x->route->key);
+
+	latency_add_slot_time(&service->latency, span);
+	if (learnt)
+		answer_time_add(&learnt->answer_time, span);
+}
+
 void dispatch_done(exchange_t *x)
 {
 	httpc_t *conn = x->attempt.conn;
@@ -121,8 +131,7 @@
 		registry_get_service(x->gateway->registry, x->service->key);
 
 	if (service && x->status / 100 == 2)
-		latency_add_slot_time(&service->latency,
-				      sys_now() - x->attempt.sent_at);
+		learn_answer_time(x, service, sys_now() - x->attempt.sent_at);
 	if (conn->reusable)
 		pool_release(conn);
 	else
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -204,10 +204,10 @@
 	return backoff < left ? backoff : left;
 }
 
-void exchange_refuse(exchange_t *x, int status, const char *why)
+void exchange_refuse_for(exchange_t *x, int status, const char *why,
+			 pimento_usec_t wait)
 {
 	gateway_t *gateway = x->gateway;
-	pimento_usec_t wait;
 
 	if (x->service)
 		log_endpoints(x);
@@ -216,11 +216,15 @@
 		return;
 	}
 	admission_refund(x);
-	wait = retry_after(x);
 	exchange_retry_after(gateway, part(x, status, GATEWAY_REFUSED, why),
 			     status, wait);
 }
 
+void exchange_refuse(exchange_t *x, int status, const char *why)
+{
+	exchange_refuse_for(x, status, why, x->streaming ? 0 : retry_after(x));
+}
+
 void exchange_fail(exchange_t *x, int status, const char *why)
 {
 	if (x->state == EXCHANGE_WAITING)
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -144,6 +144,8 @@
 
 /* gateway.c */
 gateway_service_t *gateway_service(gateway_t *gateway, pimento_id_t key);
+/* What is learnt of a route; NULL without memory. */
+gateway_route_t *gateway_route(gateway_t *gateway, pimento_id_t key);
 uint64_t gateway_draw(gateway_t *gateway);
 
 /* admission.c */
@@ -172,6 +174,9 @@
  * head of an endpoint's answer has already gone out, they break that answer off.
  */
 void exchange_refuse(exchange_t *exchange, int status, const char *why);
+/* The first with a time of one's own to come back after. */
+void exchange_refuse_for(exchange_t *exchange, int status, const char *why,
+			 pimento_usec_t wait);
 void exchange_fail(exchange_t *exchange, int status, const char *why);
 /* It, or a part of its prompt, crashes endpoints: a final answer. */
 void exchange_reject(exchange_t *exchange);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -8,6 +8,7 @@
 
 #include "overload.h"
 #include "paths.h"
+#include "stopping.h"
 
 #include "sys.h"
 #include "trail.h"
@@ -70,6 +71,23 @@
 	return service;
 }
 
+gateway_route_t *gateway_route(gateway_t *gateway, pimento_id_t key)
+{
+	gateway_route_t *grown;
+
+	for (uint32_t i = 0; i < gateway->route_count; i++)
+		if (gateway->routes[i].key == key)
+			return &gateway->routes[i];
+	grown = realloc(gateway->routes,
+			(gateway->route_count + 1) * sizeof(*grown));
+	if (!grown)
+		return NULL;
+	gateway->routes = grown;
+	grown += gateway->route_count++;
+	*grown = (gateway_route_t){ .key = key };
+	return grown;
+}
+
 /* splitmix64 */
 uint64_t gateway_draw(gateway_t *gateway)
 {
@@ -205,6 +223,7 @@
 	trials_tick(gateway, now);
 	while (sweep_one(gateway, now))
 		;
+	stopping_tick(gateway, now);
 	for (uint32_t i = 0; i < gateway->service_count; i++) {
 		overload_tick(gateway, gateway->services[i], now);
 		sweep_line(gateway, gateway->services[i], now);
@@ -320,10 +339,12 @@
 	catalog_release(gateway->catalog);
 }
 
-void gateway_stop(gateway_t *gateway, pimento_usec_t turn_away_at)
+void gateway_stop(gateway_t *gateway, pimento_usec_t turn_away_at,
+		  pimento_usec_t ends_at)
 {
 	gateway->stopping = true;
 	gateway->stop_at = turn_away_at;
+	gateway->ends_at = ends_at;
 	httpd_stop(&gateway->front);
 }
 
@@ -331,3 +352,8 @@
 {
 	return httpd_pending(&gateway->front);
 }
+
+uint32_t gateway_unsent(const gateway_t *gateway)
+{
+	return httpd_unsent(&gateway->front);
+}
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -18,6 +18,7 @@
 #include "../src/catalog.h"
 #include "../src/sse.h"
 #include "../src/replica.h"
+#include "../src/answer_time.h"
 #include "../src/client_timeout.h"
 #include "../src/placement.h"
 #include "../src/retry_budget.h"
@@ -99,6 +100,7 @@
 typedef struct gateway_route {
 	pimento_id_t key;
 	client_timeout_t patience;
+	answer_time_t answer_time;
 } gateway_route_t;
 
 typedef struct gateway {
@@ -141,6 +143,7 @@
 	bool open; /* takes connections of callers */
 	bool stopping;
 	pimento_usec_t stop_at; /* when new requests are turned away */
+	pimento_usec_t ends_at; /* when the last answers are given */
 	bool pumping;
 	struct exchange *asking; /* while its ask is being sent */
 } gateway_t;
@@ -203,9 +206,20 @@
 
 /*
  * Begins a graceful stop: what comes until turn_away_at is still served, later
- * requests are told to come back.
+ * requests are told to come back, and so are those whose answers would not be
+ * whole by ends_at.
  */
-void gateway_stop(gateway_t *gateway, pimento_usec_t turn_away_at);
+void gateway_stop(gateway_t *gateway, pimento_usec_t turn_away_at,
+		  pimento_usec_t ends_at);
+/* Requests that are owed an answer, or a part of one. */
 uint32_t gateway_pending(const gateway_t *gateway);
 
+/*
+ * Gives the last answers: "not run", or that a request may have run. Answers
+ * that have begun go on until the gateway is finished.
+ */
+void gateway_end(gateway_t *gateway);
+/* Whole answers of which a part has not been handed to the system. */
+uint32_t gateway_unsent(const gateway_t *gateway);
+
 #endif
--- a/io/httpd.c
+++ b/io/httpd.c
@@ -587,6 +587,16 @@
 	return pending;
 }
 
+uint32_t httpd_unsent(const httpd_t *server)
+{
+	uint32_t unsent = 0;
+
+	for (const httpd_conn_t *c = server->conns; c; c = c->next)
+		if (c->state != HTTPD_ANSWERING && sendbuf_waiting(&c->sendbuf))
+			unsent++;
+	return unsent;
+}
+
 /* Answers. */
 
 static void put(httpd_conn_t *conn, const char *bytes, size_t length)
--- a/io/httpd.h
+++ b/io/httpd.h
@@ -125,6 +125,8 @@
 void httpd_close_resting(httpd_t *server);
 /* Requests that were read and are not yet answered. */
 uint32_t httpd_pending(const httpd_t *server);
+/* Those that have a whole answer which has not been handed to the system. */
+uint32_t httpd_unsent(const httpd_t *server);
 
 /*
  * Takes the connection away from the server before its request is answered and
--- a/src/explain.c
+++ b/src/explain.c
@@ -72,7 +72,8 @@
 	{ "route_timeout", "the route's timeout passed" },
 	{ "silent", "the endpoint sent nothing for several times the latency "
 		    "objective" },
-	{ "stopping", "this host is stopping and takes no new requests" },
+	{ "stopping",
+	  "this host is stopping: it takes no new requests, and none that it could not finish" },
 	{ "stream_torn", "the stream ended in the middle of an event" },
 	{ "tunnel_broken",
 	  "the peer that passed the request on (via) ended the tunnel before "
