peers: a host that finds no other shares limits for as long as that lasts

Cause: such a host is the owner of everything in its own view. Within 20 s of its start that was held against it (an eighth of each limit with three seeds); after that peers_known_live_share() counted neither the seeds, which were never seen, nor anybody else, and each host admitted the whole. A unit test stated just that (test_peers, live share 1 after the span); it now states that the share stays below a half, whatever time passes.

Ruled out: a longer span.

Change: an isolated host (seeds, and nobody heard since the start) takes its part of 2 * (seeds + 1) hosts, or of [peers] hosts if the settings state that, until it hears another one. The same part bounds stated rates and slow starts of the endpoints that it owns. A host whose seeds name only itself is alone and admits the whole.

Price: a host that is truly alone, with seeds that will never answer, admits an eighth. Left: more than 8 isolated hosts (three seeds) without the setting.

--- a/daemon/pimentoedge.c
+++ b/daemon/pimentoedge.c
@@ -201,6 +201,7 @@
 
 static void add_seeds(edge_t *edge)
 {
+	peers_set_stated_hosts(&edge->roster, (uint32_t)edge->settings.hosts);
 	for (uint32_t i = 0; i < edge->settings.seed_count; i++)
 		mesh_add_seed(&edge->mesh, edge->settings.seeds[i], sys_now());
 }
--- a/io/mesh.c
+++ b/io/mesh.c
@@ -31,6 +31,8 @@
 #define LOADS_HOSTS_MAX 64
 /* Notes read in one turn of the loop. */
 #define NOTES_AT_ONCE 64
+/* Longer than hosts that start together take to find each other. */
+#define ISOLATION_LOGGED (5 * PIMENTO_SEC)
 #define METRICS_PATH "/metrics"
 
 /* Notes. */
@@ -382,6 +384,23 @@
 	mesh->members_logged_at = now;
 }
 
+/* An isolated host gives out a part of each limit, however long that lasts. */
+static void log_isolation(mesh_t *mesh, pimento_usec_t now)
+{
+	const peers_t *roster = mesh->roster;
+	bool isolated = peers_is_isolated(roster) &&
+			now - roster->first_added_at > ISOLATION_LOGGED;
+
+	if (isolated == mesh->isolation_logged)
+		return;
+	mesh->isolation_logged = isolated;
+	trail(TRAIL_STATE, "mesh", isolated ? "isolated" : "joined",
+	      "seeds=%u hosts=%u share=%.3f up_ms=%lld", roster->count,
+	      peers_sharing_count(roster, now),
+	      peers_known_live_share(roster, MESH_LOST_LATELY, now),
+	      (long long)((now - roster->first_added_at) / PIMENTO_MSEC));
+}
+
 void mesh_probe(mesh_t *mesh, pimento_usec_t now)
 {
 	peers_tick(mesh->roster, now);
@@ -405,6 +424,7 @@
 {
 	slots_tick(mesh->slots, now);
 	log_members(mesh, now);
+	log_isolation(mesh, now);
 	send_notes(mesh, now);
 	for (int kind = 0; kind < REPLICA_KIND_COUNT; kind++)
 		fetch_tick(&mesh->fetches[kind], now);
--- a/io/mesh.h
+++ b/io/mesh.h
@@ -42,6 +42,7 @@
 	bool reader; /* this host reads the store with success; set by others */
 	uint64_t changes_logged; /* of the roster */
 	pimento_usec_t members_logged_at;
+	bool isolation_logged;
 	uint64_t notes_in; /* counters */
 	uint64_t notes_out;
 	uint64_t note_bytes_out;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -243,5 +243,6 @@
 				     sources->now));
 	gauge(text, "turn_longest_seconds",
 	      (double)turn_longest() / (double)PIMENTO_SEC);
+	gauge(text, "host_isolated", peers_is_isolated(gateway->roster));
 	gauge(text, "store_readers", gateway->roster->poller_count);
 }
--- a/src/edge_settings.c
+++ b/src/edge_settings.c
@@ -76,6 +76,7 @@
 
 static const field_t peers_fields[] = {
 	{ "seeds", FIELD_STRING_ARRAY, false, 0, 0, 0, NULL },
+	NUMBER_FIELD("hosts", hosts, 0),
 };
 
 static const field_t store_fields[] = {
--- a/src/edge_settings.h
+++ b/src/edge_settings.h
@@ -9,7 +9,7 @@
  *
  *	[host]    name, datacentre, address, first_start
  *	[listen]  callers, health, peers ("address:port"), gossip_port
- *	[peers]   seeds = ["10.1.0.25:8229", ...]
+ *	[peers]   seeds = ["10.1.0.25:8229", ...], hosts (0: not known)
  *	[store]   address ("address:port")
  *	[regions] DATACENTRE = "region", for each data centre
  *	[limits]  memory_mb, descriptors, link_mbps, stop_seconds
@@ -45,6 +45,11 @@
 	uint16_t gossip_port;
 	char seeds[EDGE_SEEDS_MAX][EDGE_ADDRESS_MAX];
 	uint32_t seed_count;
+	/*
+	 * number of entry hosts: what a host that finds none of them takes for
+	 * alive; 0: not known
+	 */
+	double hosts;
 	char store[EDGE_ADDRESS_MAX];
 	edge_region_t regions[EDGE_DATACENTRES_MAX];
 	uint32_t region_count;
--- a/src/peers.c
+++ b/src/peers.c
@@ -30,6 +30,12 @@
 /* Unresponsive peers get gossip in one of this many turns. */
 #define UNRESPONSIVE_TURNS 8
 
+/*
+ * Hosts that are assumed for each seed, and for this host, while none of them is
+ * seen and their number is not stated.
+ */
+#define HOSTS_PER_SEED 2
+
 /* Time between probes, which also carry facts and replica ages. */
 #define PROBE_PERIOD (150 * PIMENTO_MSEC)
 /* Probes and acks that can be queued until the outbox is drained. */
@@ -68,6 +74,11 @@
 	outbox_finish(&peers->out);
 }
 
+void peers_set_stated_hosts(peers_t *peers, uint32_t hosts)
+{
+	peers->stated_hosts = hosts;
+}
+
 /* Sort key that places neighbouring addresses far apart. */
 static uint32_t address_hash(uint32_t address)
 {
@@ -475,11 +486,9 @@
 	return membership_live_hosts(&peers->membership, NULL, 0);
 }
 
-bool peers_has_only_seeds(const peers_t *peers, pimento_usec_t span,
-			  pimento_usec_t now)
+bool peers_is_isolated(const peers_t *peers)
 {
-	return peers->count && !peers->any_peer_seen &&
-	       now - peers->first_added_at < span;
+	return peers->count && !peers->any_peer_seen;
 }
 
 static uint32_t count_seeds(const peers_t *peers)
@@ -491,11 +500,25 @@
 	return count;
 }
 
+/* Hosts that an isolated host takes for alive. */
+static uint32_t assumed_count(const peers_t *peers)
+{
+	if (peers->stated_hosts)
+		return peers->stated_hosts;
+	return HOSTS_PER_SEED * (1 + count_seeds(peers));
+}
+
+uint32_t peers_sharing_count(const peers_t *peers, pimento_usec_t now)
+{
+	return peers_is_isolated(peers) ? assumed_count(peers)
+					: peers_host_count(peers, now);
+}
+
 double peers_known_live_share(const peers_t *peers, pimento_usec_t span,
 			      pimento_usec_t now)
 {
-	if (peers_has_only_seeds(peers, span, now))
-		return 1.0 / (1 + count_seeds(peers));
+	if (peers_is_isolated(peers))
+		return 1.0 / assumed_count(peers);
 	return membership_known_live_share(&peers->membership, span, now);
 }
 
--- a/src/peers.h
+++ b/src/peers.h
@@ -149,6 +149,7 @@
 	pimento_usec_t first_added_at;
 	pimento_usec_t last_added_at; /* when the newest peer was added */
 	bool any_peer_seen;
+	uint32_t stated_hosts; /* by the settings; 0: unknown */
 	uint32_t next_turn; /* list index of the next gossip target */
 } peers_t;
 
@@ -159,6 +160,9 @@
 int peers_init(peers_t *peers, uint32_t self, uint64_t incarnation);
 void peers_finish(peers_t *peers);
 
+/* How many hosts there are, as the operators state; 0: they don't. */
+void peers_set_stated_hosts(peers_t *peers, uint32_t hosts);
+
 /*
  * Adds a host that is known only by its address. Returns 0, PIMENTO_EFULL or
  * PIMENTO_ENOMEM.
@@ -315,16 +319,22 @@
 uint32_t peers_live_count(const peers_t *peers);
 
 /*
- * True if this host was started within the span and none of its seeds has ever
- * answered: they may be stale, and other hosts alive.
+ * True if this host has seeds and no other host has sent it anything since it
+ * started. The seeds may be down or stale and any number of others alive, which
+ * no passage of time disproves. A host whose seeds name only itself is alone.
+ */
+bool peers_is_isolated(const peers_t *peers);
+
+/*
+ * Number of hosts among which limits are to be shared. For an isolated host what
+ * the settings state, or else twice its seeds and itself.
  */
-bool peers_has_only_seeds(const peers_t *peers, pimento_usec_t span,
-			  pimento_usec_t now);
+uint32_t peers_sharing_count(const peers_t *peers, pimento_usec_t now);
 
 /*
  * Share of the known hosts that are live, (0, 1]; below 1 on each side of a
- * network partition. Hosts that died longer ago than span do not count; seeds
- * that never answered do, while they are all that is known.
+ * network partition. Hosts that died longer ago than span do not count. For an
+ * isolated host its part among those that share the limits.
  */
 double peers_known_live_share(const peers_t *peers, pimento_usec_t span,
 			      pimento_usec_t now);
--- a/src/quota_fleet.c
+++ b/src/quota_fleet.c
@@ -115,12 +115,9 @@
 					pimento_usec_t now)
 {
 	quota_decision_t decision;
-	bool in_place =
-		non_owner ||
-		peers_has_only_seeds(fleet->peers, LOST_HOST_WINDOW, now);
 
 	fleet->owned.limit_ratio = partition_limit_ratio(fleet, now) *
-				   (in_place ? NON_OWNER_LIMIT_RATIO : 1);
+				   (non_owner ? NON_OWNER_LIMIT_RATIO : 1);
 	decision =
 		admit_or_refuse(&fleet->owned, batch->account, batch->version,
 				batch->limit, &batch->items[index], now);
--- a/test/peers_sim.c
+++ b/test/peers_sim.c
@@ -40,6 +40,19 @@
 	free(sim->hosts);
 }
 
+static uint32_t seed_of(const peers_sim_t *sim, uint32_t index)
+{
+	return index * sim->count / SEEDS;
+}
+
+bool peers_sim_is_seed(const peers_sim_t *sim, uint32_t host)
+{
+	for (uint32_t i = 0; i < SEEDS; i++)
+		if (seed_of(sim, i) == host)
+			return true;
+	return false;
+}
+
 void peers_sim_start(peers_sim_t *sim, uint32_t host)
 {
 	peers_sim_host_t *h = &sim->hosts[host];
@@ -47,8 +60,8 @@
 	h->incarnation = pimento_random_next(&sim->random);
 	peers_init(&h->peers, peers_sim_address(host), h->incarnation);
 	for (uint32_t i = 0; i < SEEDS; i++)
-		peers_add(&h->peers, peers_sim_address(i * sim->count / SEEDS),
-			  true, sim->now);
+		peers_add(&h->peers, peers_sim_address(seed_of(sim, i)), true,
+			  sim->now);
 	h->up = true;
 	h->leaving = false;
 }
--- a/test/peers_sim.h
+++ b/test/peers_sim.h
@@ -41,6 +41,8 @@
 } peers_sim_t;
 
 void peers_sim_init(peers_sim_t *sim, uint32_t count, uint64_t seed);
+/* True for the hosts that all hosts have as their seeds. */
+bool peers_sim_is_seed(const peers_sim_t *sim, uint32_t host);
 void peers_sim_finish(peers_sim_t *sim);
 
 /* Convert the index of a host to its address, and an address to an index. */
--- a/test/test_edge_settings.c
+++ b/test/test_edge_settings.c
@@ -20,6 +20,9 @@
 } cases[] = {
 	{ HOST LISTEN STORE, NULL },
 	{ HOST LISTEN STORE "[peers]\nseeds = [\"10.1.0.2:82\"]\n", NULL },
+	{ HOST LISTEN STORE "[peers]\nhosts = 40\n", NULL },
+	{ HOST LISTEN STORE "[peers]\nhosts = -1\n", "hosts" },
+	{ HOST LISTEN STORE "[peers]\nhosts = \"40\"\n", "hosts" },
 	{ HOST LISTEN STORE "[bounds]\nretry_ratio = 0.2\nkey_revoke_ms = "
 			    "5000.0\nretry_slack = 56\n",
 	  NULL },
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -380,7 +380,10 @@
 }
 END_TEST
 
-/* A host that admits whole quotas beside others, as its seeds are stale. */
+/*
+ * Guards against a host that admits whole quotas beside others, as its seeds are
+ * stale or down, for however long.
+ */
 START_TEST(seeds_that_never_answered_count_as_lost_hosts)
 {
 	const pimento_usec_t at = 1000 * PIMENTO_MSEC;
@@ -391,12 +394,42 @@
 	ck_assert(peers_known_live_share(&peers, span, at) >= 1);
 	peers_add(&peers, PEER, true, at);
 	ck_assert(peers_known_live_share(&peers, span, at + span / 2) <= 0.5);
-	ck_assert(peers_known_live_share(&peers, span, at + span) >= 1);
+	ck_assert(peers_known_live_share(&peers, span, at + span) <= 0.5);
+	ck_assert(peers_known_live_share(&peers, span, at + 100 * span) <= 0.5);
 	peers_receive(&peers, &message, at + span / 2, confirmed_at);
 	ck_assert(peers_known_live_share(&peers, span, at + span / 2) >= 1);
 }
 END_TEST
 
+static const struct {
+	uint32_t seeds;
+	uint32_t stated;
+	uint32_t hosts; /* that share the limits */
+} isolated_cases[] = {
+	{ 0, 0, 1 }, { 0, 40, 1 }, { 1, 0, 4 },	  { 2, 0, 6 },
+	{ 3, 0, 8 }, { 3, 3, 3 },  { 3, 40, 40 },
+};
+
+/* Guards against limits that isolated hosts share with too few others. */
+START_TEST(an_isolated_host_assumes_others)
+{
+	const pimento_usec_t at = 1000 * PIMENTO_MSEC;
+	const pimento_usec_t span = 20 * PIMENTO_SEC;
+	double hosts = isolated_cases[_i].hosts;
+
+	peers_set_stated_hosts(&peers, isolated_cases[_i].stated);
+	for (uint32_t i = 0; i < isolated_cases[_i].seeds; i++)
+		peers_add(&peers, PEER + i, true, at);
+	ck_assert_int_eq(peers_is_isolated(&peers),
+			 isolated_cases[_i].seeds > 0);
+	ck_assert_uint_eq(peers_sharing_count(&peers, at + 3 * span),
+			  isolated_cases[_i].hosts);
+	ck_assert_double_eq_tol(
+		peers_known_live_share(&peers, span, at + 3 * span) * hosts, 1,
+		1e-9);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("peers");
@@ -423,6 +456,8 @@
 		sizeof(discovery_cases) / sizeof(discovery_cases[0]));
 	tcase_add_test(tests, discovery_lasts_until_a_peer_responds);
 	tcase_add_test(tests, seeds_that_never_answered_count_as_lost_hosts);
+	tcase_add_loop_test(tests, an_isolated_host_assumes_others, 0,
+			    sizeof(isolated_cases) / sizeof(isolated_cases[0]));
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
--- a/test/test_quota_fleet.c
+++ b/test/test_quota_fleet.c
@@ -457,6 +457,72 @@
 }
 END_TEST
 
+enum {
+	LOST_S = 1, /* all hosts are killed, */
+	BACK_S = 2, /* those that are no seeds start again, */
+	SEED_BACK_S = 28, /* and then one that is */
+	FOUND_S = 30,
+	END_S = 32
+};
+
+static const struct {
+	const char *name;
+	uint32_t hosts;
+	uint32_t stated; /* number of hosts in the settings; 0: none */
+} lost_seed_cases[] = {
+	{ "8 hosts", 8, 0 },
+	{ "4 hosts", 4, 0 },
+	{ "11 hosts", 11, 0 },
+	{ "40 hosts, as the settings say", 40, 40 },
+};
+
+/*
+ * Guards against hosts that cannot find each other, as all seeds are down, and
+ * each admit a whole quota; and against a quota that stays low once they can.
+ */
+START_TEST(quota_holds_while_all_seeds_are_down)
+{
+	const uint32_t hosts = lost_seed_cases[_i].hosts;
+
+	quota_sim_init(&sim, hosts, 1);
+	for (uint32_t i = 0; i < hosts; i++)
+		quota_sim_kill(&sim, i);
+	step_ms((BACK_S - LOST_S) * 1000, 0);
+	for (uint32_t i = 0; i < hosts; i++) {
+		if (peers_sim_is_seed(&sim.peers, i))
+			continue;
+		quota_sim_start(&sim, i, false);
+		peers_set_stated_hosts(&sim.peers.hosts[i].peers,
+				       lost_seed_cases[_i].stated);
+	}
+	step_ms((SEED_BACK_S - BACK_S) * 1000, 8);
+	check_quota(lost_seed_cases[_i].name);
+	quota_sim_start(&sim, 0, false);
+	peers_set_stated_hosts(&sim.peers.hosts[0].peers,
+			       lost_seed_cases[_i].stated);
+	step_ms((END_S - SEED_BACK_S) * 1000, 8);
+	check_quota(lost_seed_cases[_i].name);
+	ck_assert_msg(
+		quota_sim_admitted(&sim, FOUND_S - LOST_S, END_S - LOST_S) >=
+			0.9 * 200000 * (END_S - FOUND_S),
+		"%s: admitted %.0f tokens once a seed was back",
+		lost_seed_cases[_i].name,
+		quota_sim_admitted(&sim, FOUND_S - LOST_S, END_S - LOST_S));
+	quota_sim_finish(&sim);
+}
+END_TEST
+
+/* Guards against a deployment of one host that waits for others. */
+START_TEST(a_host_whose_seeds_name_itself_admits_the_whole)
+{
+	quota_sim_init(&sim, 1, 1);
+	step_ms(10000, 8);
+	check_quota("one host");
+	ck_assert(quota_sim_admitted(&sim, 1, 9) >= 200000 * 8);
+	quota_sim_finish(&sim);
+}
+END_TEST
+
 #define COUNT(table) ((int)(sizeof(table) / sizeof((table)[0])))
 
 int main(void)
@@ -481,6 +547,9 @@
 		account_far_beyond_its_rate_does_not_fill_its_owners_link, 0,
 		COUNT(link_cases));
 	tcase_add_test(tests, late_reply_to_a_part_of_a_batch_is_refunded);
+	tcase_add_loop_test(tests, quota_holds_while_all_seeds_are_down, 0,
+			    COUNT(lost_seed_cases));
+	tcase_add_test(tests, a_host_whose_seeds_name_itself_admits_the_whole);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
