dispatch: isolated hosts share the retry budget's slack

Hosts that cannot find each other counted their seeds and themselves as those who share the slack, however many they were.

They now share it as they share quotas, by peers_sharing_count(). test_isolated_hosts, isolated_hosts_share_the_retry_budget, failed before; isolation_shows_and_ends_with_the_first_peer holds the metric to its word.

--- a/io/dispatch.c
+++ b/io/dispatch.c
@@ -399,7 +399,7 @@
 {
 	gateway_t *gateway = x->gateway;
 	pimento_usec_t now = sys_now();
-	uint32_t hosts = peers_host_count(gateway->roster, now);
+	uint32_t hosts = peers_sharing_count(gateway->roster, now);
 
 	if (x->retry_taken_at && now - x->retry_taken_at < RETRY_RENEWED)
 		return true;
