control: a stop tells "not run" of what was not dispatched

What callers of pimentod saw: requests that still waited at the limit of a planned stop were told "may have run", though no endpoint had had them, so that a charge that never ran could not be tried again.

Cause: cut_calls() tells all calls the same; the host was never asked what it knows of them.

Change: a second before the limit the host refuses what it has not dispatched, as it does with one whose time is over: without a key at once, with one once the key's witnesses have sealed the attempt, so that the promise is true. A claim or a connection under way ends by the deadline check that they have. cut_calls() is left with what was dispatched, or has no answer of witnesses.

--- a/io/control.c
+++ b/io/control.c
@@ -31,6 +31,8 @@
  * instead of a connection that breaks.
  */
 #define TELL_DELAY PIMENTO_SEC
+/* Before the end: for what has not been dispatched, to become "not run". */
+#define REFUSE_MARGIN PIMENTO_SEC
 
 static void on_message(link_handler_t *handler, pimento_id_t from,
 		       const message_t *message)
@@ -529,6 +531,8 @@
 		control->end_at = now + TELL_DELAY;
 		pimento_host_leave(control->host, now);
 	}
+	if (now >= control->stop_at - REFUSE_MARGIN)
+		pimento_host_refuse_waiting(control->host, now);
 	if (now >= control->stop_at)
 		return true;
 	return now >= control->end_at && !unfinished(control) &&
@@ -546,7 +550,8 @@
 /*
  * After the limit nobody is left who could end a call. Its caller's thread
  * would wait for ever and the process never end, so that a replacement of the
- * host hangs until somebody kills it. What was dispatched may still run.
+ * host hangs until somebody kills it. What is left was dispatched and may still
+ * run, or a key's witnesses have not answered.
  */
 static void cut_calls(control_t *control)
 {
--- a/pimentoshelf.h
+++ b/pimentoshelf.h
@@ -370,6 +370,13 @@
  */
 void pimento_host_leave(pimento_host_t *host, pimento_usec_t now);
 
+/*
+ * Refuses the requests that have not been dispatched, as this host is about to
+ * end. For one with a key "not run" takes an answer of the key's witnesses, so
+ * that this is to be called some round trips before the end.
+ */
+void pimento_host_refuse_waiting(pimento_host_t *host, pimento_usec_t now);
+
 /* Returns the number of callers' requests in progress on this host. */
 uint32_t pimento_host_active_requests(const pimento_host_t *host);
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -630,6 +630,32 @@
 	}
 }
 
+/* A claim or a connection under way is let finish; then its time is over. */
+static void refuse_waiting(entry_table_t *table, pimento_usec_t now,
+			   entry_t *entry, int error)
+{
+	switch (entry->state) {
+	case ENTRY_RESERVING:
+	case ENTRY_WAITING:
+		entry_release(table, entry, RELEASE_UNUSED);
+		entry_abort(table, now, entry, error, 0);
+		return;
+	case ENTRY_CLAIMING:
+	case ENTRY_CONNECTING:
+		if (entry->deadline > now)
+			entry->deadline = now;
+		return;
+	default:
+		return;
+	}
+}
+
+void entry_refuse_waiting(entry_table_t *table, pimento_usec_t now, int error)
+{
+	for (uint32_t i = 0; i < table->high_water; i++)
+		refuse_waiting(table, now, &table->entries[i], error);
+}
+
 void entry_tick(entry_table_t *table, pimento_usec_t now)
 {
 	table->next_wake = PIMENTO_NEVER;
--- a/src/entry.h
+++ b/src/entry.h
@@ -165,6 +165,9 @@
  */
 void entry_owners_changed(entry_table_t *table, pimento_usec_t now);
 
+/* Refuses all requests that have not been dispatched, with this error. */
+void entry_refuse_waiting(entry_table_t *table, pimento_usec_t now, int error);
+
 void entry_tick(entry_table_t *table, pimento_usec_t now);
 
 /* Removes the next action from the queue; false if the queue is empty. */
--- a/src/host.c
+++ b/src/host.c
@@ -601,6 +601,12 @@
 	assign_owners(host, now);
 }
 
+void pimento_host_refuse_waiting(pimento_host_t *host, pimento_usec_t now)
+{
+	host->now = now;
+	entry_refuse_waiting(&host->entries, now, PIMENTO_ELEAVING);
+}
+
 uint32_t pimento_host_active_requests(const pimento_host_t *host)
 {
 	return host->entries.active;
--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -19,6 +19,7 @@
 
 typedef struct caller {
 	pthread_t thread;
+	bool keyed;
 	client_reply_t reply;
 } caller_t;
 
@@ -125,6 +126,98 @@
 }
 END_TEST
 
+enum {
+	WAITERS = 24, /* beyond the slots; every second one has a key */
+	SETTLE_MS = 1500,
+	STOP_SECONDS = 7,
+	STOP_MARGIN_MS = 500,
+	KEY_MS = 20000
+};
+
+static const fleet_options_t short_stop = {
+	.hosts = 3, /* which can bear witness to a key */
+	.engines = 1,
+	.engine = { { .decode = 100, .batch = CALLERS } },
+	.stop_seconds = STOP_SECONDS,
+};
+
+/* Hosts issue keys once they have heard of enough others. */
+static void issue_key(char key[FLEET_KEY_MAX])
+{
+	int64_t until = process_now_ms() + KEY_MS;
+
+	while (fleet_issue_key(fleet.http_port[0], key) < 0) {
+		ck_assert_int_lt(process_now_ms(), until);
+		process_sleep_ms(100);
+	}
+}
+
+static void *run_waiter(void *data)
+{
+	caller_t *caller = data;
+	char key[FLEET_KEY_MAX];
+	client_call_t call = fleet_completion(
+		fleet.http_port[0],
+		"{\"model\":\"planner\",\"prompt\":\"" PROMPT "\","
+		"\"max_tokens\":300}");
+
+	call.timeout_s = 60;
+	if (caller->keyed) {
+		issue_key(key);
+		call.headers[2] =
+			(client_header_t){ "Pimento-Contract", "plan-once" };
+		call.headers[3] = (client_header_t){ "Idempotency-Key", key };
+	}
+	client_call(&caller->reply, &call);
+	return NULL;
+}
+
+/* Guards against a request that never ran and may not be tried again. */
+START_TEST(a_planned_stop_says_what_did_not_run)
+{
+	caller_t waiters[WAITERS];
+	uint32_t not_run[2] = { 0 }; /* without and with a key */
+	fleet_runs_t runs;
+	int64_t stopped_at;
+
+	ck_assert_int_eq(fleet_start(&fleet, &short_stop), 0);
+	for (int i = 0; i < WAITERS; i++) {
+		waiters[i].keyed = i % 2;
+		ck_assert_int_eq(pthread_create(&waiters[i].thread, NULL,
+						run_waiter, &waiters[i]),
+				 0);
+	}
+	wait_for_runs(1);
+	ck_assert_int_eq(fleet_control(fleet.engine[0].port, "/control/stall",
+				       "{\"ms\":120000}"),
+			 0);
+	process_sleep_ms(SETTLE_MS);
+	stopped_at = process_now_ms();
+	kill(fleet.host[0].pid, SIGTERM);
+	for (int i = 0; i < WAITERS; i++) {
+		client_reply_t *reply = &waiters[i].reply;
+
+		pthread_join(waiters[i].thread, NULL);
+		if (strcmp(reply->verdict, "not-run") == 0) {
+			ck_assert_int_eq(reply->status, 503);
+			ck_assert_str_ne(reply->retry_after, "");
+			ck_assert_int_lt(process_now_ms() - stopped_at,
+					 STOP_SECONDS * 1000 + STOP_MARGIN_MS);
+			not_run[waiters[i].keyed]++;
+		}
+		client_reply_finish(reply);
+	}
+	ck_assert_int_eq(fleet_runs(&fleet, &runs), 0);
+	printf("%u ran, %u and %u with a key did not\n", runs.started,
+	       not_run[0], not_run[1]);
+	ck_assert_uint_eq(runs.started + not_run[0] + not_run[1], WAITERS);
+	ck_assert_uint_gt(not_run[0], 0);
+	ck_assert_uint_gt(not_run[1], 0);
+	ck_assert_int_eq(process_wait(&fleet.host[0], LIMIT_MS), EXIT_FAILURE);
+	ck_assert_int_eq(fleet_stop(&fleet), 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("stop");
@@ -133,6 +226,7 @@
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, a_planned_stop_cuts_no_answer);
 	tcase_add_test(tc, a_planned_stop_ends_at_its_limit);
+	tcase_add_test(tc, a_planned_stop_says_what_did_not_run);
 	suite_add_tcase(suite, tc);
 	return process_run_suite(suite);
 }
