--- a/test/fuzz_packet.c
+++ b/test/fuzz_packet.c
@@ -30,11 +30,11 @@
 
 	sse_init(&events);
 	complete = sse_feed(&events, (const char *)data, half);
-	if (complete < 0 || (size_t)complete > events.partial.length)
+	if (complete < 0 || (size_t)complete > events.partial.text.length)
 		abort();
 	sse_consume(&events, (size_t)complete);
 	complete = sse_feed(&events, (const char *)data + half, size - half);
-	if (complete < 0 || (size_t)complete > events.partial.length)
+	if (complete < 0 || (size_t)complete > events.partial.text.length)
 		abort();
 	sse_finish(&events);
 }
