httpd: a host that ends resets an answer that the connection's end would end

What a caller of HTTP/1.0 saw: a stream that its host left unfinished when it stopped ended with a clean close, which is the proper end of such an answer: a part looked whole (MIXED).

Cause: httpd_finish() closes all connections alike. In chunks or with a length the cut shows; without either the close is the end.

Change: such an answer is reset, as when its endpoint breaks it off. test_broken_answers, a_caller_of_http_1_0_sees_the_end_of_its_host, failed before (a clean end). With it come tests for what the users saw elsewhere (MIXED) and had no test here: a broken second answer on a kept connection, directly and through a tunnel, and a broken head beside a silent stream; these passed before.

--- a/io/httpd.c
+++ b/io/httpd.c
@@ -510,7 +510,7 @@
 	close(server->accepting.fd);
 	for (httpd_conn_t *conn = server->conns, *next; conn; conn = next) {
 		next = conn->next;
-		conn_close(conn, false);
+		conn_close(conn, conn->until_close);
 	}
 }
 
@@ -639,8 +639,9 @@
 		conn->keep = false;
 	conn->state = HTTPD_ANSWERING;
 	conn->chunked = length == HTTPD_CHUNKED && !is_old(conn);
-	if (length == HTTPD_CHUNKED && !conn->chunked)
-		conn->keep = false; /* the end of the connection ends it */
+	conn->until_close = length == HTTPD_CHUNKED && !conn->chunked;
+	if (conn->until_close)
+		conn->keep = false;
 	strbuf_init(&text);
 	add_head(conn, &text, status, fields, length);
 	put(conn, strbuf_str(&text), text.length);
@@ -669,6 +670,7 @@
 {
 	if (conn->chunked)
 		put(conn, "0\r\n\r\n", 5);
+	conn->until_close = false;
 	if (conn->dead)
 		return;
 	conn->served++;
--- a/io/httpd.h
+++ b/io/httpd.h
@@ -92,6 +92,7 @@
 	bool at_rest; /* no byte of the next request has come */
 	bool keep;
 	bool chunked; /* the answer under way */
+	bool until_close; /* its end is that of the connection */
 	bool in_call; /* its user is being called: do not free */
 	bool dead;
 	uint32_t served; /* requests answered here */
--- a/test/test_broken_answers.c
+++ b/test/test_broken_answers.c
@@ -7,6 +7,7 @@
 #include "edge.h"
 
 #include <arpa/inet.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +17,8 @@
 enum {
 	TEXT_BYTES = 2048,
 	READY_MS = 5000,
+	STOP_MS = 12000, /* longer than a host takes to stop */
+	HEDGED_HEADS = 6, /* of the broken ones; each takes seconds */
 	UPLOAD_BYTES = 3000000, /* more than the buffers of a connection */
 	UPLOAD_MAX = 4000000,
 	LARGE = 300000, /* more than a host holds back */
@@ -537,6 +540,80 @@
 }
 END_TEST
 
+/* Guards against a broken answer that counts because the one before was sound. */
+START_TEST(a_kept_connection_vouches_for_no_answer)
+{
+	char text[TEXT_BYTES];
+	const scripted_answer_t answers[] = {
+		{ .bytes = PLAIN },
+		{ .bytes = write_plain(text, &broken_heads[_i]) },
+	};
+	long reused = edge_metric(&edge, 0, "pimento_connections_reused_total");
+	client_reply_t reply;
+
+	scripted_set(&server, answers, 2);
+	reply = edge_ask(&edge, 0, EDGE_UNSAFE, NULL, NULL);
+	ck_assert_int_eq(reply.status, 200);
+	client_reply_finish(&reply);
+	reply = edge_ask(&edge, 0, EDGE_UNSAFE, NULL, NULL);
+	ck_assert_msg(reply.status == 502, "%s: %ld", broken_heads[_i].line,
+		      reply.status);
+	client_reply_finish(&reply);
+	ck_assert_int_gt(
+		edge_metric(&edge, 0, "pimento_connections_reused_total"),
+		reused);
+}
+END_TEST
+
+enum { SILENCE_MS = 2000 /* longer than four of the stream's pauses */ };
+
+/* Guards against a broken head that replaces, or ends, a silent stream. */
+START_TEST(a_silent_stream_is_not_replaced_by_a_broken_head)
+{
+	static const char first[] =
+		"HTTP/1.1 200 OK\r\n" MARKS EVENTS_HEAD EVENTS_1_TO_2;
+	char text[TEXT_BYTES];
+	const scripted_answer_t answers[] = {
+		{ .bytes = STREAM,
+		  .split = sizeof(first) - 1,
+		  .piece_ms = SILENCE_MS },
+		{ .bytes = write_stream(text, &broken_heads[_i],
+					EVENTS_3_TO_5) },
+	};
+	client_reply_t reply;
+
+	scripted_set(&server, answers, 2);
+	reply = edge_ask(&edge, 0, EDGE_STREAM, NULL, NULL);
+	ck_assert_uint_eq(scripted_requests(&server), 2);
+	ck_assert_msg(reply.whole, "%s, %s: %s", broken_heads[_i].line,
+		      broken_heads[_i].fields, reply.body);
+	ck_assert_ptr_nonnull(strstr(reply.body, "event 2\n\nid: 3\n"));
+	ck_assert_ptr_nonnull(strstr(reply.body, "event 5\n\n"));
+	client_reply_finish(&reply);
+}
+END_TEST
+
+/* Guards against the same when the host ends: a part that looks whole. */
+START_TEST(a_caller_of_http_1_0_sees_the_end_of_its_host)
+{
+	const scripted_answer_t answer = { .bytes = EVENTS_UNTIL_CLOSE,
+					   .pause_ms = STOP_MS };
+	char bytes[65536];
+	int fd = edge_connect(&edge, 0);
+	ssize_t got;
+
+	scripted_set(&server, &answer, 1);
+	edge_send(fd, "GET " EDGE_ONCE " HTTP/1.0\r\nHost: t.example\r\n"
+		      "Request-Id: id-of-a-test\r\nKey: " EDGE_KEY "\r\n\r\n");
+	ck_assert(edge_expect(fd, "event 1", READY_MS));
+	ck_assert_int_eq(kill(edge.hosts[0].process.pid, SIGTERM), 0);
+	while ((got = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		continue;
+	ck_assert_int_lt(got, 0);
+	close(fd);
+}
+END_TEST
+
 static TCase *add_case(Suite *suite, const char *name, SFun setup)
 {
 	TCase *tcase = tcase_create(name);
@@ -570,6 +647,12 @@
 	tcase_add_loop_test(direct, an_answer_that_is_reset_is_not_whole, 0,
 			    UPLOADS);
 	tcase_add_test(direct, a_caller_of_http_1_0_sees_the_cut);
+	tcase_add_test(direct, a_caller_of_http_1_0_sees_the_end_of_its_host);
+	tcase_add_loop_test(direct, a_kept_connection_vouches_for_no_answer, 0,
+			    BROKEN_HEADS);
+	tcase_add_loop_test(direct,
+			    a_silent_stream_is_not_replaced_by_a_broken_head, 0,
+			    HEDGED_HEADS);
 	tcase_add_loop_test(tunnel, a_broken_head_is_no_answer, 0,
 			    BROKEN_HEADS);
 	tcase_add_loop_test(tunnel, an_unusual_head_is_an_answer, 0,
@@ -577,5 +660,7 @@
 	tcase_add_loop_test(
 		tunnel, an_answer_that_is_reset_behind_a_tunnel_is_not_whole, 0,
 		UPLOADS);
+	tcase_add_loop_test(tunnel, a_kept_connection_vouches_for_no_answer, 0,
+			    BROKEN_HEADS);
 	return process_run_suite(suite);
 }
