stopping: what waits before a request counts with its own time

Read again before the landing: a slow request behind many short ones was refused as if each of those held a slot for as long as it would itself, though it could have been finished.

--- a/io/stopping.c
+++ b/io/stopping.c
@@ -2,10 +2,7 @@
 
 #include "sys.h"
 
-/*
- * A slot becomes free for this host at most once in the time of an answer; hosts
- * share slots, so that more may come its way than it holds.
- */
+/* Hosts share slots: more may come this one's way than it holds now. */
 #define MORE_SLOTS 2
 
 /* Another host takes the request at once: callers come spread over this. */
@@ -37,7 +34,6 @@
 	       now + time_needed(x) > x->gateway->ends_at;
 }
 
-/* Callers come back by turns where hosts know the room that is left. */
 static pimento_usec_t retry_after(gateway_t *gateway)
 {
 	return RETRY_AFTER_MIN + (pimento_usec_t)(gateway_draw(gateway) %
@@ -51,7 +47,7 @@
 
 	if (x->runs)
 		exchange_fail(x, HTTP_STATUS_BAD_GATEWAY, why);
-	else if (gateway->bounds.early_rejection)
+	else if (gateway->bounds.early_rejection) /* at a turn of its own */
 		exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why);
 	else
 		exchange_refuse_for(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why,
@@ -75,39 +71,26 @@
 	return begun;
 }
 
-/*
- * True if so many wait before it that none of the slots comes round to it while
- * there is time; begun is the number of slots that this host holds.
- */
-static bool is_too_far_behind(const exchange_t *x, uint32_t before,
-			      uint32_t begun, pimento_usec_t now)
-{
-	pimento_usec_t needed = time_needed(x);
-	pimento_usec_t rounds;
-
-	if (!begun || !needed)
-		return false;
-	rounds = (x->gateway->ends_at - needed - now) / needed + 1;
-	return before >= (uint64_t)rounds * begun * MORE_SLOTS;
-}
-
 /* Returns true if one was turned away, which may have ended others too. */
 static bool turn_one_away(gateway_t *gateway, gateway_service_t *service,
 			  pimento_usec_t now)
 {
+	const pimento_usec_t left = gateway->ends_at - now;
 	uint32_t begun = count_begun(gateway, service);
-	uint32_t before = 0;
+	pimento_usec_t ahead = 0;
 
 	for (wait_queue_item_t *item = service->line.first; item;
-	     item = item->next, before++) {
+	     item = item->next) {
 		exchange_t *x = (exchange_t *)item;
+		pimento_usec_t needed = time_needed(x);
 
-		if (!may_turn_away(x) ||
-		    (!stopping_is_too_late(x, now) &&
-		     !is_too_far_behind(x, before, begun, now)))
-			continue;
-		stopping_turn_away(x);
-		return true;
+		if (may_turn_away(x) &&
+		    !answer_time_fits(needed, ahead, begun * MORE_SLOTS,
+				      left)) {
+			stopping_turn_away(x);
+			return true;
+		}
+		ahead += needed;
 	}
 	return false;
 }
--- a/io/turn.h
+++ b/io/turn.h
@@ -14,7 +14,7 @@
 #define TURN_LOGGED (20 * PIMENTO_MSEC)
 
 typedef struct turn {
-	const char *who; /* "caller", "endpoint", ... */
+	const char *who; /* on the other side, in one word */
 	int fd; /* -1: closed in this turn */
 	ssize_t bytes; /* that were read */
 	pimento_usec_t begun;
--- a/src/answer_time.c
+++ b/src/answer_time.c
@@ -25,3 +25,9 @@
 	return (pimento_usec_t)(time->mean_us +
 				DEVIATIONS * time->deviation_us);
 }
+
+bool answer_time_fits(pimento_usec_t needed, pimento_usec_t ahead,
+		      uint32_t slots, pimento_usec_t left)
+{
+	return needed + (slots ? ahead / slots : 0) <= left;
+}
--- a/src/answer_time.h
+++ b/src/answer_time.h
@@ -18,4 +18,12 @@
 /* What most answers need at most; 0 if none has been seen. */
 pimento_usec_t answer_time_bound(const answer_time_t *time);
 
+/*
+ * True if a request that needs a slot for this time can be finished in the time
+ * left, after others that need slots for `ahead` in all. Without slots, whose
+ * number may be unknown, these do not count.
+ */
+bool answer_time_fits(pimento_usec_t needed, pimento_usec_t ahead,
+		      uint32_t slots, pimento_usec_t left);
+
 #endif
