--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,8 @@
 SRC_CC = $(wildcard src/*.cc)
 # The event-driven data path stands alone, without the libraries of the other.
 EDGE_IO_C = $(patsubst %,io/%.c,admission arrival crashes dispatch exchange fetch fingerprint frame gateway \
-	head hedge httpc httpd mesh metrics net paths overload placing pool quarantine_page relay sendbuf slots statements \
-	status_line stopping sys trail trials tunnel turn window)
+	head hedge httpc httpd loop_time mesh metrics net paths overload placing pool quarantine_page relay sendbuf slots statements \
+	status_line stopping sys trail trials tunnel window)
 IO_C = $(wildcard io/*.c)
 PLATFORM_C = $(wildcard platform/*.c)
 CTL_C = $(wildcard daemon/ctl_*.c) daemon/pimentoctl.c
--- a/io/exchange.c
+++ b/io/exchange.c
@@ -204,8 +204,8 @@
 	return backoff < left ? backoff : left;
 }
 
-void exchange_refuse_for(exchange_t *x, int status, const char *why,
-			 pimento_usec_t wait)
+void exchange_refuse_after(exchange_t *x, int status, const char *why,
+			   pimento_usec_t wait)
 {
 	gateway_t *gateway = x->gateway;
 
@@ -222,7 +222,8 @@
 
 void exchange_refuse(exchange_t *x, int status, const char *why)
 {
-	exchange_refuse_for(x, status, why, x->streaming ? 0 : retry_after(x));
+	exchange_refuse_after(x, status, why,
+			      x->streaming ? 0 : retry_after(x));
 }
 
 void exchange_fail(exchange_t *x, int status, const char *why)
--- a/io/exchange.h
+++ b/io/exchange.h
@@ -174,9 +174,9 @@
  * head of an endpoint's answer has already gone out, they break that answer off.
  */
 void exchange_refuse(exchange_t *exchange, int status, const char *why);
-/* The first with a time of one's own to come back after. */
-void exchange_refuse_for(exchange_t *exchange, int status, const char *why,
-			 pimento_usec_t wait);
+/* exchange_refuse() with the Retry-After that is given. */
+void exchange_refuse_after(exchange_t *exchange, int status, const char *why,
+			   pimento_usec_t wait);
 void exchange_fail(exchange_t *exchange, int status, const char *why);
 /* It, or a part of its prompt, crashes endpoints: a final answer. */
 void exchange_reject(exchange_t *exchange);
--- a/io/httpc.c
+++ b/io/httpc.c
@@ -9,7 +9,7 @@
 
 #include "sys.h"
 #include "tunnel.h"
-#include "turn.h"
+#include "loop_time.h"
 
 #include <ctype.h>
 #include <errno.h>
@@ -351,13 +351,13 @@
 {
 	httpc_t *conn = watcher->data;
 	ssize_t got = read(conn->fd, read_buffer, sizeof(read_buffer));
-	turn_t turn;
+	loop_time_t time;
 
 	(void)loop;
 	(void)events;
 	if (got < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	turn = turn_begin(conn->via ? "peer" : "server", conn->fd, got);
+	time = loop_time_begin(conn->via ? "peer" : "server", conn->fd, got);
 	conn->in_call = true;
 	if (conn->via)
 		take_tunnelled(conn, read_buffer, got > 0 ? (size_t)got : 0);
@@ -367,8 +367,8 @@
 		take(conn, read_buffer, (size_t)got);
 	conn->in_call = false;
 	if (conn->dead)
-		turn.fd = -1;
-	turn_end(&turn);
+		time.fd = -1;
+	loop_time_end(&time);
 	if (conn->dead)
 		conn_free(conn);
 }
--- a/io/httpd.c
+++ b/io/httpd.c
@@ -8,7 +8,7 @@
 #include "httpd.h"
 
 #include "sys.h"
-#include "turn.h"
+#include "loop_time.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -375,7 +375,7 @@
 {
 	httpd_conn_t *conn = watcher->data;
 	ssize_t got = read(conn->fd, read_buffer, sizeof(read_buffer));
-	turn_t turn;
+	loop_time_t time;
 
 	(void)loop;
 	(void)events;
@@ -385,7 +385,7 @@
 		conn_close(conn, false);
 		return;
 	}
-	turn = turn_begin("caller", conn->fd, got);
+	time = loop_time_begin("caller", conn->fd, got);
 	host_load_add_received(&conn->server->load, (uint64_t)got, sys_now());
 	if (conn->state == HTTPD_LINGERING) {
 		drain(conn);
@@ -398,8 +398,8 @@
 	else
 		strbuf_add(&conn->ahead, read_buffer, (size_t)got);
 	if (!settle(conn))
-		turn.fd = -1;
-	turn_end(&turn);
+		time.fd = -1;
+	loop_time_end(&time);
 }
 
 static void on_writable(struct ev_loop *loop, ev_io *watcher, int events)
--- a/io/turn.c
+++ b/io/loop_time.c
@@ -1,4 +1,4 @@
-#include "turn.h"
+#include "loop_time.h"
 
 #include "sys.h"
 #include "trail.h"
@@ -8,7 +8,7 @@
 #include <stdio.h>
 #include <sys/socket.h>
 
-/* Lines about turns that follow each other. */
+/* Between two lines. */
 #define LINE_SPACING PIMENTO_SEC
 
 #define PEER_TEXT_BYTES (INET_ADDRSTRLEN + 6)
@@ -16,14 +16,14 @@
 static pimento_usec_t longest;
 static pimento_usec_t logged_at;
 
-turn_t turn_begin(const char *who, int fd, ssize_t bytes)
+loop_time_t loop_time_begin(const char *who, int fd, ssize_t bytes)
 {
-	return (turn_t){
+	return (loop_time_t){
 		.who = who, .fd = fd, .bytes = bytes, .begun = sys_now()
 	};
 }
 
-/* The turn may have closed its connection. */
+/* The connection may have been closed meanwhile. */
 static const char *peer_of(int fd, char text[PEER_TEXT_BYTES])
 {
 	struct sockaddr_in address = { 0 };
@@ -38,25 +38,26 @@
 	return text;
 }
 
-void turn_end(const turn_t *turn)
+void loop_time_end(const loop_time_t *time)
 {
 	pimento_usec_t now = sys_now();
-	pimento_usec_t span = now - turn->begun;
+	pimento_usec_t span = now - time->begun;
 	char peer[PEER_TEXT_BYTES];
 
 	if (span > longest)
 		longest = span;
-	if (span < TURN_LOGGED || (logged_at && now - logged_at < LINE_SPACING))
+	if (span < LOOP_TIME_LOGGED ||
+	    (logged_at && now - logged_at < LINE_SPACING))
 		return;
 	logged_at = now;
 	trail(TRAIL_STATE, "edge", "held",
 	      "ms=%lld by=%s peer=%s bytes=%lld longest_ms=%lld",
-	      (long long)(span / PIMENTO_MSEC), turn->who,
-	      peer_of(turn->fd, peer), (long long)turn->bytes,
+	      (long long)(span / PIMENTO_MSEC), time->who,
+	      peer_of(time->fd, peer), (long long)time->bytes,
 	      (long long)(longest / PIMENTO_MSEC));
 }
 
-pimento_usec_t turn_longest(void)
+pimento_usec_t loop_time_longest(void)
 {
 	return longest;
 }
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -1,7 +1,7 @@
 #include "metrics.h"
 
 #include "trail.h"
-#include "turn.h"
+#include "loop_time.h"
 
 static void counter(strbuf_t *text, const char *name, uint64_t value)
 {
@@ -241,8 +241,8 @@
 	gauge(text, "hosts_reachable_part",
 	      peers_known_live_share(gateway->roster, MESH_LOST_LATELY,
 				     sources->now));
-	gauge(text, "turn_longest_seconds",
-	      (double)turn_longest() / (double)PIMENTO_SEC);
+	gauge(text, "loop_longest_seconds",
+	      (double)loop_time_longest() / (double)PIMENTO_SEC);
 	gauge(text, "host_isolated", peers_is_isolated(gateway->roster));
 	gauge(text, "store_readers", gateway->roster->poller_count);
 }
--- a/io/stopping.c
+++ b/io/stopping.c
@@ -3,7 +3,7 @@
 #include "sys.h"
 
 /* Hosts share slots: more may come this one's way than it holds now. */
-#define MORE_SLOTS 2
+#define SHARED_SLOTS_FACTOR 2
 
 /* Another host takes the request at once: callers come spread over this. */
 #define RETRY_AFTER_MIN (100 * PIMENTO_MSEC)
@@ -50,8 +50,8 @@
 	else if (gateway->bounds.early_rejection) /* at a turn of its own */
 		exchange_refuse(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why);
 	else
-		exchange_refuse_for(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why,
-				    retry_after(gateway));
+		exchange_refuse_after(x, HTTP_STATUS_SERVICE_UNAVAILABLE, why,
+				      retry_after(gateway));
 }
 
 /* A caller who has a part of an answer waits for the rest until the end. */
@@ -85,8 +85,8 @@
 		pimento_usec_t needed = time_needed(x);
 
 		if (may_turn_away(x) &&
-		    !answer_time_fits(needed, ahead, begun * MORE_SLOTS,
-				      left)) {
+		    !answer_time_fits(needed, ahead,
+				      begun * SHARED_SLOTS_FACTOR, left)) {
 			stopping_turn_away(x);
 			return true;
 		}
