--- a/src/answer_time.h
+++ b/src/answer_time.h
@@ -19,9 +19,10 @@
 pimento_usec_t answer_time_bound(const answer_time_t *time);
 
 /*
- * True if a request that needs a slot for this time can be finished in the time
- * left, after others that need slots for `ahead` in all. Without slots, whose
- * number may be unknown, these do not count.
+ * True if a request can be finished in the time left: it needs a slot for
+ * `needed`, and the requests before it need slots for `ahead` in all, which
+ * `slots` of them work off side by side. With 0 slots (number unknown) the
+ * requests before it are ignored.
  */
 bool answer_time_fits(pimento_usec_t needed, pimento_usec_t ahead,
 		      uint32_t slots, pimento_usec_t left);
